Serve a request from end to end through an entry

Cause: an empty repository; the issue asks for the thin whole path first. A caller's request goes through an entry to a backend server stand-in, tables come from the store stand-in by one long poll, and the demo drains a server in the middle. Ruled out: aiohttp's client session on the way to backend servers, since it repeats idempotent requests by itself; its parser and protocol are used below a connection pool of our own.

Conclusion: the frame stands; every part is thin.

--- /dev/null
+++ b/features/whole_path.feature
@@ -0,0 +1,22 @@
+Feature: the whole path
+  A request goes from a caller through an entry to a backend server and back,
+  and an edit of the tables takes hold on every entry.
+
+  Scenario: requests are answered while a server is taken out
+    Given the demo's fleet
+    When a caller reads 20 cards and posts 20 times
+    And an edit takes card server 0 out
+    And a caller reads 20 cards and posts 20 times
+    Then every request was answered with its own id
+    And no request ran twice
+    And card server 0 got no request after the edit
+
+  Scenario: an unknown route is refused and not run
+    Given the demo's fleet
+    When a caller reads "/nowhere"
+    Then the answer has status 404, outcome "not-run" and code "no-route"
+
+  Scenario: an entry without tables says that it is not ready
+    Given an entry before an empty store
+    When a caller reads "/cards/1"
+    Then the answer has status 503, outcome "not-run" and code "not-ready"
--- /dev/null
+++ b/zinniaturn/__main__.py
@@ -0,0 +1,5 @@
+"""Run the command line as ``python -m zinniaturn``."""
+
+from zinniaturn.commands.main import main
+
+main()
--- /dev/null
+++ b/zinniaturn/choosing/exceptions.py
@@ -0,0 +1,34 @@
+"""Errors of the choosing layer."""
+
+__all__ = ('ChoosingError', 'RefusedError', 'UnknownPolicyError')
+
+from zinniaturn.errors import CodedError
+
+
+class ChoosingError(CodedError):
+    """A choice could not be made."""
+
+
+class RefusedError(ChoosingError):
+    """
+    No server can take the request now; it was not run.
+
+    ``retry_after_seconds`` is when the caller should come back.
+    """
+
+    code = 'no-server'
+
+    def __init__(
+        self,
+        message: str,
+        code: str,
+        retry_after_seconds: float = 1,
+    ) -> None:
+        super().__init__(message, code)
+        self.retry_after_seconds = retry_after_seconds
+
+
+class UnknownPolicyError(ChoosingError):
+    """There is no policy of this name."""
+
+    code = 'policy-unknown'
--- /dev/null
+++ b/zinniaturn/commands/experiment.py
@@ -0,0 +1,67 @@
+"""``zinniaturn experiment``."""
+
+__all__ = ('experiment',)
+
+import sys
+from pathlib import Path
+
+import click
+
+from zinniaturn.experiments import experiments
+from zinniaturn.experiments.registry import ExperimentOptions
+
+
+@click.group()
+def experiment() -> None:
+    """Run experiments with real processes on loopback."""
+
+
+@experiment.command('list')
+def list_experiments() -> None:
+    """Print the experiments."""
+    for name, known in sorted(experiments().items()):
+        click.echo(f'{name:<24}{known.summary}')
+
+
+@experiment.command()
+@click.argument('name')
+@click.option(
+    '--city',
+    type=click.Choice(['riga', 'ulaanbaatar']),
+    default='riga',
+)
+@click.option('--load', type=click.FloatRange(0.01, 10), default=0.85)
+@click.option('--seed', type=int, default=1)
+@click.option('--policy', 'policies', multiple=True)
+@click.option('--seconds', type=click.FloatRange(0.1), default=None)
+@click.option(
+    '--out',
+    type=click.Path(file_okay=False, path_type=Path),
+    default=Path('out'),
+)
+@click.option('--json', 'as_json', is_flag=True)
+def run(
+    name: str,
+    city: str,
+    load: float,
+    seed: int,
+    policies: tuple[str, ...],
+    seconds: float | None,
+    out: Path,
+    as_json: bool,
+) -> None:
+    """Run the experiment NAME and write its results to --out."""
+    known = experiments()
+    if name not in known:
+        raise click.BadParameter(f'no experiment "{name}"', param_hint='NAME')
+    out.mkdir(parents=True, exist_ok=True)
+    options = ExperimentOptions(
+        city=city,
+        load=load,
+        seed=seed,
+        policies=policies,
+        seconds=seconds,
+        out=out,
+        as_json=as_json,
+    )
+    sys.exit(known[name].load()(options))
--- /dev/null
+++ b/zinniaturn/commands/standin.py
@@ -0,0 +1,59 @@
+"""``zinniaturn standin``: the stand-ins as processes, for experiments."""
+
+__all__ = ('standin',)
+
+import asyncio
+import signal
+
+import click
+
+from zinniaturn.standins import BackendStandIn, ServiceTime, StoreStandIn
+
+
+@click.group()
+def standin() -> None:
+    """Run a stand-in of the platform or of a backend server on loopback."""
+
+
+@standin.command()
+@click.option('--port', type=click.IntRange(0, 65_535), default=0)
+def store(port: int) -> None:
+    """Run the configuration store."""
+    asyncio.run(_run_until_signal(StoreStandIn(), port))
+
+
+@standin.command()
+@click.argument('name')
+@click.option('--port', type=click.IntRange(0, 65_535), default=0)
+@click.option('--slots', type=click.IntRange(1), default=4)
+@click.option('--median-ms', type=click.FloatRange(0), default=5)
+@click.option('--seed', type=int, default=0)
+def backend(
+    name: str,
+    port: int,
+    slots: int,
+    median_ms: float,
+    seed: int,
+) -> None:
+    """Run a backend server."""
+    server = BackendStandIn(
+        name,
+        slots=slots,
+        service_time=ServiceTime(median_ms / 1000),
+        seed=seed,
+    )
+    asyncio.run(_run_until_signal(server, port))
+
+
+async def _run_until_signal(
+    server: StoreStandIn | BackendStandIn,
+    port: int,
+) -> None:
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    await server.start(port)
+    click.echo(f'listens on 127.0.0.1:{server.listening.port}')
+    await stopping.wait()
+    await server.stop()
--- /dev/null
+++ b/zinniaturn/configuration/__init__.py
@@ -0,0 +1,21 @@
+"""Committing the tables and keeping them in force."""
+
+__all__ = (
+    'CommitUnknownError',
+    'ConfigurationError',
+    'TablesHolder',
+    'apply_pools',
+    'apply_routes',
+    'commit',
+    'follow_store',
+    'read_tables',
+)
+
+from zinniaturn.configuration.commit import commit, read_tables
+from zinniaturn.configuration.edits import apply_pools, apply_routes
+from zinniaturn.configuration.exceptions import (
+    CommitUnknownError,
+    ConfigurationError,
+)
+from zinniaturn.configuration.follower import follow_store
+from zinniaturn.configuration.holder import TablesHolder
--- /dev/null
+++ b/zinniaturn/entry/admin.py
@@ -0,0 +1,45 @@
+"""The admin address: health, readiness and metrics."""
+
+__all__ = ('make_admin',)
+
+from http import HTTPStatus
+
+from aiohttp import web
+
+from zinniaturn.entry.state import EntryState
+
+
+def make_admin(state: EntryState) -> web.Application:
+    """Return the admin application."""
+    admin = _Admin(state)
+    application = web.Application()
+    application.router.add_get('/health', admin.answer_health)
+    application.router.add_get('/ready', admin.answer_readiness)
+    application.router.add_get('/metrics', admin.answer_metrics)
+    return application
+
+
+class _Admin:
+    def __init__(self, state: EntryState) -> None:
+        self.state = state
+
+    async def answer_health(self, request: web.Request) -> web.Response:
+        return web.json_response({'health': 'ok'})
+
+    async def answer_readiness(self, request: web.Request) -> web.Response:
+        is_ready = self.state.lifecycle.state == 'ready'
+        status = HTTPStatus.OK if is_ready else HTTPStatus.SERVICE_UNAVAILABLE
+        return web.json_response(
+            {
+                'state': self.state.lifecycle.state,
+                'revision': self.state.holder.tables.revision,
+            },
+            status=status,
+        )
+
+    async def answer_metrics(self, request: web.Request) -> web.Response:
+        self.state.metrics.revision.set({}, self.state.holder.tables.revision)
+        content, headers = self.state.metrics.render(
+            request.headers.getall('Accept', []),
+        )
+        return web.Response(body=content, headers=headers)
--- /dev/null
+++ b/zinniaturn/entry/metrics.py
@@ -0,0 +1,32 @@
+"""Metrics of the data plane."""
+
+__all__ = ('EntryMetrics',)
+
+from aioprometheus import Counter, Gauge, Registry
+from aioprometheus.renderer import render
+
+
+class EntryMetrics:
+    """The entry's metrics and their registry."""
+
+    def __init__(self) -> None:
+        self.registry = Registry()
+        self.requests = Counter(
+            'zinniaturn_requests_total',
+            'Requests by pool and by what the caller was told.',
+            registry=self.registry,
+        )
+        self.revision = Gauge(
+            'zinniaturn_tables_revision',
+            'Revision of the tables in force.',
+            registry=self.registry,
+        )
+
+    def count(self, pool: str, told: str) -> None:
+        """Count a request of ``pool`` that ended as ``told``."""
+        self.requests.inc({'pool': pool, 'told': told})
+
+    def render(self, accept: list[str]) -> tuple[bytes, dict[str, str]]:
+        """Return the exposition's body and headers."""
+        content, headers = render(self.registry, accept)
+        return content, dict(headers)
--- /dev/null
+++ b/zinniaturn/entry/process.py
@@ -0,0 +1,120 @@
+"""An entry as a whole: its listeners, its tasks and its stop."""
+
+__all__ = ('Entry', 'run_entry')
+
+import asyncio
+import random
+import signal
+
+from aiohttp import web
+
+from zinniaturn.clock import SystemClock
+from zinniaturn.entry.admin import make_admin
+from zinniaturn.entry.exceptions import ListenError
+from zinniaturn.entry.frontend import Frontend
+from zinniaturn.entry.parts import build_parts
+from zinniaturn.entry.state import EntryState
+from zinniaturn.events import LogEvent, log_event
+from zinniaturn.settings import EntrySettings
+from zinniaturn.store import HttpStore
+
+_POLL_SECONDS = 0.02
+_HEADER_BYTES = 32_768
+
+
+class Entry:
+    """One entry; `start`, then `stop`."""
+
+    def __init__(self, settings: EntrySettings) -> None:
+        source = random.Random(settings.seed)
+        self.settings = settings
+        self.state = EntryState(settings, SystemClock(), source)
+        self.state.holder.observers.append(self.state.install_pools)
+        self.store = HttpStore(settings.store_url)
+        self.parts = build_parts(self.state, self.store)
+        self.server: web.Server | None = None
+        self.listener: asyncio.Server | None = None
+        self.admin_runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Listen and begin to follow the store; raises `ListenError`."""
+        frontend = Frontend(self.state)
+        self.server = web.Server(
+            frontend.handle,
+            handler_cancellation=True,
+            access_log=None,
+            auto_decompress=False,
+            max_line_size=_HEADER_BYTES,
+            max_field_size=_HEADER_BYTES,
+        )
+        try:
+            self.listener = await asyncio.get_running_loop().create_server(
+                self.server,
+                self.settings.host,
+                self.settings.port,
+            )
+            await self._start_admin()
+        except OSError as error:
+            raise ListenError(str(error)) from error
+        self.state.port = self.port
+        for part in self.parts:
+            await part.start()
+        log_event(LogEvent.ENTRY_STARTED, port=self.port)
+
+    @property
+    def port(self) -> int:
+        """Return the port that callers connect to."""
+        assert self.listener is not None
+        return int(self.listener.sockets[0].getsockname()[1])
+
+    @property
+    def admin_port(self) -> int:
+        """Return the port of the admin address."""
+        assert self.admin_runner is not None
+        return int(self.admin_runner.addresses[0][1])
+
+    async def stop(self) -> None:
+        """Serve what is in flight to its end, then close everything."""
+        self.state.lifecycle.drain()
+        await asyncio.sleep(self.settings.address_lifetime_seconds)
+        if self.listener is not None:
+            self.listener.close()
+        while self.state.requests_in_flight:
+            await asyncio.sleep(_POLL_SECONDS)
+        await self._close()
+        self.state.lifecycle.finish()
+
+    async def _start_admin(self) -> None:
+        self.admin_runner = web.AppRunner(
+            make_admin(self.state),
+            access_log=None,
+        )
+        await self.admin_runner.setup()
+        site = web.TCPSite(
+            self.admin_runner,
+            self.settings.admin_host,
+            self.settings.admin_port,
+        )
+        await site.start()
+
+    async def _close(self) -> None:
+        for part in reversed(self.parts):
+            await part.stop()
+        if self.server is not None:
+            await self.server.shutdown(timeout=1)
+        if self.admin_runner is not None:
+            await self.admin_runner.cleanup()
+        self.state.connections.close()
+        await self.store.close()
+
+
+async def run_entry(settings: EntrySettings) -> None:
+    """Run an entry until a signal asks it to stop."""
+    entry = Entry(settings)
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    await entry.start()
+    await stopping.wait()
+    await entry.stop()
--- /dev/null
+++ b/zinniaturn/entry/state.py
@@ -0,0 +1,45 @@
+"""The state that the parts of an entry share."""
+
+__all__ = ('EntryState',)
+
+import random
+from dataclasses import dataclass, field
+
+from zinniaturn.choosing import PoolState, policy_named
+from zinniaturn.clock import Clock
+from zinniaturn.configuration import TablesHolder
+from zinniaturn.entry.lifecycle import Lifecycle
+from zinniaturn.entry.metrics import EntryMetrics
+from zinniaturn.forwarding import ConnectionPool
+from zinniaturn.settings import EntrySettings
+from zinniaturn.tables import Tables
+
+
+@dataclass(slots=True)
+class EntryState:
+    """What an entry knows and has open; ``port`` is the one it listens on."""
+
+    settings: EntrySettings
+    clock: Clock
+    source: random.Random
+    holder: TablesHolder = field(default_factory=TablesHolder)
+    lifecycle: Lifecycle = field(default_factory=Lifecycle)
+    connections: ConnectionPool = field(default_factory=ConnectionPool)
+    metrics: EntryMetrics = field(default_factory=EntryMetrics)
+    pools: dict[str, PoolState] = field(default_factory=dict)
+    requests_in_flight: int = 0
+    port: int = 0
+
+    def install_pools(self, tables: Tables) -> None:
+        """Bring the pools in line with newly installed tables."""
+        for name in list(self.pools):
+            if name not in tables.pools:
+                self.pools.pop(name)
+        for name, pool in tables.pools.items():
+            known = self.pools.get(name)
+            if known is None:
+                policy = policy_named(self.settings.policy, self.source)
+                self.pools[name] = PoolState(pool, policy, self.clock)
+            else:
+                known.update(pool)
+        self.lifecycle.tables_installed()
--- /dev/null
+++ b/zinniaturn/events/__init__.py
@@ -0,0 +1,6 @@
+"""Numbered log events."""
+
+__all__ = ('EVENTS', 'LogEvent', 'configure_logging', 'log_event')
+
+from zinniaturn.events.catalogue import EVENTS, LogEvent
+from zinniaturn.events.logging import configure_logging, log_event
--- /dev/null
+++ b/zinniaturn/events/catalogue.py
@@ -0,0 +1,52 @@
+"""
+The catalogue of log events.
+
+Each has a number that never changes its meaning; ``docs/EVENTS.md`` explains
+each to operators.
+"""
+
+__all__ = ('EVENTS', 'LogEvent')
+
+import enum
+import logging
+from collections.abc import Mapping
+from types import MappingProxyType
+
+
+class LogEvent(enum.IntEnum):
+    """The numbers of the events, by subsystem in hundreds."""
+
+    ENTRY_STARTED = 100
+    ENTRY_READY = 101
+    ENTRY_DRAINING = 102
+    ENTRY_STOPPED = 103
+    REVISION_INSTALLED = 200
+    REVISION_REFUSED = 201
+    STORE_UNAVAILABLE = 202
+    STORE_BACK = 203
+
+
+_INFO = logging.INFO
+_WARNING = logging.WARNING
+
+EVENTS: Mapping[LogEvent, tuple[int, str]] = MappingProxyType(
+    {
+        LogEvent.ENTRY_STARTED: (_INFO, 'the entry listens'),
+        LogEvent.ENTRY_READY: (
+            _INFO,
+            'the entry has tables and takes requests',
+        ),
+        LogEvent.ENTRY_DRAINING: (_INFO, 'the entry was told to stop'),
+        LogEvent.ENTRY_STOPPED: (_INFO, 'the entry served its last request'),
+        LogEvent.REVISION_INSTALLED: (
+            _INFO,
+            'a revision of the tables is in force',
+        ),
+        LogEvent.REVISION_REFUSED: (
+            _WARNING,
+            'the store offered an older or invalid revision',
+        ),
+        LogEvent.STORE_UNAVAILABLE: (_WARNING, 'the store does not answer'),
+        LogEvent.STORE_BACK: (_INFO, 'the store answers again'),
+    }
+)
--- /dev/null
+++ b/zinniaturn/events/logging.py
@@ -0,0 +1,38 @@
+"""Structured logs, one JSON object a line."""
+
+__all__ = ('configure_logging', 'log_event')
+
+import logging
+import sys
+
+from pythonjsonlogger.json import JsonFormatter
+
+from zinniaturn.events.catalogue import EVENTS, LogEvent
+
+_LOGGER = logging.getLogger('zinniaturn')
+
+
+def configure_logging(level: str, node: str) -> None:
+    """
+    Send the program's events to standard error as JSON.
+
+    ``level`` is a name such as ``INFO``; ``node`` stands in every line.
+    """
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        JsonFormatter(
+            '%(message)s',
+            timestamp=True,
+            static_fields={'node': node},
+        ),
+    )
+    _LOGGER.handlers = [handler]
+    _LOGGER.propagate = False
+    _LOGGER.setLevel(level)
+
+
+def log_event(event: LogEvent, **fields: object) -> None:
+    """Log an event of the catalogue with its fields."""
+    level, text = EVENTS[event]
+    if _LOGGER.isEnabledFor(level):
+        _LOGGER.log(level, text, extra={'event': int(event), **fields})
--- /dev/null
+++ b/zinniaturn/experiments/cities.py
@@ -0,0 +1,63 @@
+"""The sizes of the two cities' fleets."""
+
+__all__ = ('CITIES', 'City', 'Service')
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from types import MappingProxyType
+
+_MILLISECOND = 0.001
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """A service of a city: its name and its number of servers."""
+
+    name: str
+    servers: int
+
+
+@dataclass(frozen=True, slots=True)
+class City:
+    """A city's fleet; delays are one way, in seconds."""
+
+    name: str
+    services: tuple[Service, ...]
+    slots: int
+    data_centers: int
+    between_data_centers_seconds: float
+    from_clients_seconds: float
+    entries: int = 13
+    connect_seconds: float = _MILLISECOND
+
+
+_RIGA = City(
+    name='riga',
+    services=(
+        Service('card', 12),
+        Service('ledger', 8),
+        Service('extract', 6),
+        Service('depreciation', 6),
+    ),
+    slots=4,
+    data_centers=3,
+    between_data_centers_seconds=_MILLISECOND,
+    from_clients_seconds=_MILLISECOND,
+)
+_ULAANBAATAR = City(
+    name='ulaanbaatar',
+    services=(
+        Service('chart', 15),
+        Service('payment', 7),
+        Service('export', 6),
+        Service('booking', 6),
+    ),
+    slots=3,
+    data_centers=3,
+    between_data_centers_seconds=1.5 * _MILLISECOND,
+    from_clients_seconds=3 * _MILLISECOND,
+)
+
+CITIES: Mapping[str, City] = MappingProxyType(
+    {city.name: city for city in (_RIGA, _ULAANBAATAR)}
+)
--- /dev/null
+++ b/zinniaturn/experiments/processes.py
@@ -0,0 +1,79 @@
+"""
+Real processes of the program, for experiments and tests.
+
+The bench starts processes; the product's own processes start none.
+"""
+
+__all__ = ('ProcessGroup', 'free_port')
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+from collections.abc import Mapping
+from pathlib import Path
+
+from zinniaturn.experiments.exceptions import ExperimentError
+
+_GRACE_SECONDS = 10.0
+
+
+def free_port() -> int:
+    """Return a loopback port that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return int(probe.getsockname()[1])
+
+
+class ProcessGroup:
+    """Processes by name; each writes its logs to a file in ``logs``."""
+
+    def __init__(self, logs: Path) -> None:
+        self.logs = logs
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+
+    async def start(
+        self,
+        name: str,
+        *arguments: str,
+        environment: Mapping[str, str] | None = None,
+    ) -> None:
+        """Start ``zinniaturn`` with these arguments."""
+        log_path = self.logs / f'{name}.log'
+        with log_path.open('ab') as log:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'zinniaturn',
+                *arguments,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env={**os.environ, **(environment or {})},
+            )
+        self.processes[name] = process
+
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one process."""
+        self.processes[name].send_signal(number)
+
+    async def wait(self, name: str, timeout_seconds: float) -> int:
+        """
+        Wait for a process to end and return its exit status.
+
+        Raises `ExperimentError` where it goes on running.
+        """
+        process = self.processes[name]
+        try:
+            return await asyncio.wait_for(process.wait(), timeout_seconds)
+        except TimeoutError as error:
+            raise ExperimentError(f'{name} goes on running') from error
+
+    async def stop_all(self) -> None:
+        """Kill every process that still runs and wait for it."""
+        for process in self.processes.values():
+            if process.returncode is None:
+                process.kill()
+        for process in self.processes.values():
+            await asyncio.wait_for(process.wait(), _GRACE_SECONDS)
--- /dev/null
+++ b/zinniaturn/experiments/registry.py
@@ -0,0 +1,61 @@
+"""
+The experiments by name.
+
+Each lives in a package of its own under `zinniaturn.experiments` and is
+loaded when it is run.
+"""
+
+__all__ = ('Experiment', 'ExperimentOptions', 'experiments')
+
+import importlib
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from types import MappingProxyType
+
+
+@dataclass(frozen=True, slots=True)
+class ExperimentOptions:
+    """
+    What the command line says of a run.
+
+    ``load`` is a share of the slots' capacity.
+    """
+
+    city: str
+    load: float
+    seed: int
+    policies: tuple[str, ...]
+    seconds: float | None
+    out: Path
+    as_json: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Experiment:
+    """
+    An experiment: its name, what it shows and ``module:function``.
+
+    The function takes `ExperimentOptions` and returns the exit status; with
+    ``as_json`` it prints one JSON object as its last line.
+    """
+
+    name: str
+    summary: str
+    target: str
+
+    def load(self) -> Callable[[ExperimentOptions], int]:
+        """Return the function that runs the experiment."""
+        module_name, _, attribute = self.target.partition(':')
+        function = getattr(importlib.import_module(module_name), attribute)
+        return function  # type: ignore[no-any-return]
+
+
+_ALL: tuple[Experiment, ...] = ()
+
+
+def experiments() -> Mapping[str, Experiment]:
+    """Return the experiments by name."""
+    return MappingProxyType(
+        {experiment.name: experiment for experiment in _ALL}
+    )
--- /dev/null
+++ b/zinniaturn/forwarding/__init__.py
@@ -0,0 +1,20 @@
+"""
+Sending one request to one backend server, with exact knowledge of phases.
+
+The parser and the stream are aiohttp's; the connection pool is our own, since
+aiohttp's client session repeats idempotent requests, follows redirects,
+decompresses and keeps cookies by itself.
+"""
+
+__all__ = (
+    'Answer',
+    'BackendRequest',
+    'ConnectionPool',
+    'ExchangeError',
+    'exchange',
+)
+
+from zinniaturn.forwarding.connections import ConnectionPool
+from zinniaturn.forwarding.exceptions import ExchangeError
+from zinniaturn.forwarding.exchange import Answer, exchange
+from zinniaturn.forwarding.messages import BackendRequest
--- /dev/null
+++ b/zinniaturn/forwarding/messages.py
@@ -0,0 +1,88 @@
+"""What is sent to a backend server."""
+
+__all__ = ('BackendRequest', 'end_to_end_headers', 'request_head')
+
+from collections.abc import AsyncIterator, Iterable, Mapping
+from dataclasses import dataclass
+
+from multidict import CIMultiDict, CIMultiDictProxy
+
+HOP_BY_HOP = frozenset(
+    (
+        'connection',
+        'expect',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
+
+_CRLF = '\r\n'
+
+
+@dataclass(slots=True)
+class BackendRequest:
+    """
+    A request as it goes to a backend server.
+
+    ``body`` is held whole where it is small, else it comes from ``stream``,
+    which can be read only once. ``length`` is ``None`` for a chunked body.
+    """
+
+    method: str
+    target: str
+    headers: CIMultiDict[str]
+    body: bytes = b''
+    stream: AsyncIterator[bytes] | None = None
+    length: int | None = 0
+
+
+def end_to_end_headers(
+    headers: CIMultiDictProxy[str] | Mapping[str, str],
+) -> CIMultiDict[str]:
+    """
+    Return the headers without the hop-by-hop ones.
+
+    Those that ``Connection`` names are hop-by-hop too (RFC 9110, 7.6.1).
+    """
+    dropped = HOP_BY_HOP | _named_in_connection(headers)
+    return CIMultiDict(
+        (name, text)
+        for name, text in headers.items()
+        if name.lower() not in dropped
+    )
+
+
+def request_head(request: BackendRequest) -> bytes:
+    """Return the head's bytes, framed for an HTTP/1.1 connection."""
+    lines = [f'{request.method} {request.target} HTTP/1.1']
+    lines.extend(
+        f'{name}: {text}'
+        for name, text in request.headers.items()
+        if name.lower() != 'content-length'
+    )
+    if request.length is None:
+        lines.append('Transfer-Encoding: chunked')
+    elif request.length or request.method not in {'GET', 'HEAD', 'DELETE'}:
+        lines.append(f'Content-Length: {request.length}')
+    return (_CRLF.join(lines) + _CRLF + _CRLF).encode(
+        'utf-8', 'surrogateescape'
+    )
+
+
+def _named_in_connection(
+    headers: CIMultiDictProxy[str] | Mapping[str, str],
+) -> frozenset[str]:
+    if 'Connection' not in headers:
+        return frozenset()
+    rows: Iterable[str] = [headers['Connection']]
+    if isinstance(headers, CIMultiDictProxy):
+        rows = headers.getall('Connection')
+    return frozenset(
+        name.strip().lower() for row in rows for name in row.split(',')
+    )
--- /dev/null
+++ b/zinniaturn/outcomes/__init__.py
@@ -0,0 +1,14 @@
+"""What became of a request, and what the caller is told."""
+
+__all__ = (
+    'Event',
+    'Outcome',
+    'Phase',
+    'Refusal',
+    'Verdict',
+    'decide',
+    'refusal_for',
+)
+
+from zinniaturn.outcomes.refusals import Refusal, refusal_for
+from zinniaturn.outcomes.table import Event, Outcome, Phase, Verdict, decide
--- /dev/null
+++ b/zinniaturn/outcomes/refusals.py
@@ -0,0 +1,81 @@
+"""
+The catalogue of answers that the system itself makes.
+
+Each has a code, an HTTP status and a title. ``docs/CALLERS.md`` says what a
+caller does about each.
+"""
+
+__all__ = ('REFUSALS', 'Refusal', 'refusal_for')
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from http import HTTPStatus
+from types import MappingProxyType
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """An answer of the system's own."""
+
+    code: str
+    status: HTTPStatus
+    title: str
+
+
+_CATALOGUE = (
+    Refusal('no-route', HTTPStatus.NOT_FOUND, 'No route matches the request'),
+    Refusal(
+        'not-ready',
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'The entry has no tables yet',
+    ),
+    Refusal(
+        'no-server',
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'No backend server could be reached',
+    ),
+    Refusal(
+        'queue-full',
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'Too many requests wait for the pool',
+    ),
+    Refusal(
+        'server-shed',
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'The backend servers turned the request away',
+    ),
+    Refusal(
+        'deadline-not-run',
+        HTTPStatus.GATEWAY_TIMEOUT,
+        'The deadline passed before the request was sent',
+    ),
+    Refusal(
+        'deadline-passed',
+        HTTPStatus.GATEWAY_TIMEOUT,
+        'The deadline passed after the request was sent',
+    ),
+    Refusal(
+        'connection-lost',
+        HTTPStatus.BAD_GATEWAY,
+        'The connection to the backend server was lost',
+    ),
+    Refusal(
+        'bad-answer',
+        HTTPStatus.BAD_GATEWAY,
+        'The backend server sent a malformed answer',
+    ),
+    Refusal(
+        'bad-request',
+        HTTPStatus.BAD_REQUEST,
+        'The request is malformed',
+    ),
+)
+
+REFUSALS: Mapping[str, Refusal] = MappingProxyType(
+    {refusal.code: refusal for refusal in _CATALOGUE}
+)
+
+
+def refusal_for(code: str) -> Refusal:
+    """Return the catalogue's refusal of this code."""
+    return REFUSALS[code]
--- /dev/null
+++ b/zinniaturn/settings/__init__.py
@@ -0,0 +1,7 @@
+"""Settings from flags and environment variables, checked at start."""
+
+__all__ = ('EntrySettings', 'SettingsError', 'check_settings')
+
+from zinniaturn.settings.checking import check_settings
+from zinniaturn.settings.exceptions import SettingsError
+from zinniaturn.settings.models import EntrySettings
--- /dev/null
+++ b/zinniaturn/standins/store.py
@@ -0,0 +1,208 @@
+"""
+A stand-in of the platform's key-value service.
+
+It keeps everything in memory and serves compare-and-swap, leases and watches
+over HTTP and JSON.
+"""
+
+__all__ = ('StoreFaults', 'StoreStandIn')
+
+import asyncio
+import itertools
+import time
+from dataclasses import dataclass, field
+from http import HTTPStatus
+
+from aiohttp import web
+from aiohttp.typedefs import Handler, Middleware
+
+from zinniaturn.standins.listening import Listening
+
+MAX_VALUE_BYTES = 1_048_576
+_MILLISECONDS = 1000
+
+
+@dataclass(slots=True)
+class StoreFaults:
+    """What is wrong with the store at the moment."""
+
+    is_out: bool = False
+    lose_write_replies: bool = False
+    latency_seconds: float = 0
+
+
+@dataclass(slots=True)
+class StoredValue:
+    """A key's value, version and the lease that it lives by."""
+
+    value: str
+    version: int
+    lease: str = ''
+
+
+@dataclass(slots=True)
+class StoredLease:
+    """A lease and when it lapses, in monotonic seconds."""
+
+    ttl_seconds: float
+    lapses_at: float
+
+
+@dataclass(slots=True)
+class StoreCalls:
+    """How many calls the store has had."""
+
+    reads: int = 0
+    writes: int = 0
+
+
+@dataclass
+class StoreStandIn:
+    """The store; `start` it, then use `url`."""
+
+    faults: StoreFaults = field(default_factory=StoreFaults)
+    calls: StoreCalls = field(default_factory=StoreCalls)
+    values: dict[str, StoredValue] = field(default_factory=dict)
+    leases: dict[str, StoredLease] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        """Prepare the application."""
+        self.numbers = itertools.count(1)
+        self.changed = asyncio.Event()
+        application = web.Application(
+            client_max_size=MAX_VALUE_BYTES * 2,
+            middlewares=[_faults_middleware(self.faults)],
+        )
+        router = application.router
+        router.add_get('/v1/keys/{key:.+}', self.answer_read)
+        router.add_put('/v1/keys/{key:.+}', self.answer_write)
+        router.add_post('/v1/leases', self.answer_grant)
+        router.add_post('/v1/leases/{lease}/renew', self.answer_renew)
+        router.add_delete('/v1/leases/{lease}', self.answer_release)
+        self.listening = Listening(application)
+
+    @property
+    def url(self) -> str:
+        """Return the address for clients."""
+        return f'http://127.0.0.1:{self.listening.port}'
+
+    async def start(self, port: int = 0) -> None:
+        """Listen."""
+        await self.listening.start(port)
+
+    async def stop(self) -> None:
+        """Stop at once."""
+        await self.listening.stop()
+
+    async def answer_read(self, request: web.Request) -> web.Response:
+        """Answer a read or a watch."""
+        self.calls.reads += 1
+        key = request.match_info['key']
+        after = request.query.get('after')
+        if after is not None:
+            wait_seconds = int(request.query['wait_ms']) / _MILLISECONDS
+            await self._wait(key, int(after), wait_seconds)
+        stored = self._find(key)
+        return web.json_response(
+            {'value': stored.value, 'version': stored.version},
+        )
+
+    async def answer_write(self, request: web.Request) -> web.Response:
+        """Answer a compare-and-swap."""
+        self.calls.writes += 1
+        key = request.match_info['key']
+        body = await request.json()
+        if len(body['value'].encode()) > MAX_VALUE_BYTES:
+            return _error(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, 'over 1 MB')
+        lease = body.get('lease', '')
+        if lease and not self._is_live(lease):
+            return _error(HTTPStatus.GONE, 'the lease has lapsed')
+        stored = self._find(key)
+        if stored.version != body['expected']:
+            return _error(
+                HTTPStatus.CONFLICT,
+                f'{key} is at version {stored.version}',
+            )
+        version = next(self.numbers)
+        self.values[key] = StoredValue(body['value'], version, lease)
+        self._notify()
+        return web.json_response({'version': version})
+
+    async def answer_grant(self, request: web.Request) -> web.Response:
+        """Answer a request for a lease."""
+        self.calls.writes += 1
+        body = await request.json()
+        ttl_seconds = body['ttl_ms'] / _MILLISECONDS
+        fencing = next(self.numbers)
+        lease = f'lease-{fencing}'
+        self.leases[lease] = StoredLease(
+            ttl_seconds,
+            time.monotonic() + ttl_seconds,
+        )
+        return web.json_response({'lease': lease, 'fencing': fencing})
+
+    async def answer_renew(self, request: web.Request) -> web.Response:
+        """Answer a renewal."""
+        self.calls.writes += 1
+        lease = request.match_info['lease']
+        if not self._is_live(lease):
+            return _error(HTTPStatus.GONE, 'the lease has lapsed')
+        stored = self.leases[lease]
+        stored.lapses_at = time.monotonic() + stored.ttl_seconds
+        return web.json_response({})
+
+    async def answer_release(self, request: web.Request) -> web.Response:
+        """Answer a release."""
+        self.calls.writes += 1
+        self.leases.pop(request.match_info['lease'], None)
+        self._notify()
+        return web.json_response({})
+
+    def _find(self, key: str) -> StoredValue:
+        absent = StoredValue('', 0)
+        stored = self.values.get(key, absent)
+        if stored.lease and not self._is_live(stored.lease):
+            self.values.pop(key)
+            return absent
+        return stored
+
+    def _is_live(self, lease: str) -> bool:
+        stored = self.leases.get(lease)
+        return stored is not None and time.monotonic() < stored.lapses_at
+
+    def _notify(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def _wait(self, key: str, after: int, wait_seconds: float) -> None:
+        try:
+            async with asyncio.timeout(wait_seconds):
+                while self._find(key).version == after:
+                    await self.changed.wait()
+        except TimeoutError:
+            return
+
+
+def _faults_middleware(faults: StoreFaults) -> Middleware:
+    @web.middleware
+    async def apply_faults(
+        request: web.Request,
+        handler: Handler,
+    ) -> web.StreamResponse:
+        if faults.latency_seconds:
+            await asyncio.sleep(faults.latency_seconds)
+        if faults.is_out:
+            return _error(HTTPStatus.SERVICE_UNAVAILABLE, 'the store is out')
+        response = await handler(request)
+        if faults.is_out:
+            return _error(HTTPStatus.SERVICE_UNAVAILABLE, 'the store is out')
+        if faults.lose_write_replies and request.method != 'GET':
+            if request.transport is not None:
+                request.transport.abort()
+        return response
+
+    return apply_faults
+
+
+def _error(status: HTTPStatus, reason: str) -> web.Response:
+    return web.json_response({'error': reason}, status=int(status))
--- /dev/null
+++ b/zinniaturn/store/__init__.py
@@ -0,0 +1,19 @@
+"""The platform's key-value service, behind a narrow port."""
+
+__all__ = (
+    'ConfigurationStore',
+    'Entry',
+    'HttpStore',
+    'Lease',
+    'StoreConflictError',
+    'StoreError',
+    'StoreUnavailableError',
+)
+
+from zinniaturn.store.exceptions import (
+    StoreConflictError,
+    StoreError,
+    StoreUnavailableError,
+)
+from zinniaturn.store.http import HttpStore
+from zinniaturn.store.port import ConfigurationStore, Entry, Lease
--- /dev/null
+++ b/zinniaturn/store/http.py
@@ -0,0 +1,130 @@
+"""
+The store's port over HTTP.
+
+The wire form is that of `zinniaturn.standins.store`; the platform's own form
+replaces this module alone.
+"""
+
+__all__ = ('HttpStore',)
+
+from http import HTTPStatus
+from typing import Any
+
+import aiohttp
+
+from zinniaturn.store.exceptions import (
+    StoreConflictError,
+    StoreError,
+    StoreUnavailableError,
+)
+from zinniaturn.store.port import Entry, Lease
+
+_MILLISECONDS = 1000
+
+
+class HttpStore:
+    """
+    A client of the store at ``url``.
+
+    ``timeout_seconds`` bounds every call but for a watch, which gets its wait
+    on top.
+    """
+
+    def __init__(self, url: str, timeout_seconds: float = 2) -> None:
+        self.url = url.rstrip('/')
+        self.timeout_seconds = timeout_seconds
+        self.session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self.session is not None:
+            await self.session.close()
+            self.session = None
+
+    async def read(self, key: str) -> Entry:
+        """Return the key's entry."""
+        return _entry(await self._call('GET', f'/v1/keys/{key}'))
+
+    async def compare_and_swap(
+        self,
+        key: str,
+        expected_version: int,
+        value: str,
+        lease_id: str = '',
+    ) -> int:
+        """Write where the version is as expected; return the new version."""
+        reply = await self._call(
+            'PUT',
+            f'/v1/keys/{key}',
+            {'value': value, 'expected': expected_version, 'lease': lease_id},
+        )
+        return int(reply['version'])
+
+    async def watch(
+        self,
+        key: str,
+        after_version: int,
+        wait_seconds: float,
+    ) -> Entry:
+        """Wait until the version differs from ``after_version``."""
+        wait_ms = int(wait_seconds * _MILLISECONDS)
+        path = f'/v1/keys/{key}?after={after_version}&wait_ms={wait_ms}'
+        return _entry(await self._call('GET', path, extra_seconds=wait_seconds))
+
+    async def grant_lease(self, holder: str, ttl_seconds: float) -> Lease:
+        """Return a new lease."""
+        reply = await self._call(
+            'POST',
+            '/v1/leases',
+            {'holder': holder, 'ttl_ms': int(ttl_seconds * _MILLISECONDS)},
+        )
+        return Lease(str(reply['lease']), int(reply['fencing']), ttl_seconds)
+
+    async def renew_lease(self, lease_id: str) -> None:
+        """Keep a lease for another term."""
+        await self._call('POST', f'/v1/leases/{lease_id}/renew')
+
+    async def release_lease(self, lease_id: str) -> None:
+        """End a lease and remove its keys."""
+        await self._call('DELETE', f'/v1/leases/{lease_id}')
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: dict[str, Any] | None = None,
+        extra_seconds: float = 0,
+    ) -> dict[str, Any]:
+        if self.session is None:
+            self.session = aiohttp.ClientSession()
+        timeout = aiohttp.ClientTimeout(self.timeout_seconds + extra_seconds)
+        try:
+            async with self.session.request(
+                method,
+                self.url + path,
+                json=body,
+                timeout=timeout,
+                allow_redirects=False,
+            ) as reply:
+                return _checked(reply.status, await reply.json())
+        except (TimeoutError, aiohttp.ClientError, ValueError) as error:
+            raise StoreUnavailableError(
+                f'{method} {path}: {type(error).__name__}',
+            ) from error
+
+
+def _entry(reply: dict[str, Any]) -> Entry:
+    return Entry(str(reply['value']), int(reply['version']))
+
+
+def _checked(status: int, reply: dict[str, Any]) -> dict[str, Any]:
+    if status == HTTPStatus.OK:
+        return reply
+    reason = str(reply.get('error', status))
+    match status:
+        case HTTPStatus.CONFLICT:
+            raise StoreConflictError(reason)
+        case HTTPStatus.SERVICE_UNAVAILABLE:
+            raise StoreUnavailableError(reason)
+        case _:
+            raise StoreError(reason)
