--- a/zinniaturn/forwarding/__init__.py
+++ b/zinniaturn/forwarding/__init__.py
@@ -14,7 +14,8 @@
     'exchange',
 )
 
+from zinniaturn.forwarding.answer import Answer
 from zinniaturn.forwarding.connections import ConnectionPool
 from zinniaturn.forwarding.exceptions import ExchangeError
-from zinniaturn.forwarding.exchange import Answer, exchange
+from zinniaturn.forwarding.exchange import exchange
 from zinniaturn.forwarding.messages import BackendRequest
--- /dev/null
+++ b/zinniaturn/forwarding/answer.py
@@ -0,0 +1,80 @@
+"""An answer whose head has come and whose body is still to be read."""
+
+__all__ = ('Answer',)
+
+import asyncio
+from collections.abc import AsyncIterator
+
+from aiohttp import ClientError
+from aiohttp.http_exceptions import HttpProcessingError
+from aiohttp.http_parser import RawResponseMessage
+from aiohttp.streams import StreamReader
+
+from zinniaturn.forwarding.connections import (
+    BackendConnection,
+    ConnectionPool,
+)
+from zinniaturn.forwarding.exceptions import ExchangeError
+from zinniaturn.outcomes.table import Event, Phase
+
+
+class Answer:
+    """
+    The head of an answer and the stream of its body.
+
+    Whoever has it must read the body to its end or call `abandon`. The body
+    must be whole by ``deadline``, which is in the loop's time.
+    """
+
+    def __init__(
+        self,
+        message: RawResponseMessage,
+        payload: StreamReader,
+        connection: BackendConnection,
+        pool: ConnectionPool,
+        deadline: float,
+    ) -> None:
+        self.message = message
+        self.payload = payload
+        self.connection = connection
+        self.pool = pool
+        self.deadline = deadline
+
+    async def read_chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body; raises `ExchangeError` where it is cut short."""
+        while not self.payload.at_eof():
+            chunk = await self._read()
+            if chunk:
+                yield chunk
+        self.pool.give_back(self.connection)
+
+    def abandon(self) -> None:
+        """Close the connection, so that no one else reads what is left."""
+        self.connection.close()
+
+    def discard(self) -> None:
+        """Keep the connection if the whole body is here, else close it."""
+        if self.payload.is_eof():
+            self.payload.read_nowait()
+            self.pool.give_back(self.connection)
+        else:
+            self.abandon()
+
+    async def _read(self) -> bytes:
+        try:
+            async with asyncio.timeout_at(self.deadline):
+                return await self.payload.readany()
+        except TimeoutError as error:
+            raise self._cut(Event.DEADLINE_PASSED, error) from error
+        except (ClientError, OSError) as error:
+            raise self._cut(Event.CONNECTION_LOST, error) from error
+        except HttpProcessingError as error:
+            raise self._cut(Event.BAD_ANSWER, error) from error
+
+    def _cut(self, event: Event, error: Exception) -> ExchangeError:
+        self.abandon()
+        return ExchangeError(
+            f'the answer was cut short: {error}',
+            Phase.ANSWER_BEGUN,
+            event,
+        )
--- a/zinniaturn/forwarding/connections.py
+++ b/zinniaturn/forwarding/connections.py
@@ -1,8 +1,9 @@
 """Connections to backend servers, kept open between requests."""
 
-__all__ = ('BackendConnection', 'ConnectionPool')
+__all__ = ('BackendConnection', 'BackendProtocol', 'ConnectionPool')
 
 import asyncio
+import select
 from collections import deque
 
 from aiohttp.client_proto import ResponseHandler
@@ -12,17 +13,44 @@
 _IDLE_PER_SERVER = 64
 _READ_BUFFER_BYTES = 65_536
 _HEADER_BYTES = 32_768
+_MAX_IDLE_SECONDS = 30.0
+_MAX_IDLE_ONCE_SECONDS = 1.0
+
+
+class BackendProtocol(ResponseHandler):
+    """
+    aiohttp's parser of answers, which also guards idle connections.
+
+    A byte that comes while no request waits belongs to no one: it closes the
+    connection, so that it is never read as the answer to the next request.
+    """
+
+    is_idle = False
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes of an answer."""
+        if self.is_idle and data:
+            self.abort()
+        else:
+            super().data_received(data)
 
 
 class BackendConnection:
-    """One HTTP/1.1 connection; it carries one request at a time."""
+    """
+    One HTTP/1.1 connection; it carries one request at a time.
+
+    ``idle_since`` is in the loop's time.
+    """
 
-    def __init__(self, address: Address, protocol: ResponseHandler) -> None:
+    def __init__(self, address: Address, protocol: BackendProtocol) -> None:
         self.address = address
         self.protocol = protocol
+        self.idle_since: float = 0
+        self.poll = _poll_of(protocol)
 
     def prepare(self, method: str) -> None:
         """Set the parser up for the answer to a request with ``method``."""
+        self.protocol.is_idle = False
         self.protocol.set_response_params(
             skip_payload=method == 'HEAD',
             read_until_eof=True,
@@ -32,12 +60,16 @@
             max_field_size=_HEADER_BYTES,
         )
 
-    def write(self, chunk: bytes) -> None:
-        """Hand bytes to the transport; raises `ConnectionResetError`."""
+    def check_open(self) -> None:
+        """Raise `ConnectionResetError` where nothing can be written."""
         transport = self.protocol.transport
         if transport is None or transport.is_closing():
             raise ConnectionResetError('the connection is closed')
-        transport.write(chunk)
+
+    def write(self, chunk: bytes) -> None:
+        """Hand bytes to the transport; raises `ConnectionResetError`."""
+        self.check_open()
+        self.protocol.transport.write(chunk)  # type: ignore[union-attr]
 
     async def drain(self) -> None:
         """Wait until the transport takes more bytes."""
@@ -47,6 +79,10 @@
         """Return whether another request may use the connection."""
         return self.protocol.is_connected() and not self.protocol.should_close
 
+    def is_quiet(self) -> bool:
+        """Return whether the kernel holds neither bytes nor an end of file."""
+        return self.poll is None or not self.poll.poll(0)
+
     def close(self) -> None:
         """Close at once; the server sees this as a cancellation."""
         self.protocol.abort()
@@ -58,12 +94,28 @@
     def __init__(self) -> None:
         self.idle: dict[Address, deque[BackendConnection]] = {}
 
-    def take_idle(self, address: Address) -> BackendConnection | None:
-        """Return an idle connection that is still usable, if there is one."""
+    def take_idle(
+        self,
+        address: Address,
+        once: bool = False,
+    ) -> BackendConnection | None:
+        """
+        Return an idle connection that is still usable, if there is one.
+
+        A request that must run at most once (``once``) takes only one that
+        was used a moment ago: a server that closes idle connections would
+        else leave the outcome unknown.
+        """
         connections = self.idle.get(address)
+        if not connections:
+            return None
+        limit = _MAX_IDLE_ONCE_SECONDS if once else _MAX_IDLE_SECONDS
+        oldest = asyncio.get_running_loop().time() - limit
         while connections:
+            if connections[-1].idle_since < oldest and once:
+                return None
             connection = connections.pop()
-            if connection.is_reusable():
+            if _is_usable(connection, oldest):
                 return connection
             connection.close()
         return None
@@ -72,7 +124,7 @@
         """Return a new connection; raises `OSError`."""
         loop = asyncio.get_running_loop()
         _, protocol = await loop.create_connection(
-            lambda: ResponseHandler(loop),
+            lambda: BackendProtocol(loop),
             *address,
         )
         return BackendConnection(address, protocol)
@@ -80,14 +132,42 @@
     def give_back(self, connection: BackendConnection) -> None:
         """Keep a connection whose answer was read whole, else close it."""
         connections = self.idle.setdefault(connection.address, deque())
+        self._drop_stale(connections)
         if connection.is_reusable() and len(connections) < _IDLE_PER_SERVER:
+            connection.protocol.is_idle = True
+            connection.idle_since = asyncio.get_running_loop().time()
             connections.append(connection)
         else:
             connection.close()
 
+    def _drop_stale(self, connections: deque[BackendConnection]) -> None:
+        oldest = asyncio.get_running_loop().time() - _MAX_IDLE_SECONDS
+        while connections and connections[0].idle_since < oldest:
+            connections.popleft().close()
+
     def close(self) -> None:
         """Close every idle connection."""
         for connections in self.idle.values():
             for connection in connections:
                 connection.close()
         self.idle.clear()
+
+
+def _is_usable(connection: BackendConnection, oldest: float) -> bool:
+    return (
+        connection.idle_since >= oldest
+        and connection.is_reusable()
+        and connection.is_quiet()
+    )
+
+
+def _poll_of(protocol: BackendProtocol) -> select.poll | None:
+    transport = protocol.transport
+    if transport is None:
+        return None
+    endpoint = transport.get_extra_info('socket')
+    if endpoint is None:
+        return None
+    poll = select.poll()
+    poll.register(endpoint.fileno(), select.POLLIN)
+    return poll
--- a/zinniaturn/forwarding/exchange.py
+++ b/zinniaturn/forwarding/exchange.py
@@ -1,63 +1,28 @@
 """One exchange: a request to one server and the head of its answer."""
 
-__all__ = ('Answer', 'exchange')
+__all__ = ('exchange',)
 
 import asyncio
-from collections.abc import AsyncIterator
 
 from aiohttp import ClientError
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.http_parser import RawResponseMessage
 from aiohttp.streams import StreamReader
 
+from zinniaturn.forwarding.answer import Answer
 from zinniaturn.forwarding.connections import (
     Address,
     BackendConnection,
     ConnectionPool,
 )
 from zinniaturn.forwarding.exceptions import ExchangeError
+from zinniaturn.forwarding.framing import find_flaw
 from zinniaturn.forwarding.messages import BackendRequest, request_head
 from zinniaturn.outcomes.table import Event, Phase
 
-
-class Answer:
-    """
-    The head of an answer and the stream of its body.
-
-    Whoever has it must read the body to its end or call `abandon`.
-    """
-
-    def __init__(
-        self,
-        message: RawResponseMessage,
-        payload: StreamReader,
-        connection: BackendConnection,
-        pool: ConnectionPool,
-    ) -> None:
-        self.message = message
-        self.payload = payload
-        self.connection = connection
-        self.pool = pool
-
-    async def read_chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body; raises `ExchangeError` where it is cut short."""
-        try:
-            while not self.payload.at_eof():
-                chunk = await self.payload.readany()
-                if chunk:
-                    yield chunk
-        except (ClientError, HttpProcessingError, OSError) as error:
-            self.abandon()
-            raise ExchangeError(
-                f'the answer was cut short: {error}',
-                Phase.ANSWER_BEGUN,
-                Event.CONNECTION_LOST,
-            ) from error
-        self.pool.give_back(self.connection)
-
-    def abandon(self) -> None:
-        """Close the connection, so that no one else reads what is left."""
-        self.connection.close()
+_FINAL_STATUS = 200
+_SWITCHING_PROTOCOLS = 101
+_MAX_INTERIM_ANSWERS = 8
 
 
 async def exchange(
@@ -69,39 +34,50 @@
     """
     Send a request and return the head of the answer.
 
-    ``deadline`` is in the loop's time. Raises `ExchangeError` with the phase
-    that was reached. A cancellation closes the connection.
+    ``deadline`` is in the loop's time and bounds the answer's body too. Raises
+    `ExchangeError` with the phase that was reached. A cancellation closes the
+    connection.
     """
-    tracker = _Tracker(pool, address, request)
+    tracker = _Tracker(pool, address, request, deadline)
     try:
         async with asyncio.timeout_at(deadline):
             return await tracker.run()
+    except ExchangeError:
+        tracker.abort()
+        raise
     except TimeoutError as error:
         tracker.abort()
         raise tracker.error(Event.DEADLINE_PASSED, 'deadline') from error
-    except asyncio.CancelledError:
-        tracker.abort()
-        raise
     except (ClientError, OSError) as error:
         tracker.abort()
         raise tracker.error(Event.CONNECTION_LOST, str(error)) from error
     except HttpProcessingError as error:
         tracker.abort()
         raise tracker.error(Event.BAD_ANSWER, str(error)) from error
+    except BaseException:
+        tracker.abort()
+        raise
 
 
 class _Tracker:
-    """Runs an exchange and remembers how far it has come."""
+    """
+    Runs an exchange and remembers how far it has come.
+
+    The phase moves on before the bytes are handed to the transport: from then
+    on they may reach the server.
+    """
 
     def __init__(
         self,
         pool: ConnectionPool,
         address: Address,
         request: BackendRequest,
+        deadline: float,
     ) -> None:
         self.pool = pool
         self.address = address
         self.request = request
+        self.deadline = deadline
         self.phase = Phase.NOT_SENT
         self.connection: BackendConnection | None = None
 
@@ -116,42 +92,43 @@
     async def run(self) -> Answer:
         connection = await self._connect()
         connection.prepare(self.request.method)
-        sending = self._send(connection)
         if self.request.stream is None:
-            await sending
+            await self._send_small(connection)
             message, payload = await self._read_head(connection)
         else:
-            message, payload = await self._send_while_reading(
-                connection,
-                asyncio.ensure_future(sending),
-            )
-        return Answer(message, payload, connection, self.pool)
+            message, payload = await self._send_while_reading(connection)
+        flaw = find_flaw(self.request, message)
+        if flaw:
+            raise self.error(Event.BAD_ANSWER, flaw)
+        return Answer(message, payload, connection, self.pool, self.deadline)
 
     async def _connect(self) -> BackendConnection:
-        connection = self.pool.take_idle(self.address)
+        connection = self.pool.take_idle(self.address, self.request.once)
         if connection is None:
             try:
                 connection = await self.pool.connect(self.address)
             except OSError as error:
                 raise self.error(Event.CONNECT_FAILED, str(error)) from error
         self.connection = connection
+        connection.check_open()
         return connection
 
-    async def _send(self, connection: BackendConnection) -> None:
+    async def _send_small(self, connection: BackendConnection) -> None:
         head = request_head(self.request)
-        if self.request.stream is None:
-            connection.write(head + self.request.body)
-            self.phase = Phase.SENT_WHOLE
-            await connection.drain()
-            return
-        connection.write(head)
+        self.phase = Phase.SENT_WHOLE
+        connection.write(head + self.request.body)
+        await connection.drain()
+
+    async def _send_stream(self, connection: BackendConnection) -> None:
+        assert self.request.stream is not None
         self.phase = Phase.SENT_PART
+        connection.write(request_head(self.request))
         async for chunk in self.request.stream:
             connection.write(self._framed(chunk))
             await connection.drain()
+        self.phase = Phase.SENT_WHOLE
         if self.request.length is None:
             connection.write(b'0\r\n\r\n')
-        self.phase = Phase.SENT_WHOLE
 
     def _framed(self, chunk: bytes) -> bytes:
         if self.request.length is not None:
@@ -161,8 +138,14 @@
     async def _send_while_reading(
         self,
         connection: BackendConnection,
-        sending: asyncio.Future[None],
     ) -> tuple[RawResponseMessage, StreamReader]:
+        """
+        Relay the body, and stop as soon as the server answers.
+
+        A server may answer before it has read the body, and may close the
+        connection after that; the answer goes before the broken sending.
+        """
+        sending = asyncio.ensure_future(self._send_guarded(connection))
         reading = asyncio.ensure_future(self._read_head(connection))
         try:
             await asyncio.wait(
@@ -172,18 +155,34 @@
             if not reading.done():
                 await sending
             head = await reading
-            if not sending.done():
+            if self.phase < Phase.SENT_WHOLE:
                 connection.protocol.force_close()
             return head
         finally:
-            reading.cancel()
-            sending.cancel()
+            await _cancel(sending, reading)
+
+    async def _send_guarded(self, connection: BackendConnection) -> None:
+        try:
+            await self._send_stream(connection)
+        except (ClientError, OSError):
+            return
+        except Exception as error:
+            raise self.error(Event.REQUEST_BROKEN, str(error)) from error
 
     async def _read_head(
         self,
         connection: BackendConnection,
     ) -> tuple[RawResponseMessage, StreamReader]:
-        while True:
+        for _ in range(_MAX_INTERIM_ANSWERS):
             message, payload = await connection.protocol.read()
-            if message.code >= 200:
+            if message.code >= _FINAL_STATUS:
                 return message, payload
+            if message.code == _SWITCHING_PROTOCOLS:
+                break
+        raise self.error(Event.BAD_ANSWER, 'only interim answers came')
+
+
+async def _cancel(*tasks: asyncio.Future[object]) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/zinniaturn/forwarding/framing.py
@@ -0,0 +1,50 @@
+"""
+Whether an answer's end and owner can be told for certain.
+
+aiohttp's parser refuses both lengths, repeated lengths and bad chunks. What it
+lets pass is looked at here.
+
+References
+----------
+.. [1] R. Fielding et al., "HTTP/1.1", RFC 9112, section 6.3, 2022.
+
+"""
+
+__all__ = ('find_flaw',)
+
+import re
+
+from aiohttp.http_parser import RawResponseMessage
+
+from zinniaturn.forwarding.messages import REQUEST_ID_HEADER, BackendRequest
+
+_BODILESS = frozenset((204, 304))
+_CONTROL = re.compile('[\x00-\x08\x0a-\x1f\x7f]')
+
+
+def find_flaw(request: BackendRequest, message: RawResponseMessage) -> str:
+    """
+    Return why an answer must not be passed on, or an empty string.
+
+    An answer that ends where the connection closes is refused: it cannot be
+    told from one that was cut short. An answer that names another request is
+    someone else's.
+    """
+    headers = message.headers
+    if not _has_length(request, message):
+        return 'the answer has no length'
+    echoed = headers.get(REQUEST_ID_HEADER)
+    if echoed and echoed != request.headers.get(REQUEST_ID_HEADER):
+        return 'the answer names another request'
+    if any(_CONTROL.search(text) for text in headers.values()):
+        return 'a header of the answer has a control character'
+    return ''
+
+
+def _has_length(request: BackendRequest, message: RawResponseMessage) -> bool:
+    return (
+        message.chunked
+        or 'Content-Length' in message.headers
+        or request.method == 'HEAD'
+        or message.code in _BODILESS
+    )
--- a/zinniaturn/forwarding/messages.py
+++ b/zinniaturn/forwarding/messages.py
@@ -1,12 +1,19 @@
 """What is sent to a backend server."""
 
-__all__ = ('BackendRequest', 'end_to_end_headers', 'request_head')
+__all__ = (
+    'REQUEST_ID_HEADER',
+    'BackendRequest',
+    'end_to_end_headers',
+    'request_head',
+)
 
 from collections.abc import AsyncIterator, Iterable, Mapping
 from dataclasses import dataclass
 
 from multidict import CIMultiDict, CIMultiDictProxy
 
+REQUEST_ID_HEADER = 'X-Request-Id'
+
 HOP_BY_HOP = frozenset(
     (
         'connection',
@@ -32,6 +39,7 @@
 
     ``body`` is held whole where it is small, else it comes from ``stream``,
     which can be read only once. ``length`` is ``None`` for a chunked body.
+    ``once`` says that the request must not run twice.
     """
 
     method: str
@@ -40,6 +48,7 @@
     body: bytes = b''
     stream: AsyncIterator[bytes] | None = None
     length: int | None = 0
+    once: bool = False
 
 
 def end_to_end_headers(
--- a/zinniaturn/outcomes/__init__.py
+++ b/zinniaturn/outcomes/__init__.py
@@ -6,9 +6,17 @@
     'Phase',
     'Refusal',
     'Verdict',
+    'combine',
     'decide',
     'refusal_for',
 )
 
 from zinniaturn.outcomes.refusals import Refusal, refusal_for
-from zinniaturn.outcomes.table import Event, Outcome, Phase, Verdict, decide
+from zinniaturn.outcomes.table import (
+    Event,
+    Outcome,
+    Phase,
+    Verdict,
+    combine,
+    decide,
+)
--- a/zinniaturn/outcomes/refusals.py
+++ b/zinniaturn/outcomes/refusals.py
@@ -64,6 +64,11 @@
         HTTPStatus.BAD_GATEWAY,
         'The backend server sent a malformed answer',
     ),
+    Refusal(
+        'request-broken',
+        HTTPStatus.BAD_REQUEST,
+        'The request broke off after a part of it was sent',
+    ),
     Refusal(
         'bad-request',
         HTTPStatus.BAD_REQUEST,
--- a/zinniaturn/outcomes/table.py
+++ b/zinniaturn/outcomes/table.py
@@ -6,7 +6,15 @@
 and the answer to the caller.
 """
 
-__all__ = ('OUTCOMES', 'Event', 'Outcome', 'Phase', 'Verdict', 'decide')
+__all__ = (
+    'OUTCOMES',
+    'Event',
+    'Outcome',
+    'Phase',
+    'Verdict',
+    'combine',
+    'decide',
+)
 
 import enum
 from collections.abc import Mapping
@@ -29,7 +37,6 @@
     SENT_PART = 1
     SENT_WHOLE = 2
     ANSWER_BEGUN = 3
-    ANSWER_WHOLE = 4
 
 
 class Event(enum.Enum):
@@ -39,6 +46,7 @@
     CONNECTION_LOST = 'connection-lost'
     DEADLINE_PASSED = 'deadline-passed'
     BAD_ANSWER = 'bad-answer'
+    REQUEST_BROKEN = 'request-broken'
     SERVER_SHED = 'server-shed'
 
 
@@ -63,6 +71,7 @@
 _LATE = Verdict(Outcome.UNKNOWN, False, False, 'deadline-passed')
 _LATE_NOT_RUN = Verdict(Outcome.NOT_RUN, False, False, 'deadline-not-run')
 _BAD = Verdict(Outcome.UNKNOWN, True, False, 'bad-answer')
+_BROKEN = Verdict(Outcome.UNKNOWN, False, False, 'request-broken')
 _CUT = Verdict(Outcome.UNKNOWN, False, False, 'answer-cut')
 
 OUTCOMES: Mapping[tuple[Phase, Event], Verdict] = MappingProxyType(
@@ -73,6 +82,7 @@
         (Phase.SENT_PART, Event.CONNECTION_LOST): _LOST,
         (Phase.SENT_PART, Event.DEADLINE_PASSED): _LATE,
         (Phase.SENT_PART, Event.BAD_ANSWER): _BAD,
+        (Phase.SENT_PART, Event.REQUEST_BROKEN): _BROKEN,
         (Phase.SENT_PART, Event.SERVER_SHED): _SHED,
         (Phase.SENT_WHOLE, Event.CONNECTION_LOST): _LOST,
         (Phase.SENT_WHOLE, Event.DEADLINE_PASSED): _LATE,
@@ -93,3 +103,18 @@
     'not-run'
     """
     return OUTCOMES[phase, event]
+
+
+def combine(earlier: Outcome, latest: Outcome) -> Outcome:
+    """
+    Return what is known of a request after one more try.
+
+    A try that surely did not run takes nothing from an earlier one that may
+    have run.
+
+    >>> combine(Outcome.UNKNOWN, Outcome.NOT_RUN).value
+    'unknown'
+    """
+    if Outcome.RUN in {earlier, latest}:
+        return Outcome.RUN
+    return latest if earlier is Outcome.NOT_RUN else earlier
