Give the backend stand-in faults, a control address and an oracle

Experiments need servers with noisy neighbours, stragglers, drains, cold starts and lagging reports, and counts of executions and of measuring requests by sliding second. A group of servers runs in one process with a control address; its oracle moves a request to the truly best server at the instant of its arrival, as the limit for every policy.

--- a/zinniaturn/commands/standin.py
+++ b/zinniaturn/commands/standin.py
@@ -6,8 +6,12 @@
 import signal
 
 import click
+import uvloop
 
 from zinniaturn.standins import BackendStandIn, ServiceTime, StoreStandIn
+from zinniaturn.standins.backend_group import BackendGroup, OracleBackend
+
+_MILLISECONDS = 1000
 
 
 @click.group()
@@ -39,14 +43,51 @@
     server = BackendStandIn(
         name,
         slots=slots,
-        service_time=ServiceTime(median_ms / 1000),
+        service_time=ServiceTime(median_ms / _MILLISECONDS),
         seed=seed,
     )
     asyncio.run(_run_until_signal(server, port))
 
 
+@standin.command()
+@click.argument('service')
+@click.option('--port', type=click.IntRange(0, 65_535), default=0)
+@click.option('--count', type=click.IntRange(1), default=4)
+@click.option('--slots', type=click.IntRange(1), default=4)
+@click.option('--queue-limit', type=click.IntRange(0), default=200)
+@click.option('--median-ms', type=click.FloatRange(0), default=5)
+@click.option('--delay-ms', type=click.FloatRange(0), default=0)
+@click.option('--connect-ms', type=click.FloatRange(0), default=0)
+@click.option('--seed', type=int, default=0)
+def backends(
+    service: str,
+    port: int,
+    count: int,
+    slots: int,
+    queue_limit: int,
+    median_ms: float,
+    delay_ms: float,
+    connect_ms: float,
+    seed: int,
+) -> None:
+    """Run the backend servers of SERVICE; --port is the control address."""
+    servers = [
+        OracleBackend(
+            f'{service}-{number}',
+            slots=slots,
+            queue_limit=queue_limit,
+            service_time=ServiceTime(median_ms / _MILLISECONDS),
+            seed=seed,
+            delay_seconds=delay_ms / _MILLISECONDS,
+            connect_seconds=connect_ms / _MILLISECONDS,
+        )
+        for number in range(count)
+    ]
+    uvloop.run(_run_until_signal(BackendGroup(servers, seed), port))
+
+
 async def _run_until_signal(
-    server: StoreStandIn | BackendStandIn,
+    server: StoreStandIn | BackendStandIn | BackendGroup,
     port: int,
 ) -> None:
     stopping = asyncio.Event()
--- a/zinniaturn/experiments/processes.py
+++ b/zinniaturn/experiments/processes.py
@@ -17,6 +17,7 @@
 from zinniaturn.experiments.exceptions import ExperimentError
 
 _GRACE_SECONDS = 10.0
+_POLL_SECONDS = 0.05
 
 
 def free_port() -> int:
@@ -54,6 +55,30 @@
             )
         self.processes[name] = process
 
+    async def wait_for_port(
+        self,
+        name: str,
+        port: int,
+        timeout_seconds: float = _GRACE_SECONDS,
+    ) -> None:
+        """
+        Wait until a process listens on a loopback port.
+
+        Raises `ExperimentError` where it has ended or does not listen.
+        """
+        deadline = asyncio.get_running_loop().time() + timeout_seconds
+        while asyncio.get_running_loop().time() < deadline:
+            if self.processes[name].returncode is not None:
+                break
+            try:
+                _, writer = await asyncio.open_connection('127.0.0.1', port)
+            except OSError:
+                await asyncio.sleep(_POLL_SECONDS)
+                continue
+            writer.close()
+            return
+        raise ExperimentError(f'{name} does not listen on port {port}')
+
     def send_signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to one process."""
         self.processes[name].send_signal(number)
@@ -70,6 +95,11 @@
         except TimeoutError as error:
             raise ExperimentError(f'{name} goes on running') from error
 
+    async def terminate(self, name: str) -> int:
+        """Ask a process to stop and return its exit status."""
+        self.send_signal(name, signal.SIGTERM)
+        return await self.wait(name, _GRACE_SECONDS)
+
     async def stop_all(self) -> None:
         """Kill every process that still runs and wait for it."""
         for process in self.processes.values():
