--- /dev/null
+++ b/features/support/small_fleet.py
@@ -0,0 +1,92 @@
+"""Entries before scripted servers, each behind a fault proxy."""
+
+import asyncio
+
+from features.support.scripted_server import ScriptedServer, answer_with_token
+from zinniaturn.configuration import (
+    apply_pools,
+    apply_routes,
+    commit,
+    read_tables,
+)
+from zinniaturn.entry import Entry
+from zinniaturn.settings import EntrySettings
+from zinniaturn.standins import StoreStandIn
+from zinniaturn.standins.fault_proxy import FaultProxy
+from zinniaturn.standins.faults import NoFault
+from zinniaturn.store import HttpStore
+from zinniaturn.tables import Pool, Route, Server
+
+
+class SmallFleet:
+    """
+    ``servers`` scripted servers behind proxies, and ``entries`` entries.
+
+    The fault proxies ask `next_fault`, which takes faults from ``faults``.
+    """
+
+    def __init__(self, servers=1, entries=1, script=answer_with_token, **more):
+        self.store_stand_in = StoreStandIn()
+        self.backends = [ScriptedServer(script) for _ in range(servers)]
+        self.proxies = []
+        self.entries = []
+        self.faults = []
+        self.entry_count = entries
+        self.settings = more
+
+    def next_fault(self):
+        return self.faults.pop(0) if self.faults else NoFault()
+
+    async def start(self):
+        await self.store_stand_in.start()
+        self.store = HttpStore(self.store_stand_in.url)
+        for backend in self.backends:
+            await backend.start()
+            proxy = FaultProxy(('127.0.0.1', backend.port), self.next_fault)
+            await proxy.start()
+            self.proxies.append(proxy)
+        await self.commit([proxy.port for proxy in self.proxies])
+        for number in range(self.entry_count):
+            await self.start_entry(number)
+
+    async def start_entry(self, number):
+        fields = {
+            'name': f'entry-{number}',
+            'port': 0,
+            'admin_port': 0,
+            'store_url': self.store_stand_in.url,
+            'address_lifetime_seconds': 0.1,
+            'seed': number,
+        }
+        entry = Entry(EntrySettings(**fields | self.settings))
+        await entry.start()
+        self.entries.append(entry)
+        while not entry.state.holder.tables.revision:
+            await asyncio.sleep(0.01)
+        return entry
+
+    async def commit(self, ports):
+        base = await read_tables(self.store)
+        servers = tuple(
+            Server(f'ledger-{number}', '127.0.0.1', port, 4)
+            for number, port in enumerate(ports)
+        )
+        tables = apply_pools(base.tables, [Pool('ledger', servers)])
+        routes = [
+            Route('postings', 'ledger', path_prefix='/postings'),
+            Route('cards', 'ledger', path_prefix='/cards', idempotent=True),
+        ]
+        await commit(self.store, base, apply_routes(tables, routes))
+
+    async def stop(self):
+        for entry in self.entries:
+            await entry.stop()
+        for proxy in self.proxies:
+            await proxy.stop()
+        for backend in self.backends:
+            await backend.stop()
+        await self.store.close()
+        await self.store_stand_in.stop()
+
+    def executions(self, request_id):
+        return sum(backend.executions[request_id] for backend in self.backends)
--- a/zinniaturn/entry/dispatch.py
+++ b/zinniaturn/entry/dispatch.py
@@ -3,6 +3,7 @@
 __all__ = ('Dispatcher',)
 
 import asyncio
+import itertools
 
 from aiohttp import web
 
@@ -17,7 +18,7 @@
 from zinniaturn.entry.requests import CallerRequest
 from zinniaturn.entry.state import EntryState
 from zinniaturn.forwarding import Answer, ExchangeError, exchange
-from zinniaturn.outcomes import Event, Outcome, Phase, Verdict, decide
+from zinniaturn.outcomes import Event, Outcome, Phase, Verdict, combine, decide
 
 _MAX_ATTEMPTS = 3
 _ERROR_STATUS = 500
@@ -37,20 +38,22 @@
         """Return the answer to the caller; raises where it was cut short."""
         pool = self.state.pools[parsed.route.pool]
         tried: set[str] = set()
-        while True:
+        known: Verdict | None = None
+        for attempt in itertools.count(1):
             try:
                 server = pool.acquire(tried)
             except RefusedError as error:
-                return self._refuse(parsed, error)
+                return self._refuse(parsed, error, known)
             tried.add(server.server.name)
             try:
                 return await self._attempt(request, parsed, pool, server)
             except ExchangeError as error:
-                verdict = decide(error.phase, error.event)
                 if error.phase >= Phase.ANSWER_BEGUN:
                     raise
-                if not _may_retry(verdict, parsed, len(tried)):
-                    return self._give_up(parsed, verdict, error)
+                known = combine(known, decide(error.phase, error.event))
+                if not _may_retry(known, parsed, attempt):
+                    return self._give_up(parsed, known, error)
+        raise AssertionError('unreachable: the attempts are bounded')
 
     async def _attempt(
         self,
@@ -88,10 +91,10 @@
             loop.time() + remaining,
         )
         if is_shed(answer.message):
-            answer.abandon()
+            answer.discard()
             raise ExchangeError(
                 f'{server.server.name} shed the request',
-                Phase.SENT_WHOLE,
+                answer.sent,
                 Event.SERVER_SHED,
             )
         return answer
@@ -115,11 +118,16 @@
         self,
         parsed: CallerRequest,
         error: RefusedError,
+        known: Verdict | None,
     ) -> web.Response:
-        self.state.metrics.count(parsed.route.pool, Outcome.NOT_RUN.value)
+        """Refuse, saying what is known of the tries that came before."""
+        outcome, code = Outcome.NOT_RUN, error.code
+        if known is not None and known.outcome is not Outcome.NOT_RUN:
+            outcome, code = known.outcome, known.code
+        self.state.metrics.count(parsed.route.pool, outcome.value)
         return make_refusal(
-            error.code,
-            Outcome.NOT_RUN,
+            code,
+            outcome,
             error.message,
             parsed.request_id,
             error.retry_after_seconds,
--- a/zinniaturn/entry/frontend.py
+++ b/zinniaturn/entry/frontend.py
@@ -10,6 +10,7 @@
 from zinniaturn.entry.exceptions import EntryError
 from zinniaturn.entry.requests import parse_request
 from zinniaturn.entry.state import EntryState
+from zinniaturn.forwarding import ExchangeError
 from zinniaturn.outcomes import Outcome
 from zinniaturn.tables import find_route
 
@@ -28,6 +29,8 @@
         self.state.requests_in_flight += 1
         try:
             return await self._answer(request)
+        except ExchangeError:
+            return _cut(request)
         finally:
             self.state.requests_in_flight -= 1
 
@@ -66,3 +69,14 @@
             '',
             retry_after_seconds,
         )
+
+
+def _cut(request: web.BaseRequest) -> web.Response:
+    """
+    Break the caller's connection, so that a cut answer does not look whole.
+
+    The response returned can reach no one any more.
+    """
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response()
--- a/zinniaturn/entry/requests.py
+++ b/zinniaturn/entry/requests.py
@@ -70,12 +70,14 @@
             backend_request.stream = request.content.iter_any()
             backend_request.length = length
             can_repeat = False
+    idempotent = _is_idempotent(request, route)
+    backend_request.once = not idempotent
     return CallerRequest(
         request_id=request_id,
         route=route,
         backend_request=backend_request,
         deadline=clock.monotonic() + seconds,
-        idempotent=_is_idempotent(request, route),
+        idempotent=idempotent,
         can_repeat=can_repeat,
     )
 
--- a/zinniaturn/forwarding/answer.py
+++ b/zinniaturn/forwarding/answer.py
@@ -23,7 +23,8 @@
     The head of an answer and the stream of its body.
 
     Whoever has it must read the body to its end or call `abandon`. The body
-    must be whole by ``deadline``, which is in the loop's time.
+    must be whole by ``deadline``, which is in the loop's time. ``sent`` is how
+    much of the request was sent when the head came.
     """
 
     def __init__(
@@ -33,12 +34,14 @@
         connection: BackendConnection,
         pool: ConnectionPool,
         deadline: float,
+        sent: Phase,
     ) -> None:
         self.message = message
         self.payload = payload
         self.connection = connection
         self.pool = pool
         self.deadline = deadline
+        self.sent = sent
 
     async def read_chunks(self) -> AsyncIterator[bytes]:
         """Yield the body; raises `ExchangeError` where it is cut short."""
--- a/zinniaturn/forwarding/connections.py
+++ b/zinniaturn/forwarding/connections.py
@@ -161,7 +161,7 @@
     )
 
 
-def _poll_of(protocol: BackendProtocol) -> select.poll | None:
+def _poll_of(protocol: BackendProtocol) -> 'select.poll | None':
     transport = protocol.transport
     if transport is None:
         return None
--- a/zinniaturn/forwarding/exchange.py
+++ b/zinniaturn/forwarding/exchange.py
@@ -100,7 +100,14 @@
         flaw = find_flaw(self.request, message)
         if flaw:
             raise self.error(Event.BAD_ANSWER, flaw)
-        return Answer(message, payload, connection, self.pool, self.deadline)
+        return Answer(
+            message,
+            payload,
+            connection,
+            self.pool,
+            self.deadline,
+            self.phase,
+        )
 
     async def _connect(self) -> BackendConnection:
         connection = self.pool.take_idle(self.address, self.request.once)
--- /dev/null
+++ b/zinniaturn/outcomes/printing.py
@@ -0,0 +1,30 @@
+"""The outcome table as the documentation shows it."""
+
+__all__ = ('print_outcomes',)
+
+from zinniaturn.outcomes.table import OUTCOMES
+
+_HEADING = (
+    '| sent so far | what ended it | outcome | code '
+    '| idempotent: try again | non-idempotent: try again |',
+    '|---|---|---|---|---|---|',
+)
+_WORDS = {True: 'yes', False: 'no'}
+
+
+def print_outcomes() -> str:
+    """Return the outcome table in Markdown."""
+    rows = [
+        ' | '.join(
+            (
+                f'| {phase.name.lower().replace("_", "-")}',
+                event.value,
+                verdict.outcome.value,
+                f'`{verdict.code}`',
+                _WORDS[verdict.retry_idempotent],
+                f'{_WORDS[verdict.retry_non_idempotent]} |',
+            )
+        )
+        for (phase, event), verdict in OUTCOMES.items()
+    ]
+    return '\n'.join((*_HEADING, *rows))
--- a/zinniaturn/outcomes/table.py
+++ b/zinniaturn/outcomes/table.py
@@ -18,7 +18,7 @@
 
 import enum
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from types import MappingProxyType
 
 
@@ -105,16 +105,18 @@
     return OUTCOMES[phase, event]
 
 
-def combine(earlier: Outcome, latest: Outcome) -> Outcome:
+def combine(earlier: Verdict | None, latest: Verdict) -> Verdict:
     """
     Return what is known of a request after one more try.
 
     A try that surely did not run takes nothing from an earlier one that may
-    have run.
+    have run; whether another try is allowed is the latest one's word.
 
-    >>> combine(Outcome.UNKNOWN, Outcome.NOT_RUN).value
+    >>> lost = decide(Phase.SENT_WHOLE, Event.CONNECTION_LOST)
+    >>> refused = decide(Phase.NOT_SENT, Event.CONNECT_FAILED)
+    >>> combine(lost, refused).outcome.value
     'unknown'
     """
-    if Outcome.RUN in {earlier, latest}:
-        return Outcome.RUN
-    return latest if earlier is Outcome.NOT_RUN else earlier
+    if earlier is None or earlier.outcome is Outcome.NOT_RUN:
+        return latest
+    return replace(latest, outcome=earlier.outcome, code=earlier.code)
--- a/zinniaturn/standins/fault_proxy.py
+++ b/zinniaturn/standins/fault_proxy.py
@@ -165,10 +165,12 @@
         self.is_counted = False
         self.request_bytes = 0
         self.answer_bytes = 0
-        match self.fault:
-            case CutWhileRunning(seconds):
-                loop = asyncio.get_running_loop()
-                loop.call_later(seconds, self.cut_running, self.fault)
+        if isinstance(self.fault, CutWhileRunning):
+            asyncio.get_running_loop().call_later(
+                self.fault.after_seconds,
+                self.cut_running,
+                self.fault,
+            )
 
     def cut_running(self, fault: Fault) -> None:
         if self.fault is fault and not self.is_answering:
