Hold the entry to HTTP/1.1 byte for byte

What a caller wrote did not arrive as it was: targets were re-encoded, an absolute target was passed on whole, header bytes that are not UTF-8 were lost from answers, aiohttp added Content-Type and Server, Expect never got its 100, malformed requests got plain text without a code, a malformed chunk hung the request until its deadline, a server that answered before the end of the upload lost the rest of it, and an HTTP/1.0 caller saw a cut answer end cleanly.

--- a/zinniaturn/entry/answers.py
+++ b/zinniaturn/entry/answers.py
@@ -3,9 +3,12 @@
 __all__ = ('make_refusal', 'relay_answer')
 
 import math
+import socket
+import struct
 
 import msgspec
 from aiohttp import web
+from aiohttp.http_writer import StreamWriter
 
 from zinniaturn.forwarding import Answer, ExchangeError
 from zinniaturn.forwarding.messages import end_to_end_headers
@@ -14,7 +17,11 @@
 OUTCOME_HEADER = 'Zinniaturn-Outcome'
 CODE_HEADER = 'Zinniaturn-Code'
 
+SERVER_NAME = 'zinniaturn'
+
 _NO_BODY = frozenset((204, 304))
+_INVENTED = ('Content-Type', 'Server')
+_LINGER_ZERO = struct.pack('ii', 1, 0)
 
 
 class Problem(msgspec.Struct):
@@ -47,7 +54,11 @@
         outcome=outcome.value,
         request_id=request_id,
     )
-    headers = {OUTCOME_HEADER: outcome.value, CODE_HEADER: code}
+    headers = {
+        OUTCOME_HEADER: outcome.value,
+        CODE_HEADER: code,
+        'Server': SERVER_NAME,
+    }
     if retry_after_seconds is not None:
         headers['Retry-After'] = str(math.ceil(retry_after_seconds))
     return web.Response(
@@ -58,6 +69,35 @@
     )
 
 
+class RelayedResponse(web.StreamResponse):
+    """A response with the backend server's headers and none of aiohttp's."""
+
+    async def _prepare_headers(self) -> None:
+        absent = [name for name in _INVENTED if name not in self.headers]
+        await super()._prepare_headers()
+        for name in absent:
+            self.headers.popall(name, None)
+
+    async def _write_headers(self) -> None:
+        """Write the head; bytes that are not UTF-8 stay as they are."""
+        writer = self._payload_writer
+        is_plain = all(text.isascii() for text in self.headers.values())
+        if is_plain or not isinstance(writer, StreamWriter):
+            await super()._write_headers()
+        else:
+            writer._write(self._head().encode('utf-8', 'surrogateescape'))
+
+    def _head(self) -> str:
+        request = self._req
+        assert request is not None
+        version = request.version
+        lines = [
+            f'HTTP/{version.major}.{version.minor} {self.status} {self.reason}',
+        ]
+        lines.extend(f'{name}: {text}' for name, text in self.headers.items())
+        return '\r\n'.join((*lines, '', ''))
+
+
 async def relay_answer(
     request: web.BaseRequest,
     answer: Answer,
@@ -68,7 +108,7 @@
     Where it is cut short, the caller's connection is cut too, so that the
     caller cannot take it for a whole one. Raises `ExchangeError` then.
     """
-    response = web.StreamResponse(
+    response = RelayedResponse(
         status=answer.message.code,
         reason=answer.message.reason,
         headers=end_to_end_headers(answer.message.headers),
@@ -76,8 +116,7 @@
     try:
         await _stream(request, response, answer)
     except ExchangeError:
-        if request.transport is not None:
-            request.transport.abort()
+        _reset(request)
         raise
     except BaseException:
         answer.abandon()
@@ -98,3 +137,18 @@
     async for chunk in answer.read_chunks():
         await response.write(chunk)
     await response.write_eof()
+
+
+def _reset(request: web.BaseRequest) -> None:
+    """End the connection by a reset, which no caller takes for an end."""
+    transport = request.transport
+    if transport is None:
+        return
+    connection = transport.get_extra_info('socket')
+    if connection is not None:
+        connection.setsockopt(
+            socket.SOL_SOCKET,
+            socket.SO_LINGER,
+            _LINGER_ZERO,
+        )
+    transport.abort()
--- /dev/null
+++ b/zinniaturn/entry/bodies.py
@@ -0,0 +1,47 @@
+"""Bodies of callers' requests, read only when a backend server takes them."""
+
+__all__ = ('RequestBody',)
+
+from collections.abc import AsyncIterator
+
+from aiohttp.web import BaseRequest, RequestPayloadError
+
+from zinniaturn.entry.exceptions import BrokenBodyError
+
+_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+_CONTINUE_EXPECTED = '100-continue'
+
+
+def expects_continue(request: BaseRequest) -> bool:
+    """Return whether the caller waits for ``100 Continue``."""
+    expected = request.headers.get('Expect', '').strip().lower()
+    return expected == _CONTINUE_EXPECTED and request.version.minor > 0
+
+
+class RequestBody:
+    """
+    The stream of a request's body.
+
+    A caller that sent ``Expect: 100-continue`` gets its ``100 Continue`` at
+    the first read. ``is_begun`` is true from then on: the body cannot be sent
+    to another server any more.
+    """
+
+    def __init__(self, request: BaseRequest) -> None:
+        self.request = request
+        self.is_begun = False
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        """Yield the chunks; raises `BrokenBodyError` for a malformed body."""
+        self.is_begun = True
+        self._send_continue()
+        try:
+            async for chunk in self.request.content.iter_any():
+                yield chunk
+        except RequestPayloadError as error:
+            raise BrokenBodyError(f'the body is malformed: {error}') from error
+
+    def _send_continue(self) -> None:
+        transport = self.request.transport
+        if transport is not None and expects_continue(self.request):
+            transport.write(_CONTINUE)
--- a/zinniaturn/entry/exceptions.py
+++ b/zinniaturn/entry/exceptions.py
@@ -1,6 +1,11 @@
 """Errors of the entry layer."""
 
-__all__ = ('EntryError', 'ListenError')
+__all__ = (
+    'BadRequestError',
+    'BrokenBodyError',
+    'EntryError',
+    'ListenError',
+)
 
 from zinniaturn.errors import CodedError
 
@@ -15,3 +20,15 @@
     """An address of the settings cannot be listened on."""
 
     code = 'listen-failed'
+
+
+class BadRequestError(EntryError):
+    """A request cannot be understood; it was not run."""
+
+    code = 'bad-request'
+
+
+class BrokenBodyError(EntryError):
+    """A request's body broke off or is malformed while it was passed on."""
+
+    code = 'body-broken'
--- a/zinniaturn/entry/frontend.py
+++ b/zinniaturn/entry/frontend.py
@@ -6,15 +6,19 @@
 
 from zinniaturn.entry.addresses import answer_addresses
 from zinniaturn.entry.answers import make_refusal
+from zinniaturn.entry.bodies import expects_continue
 from zinniaturn.entry.dispatch import Dispatcher
-from zinniaturn.entry.exceptions import EntryError
+from zinniaturn.entry.exceptions import BadRequestError, BrokenBodyError
 from zinniaturn.entry.requests import parse_request
 from zinniaturn.entry.state import EntryState
+from zinniaturn.entry.targets import RequestTarget, parse_target
 from zinniaturn.outcomes import Outcome
-from zinniaturn.tables import find_route
+from zinniaturn.tables import Route, find_route
 
 ADDRESSES_PATH = '/v1/entries'
 
+_TUNNEL_METHOD = 'CONNECT'
+
 
 class Frontend:
     """Answers callers' requests."""
@@ -27,29 +31,61 @@
         """Answer one request."""
         self.state.requests_in_flight += 1
         try:
-            return await self._answer(request)
+            return _closing_if_unread(request, await self._answer(request))
         finally:
             self.state.requests_in_flight -= 1
 
+    def count_failure(self, outcome: Outcome) -> None:
+        """Count a request that the protocol could not hand over."""
+        self.state.metrics.count('', outcome.value)
+
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
-        if request.path == ADDRESSES_PATH:
+        if request.method == _TUNNEL_METHOD:
+            return self._refuse('', 'no-tunnel', 'CONNECT is not served')
+        try:
+            target = parse_target(
+                request.raw_path,
+                request.headers.get('Host', ''),
+            )
+        except BadRequestError as error:
+            return self._refuse('', error.code, error.message)
+        if target.path == ADDRESSES_PATH:
             return answer_addresses(self.state)
         tables = self.state.holder.tables
         if not tables.revision:
             return self._refuse('', 'not-ready', 'no tables were found yet', 1)
-        route = find_route(
-            tables,
-            request.host.partition(':')[0],
-            request.path,
-            request.method,
-        )
+        route = find_route(tables, target.host, target.path, request.method)
         if route is None:
             return self._refuse('', 'no-route', 'see the route table')
+        return await self._run(request, target, route)
+
+    async def _run(
+        self,
+        request: web.BaseRequest,
+        target: RequestTarget,
+        route: Route,
+    ) -> web.StreamResponse:
         try:
-            parsed = await parse_request(request, route, self.state.clock)
-        except EntryError as error:
+            parsed = await parse_request(
+                request,
+                target,
+                route,
+                self.state.clock,
+            )
+        except BadRequestError as error:
             return self._refuse(route.pool, error.code, error.message)
-        return await self.dispatcher.run(request, parsed)
+        try:
+            return await self.dispatcher.run(request, parsed)
+        except BrokenBodyError as error:
+            self.state.metrics.count(route.pool, Outcome.UNKNOWN.value)
+            refusal = make_refusal(
+                error.code,
+                Outcome.UNKNOWN,
+                error.message,
+                parsed.request_id,
+            )
+            refusal.force_close()
+            return refusal
 
     def _refuse(
         self,
@@ -66,3 +102,14 @@
             '',
             retry_after_seconds,
         )
+
+
+def _closing_if_unread(
+    request: web.BaseRequest,
+    response: web.StreamResponse,
+) -> web.StreamResponse:
+    """Close after an answer to a body that the caller still holds back."""
+    if expects_continue(request) and not request.content.at_eof():
+        if not response.prepared:
+            response.force_close()
+    return response
--- a/zinniaturn/entry/process.py
+++ b/zinniaturn/entry/process.py
@@ -13,6 +13,7 @@
 from zinniaturn.entry.exceptions import ListenError
 from zinniaturn.entry.frontend import Frontend
 from zinniaturn.entry.parts import build_parts
+from zinniaturn.entry.protocol import CallerServer
 from zinniaturn.entry.state import EntryState
 from zinniaturn.events import LogEvent, log_event
 from zinniaturn.settings import EntrySettings
@@ -39,7 +40,7 @@
     async def start(self) -> None:
         """Listen and begin to follow the store; raises `ListenError`."""
         frontend = Frontend(self.state)
-        self.server = web.Server(
+        self.server = CallerServer(
             frontend.handle,
             handler_cancellation=True,
             access_log=None,
@@ -47,6 +48,7 @@
             max_line_size=_HEADER_BYTES,
             max_field_size=_HEADER_BYTES,
         )
+        self.server.on_failure = frontend.count_failure
         try:
             self.listener = await asyncio.get_running_loop().create_server(
                 self.server,
--- a/zinniaturn/entry/requests.py
+++ b/zinniaturn/entry/requests.py
@@ -2,13 +2,17 @@
 
 __all__ = ('CallerRequest', 'parse_request')
 
+import re
 import uuid
 from dataclasses import dataclass
+from types import MappingProxyType
 
 from aiohttp.web import BaseRequest
 
 from zinniaturn.clock import Clock
-from zinniaturn.entry.exceptions import EntryError
+from zinniaturn.entry.bodies import RequestBody, expects_continue
+from zinniaturn.entry.exceptions import BadRequestError
+from zinniaturn.entry.targets import RequestTarget
 from zinniaturn.forwarding import BackendRequest
 from zinniaturn.forwarding.messages import end_to_end_headers
 from zinniaturn.tables import Route
@@ -29,6 +33,11 @@
 )
 _REPLAY_BYTES = 65_536
 _MILLISECONDS = 1000
+_ID_CHARACTERS = 128
+_REQUEST_ID = re.compile(f'[!-~]{{1,{_ID_CHARACTERS}}}')
+_DEADLINE_DIGITS = 9
+_DEADLINE = re.compile(f'[0-9]{{1,{_DEADLINE_DIGITS}}}')
+_FLAGS = MappingProxyType({'true': True, 'false': False})
 
 
 @dataclass(slots=True)
@@ -36,8 +45,7 @@
     """
     A caller's request with what the system needs to know of it.
 
-    ``deadline`` is in monotonic seconds. ``can_repeat`` is false once the
-    body can be read no second time.
+    ``deadline`` is in monotonic seconds.
     """
 
     request_id: str
@@ -45,49 +53,81 @@
     backend_request: BackendRequest
     deadline: float
     idempotent: bool
-    can_repeat: bool
+    body_stream: RequestBody | None = None
+
+    @property
+    def can_repeat(self) -> bool:
+        """Return whether the body, if any, can be sent once more."""
+        return self.body_stream is None or not self.body_stream.is_begun
 
 
 async def parse_request(
     request: BaseRequest,
+    target: RequestTarget,
     route: Route,
     clock: Clock,
 ) -> CallerRequest:
-    """Return the request as the system sees it; raises `EntryError`."""
+    """Return the request as the system sees it; raises `BadRequestError`."""
     headers = end_to_end_headers(request.headers)
-    request_id = headers.get(REQUEST_ID_HEADER) or uuid.uuid4().hex
-    headers[REQUEST_ID_HEADER] = request_id
+    request_id = _request_id(request)
     seconds = _deadline_seconds(request, route)
+    headers[REQUEST_ID_HEADER] = request_id
     headers[DEADLINE_HEADER] = str(int(seconds * _MILLISECONDS))
-    backend_request = BackendRequest(request.method, request.path_qs, headers)
-    length = request.content_length
-    can_repeat = True
-    if request.body_exists:
-        if length is not None and length <= _REPLAY_BYTES:
-            backend_request.body = await request.read()
-            backend_request.length = length
-        else:
-            backend_request.stream = request.content.iter_any()
-            backend_request.length = length
-            can_repeat = False
-    return CallerRequest(
+    headers['Host'] = target.authority
+    backend_request = BackendRequest(
+        request.method,
+        target.origin_form,
+        headers,
+    )
+    parsed = CallerRequest(
         request_id=request_id,
         route=route,
         backend_request=backend_request,
         deadline=clock.monotonic() + seconds,
         idempotent=_is_idempotent(request, route),
-        can_repeat=can_repeat,
     )
+    if request.body_exists:
+        await _attach_body(request, parsed)
+    return parsed
+
+
+async def _attach_body(request: BaseRequest, parsed: CallerRequest) -> None:
+    backend_request = parsed.backend_request
+    backend_request.length = request.content_length
+    if _is_small(request):
+        backend_request.body = await request.read()
+        return
+    parsed.body_stream = RequestBody(request)
+    backend_request.stream = parsed.body_stream
+
+
+def _is_small(request: BaseRequest) -> bool:
+    length = request.content_length
+    if length is None or expects_continue(request):
+        return False
+    return length <= _REPLAY_BYTES
+
+
+def _request_id(request: BaseRequest) -> str:
+    stated = request.headers.get(REQUEST_ID_HEADER)
+    if not stated:
+        return uuid.uuid4().hex
+    if _REQUEST_ID.fullmatch(stated) is None:
+        raise BadRequestError(
+            f'{REQUEST_ID_HEADER} is not 1 to {_ID_CHARACTERS} visible '
+            'ASCII characters',
+        )
+    return stated
 
 
 def _deadline_seconds(request: BaseRequest, route: Route) -> float:
     text = request.headers.get(DEADLINE_HEADER)
     if text is None:
         return route.deadline_seconds
-    if not text.isdecimal():
-        raise EntryError(
-            f'{DEADLINE_HEADER} is not a whole number of milliseconds',
-            'bad-request',
+    if _DEADLINE.fullmatch(text) is None:
+        raise BadRequestError(
+            f'{DEADLINE_HEADER} is not a whole number of milliseconds up to '
+            f'{_DEADLINE_DIGITS} digits long',
         )
     return int(text) / _MILLISECONDS
 
@@ -95,7 +135,14 @@
 def _is_idempotent(request: BaseRequest, route: Route) -> bool:
     stated = request.headers.get(IDEMPOTENT_HEADER)
     if stated is not None:
-        return stated.strip().lower() == 'true'
+        return _flag(stated)
     if route.idempotent is not None:
         return route.idempotent
     return request.method in _IDEMPOTENT_METHODS
+
+
+def _flag(text: str) -> bool:
+    flag = _FLAGS.get(text.strip().lower())
+    if flag is None:
+        raise BadRequestError(f'{IDEMPOTENT_HEADER} is not true or false')
+    return flag
--- a/zinniaturn/events/catalogue.py
+++ b/zinniaturn/events/catalogue.py
@@ -20,6 +20,7 @@
     ENTRY_READY = 101
     ENTRY_DRAINING = 102
     ENTRY_STOPPED = 103
+    REQUEST_FAILED = 110
     REVISION_INSTALLED = 200
     REVISION_REFUSED = 201
     STORE_UNAVAILABLE = 202
@@ -38,6 +39,10 @@
         ),
         LogEvent.ENTRY_DRAINING: (_INFO, 'the entry was told to stop'),
         LogEvent.ENTRY_STOPPED: (_INFO, 'the entry served its last request'),
+        LogEvent.REQUEST_FAILED: (
+            logging.ERROR,
+            'a request ended in a fault of the entry',
+        ),
         LogEvent.REVISION_INSTALLED: (
             _INFO,
             'a revision of the tables is in force',
--- a/zinniaturn/forwarding/exchange.py
+++ b/zinniaturn/forwarding/exchange.py
@@ -17,6 +17,7 @@
 )
 from zinniaturn.forwarding.exceptions import ExchangeError
 from zinniaturn.forwarding.messages import BackendRequest, request_head
+from zinniaturn.forwarding.upload import Upload
 from zinniaturn.outcomes.table import Event, Phase
 
 
@@ -33,11 +34,13 @@
         payload: StreamReader,
         connection: BackendConnection,
         pool: ConnectionPool,
+        upload: Upload | None = None,
     ) -> None:
         self.message = message
         self.payload = payload
         self.connection = connection
         self.pool = pool
+        self.upload = upload
 
     async def read_chunks(self) -> AsyncIterator[bytes]:
         """Yield the body; raises `ExchangeError` where it is cut short."""
@@ -53,12 +56,18 @@
                 Phase.ANSWER_BEGUN,
                 Event.CONNECTION_LOST,
             ) from error
+        self._end_upload()
         self.pool.give_back(self.connection)
 
     def abandon(self) -> None:
         """Close the connection, so that no one else reads what is left."""
+        self._end_upload()
         self.connection.close()
 
+    def _end_upload(self) -> None:
+        if self.upload is not None:
+            self.upload.end()
+
 
 async def exchange(
     pool: ConnectionPool,
@@ -79,15 +88,15 @@
     except TimeoutError as error:
         tracker.abort()
         raise tracker.error(Event.DEADLINE_PASSED, 'deadline') from error
-    except asyncio.CancelledError:
-        tracker.abort()
-        raise
     except (ClientError, OSError) as error:
         tracker.abort()
         raise tracker.error(Event.CONNECTION_LOST, str(error)) from error
     except HttpProcessingError as error:
         tracker.abort()
         raise tracker.error(Event.BAD_ANSWER, str(error)) from error
+    except BaseException:
+        tracker.abort()
+        raise
 
 
 class _Tracker:
@@ -116,16 +125,13 @@
     async def run(self) -> Answer:
         connection = await self._connect()
         connection.prepare(self.request.method)
-        sending = self._send(connection)
         if self.request.stream is None:
-            await sending
+            await self._send(connection)
             message, payload = await self._read_head(connection)
-        else:
-            message, payload = await self._send_while_reading(
-                connection,
-                asyncio.ensure_future(sending),
-            )
-        return Answer(message, payload, connection, self.pool)
+            return Answer(message, payload, connection, self.pool)
+        upload = Upload(connection, self._send(connection))
+        message, payload = await self._read_while_sending(connection, upload)
+        return Answer(message, payload, connection, self.pool, upload)
 
     async def _connect(self) -> BackendConnection:
         connection = self.pool.take_idle(self.address)
@@ -158,26 +164,25 @@
             return chunk
         return b'%x\r\n%b\r\n' % (len(chunk), chunk)
 
-    async def _send_while_reading(
+    async def _read_while_sending(
         self,
         connection: BackendConnection,
-        sending: asyncio.Future[None],
+        upload: Upload,
     ) -> tuple[RawResponseMessage, StreamReader]:
         reading = asyncio.ensure_future(self._read_head(connection))
         try:
             await asyncio.wait(
-                (sending, reading),
+                (upload.task, reading),
                 return_when=asyncio.FIRST_COMPLETED,
             )
             if not reading.done():
-                await sending
-            head = await reading
-            if not sending.done():
-                connection.protocol.force_close()
-            return head
+                await upload.wait()
+            return await reading
+        except BaseException:
+            upload.end()
+            raise
         finally:
             reading.cancel()
-            sending.cancel()
 
     async def _read_head(
         self,
--- a/zinniaturn/forwarding/messages.py
+++ b/zinniaturn/forwarding/messages.py
@@ -2,7 +2,7 @@
 
 __all__ = ('BackendRequest', 'end_to_end_headers', 'request_head')
 
-from collections.abc import AsyncIterator, Iterable, Mapping
+from collections.abc import AsyncIterable, Iterable, Mapping
 from dataclasses import dataclass
 
 from multidict import CIMultiDict, CIMultiDictProxy
@@ -38,7 +38,7 @@
     target: str
     headers: CIMultiDict[str]
     body: bytes = b''
-    stream: AsyncIterator[bytes] | None = None
+    stream: AsyncIterable[bytes] | None = None
     length: int | None = 0
 
 
--- a/zinniaturn/outcomes/refusals.py
+++ b/zinniaturn/outcomes/refusals.py
@@ -69,6 +69,26 @@
         HTTPStatus.BAD_REQUEST,
         'The request is malformed',
     ),
+    Refusal(
+        'head-too-large',
+        HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+        "The request's head is too large",
+    ),
+    Refusal(
+        'no-tunnel',
+        HTTPStatus.NOT_IMPLEMENTED,
+        'The entry opens no tunnels',
+    ),
+    Refusal(
+        'body-broken',
+        HTTPStatus.BAD_REQUEST,
+        "The request's body broke off or is malformed",
+    ),
+    Refusal(
+        'internal',
+        HTTPStatus.INTERNAL_SERVER_ERROR,
+        'The entry failed',
+    ),
 )
 
 REFUSALS: Mapping[str, Refusal] = MappingProxyType(
