--- /dev/null
+++ b/features/explain_recorder.feature
@@ -0,0 +1,10 @@
+Feature: the record of decisions
+  The record is bounded, and a flood of requests does not push out decisions
+  on servers.
+
+  Scenario: requests do not push out an ejection
+    Given a record of 10 decisions on requests and 10 others
+    When server "card-0" is ejected
+    And 1000 requests are sent to server "card-1"
+    Then the record holds 11 decisions
+    And its first decision is on server "card-0"
--- /dev/null
+++ b/features/steps/explain_recorder_steps.py
@@ -0,0 +1,35 @@
+"""Steps of the record of decisions."""
+
+from behave import given, then, when
+
+from zinniaturn.explain import DecisionLog
+from zinniaturn.explain.decisions import ServerChosen, ServerEjected
+
+
+@given('a record of {requests:d} decisions on requests and {others:d} others')
+def make_record(context, requests, others):
+    ticks = iter(range(10_000))
+    context.record = DecisionLog(requests, others, lambda: next(ticks))
+
+
+@when('server "{name}" is ejected')
+def eject(context, name):
+    context.record.record(ServerEjected('card', name, 2, '5 failures'))
+
+
+@when('{count:d} requests are sent to server "{name}"')
+def send(context, count, name):
+    for number in range(count):
+        context.record.record(
+            ServerChosen(f'r{number}', 'card', name, 1, 1, 'random'),
+        )
+
+
+@then('the record holds {count:d} decisions')
+def check_count(context, count):
+    assert len(list(context.record.decisions())) == count
+
+
+@then('its first decision is on server "{name}"')
+def check_first(context, name):
+    assert next(context.record.decisions()).server == name
--- a/zinniaturn/configuration/__init__.py
+++ b/zinniaturn/configuration/__init__.py
@@ -3,6 +3,7 @@
 __all__ = (
     'CommitUnknownError',
     'ConfigurationError',
+    'StoredTables',
     'TablesHolder',
     'apply_pools',
     'apply_routes',
@@ -11,7 +12,11 @@
     'read_tables',
 )
 
-from zinniaturn.configuration.commit import commit, read_tables
+from zinniaturn.configuration.commit import (
+    StoredTables,
+    commit,
+    read_tables,
+)
 from zinniaturn.configuration.edits import apply_pools, apply_routes
 from zinniaturn.configuration.exceptions import (
     CommitUnknownError,
--- a/zinniaturn/entry/state.py
+++ b/zinniaturn/entry/state.py
@@ -10,6 +10,7 @@
 from zinniaturn.configuration import TablesHolder
 from zinniaturn.entry.lifecycle import Lifecycle
 from zinniaturn.entry.metrics import EntryMetrics
+from zinniaturn.explain import DecisionLog
 from zinniaturn.forwarding import ConnectionPool
 from zinniaturn.settings import EntrySettings
 from zinniaturn.tables import Tables
@@ -27,6 +28,7 @@
     connections: ConnectionPool = field(default_factory=ConnectionPool)
     metrics: EntryMetrics = field(default_factory=EntryMetrics)
     pools: dict[str, PoolState] = field(default_factory=dict)
+    recorder: DecisionLog = field(default_factory=DecisionLog)
     requests_in_flight: int = 0
     port: int = 0
 
--- a/zinniaturn/experiments/processes.py
+++ b/zinniaturn/experiments/processes.py
@@ -38,14 +38,15 @@
         name: str,
         *arguments: str,
         environment: Mapping[str, str] | None = None,
+        module: str = 'zinniaturn',
     ) -> None:
-        """Start ``zinniaturn`` with these arguments."""
+        """Start ``zinniaturn``, or another module, with these arguments."""
         log_path = self.logs / f'{name}.log'
         with log_path.open('ab') as log:
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 '-m',
-                'zinniaturn',
+                module,
                 *arguments,
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
--- a/zinniaturn/experiments/registry.py
+++ b/zinniaturn/experiments/registry.py
@@ -51,7 +51,18 @@
         return function  # type: ignore[no-any-return]
 
 
-_ALL: tuple[Experiment, ...] = ()
+_ALL: tuple[Experiment, ...] = (
+    Experiment(
+        'speed',
+        'latency that an entry adds, and requests per core, at four loads',
+        'zinniaturn.experiments.speed.run:run_speed',
+    ),
+    Experiment(
+        'speed-smoke',
+        'the same at one load, within 45 s',
+        'zinniaturn.experiments.speed.run:run_speed_smoke',
+    ),
+)
 
 
 def experiments() -> Mapping[str, Experiment]:
--- /dev/null
+++ b/zinniaturn/experiments/speed/answering.py
@@ -0,0 +1,58 @@
+"""
+A backend server that answers at once with 2 kB.
+
+Run it as ``python -m zinniaturn.experiments.speed.answering PORT...``. It is
+a bare protocol, so that it is never the bottleneck.
+"""
+
+__all__ = ('main',)
+
+import asyncio
+import sys
+from typing import cast
+
+import uvloop
+
+_BODY = b'x' * 2048
+_ANSWER = (
+    b'HTTP/1.1 200 OK\r\n'
+    b'Content-Type: application/octet-stream\r\n'
+    b'Server-Load: busy=1, queued=0, slots=256\r\n'
+    b'Content-Length: 2048\r\n\r\n'
+) + _BODY
+_HEAD_END = b'\r\n\r\n'
+
+
+class _Answering(asyncio.Protocol):
+    """Answers each head; requests have no body."""
+
+    transport: asyncio.Transport
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.received = b''
+
+    def data_received(self, data: bytes) -> None:
+        self.received += data
+        heads = self.received.split(_HEAD_END)
+        self.received = heads.pop()
+        if heads:
+            self.transport.write(_ANSWER * len(heads))
+
+
+async def _serve(ports: list[int]) -> None:
+    loop = asyncio.get_running_loop()
+    for port in ports:
+        await loop.create_server(_Answering, '127.0.0.1', port)
+    await asyncio.Event().wait()
+
+
+def main() -> None:
+    """Listen on the ports of the command line."""
+    ports = [int(text) for text in sys.argv[1:]]
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(_serve(ports))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/zinniaturn/experiments/speed/fleet.py
@@ -0,0 +1,146 @@
+"""The processes of a speed run."""
+
+__all__ = ('SpeedFleet',)
+
+import asyncio
+from collections.abc import Mapping
+from pathlib import Path
+
+import psutil
+
+from zinniaturn.configuration import (
+    ConfigurationError,
+    StoredTables,
+    apply_pools,
+    apply_routes,
+    commit,
+    read_tables,
+)
+from zinniaturn.experiments.exceptions import ExperimentError
+from zinniaturn.experiments.processes import ProcessGroup, free_port
+from zinniaturn.experiments.speed.client import LoadClient
+from zinniaturn.store import HttpStore
+from zinniaturn.tables import Pool, Route, Server
+
+_SERVERS = 4
+_SLOTS = 256
+_PAUSE_SECONDS = 0.05
+_START_ATTEMPTS = 300
+_SPEED = 'zinniaturn.experiments.speed'
+
+
+class SpeedFleet:
+    """
+    A store, a backend server on four ports, an entry and a relay.
+
+    ``ports`` maps ``direct``, ``relay`` and ``entry`` to where they listen.
+    ``routes`` other routes and pools stand in the tables beside the used one.
+    """
+
+    def __init__(
+        self,
+        out: Path,
+        environment: Mapping[str, str] | None = None,
+        routes: int = 0,
+    ) -> None:
+        self.group = ProcessGroup(out)
+        self.environment = environment
+        self.routes = routes
+        self.server_ports = [free_port() for _ in range(_SERVERS)]
+        self.store_port = free_port()
+        self.ports = {
+            'direct': self.server_ports[0],
+            'relay': free_port(),
+            'entry': free_port(),
+        }
+
+    async def start(self) -> None:
+        """Start everything and wait until all answer."""
+        await self.group.start(
+            'server',
+            *(str(port) for port in self.server_ports),
+            module=f'{_SPEED}.answering',
+        )
+        await self.group.start(
+            'relay',
+            str(self.ports['relay']),
+            str(self.ports['direct']),
+            module=f'{_SPEED}.relay',
+        )
+        await self.group.start(
+            'store', 'standin', 'store', '--port', str(self.store_port)
+        )
+        await self._commit_tables()
+        await self._start_entry()
+        for port in self.ports.values():
+            await _wait_until_answering(port)
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        await self.group.stop_all()
+
+    def cpu_seconds(self, name: str) -> float:
+        """Return the processor time that a process has used."""
+        times = psutil.Process(self.group.processes[name].pid).cpu_times()
+        return float(times.user + times.system)
+
+    def resident_bytes(self, name: str) -> int:
+        """Return the memory that a process holds."""
+        process = psutil.Process(self.group.processes[name].pid)
+        return int(process.memory_info().rss)
+
+    async def _start_entry(self) -> None:
+        await self.group.start(
+            'entry',
+            'entry',
+            '--name',
+            'entry-0',
+            '--port',
+            str(self.ports['entry']),
+            '--admin-port',
+            '0',
+            '--store-url',
+            f'http://127.0.0.1:{self.store_port}',
+            environment=self.environment,
+        )
+
+    async def _commit_tables(self) -> None:
+        store = HttpStore(f'http://127.0.0.1:{self.store_port}')
+        servers = tuple(
+            Server(f'card-{number}', '127.0.0.1', port, _SLOTS)
+            for number, port in enumerate(self.server_ports)
+        )
+        names = [f'service-{number}' for number in range(self.routes)]
+        pools = [Pool(name, servers) for name in ('card', *names)]
+        routes = [Route('cards', 'card', path_prefix='/cards')]
+        routes.extend(
+            Route(name, name, path_prefix=f'/{name}') for name in names
+        )
+        try:
+            base = await _read_when_up(store)
+            tables = apply_pools(base.tables, pools)
+            await commit(store, base, apply_routes(tables, routes))
+        finally:
+            await store.close()
+
+
+async def _read_when_up(store: HttpStore) -> StoredTables:
+    for _ in range(_START_ATTEMPTS):
+        try:
+            return await read_tables(store)
+        except ConfigurationError:
+            await asyncio.sleep(_PAUSE_SECONDS)
+    raise ExperimentError('the store did not start')
+
+
+async def _wait_until_answering(port: int) -> None:
+    client = LoadClient(port)
+    for _ in range(_START_ATTEMPTS):
+        try:
+            await client.call()
+        except (ExperimentError, OSError):
+            await asyncio.sleep(_PAUSE_SECONDS)
+        else:
+            client.close()
+            return
+    raise ExperimentError(f'nothing answers on port {port}')
--- /dev/null
+++ b/zinniaturn/explain/recorder.py
@@ -0,0 +1,69 @@
+"""
+The recorder: what the parts of an entry call, and the bounded memory.
+
+>>> from zinniaturn.explain.decisions import RevisionInstalled
+>>> log = DecisionLog()
+>>> log.record(RevisionInstalled(7))
+>>> [decision.revision for decision in log.decisions()]
+[7]
+"""
+
+__all__ = ('DecisionLog', 'NullRecorder', 'Recorder')
+
+import time
+from collections import deque
+from collections.abc import Callable, Iterator
+from heapq import merge
+from operator import attrgetter
+from typing import Protocol
+
+from zinniaturn.explain.decisions import Decision
+
+_REQUEST_DECISIONS = 20_000
+_OTHER_DECISIONS = 4000
+
+
+class Recorder(Protocol):
+    """Takes note of decisions; never fails and never waits."""
+
+    def record(self, decision: Decision) -> None:
+        """Take note of a decision."""
+
+
+class NullRecorder:
+    """Forgets every decision."""
+
+    def record(self, decision: Decision) -> None:
+        """Do nothing."""
+
+
+class DecisionLog:
+    """
+    The latest decisions in memory.
+
+    Decisions on requests and all others are kept apart, so that a flood of
+    requests does not push out why a server was ejected. ``now`` returns
+    seconds since the epoch.
+    """
+
+    def __init__(
+        self,
+        request_limit: int = _REQUEST_DECISIONS,
+        other_limit: int = _OTHER_DECISIONS,
+        now: Callable[[], float] = time.time,
+    ) -> None:
+        self.now = now
+        self.of_requests: deque[Decision] = deque(maxlen=request_limit)
+        self.others: deque[Decision] = deque(maxlen=other_limit)
+
+    def record(self, decision: Decision) -> None:
+        """Keep a decision; the oldest of its kind is forgotten."""
+        decision.at = self.now()
+        if decision.of_request:
+            self.of_requests.append(decision)
+        else:
+            self.others.append(decision)
+
+    def decisions(self) -> Iterator[Decision]:
+        """Return all kept decisions, the oldest first."""
+        return merge(self.of_requests, self.others, key=attrgetter('at'))
