Give the store's stand-in faults, limits and a control address; add a VM list

The first scenario found a fault of the store's adapter: aiohttp's client repeats a PUT by itself when the reply is lost, so a write that took effect came back as store-conflict instead of store-unavailable. Writes now go by POST; scenario 'a write whose reply is lost took effect' failed before (store-conflict) and passes now. Keys can be removed with an expected version, for the garbage of the store layout to come.

--- a/zinniaturn/commands/standin.py
+++ b/zinniaturn/commands/standin.py
@@ -7,7 +7,12 @@
 
 import click
 
-from zinniaturn.standins import BackendStandIn, ServiceTime, StoreStandIn
+from zinniaturn.standins import (
+    BackendStandIn,
+    ServiceTime,
+    StoreStandIn,
+    VmListStandIn,
+)
 
 
 @click.group()
@@ -22,6 +27,14 @@
     asyncio.run(_run_until_signal(StoreStandIn(), port))
 
 
+@standin.command('vm-list')
+@click.option('--port', type=click.IntRange(0, 65_535), default=0)
+@click.option('--lag-seconds', type=click.FloatRange(0), default=1)
+def vm_list(port: int, lag_seconds: float) -> None:
+    """Run the list of live and leaving VMs."""
+    asyncio.run(_run_until_signal(VmListStandIn(lag_seconds), port))
+
+
 @standin.command()
 @click.argument('name')
 @click.option('--port', type=click.IntRange(0, 65_535), default=0)
@@ -46,7 +59,7 @@
 
 
 async def _run_until_signal(
-    server: StoreStandIn | BackendStandIn,
+    server: StoreStandIn | BackendStandIn | VmListStandIn,
     port: int,
 ) -> None:
     stopping = asyncio.Event()
--- a/zinniaturn/entry/process.py
+++ b/zinniaturn/entry/process.py
@@ -30,7 +30,7 @@
         self.settings = settings
         self.state = EntryState(settings, SystemClock(), source)
         self.state.holder.observers.append(self.state.install_pools)
-        self.store = HttpStore(settings.store_url)
+        self.store = HttpStore(settings.store_url, caller=settings.name)
         self.parts = build_parts(self.state, self.store)
         self.server: web.Server | None = None
         self.listener: asyncio.Server | None = None
--- a/zinniaturn/standins/store.py
+++ b/zinniaturn/standins/store.py
@@ -14,23 +14,20 @@
 from http import HTTPStatus
 
 from aiohttp import web
-from aiohttp.typedefs import Handler, Middleware
 
 from zinniaturn.standins.listening import Listening
+from zinniaturn.standins.store_control import StoreControl
+from zinniaturn.standins.store_faults import (
+    RateLimits,
+    StoreFaults,
+    faults_middleware,
+    refusal,
+)
 
 MAX_VALUE_BYTES = 1_048_576
 _MILLISECONDS = 1000
 
 
-@dataclass(slots=True)
-class StoreFaults:
-    """What is wrong with the store at the moment."""
-
-    is_out: bool = False
-    lose_write_replies: bool = False
-    latency_seconds: float = 0
-
-
 @dataclass(slots=True)
 class StoredValue:
     """A key's value, version and the lease that it lives by."""
@@ -50,10 +47,12 @@
 
 @dataclass(slots=True)
 class StoreCalls:
-    """How many calls the store has had."""
+    """How many calls the store has had, and their values' bytes."""
 
     reads: int = 0
     writes: int = 0
+    bytes_read: int = 0
+    bytes_written: int = 0
 
 
 @dataclass
@@ -61,6 +60,7 @@
     """The store; `start` it, then use `url`."""
 
     faults: StoreFaults = field(default_factory=StoreFaults)
+    limits: RateLimits = field(default_factory=RateLimits)
     calls: StoreCalls = field(default_factory=StoreCalls)
     values: dict[str, StoredValue] = field(default_factory=dict)
     leases: dict[str, StoredLease] = field(default_factory=dict)
@@ -71,14 +71,16 @@
         self.changed = asyncio.Event()
         application = web.Application(
             client_max_size=MAX_VALUE_BYTES * 2,
-            middlewares=[_faults_middleware(self.faults)],
+            middlewares=[faults_middleware(self.faults, self.limits)],
         )
         router = application.router
         router.add_get('/v1/keys/{key:.+}', self.answer_read)
-        router.add_put('/v1/keys/{key:.+}', self.answer_write)
+        router.add_post('/v1/keys/{key:.+}', self.answer_write)
+        router.add_delete('/v1/keys/{key:.+}', self.answer_delete)
         router.add_post('/v1/leases', self.answer_grant)
         router.add_post('/v1/leases/{lease}/renew', self.answer_renew)
         router.add_delete('/v1/leases/{lease}', self.answer_release)
+        StoreControl(self).add_routes(router)
         self.listening = Listening(application)
 
     @property
@@ -103,6 +105,7 @@
             wait_seconds = int(request.query['wait_ms']) / _MILLISECONDS
             await self._wait(key, int(after), wait_seconds)
         stored = self._find(key)
+        self.calls.bytes_read += len(stored.value)
         return web.json_response(
             {'value': stored.value, 'version': stored.version},
         )
@@ -112,22 +115,38 @@
         self.calls.writes += 1
         key = request.match_info['key']
         body = await request.json()
-        if len(body['value'].encode()) > MAX_VALUE_BYTES:
-            return _error(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, 'over 1 MB')
+        size = len(body['value'].encode())
+        self.calls.bytes_written += size
+        if size > MAX_VALUE_BYTES:
+            return refusal(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, 'over 1 MB')
         lease = body.get('lease', '')
         if lease and not self._is_live(lease):
-            return _error(HTTPStatus.GONE, 'the lease has lapsed')
+            return refusal(HTTPStatus.GONE, 'the lease has lapsed')
         stored = self._find(key)
         if stored.version != body['expected']:
-            return _error(
+            return refusal(
                 HTTPStatus.CONFLICT,
                 f'{key} is at version {stored.version}',
             )
         version = next(self.numbers)
         self.values[key] = StoredValue(body['value'], version, lease)
-        self._notify()
+        self.notify()
         return web.json_response({'version': version})
 
+    async def answer_delete(self, request: web.Request) -> web.Response:
+        """Answer a removal that names the expected version."""
+        self.calls.writes += 1
+        key = request.match_info['key']
+        stored = self._find(key)
+        if stored.version != int(request.query['expected']):
+            return refusal(
+                HTTPStatus.CONFLICT,
+                f'{key} is at version {stored.version}',
+            )
+        self.values.pop(key, None)
+        self.notify()
+        return web.json_response({})
+
     async def answer_grant(self, request: web.Request) -> web.Response:
         """Answer a request for a lease."""
         self.calls.writes += 1
@@ -146,7 +165,7 @@
         self.calls.writes += 1
         lease = request.match_info['lease']
         if not self._is_live(lease):
-            return _error(HTTPStatus.GONE, 'the lease has lapsed')
+            return refusal(HTTPStatus.GONE, 'the lease has lapsed')
         stored = self.leases[lease]
         stored.lapses_at = time.monotonic() + stored.ttl_seconds
         return web.json_response({})
@@ -155,9 +174,20 @@
         """Answer a release."""
         self.calls.writes += 1
         self.leases.pop(request.match_info['lease'], None)
-        self._notify()
+        self.notify()
         return web.json_response({})
 
+    def notify(self) -> None:
+        """Wake the waiting watches."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def count_bytes(self) -> int:
+        """Return the bytes of all keys and values."""
+        return sum(
+            len(key) + len(stored.value) for key, stored in self.values.items()
+        )
+
     def _find(self, key: str) -> StoredValue:
         absent = StoredValue('', 0)
         stored = self.values.get(key, absent)
@@ -170,10 +200,6 @@
         stored = self.leases.get(lease)
         return stored is not None and time.monotonic() < stored.lapses_at
 
-    def _notify(self) -> None:
-        self.changed.set()
-        self.changed = asyncio.Event()
-
     async def _wait(self, key: str, after: int, wait_seconds: float) -> None:
         try:
             async with asyncio.timeout(wait_seconds):
@@ -181,28 +207,3 @@
                     await self.changed.wait()
         except TimeoutError:
             return
-
-
-def _faults_middleware(faults: StoreFaults) -> Middleware:
-    @web.middleware
-    async def apply_faults(
-        request: web.Request,
-        handler: Handler,
-    ) -> web.StreamResponse:
-        if faults.latency_seconds:
-            await asyncio.sleep(faults.latency_seconds)
-        if faults.is_out:
-            return _error(HTTPStatus.SERVICE_UNAVAILABLE, 'the store is out')
-        response = await handler(request)
-        if faults.is_out:
-            return _error(HTTPStatus.SERVICE_UNAVAILABLE, 'the store is out')
-        if faults.lose_write_replies and request.method != 'GET':
-            if request.transport is not None:
-                request.transport.abort()
-        return response
-
-    return apply_faults
-
-
-def _error(status: HTTPStatus, reason: str) -> web.Response:
-    return web.json_response({'error': reason}, status=int(status))
--- /dev/null
+++ b/zinniaturn/standins/store_control.py
@@ -0,0 +1,87 @@
+"""
+The control address of the store's stand-in.
+
+Experiments with real processes inject faults through it, take copies of the
+store's state and reset the store to a copy or to nothing.
+"""
+
+__all__ = ('StoreControl',)
+
+import copy
+from typing import TYPE_CHECKING, Literal
+
+from aiohttp import web
+from pydantic import BaseModel, ConfigDict
+
+if TYPE_CHECKING:
+    from zinniaturn.standins.store import StoredValue, StoreStandIn
+
+
+class FaultsModel(BaseModel):
+    """A change of the faults; what is left out stays as it is."""
+
+    model_config = ConfigDict(extra='forbid')
+
+    is_out: bool | None = None
+    lose_write_replies: bool | None = None
+    lost_replies: int | None = None
+    latency_seconds: float | None = None
+    cut_off: set[str] | None = None
+
+
+class ResetModel(BaseModel):
+    """What the store's state becomes."""
+
+    model_config = ConfigDict(extra='forbid')
+
+    to: Literal['copy', 'empty']
+
+
+class StoreControl:
+    """Handlers of the control address."""
+
+    def __init__(self, store: 'StoreStandIn') -> None:
+        self.store = store
+        self.kept: dict[str, StoredValue] = {}
+
+    def add_routes(self, router: web.UrlDispatcher) -> None:
+        """Add the handlers to the store's application."""
+        router.add_put('/control/faults', self.answer_faults)
+        router.add_post('/control/copy', self.answer_copy)
+        router.add_post('/control/reset', self.answer_reset)
+        router.add_get('/control/counters', self.answer_counters)
+
+    async def answer_faults(self, request: web.Request) -> web.Response:
+        """Change the faults."""
+        change = FaultsModel.model_validate(await request.json())
+        for name, setting in change.model_dump(exclude_none=True).items():
+            setattr(self.store.faults, name, setting)
+        return web.json_response({})
+
+    async def answer_copy(self, request: web.Request) -> web.Response:
+        """Keep a copy of the state."""
+        self.kept = copy.deepcopy(self.store.values)
+        return web.json_response({'keys': len(self.kept)})
+
+    async def answer_reset(self, request: web.Request) -> web.Response:
+        """Go back to the copy or to nothing."""
+        reset = ResetModel.model_validate(await request.json())
+        self.store.values.clear()
+        if reset.to == 'copy':
+            self.store.values.update(copy.deepcopy(self.kept))
+        self.store.notify()
+        return web.json_response({'keys': len(self.store.values)})
+
+    async def answer_counters(self, request: web.Request) -> web.Response:
+        """Return the calls so far and what is stored."""
+        calls = self.store.calls
+        return web.json_response(
+            {
+                'reads': calls.reads,
+                'writes': calls.writes,
+                'bytes_read': calls.bytes_read,
+                'bytes_written': calls.bytes_written,
+                'keys': len(self.store.values),
+                'bytes_stored': self.store.count_bytes(),
+            },
+        )
--- /dev/null
+++ b/zinniaturn/standins/store_faults.py
@@ -0,0 +1,131 @@
+"""
+Faults and rate limits of the store's stand-in.
+
+Callers name themselves in a header, so that single ones can be cut off.
+"""
+
+__all__ = ('CALLER_HEADER', 'RateLimit', 'StoreFaults', 'faults_middleware')
+
+import asyncio
+import time
+from dataclasses import dataclass, field
+from http import HTTPStatus
+
+from aiohttp import web
+from aiohttp.typedefs import Handler, Middleware
+
+CALLER_HEADER = 'X-Store-Caller'
+CONTROL_PREFIX = '/control/'
+
+READS_PER_SECOND = 2000.0
+WRITES_PER_SECOND = 300.0
+
+
+@dataclass(slots=True)
+class StoreFaults:
+    """
+    What is wrong with the store at the moment.
+
+    ``lost_replies`` counts the writes still to come that take effect and
+    whose reply is lost. ``cut_off`` names the callers that get no reply.
+    """
+
+    is_out: bool = False
+    lose_write_replies: bool = False
+    lost_replies: int = 0
+    latency_seconds: float = 0
+    cut_off: set[str] = field(default_factory=set)
+
+    def loses_reply(self) -> bool:
+        """Return whether this write's reply is lost, and count it."""
+        if self.lost_replies:
+            self.lost_replies -= 1
+            return True
+        return self.lose_write_replies
+
+
+@dataclass(slots=True)
+class RateLimit:
+    """A token bucket that holds one second's worth of calls."""
+
+    per_second: float
+    tokens: float = 0
+    filled_at: float = 0
+
+    def admit(self, now: float) -> bool:
+        """Take a token at ``now`` (monotonic seconds) if there is one."""
+        gained = (now - self.filled_at) * self.per_second
+        self.tokens = min(self.per_second, self.tokens + gained)
+        self.filled_at = now
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+
+@dataclass(slots=True)
+class RateLimits:
+    """The limits on reads, which include watches, and on writes."""
+
+    reads: RateLimit = field(
+        default_factory=lambda: RateLimit(READS_PER_SECOND),
+    )
+    writes: RateLimit = field(
+        default_factory=lambda: RateLimit(WRITES_PER_SECOND),
+    )
+
+    def admit(self, is_read: bool) -> bool:
+        """Count a call against its limit."""
+        limit = self.reads if is_read else self.writes
+        return limit.admit(time.monotonic())
+
+
+def faults_middleware(faults: StoreFaults, limits: RateLimits) -> Middleware:
+    """Return a middleware that applies the faults but for control calls."""
+
+    @web.middleware
+    async def apply_faults(
+        request: web.Request,
+        handler: Handler,
+    ) -> web.StreamResponse:
+        if request.path.startswith(CONTROL_PREFIX):
+            return await handler(request)
+        is_read = request.method == 'GET'
+        caller = request.headers.get(CALLER_HEADER, '')
+        if faults.latency_seconds:
+            await asyncio.sleep(faults.latency_seconds)
+        if caller in faults.cut_off:
+            return _without_reply(request)
+        if faults.is_out:
+            return refusal(HTTPStatus.SERVICE_UNAVAILABLE, 'the store is out')
+        if not limits.admit(is_read):
+            return refusal(HTTPStatus.TOO_MANY_REQUESTS, 'over the rate limit')
+        response = await handler(request)
+        return _after_effect(request, response, faults)
+
+    return apply_faults
+
+
+def refusal(status: HTTPStatus, reason: str) -> web.Response:
+    """Return an error answer of the store."""
+    return web.json_response({'error': reason}, status=int(status))
+
+
+def _after_effect(
+    request: web.Request,
+    response: web.StreamResponse,
+    faults: StoreFaults,
+) -> web.StreamResponse:
+    if faults.is_out:
+        return refusal(HTTPStatus.SERVICE_UNAVAILABLE, 'the store is out')
+    if request.headers.get(CALLER_HEADER, '') in faults.cut_off:
+        return _without_reply(request)
+    if request.method != 'GET' and faults.loses_reply():
+        return _without_reply(request)
+    return response
+
+
+def _without_reply(request: web.Request) -> web.Response:
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response()
--- a/zinniaturn/store/__init__.py
+++ b/zinniaturn/store/__init__.py
@@ -5,12 +5,16 @@
     'Entry',
     'HttpStore',
     'Lease',
+    'LeaseLapsedError',
+    'StoreBusyError',
     'StoreConflictError',
     'StoreError',
     'StoreUnavailableError',
 )
 
 from zinniaturn.store.exceptions import (
+    LeaseLapsedError,
+    StoreBusyError,
     StoreConflictError,
     StoreError,
     StoreUnavailableError,
--- a/zinniaturn/store/exceptions.py
+++ b/zinniaturn/store/exceptions.py
@@ -1,6 +1,12 @@
 """Errors of the store's port."""
 
-__all__ = ('StoreConflictError', 'StoreError', 'StoreUnavailableError')
+__all__ = (
+    'LeaseLapsedError',
+    'StoreBusyError',
+    'StoreConflictError',
+    'StoreError',
+    'StoreUnavailableError',
+)
 
 from zinniaturn.errors import CodedError
 
@@ -21,3 +27,15 @@
     """No reply came; a write may or may not have taken effect."""
 
     code = 'store-unavailable'
+
+
+class StoreBusyError(StoreError):
+    """The call was over the store's rate limit; nothing was changed."""
+
+    code = 'store-busy'
+
+
+class LeaseLapsedError(StoreError):
+    """The lease of the call has lapsed; nothing was changed."""
+
+    code = 'lease-lapsed'
--- a/zinniaturn/store/http.py
+++ b/zinniaturn/store/http.py
@@ -2,7 +2,9 @@
 The store's port over HTTP.
 
 The wire form is that of `zinniaturn.standins.store`; the platform's own form
-replaces this module alone.
+replaces this module alone. Writes go by POST, since the HTTP client repeats a
+PUT by itself when its reply is lost, and the repetition would be answered with
+a conflict although the first one took effect.
 """
 
 __all__ = ('HttpStore',)
@@ -13,12 +15,16 @@
 import aiohttp
 
 from zinniaturn.store.exceptions import (
+    LeaseLapsedError,
+    StoreBusyError,
     StoreConflictError,
     StoreError,
     StoreUnavailableError,
 )
 from zinniaturn.store.port import Entry, Lease
 
+CALLER_HEADER = 'X-Store-Caller'
+
 _MILLISECONDS = 1000
 
 
@@ -27,11 +33,17 @@
     A client of the store at ``url``.
 
     ``timeout_seconds`` bounds every call but for a watch, which gets its wait
-    on top.
+    on top. ``caller`` names this process to the store.
     """
 
-    def __init__(self, url: str, timeout_seconds: float = 2) -> None:
+    def __init__(
+        self,
+        url: str,
+        timeout_seconds: float = 2,
+        caller: str = '',
+    ) -> None:
         self.url = url.rstrip('/')
+        self.headers = {CALLER_HEADER: caller}
         self.timeout_seconds = timeout_seconds
         self.session: aiohttp.ClientSession | None = None
 
@@ -54,12 +66,19 @@
     ) -> int:
         """Write where the version is as expected; return the new version."""
         reply = await self._call(
-            'PUT',
+            'POST',
             f'/v1/keys/{key}',
             {'value': value, 'expected': expected_version, 'lease': lease_id},
         )
         return int(reply['version'])
 
+    async def delete(self, key: str, expected_version: int) -> None:
+        """Remove the key where its version is as expected."""
+        await self._call(
+            'DELETE',
+            f'/v1/keys/{key}?expected={expected_version}',
+        )
+
     async def watch(
         self,
         key: str,
@@ -96,7 +115,7 @@
         extra_seconds: float = 0,
     ) -> dict[str, Any]:
         if self.session is None:
-            self.session = aiohttp.ClientSession()
+            self.session = aiohttp.ClientSession(headers=self.headers)
         timeout = aiohttp.ClientTimeout(self.timeout_seconds + extra_seconds)
         try:
             async with self.session.request(
@@ -124,6 +143,10 @@
     match status:
         case HTTPStatus.CONFLICT:
             raise StoreConflictError(reason)
+        case HTTPStatus.GONE:
+            raise LeaseLapsedError(reason)
+        case HTTPStatus.TOO_MANY_REQUESTS:
+            raise StoreBusyError(reason)
         case HTTPStatus.SERVICE_UNAVAILABLE:
             raise StoreUnavailableError(reason)
         case _:
--- a/zinniaturn/store/port.py
+++ b/zinniaturn/store/port.py
@@ -52,6 +52,13 @@
         `StoreConflictError` where the version differs.
         """
 
+    async def delete(self, key: str, expected_version: int) -> None:
+        """
+        Remove the key where its version is as expected.
+
+        Raises `StoreConflictError` where the version differs.
+        """
+
     async def watch(
         self,
         key: str,
--- /dev/null
+++ b/zinniaturn/vmlist/http.py
@@ -0,0 +1,50 @@
+"""
+The VM list's port over HTTP.
+
+The wire form is that of `zinniaturn.standins.vm_list`; the platform's own form
+replaces this module alone.
+"""
+
+__all__ = ('HttpVmList',)
+
+from http import HTTPStatus
+
+import aiohttp
+import msgspec
+
+from zinniaturn.vmlist.exceptions import VmListError
+from zinniaturn.vmlist.port import ListedVm
+
+_PATH = '/v1/vms'
+
+
+class HttpVmList:
+    """A client of the VM list at ``url``; a call takes at most the timeout."""
+
+    def __init__(self, url: str, timeout_seconds: float = 2) -> None:
+        self.url = url.rstrip('/')
+        self.timeout = aiohttp.ClientTimeout(timeout_seconds)
+        self.session: aiohttp.ClientSession | None = None
+
+    async def read(self) -> tuple[ListedVm, ...]:
+        """Return the VMs listed now; raises `VmListError`."""
+        if self.session is None:
+            self.session = aiohttp.ClientSession(timeout=self.timeout)
+        try:
+            async with self.session.get(self.url + _PATH) as reply:
+                status = reply.status
+                body = await reply.read()
+        except (TimeoutError, aiohttp.ClientError) as error:
+            raise VmListError(type(error).__name__) from error
+        if status != HTTPStatus.OK:
+            raise VmListError(f'status {status}')
+        try:
+            return msgspec.json.decode(body, type=tuple[ListedVm, ...])
+        except msgspec.DecodeError as error:
+            raise VmListError(str(error)) from error
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self.session is not None:
+            await self.session.close()
+            self.session = None
