Choose by the estimated wait; queue, limits, retry budget and hedges

The entry knew only its own requests in flight. Decisions now use the load on replies, corrected by what was sent since and fading with age; requests wait at the entry for room within a learnt limit per server; retries and hedges share a budget earned by successes; refusals carry a jittered time to return.

--- a/zinniaturn/choosing/__init__.py
+++ b/zinniaturn/choosing/__init__.py
@@ -6,14 +6,27 @@
 """
 
 __all__ = (
+    'PRODUCT_POLICY',
     'Completion',
+    'LoadReport',
     'PoolState',
     'RefusedError',
     'ServerState',
+    'Ticket',
+    'policy_for_pool',
     'policy_named',
 )
 
 from zinniaturn.choosing.exceptions import RefusedError
-from zinniaturn.choosing.policies import policy_named
 from zinniaturn.choosing.pool_state import PoolState
-from zinniaturn.choosing.server_state import Completion, ServerState
+from zinniaturn.choosing.registry import (
+    PRODUCT_POLICY,
+    policy_for_pool,
+    policy_named,
+)
+from zinniaturn.choosing.server_state import (
+    Completion,
+    LoadReport,
+    ServerState,
+)
+from zinniaturn.choosing.waiting import Ticket
--- /dev/null
+++ b/zinniaturn/choosing/estimates.py
@@ -0,0 +1,107 @@
+"""
+Estimates of what a server is like now from what it said a while ago.
+
+A report is right at the instant when the server sent it. Other entries send
+and the server completes requests after that, so that the report tells less
+with its age: the estimate moves from the report to the pool's mean.
+"""
+
+__all__ = ('PoolAverages', 'estimated_load', 'estimated_wait')
+
+import math
+from dataclasses import dataclass
+
+from zinniaturn.choosing.server_state import Completion, ServerState
+
+_SMOOTHING = 0.02
+_SERVICE_SMOOTHING = 0.15
+_FORGET_SERVICE_SECONDS = 3.0
+_AGE_SHARE = 0.7
+_SLOWER_RATIO = 1.5
+_LATENCY_FLOOR_SECONDS = 0.0001
+_FAILURE_PENALTY = 3.0
+
+
+@dataclass(slots=True)
+class PoolAverages:
+    """
+    Means over the replies of a pool.
+
+    ``load_per_slot`` is what replies reported; ``service_seconds`` the
+    executions' length without their wait. 0 stands for nothing known yet.
+    """
+
+    load_per_slot: float = 0
+    service_seconds: float = 0
+
+    def learn(self, state: ServerState, completion: Completion) -> None:
+        """Take a successful reply of a server into account."""
+        service = _service_of(completion)
+        self.service_seconds = _blend(self.service_seconds, service, _SMOOTHING)
+        state.service_seconds = _blend(
+            state.service_seconds,
+            service,
+            _SERVICE_SMOOTHING,
+        )
+        if completion.report is not None:
+            load = completion.report.total / completion.report.slots
+            self.load_per_slot = _blend(self.load_per_slot, load, _SMOOTHING)
+
+
+def estimated_load(
+    state: ServerState,
+    averages: PoolAverages,
+    now: float,
+) -> float:
+    """
+    Return the requests that are likely to run or wait at the server now.
+
+    The report is corrected by what this entry sent since, and moves to the
+    pool's mean within about one execution's length.
+    """
+    usual = averages.load_per_slot * state.slots
+    if state.report is None:
+        return max(usual, state.in_flight)
+    known = state.report.total + state.sent_since_report
+    horizon = max(_LATENCY_FLOOR_SECONDS, averages.service_seconds * _AGE_SHARE)
+    trust = math.exp((state.reported_at - now) / horizon)
+    return max(usual + (known - usual) * trust, state.in_flight)
+
+
+def estimated_wait(
+    state: ServerState,
+    averages: PoolAverages,
+    now: float,
+) -> float:
+    """Return the seconds until a request sent now would be answered."""
+    slots = state.slots
+    load = estimated_load(state, averages, now)
+    ahead = max(0, load + 1 - slots) / slots
+    service = _service_now(state, averages, now)
+    crowding = load / slots / slots
+    penalty = 1 + state.consecutive_failures * _FAILURE_PENALTY
+    return service * (1 + ahead + crowding) * penalty
+
+
+def _service_now(
+    state: ServerState,
+    averages: PoolAverages,
+    now: float,
+) -> float:
+    usual = max(averages.service_seconds, _LATENCY_FLOOR_SECONDS)
+    if state.service_seconds < usual * _SLOWER_RATIO:
+        return usual
+    age = now - state.served_at
+    trust = math.exp(-age / _FORGET_SERVICE_SECONDS)
+    return usual + (state.service_seconds - usual) * trust
+
+
+def _service_of(completion: Completion) -> float:
+    if completion.report is None:
+        return completion.latency_seconds
+    ahead = completion.report.queued / completion.report.slots
+    return completion.latency_seconds / (1 + ahead)
+
+
+def _blend(known: float, sample: float, weight: float) -> float:
+    return known + (sample - known) * weight if known else sample
--- a/zinniaturn/choosing/policies.py
+++ b/zinniaturn/choosing/policies.py
@@ -5,17 +5,26 @@
 ----------
 .. [1] M. Mitzenmacher, "The power of two choices in randomized load
    balancing", IEEE Transactions on Parallel and Distributed Systems, 2001.
+.. [2] M. Mitzenmacher, B. Prabhakar and D. Shah, "Load balancing with
+   memory", FOCS, 2002.
 
 """
 
-__all__ = ('LeastInFlight', 'Policy', 'RandomChoice', 'policy_named')
+__all__ = (
+    'EstimatedWait',
+    'LeastInFlight',
+    'Oracle',
+    'Policy',
+    'PowerOfTwo',
+    'RandomChoice',
+    'RoundRobin',
+)
 
 import random
-from collections.abc import Mapping, Sequence
-from types import MappingProxyType
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
-from zinniaturn.choosing.exceptions import UnknownPolicyError
+from zinniaturn.choosing.estimates import PoolAverages, estimated_wait
 from zinniaturn.choosing.server_state import ServerState
 
 
@@ -25,6 +34,7 @@
     def choose(
         self,
         candidates: Sequence[ServerState],
+        averages: PoolAverages,
         now: float,
     ) -> ServerState:
         """Return one of ``candidates``, of which there is at least one."""
@@ -39,12 +49,38 @@
     def choose(
         self,
         candidates: Sequence[ServerState],
+        averages: PoolAverages,
         now: float,
     ) -> ServerState:
         """Return a random candidate."""
         return self.source.choice(candidates)
 
 
+class RoundRobin:
+    """Takes the servers in turn, from a random start."""
+
+    def __init__(self, source: random.Random) -> None:
+        self.last = source.random()
+        self.names: list[str] = []
+
+    def choose(
+        self,
+        candidates: Sequence[ServerState],
+        averages: PoolAverages,
+        now: float,
+    ) -> ServerState:
+        """Return the candidate after the last one taken, by name."""
+        ordered = sorted(candidates, key=_name)
+        if not self.names:
+            self.names.append(_name(ordered[int(self.last * len(ordered))]))
+        taken = next(
+            (state for state in ordered if _name(state) > self.names[0]),
+            ordered[0],
+        )
+        self.names[0] = _name(taken)
+        return taken
+
+
 class LeastInFlight:
     """Takes the server with the fewest of this entry's own requests."""
 
@@ -54,6 +90,7 @@
     def choose(
         self,
         candidates: Sequence[ServerState],
+        averages: PoolAverages,
         now: float,
     ) -> ServerState:
         """Return the candidate with the least load, ties broken at random."""
@@ -62,19 +99,78 @@
         return self.source.choice(least)
 
 
-_POLICIES: Mapping[str, type[RandomChoice] | type[LeastInFlight]] = (
-    MappingProxyType(
-        {
-            'random': RandomChoice,
-            'least-in-flight': LeastInFlight,
-        }
-    )
-)
+class PowerOfTwo:
+    """Takes the one with fewer own requests of two random servers [1]_."""
+
+    def __init__(self, source: random.Random) -> None:
+        self.source = source
+
+    def choose(
+        self,
+        candidates: Sequence[ServerState],
+        averages: PoolAverages,
+        now: float,
+    ) -> ServerState:
+        """Return the less loaded of two random candidates."""
+        pair = self.source.sample(candidates, min(2, len(candidates)))
+        return min(pair, key=lambda state: state.in_flight)
+
+
+class EstimatedWait:
+    """
+    Takes the server whose answer is expected first.
+
+    A fresh report of a free slot is remembered and used [2]_; a server of
+    which nothing fresh is known counts as an average one.
+    """
+
+    def __init__(self, source: random.Random) -> None:
+        self.source = source
+
+    def choose(
+        self,
+        candidates: Sequence[ServerState],
+        averages: PoolAverages,
+        now: float,
+    ) -> ServerState:
+        """Return the candidate with the shortest estimated wait."""
+        return min(
+            candidates,
+            key=lambda state: (
+                estimated_wait(state, averages, now),
+                self.source.random(),
+            ),
+        )
+
+
+class Oracle:
+    """
+    Takes the server with the shortest true wait.
+
+    ``true_wait`` knows each server's state at this instant, which no entry
+    can; it is the limit in tests and benches.
+    """
+
+    def __init__(
+        self,
+        true_wait: Callable[[ServerState], float],
+        source: random.Random,
+    ) -> None:
+        self.true_wait = true_wait
+        self.source = source
+
+    def choose(
+        self,
+        candidates: Sequence[ServerState],
+        averages: PoolAverages,
+        now: float,
+    ) -> ServerState:
+        """Return the candidate with the shortest true wait."""
+        return min(
+            candidates,
+            key=lambda state: (self.true_wait(state), self.source.random()),
+        )
 
 
-def policy_named(name: str, source: random.Random) -> Policy:
-    """Return the policy of this name; raises `UnknownPolicyError`."""
-    if name not in _POLICIES:
-        known = ', '.join(sorted(_POLICIES))
-        raise UnknownPolicyError(f'no policy "{name}"; known are {known}')
-    return _POLICIES[name](source)
+def _name(state: ServerState) -> str:
+    return state.server.name
--- a/zinniaturn/choosing/pool_state.py
+++ b/zinniaturn/choosing/pool_state.py
@@ -2,81 +2,223 @@
 
 __all__ = ('PoolState',)
 
-from collections.abc import Container
+import random
+from dataclasses import dataclass, field
 
+from zinniaturn.choosing.ejection import note_failure, note_success
+from zinniaturn.choosing.estimates import PoolAverages
 from zinniaturn.choosing.exceptions import RefusedError
+from zinniaturn.choosing.latencies import RecentLatencies
 from zinniaturn.choosing.policies import Policy
-from zinniaturn.choosing.server_state import Completion, ServerState
+from zinniaturn.choosing.retry_budget import RetryBudget
+from zinniaturn.choosing.server_state import (
+    Completion,
+    LoadReport,
+    ServerState,
+)
+from zinniaturn.choosing.waiting import Ticket, WaitingQueue
 from zinniaturn.clock import Clock
 from zinniaturn.tables.domain import Pool
 
-_EJECT_AFTER_FAILURES = 5
-_EJECT_SECONDS = 2.0
-_MAX_EJECTED_SHARE = 0.5
+_HEDGE_QUANTILE = 0.95
+_LEAVING_SECONDS = 10.0
+_SHORTEST_RETRY_SECONDS = 0.2
+_LONGEST_RETRY_SECONDS = 5.0
 
 
+@dataclass(slots=True)
 class PoolState:
-    """The servers of a pool, their state and the policy over them."""
+    """
+    The servers of a pool, their state and the policy over them.
 
-    def __init__(self, pool: Pool, policy: Policy, clock: Clock) -> None:
-        self.pool = pool
-        self.policy = policy
-        self.clock = clock
-        self.servers: dict[str, ServerState] = {}
-        self.update(pool)
+    It does no input or output. A test, a bench and the entry drive it the
+    same way: `admit` a ticket, `release` its server once the exchange ended.
+    """
+
+    pool: Pool
+    policy: Policy
+    clock: Clock
+    source: random.Random
+    servers: dict[str, ServerState] = field(default_factory=dict)
+    averages: PoolAverages = field(default_factory=PoolAverages)
+    waiting: WaitingQueue = field(default_factory=WaitingQueue)
+    retries: RetryBudget = field(default_factory=RetryBudget)
+    latencies: RecentLatencies = field(
+        default_factory=lambda: RecentLatencies(_HEDGE_QUANTILE),
+    )
+
+    def __post_init__(self) -> None:
+        """Take over the servers."""
+        self.update(self.pool)
 
     def update(self, pool: Pool) -> None:
-        """Take over a new revision of the pool, keeping what is known."""
+        """
+        Take over a new revision of the pool, keeping what is known.
+
+        A server that joins a running pool starts slowly.
+        """
         known = self.servers
+        now = self.clock.monotonic()
         self.pool = pool
         self.servers = {}
         for server in pool.servers:
-            state = known.get(server.name) or ServerState(server)
+            state = known.get(server.name)
+            if state is None:
+                state = ServerState(server)
+                state.warming_since = now if known else None
             state.server = server
             self.servers[server.name] = state
+        self._grant_waiting()
 
-    def acquire(self, exclude: Container[str] = ()) -> ServerState:
+    def admit(self, ticket: Ticket) -> None:
         """
-        Choose a server and count a request on it.
+        Give a ticket its server, or a place in the queue.
 
-        Servers in ``exclude`` are used only where no other is left. Raises
-        `RefusedError` where there is none at all.
+        Raises `RefusedError` where there is no server, where the queue is
+        full, and where the deadline would pass in it.
         """
         now = self.clock.monotonic()
-        available = [
-            state for state in self.servers.values() if state.is_available(now)
-        ]
-        preferred = [
-            state for state in available if state.server.name not in exclude
-        ]
-        candidates = preferred or available
-        if not candidates:
+        if ticket.deadline <= now:
+            raise RefusedError('the deadline has passed', 'deadline-not-run')
+        if not self._available(now):
             raise RefusedError(
                 f'pool "{self.pool.name}" has no available server',
                 'no-server',
+                self.retry_after(),
+            )
+        if not self.waiting.first(now) and self._grant(ticket, now):
+            return
+        self._check_queue(ticket, now)
+        self.waiting.join(ticket, now)
+
+    def try_acquire(self, ticket: Ticket) -> bool:
+        """Give a ticket a server without waiting; return whether it has."""
+        now = self.clock.monotonic()
+        return ticket.deadline > now and self._grant(ticket, now)
+
+    def abandon(self, ticket: Ticket) -> None:
+        """Take back a ticket that waits or was granted a server unused."""
+        self.waiting.leave(ticket)
+        if ticket.server is not None:
+            self.release(
+                ticket.server,
+                Completion(False, 0, cancelled=True),
             )
-        state = self.policy.choose(candidates, now)
-        state.in_flight += 1
-        return state
 
     def release(self, state: ServerState, completion: Completion) -> None:
-        """Count a request as ended and learn from it."""
+        """Count a request as ended, learn from it and wake the next."""
         now = self.clock.monotonic()
         state.in_flight -= 1
         if completion.report is not None:
-            state.report = completion.report
-            state.reported_at = now
+            state.note_report(completion.report, now)
+        if completion.leaving:
+            state.leaving = True
+            state.left_at = now
+        if not completion.cancelled:
+            self._learn(state, completion, now)
+        self._grant_waiting()
+
+    def note_measurement(
+        self,
+        server: str,
+        report: LoadReport,
+        now: float,
+    ) -> None:
+        """Take over what a measuring request brought."""
+        state = self.servers.get(server)
+        if state is not None and now >= state.reported_at:
+            state.note_report(report, now)
+            self._grant_waiting()
+
+    def hedge_after(self) -> float | None:
+        """Return the seconds after which a second attempt is worth it."""
+        return self.latencies.threshold
+
+    def retry_after(self) -> float:
+        """Return the jittered seconds after which a caller should return."""
+        usual = min(
+            _LONGEST_RETRY_SECONDS,
+            max(_SHORTEST_RETRY_SECONDS, self._expected_wait() * 2),
+        )
+        return usual * self.source.uniform(0.5, 1.5)
+
+    def _learn(
+        self,
+        state: ServerState,
+        completion: Completion,
+        now: float,
+    ) -> None:
+        if completion.shed:
+            state.limit.learn(state.slots * 2, state.slots)
+            return
         if completion.succeeded:
-            state.consecutive_failures = 0
+            note_success(state)
+            state.served_at = now
+            self.averages.learn(state, completion)
+            self.latencies.add(completion.latency_seconds)
+            self.retries.earn(self.pool.retry_share)
             return
-        state.consecutive_failures += 1
-        if state.consecutive_failures >= _EJECT_AFTER_FAILURES:
-            self._eject(state, now)
+        note_failure(state, self.servers.values(), now)
+
+    def _available(self, now: float) -> list[ServerState]:
+        self._try_left_again(now)
+        return [
+            state for state in self.servers.values() if state.is_available(now)
+        ]
+
+    def _try_left_again(self, now: float) -> None:
+        for state in self.servers.values():
+            if state.leaving and now - state.left_at >= _LEAVING_SECONDS:
+                state.leaving = False
+                state.warming_since = now
+
+    def _grant(self, ticket: Ticket, now: float) -> bool:
+        with_room = [
+            state for state in self._available(now) if state.has_room(now)
+        ]
+        preferred = [
+            state
+            for state in with_room
+            if state.server.name not in ticket.exclude
+        ]
+        candidates = preferred or with_room
+        if not candidates:
+            return False
+        state = self.policy.choose(candidates, self.averages, now)
+        state.in_flight += 1
+        state.sent_since_report += 1
+        ticket.server = state
+        return True
+
+    def _grant_waiting(self) -> None:
+        now = self.clock.monotonic()
+        ticket = self.waiting.first(now)
+        while ticket is not None and self._grant(ticket, now):
+            self.waiting.leave(ticket)
+            if ticket.on_granted is not None:
+                ticket.on_granted()
+            ticket = self.waiting.first(now)
+
+    def _check_queue(self, ticket: Ticket, now: float) -> None:
+        if len(self.waiting) >= self.pool.queue_limit:
+            raise RefusedError(
+                f'{len(self.waiting)} requests wait for "{self.pool.name}"',
+                'queue-full',
+                self.retry_after(),
+            )
+        expected = self._expected_wait()
+        if now + expected > ticket.deadline:
+            raise RefusedError(
+                f'the wait of {expected:.1f} s would pass the deadline',
+                'deadline-unreachable',
+                self.retry_after(),
+            )
 
-    def _eject(self, state: ServerState, now: float) -> None:
-        ejected = sum(
-            other.ejected_until > now for other in self.servers.values()
+    def _expected_wait(self) -> float:
+        in_flight = sum(state.in_flight for state in self.servers.values())
+        ahead = (len(self.waiting) + 1) / max(1, in_flight)
+        latency = self.averages.service_seconds * max(
+            1,
+            self.averages.load_per_slot,
         )
-        if ejected + 1 <= len(self.servers) * _MAX_EJECTED_SHARE:
-            state.ejected_until = now + _EJECT_SECONDS
-            state.consecutive_failures = 0
+        return latency * ahead
--- a/zinniaturn/entry/answers.py
+++ b/zinniaturn/entry/answers.py
@@ -13,7 +13,9 @@
 
 OUTCOME_HEADER = 'Zinniaturn-Outcome'
 CODE_HEADER = 'Zinniaturn-Code'
+RETRY_AFTER_HEADER = 'Zinniaturn-Retry-After-Ms'
 
+_MILLISECONDS = 1000
 _NO_BODY = frozenset((204, 304))
 
 
@@ -50,6 +52,9 @@
     headers = {OUTCOME_HEADER: outcome.value, CODE_HEADER: code}
     if retry_after_seconds is not None:
         headers['Retry-After'] = str(math.ceil(retry_after_seconds))
+        headers[RETRY_AFTER_HEADER] = str(
+            math.ceil(retry_after_seconds * _MILLISECONDS),
+        )
     return web.Response(
         status=int(refusal.status),
         headers=headers,
--- /dev/null
+++ b/zinniaturn/entry/attempts.py
@@ -0,0 +1,219 @@
+"""
+Attempts of one request: choosing a server, sending, and hedging.
+
+A hedge is a second attempt of an idempotent request at another server, sent
+once the first takes longer than most. The first answer wins and the other
+attempt is cancelled.
+
+References
+----------
+.. [1] J. Dean and L. A. Barroso, "The tail at scale", Communications of the
+   ACM, 2013.
+
+"""
+
+__all__ = ('Attempt', 'Attempts')
+
+import asyncio
+from dataclasses import dataclass
+
+from zinniaturn.choosing import Completion, PoolState, RefusedError, Ticket
+from zinniaturn.choosing.server_state import ServerState
+from zinniaturn.entry.load_reports import is_leaving, is_shed, read_load
+from zinniaturn.entry.requests import CallerRequest
+from zinniaturn.entry.state import EntryState
+from zinniaturn.forwarding import Answer, ExchangeError, exchange
+from zinniaturn.outcomes import Event, Phase
+
+_ERROR_STATUS = 500
+
+
+@dataclass(slots=True)
+class Attempt:
+    """An answer whose body is still to be read, and its server."""
+
+    server: ServerState
+    answer: Answer
+    completion: Completion
+
+
+class Attempts:
+    """The attempts of one request at the servers of its pool."""
+
+    def __init__(
+        self,
+        state: EntryState,
+        parsed: CallerRequest,
+        pool: PoolState,
+    ) -> None:
+        self.state = state
+        self.parsed = parsed
+        self.pool = pool
+        self.tried: set[str] = set()
+
+    async def run(self) -> Attempt:
+        """
+        Return the first answer of one or two attempts.
+
+        Raises `RefusedError` where no server was found in time and
+        `ExchangeError` where the attempt ended early.
+        """
+        ticket = await self._wait_for_server()
+        first = asyncio.ensure_future(self._send(ticket))
+        try:
+            return await self._first_answer(first)
+        except asyncio.CancelledError:
+            await self._drop(first)
+            raise
+
+    def finish(self, attempt: Attempt) -> None:
+        """Free the server of an attempt whose answer was read or dropped."""
+        self.pool.release(attempt.server, attempt.completion)
+
+    async def _wait_for_server(self) -> Ticket:
+        granted = asyncio.Event()
+        ticket = Ticket(
+            self.parsed.deadline,
+            exclude=self.tried,
+            on_granted=granted.set,
+        )
+        self.pool.admit(ticket)
+        if ticket.server is None:
+            await self._wait(ticket, granted)
+        assert ticket.server is not None
+        self.tried.add(ticket.server.server.name)
+        return ticket
+
+    async def _wait(self, ticket: Ticket, granted: asyncio.Event) -> None:
+        remaining = ticket.deadline - self.state.clock.monotonic()
+        try:
+            async with asyncio.timeout(remaining):
+                await granted.wait()
+        except TimeoutError as error:
+            self.pool.abandon(ticket)
+            raise RefusedError(
+                'the deadline passed before a server was free',
+                'deadline-not-run',
+            ) from error
+        except asyncio.CancelledError:
+            self.pool.abandon(ticket)
+            raise
+
+    async def _first_answer(self, first: asyncio.Future[Attempt]) -> Attempt:
+        delay = self.pool.hedge_after()
+        if delay is None or not self._may_hedge():
+            return await first
+        await asyncio.wait((first,), timeout=delay)
+        if first.done():
+            return await first
+        ticket = Ticket(self.parsed.deadline, exclude=self.tried)
+        if not self._take_hedge(ticket):
+            return await first
+        return await self._race(
+            first, asyncio.ensure_future(self._send(ticket))
+        )
+
+    def _may_hedge(self) -> bool:
+        return self.parsed.idempotent and self.parsed.can_repeat
+
+    def _take_hedge(self, ticket: Ticket) -> bool:
+        if len(self.pool.waiting) or not self.pool.retries.spend():
+            return False
+        if not self.pool.try_acquire(ticket):
+            return False
+        assert ticket.server is not None
+        self.tried.add(ticket.server.server.name)
+        return True
+
+    async def _race(
+        self,
+        first: asyncio.Future[Attempt],
+        second: asyncio.Future[Attempt],
+    ) -> Attempt:
+        running = {first, second}
+        try:
+            while running:
+                done, running = await asyncio.wait(
+                    running,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                answered = [each for each in done if each.exception() is None]
+                for loser in answered[1:]:
+                    await self._drop(loser)
+                if answered:
+                    return answered[0].result()
+            raise _furthest(first, second)
+        finally:
+            for unfinished in running:
+                await self._drop(unfinished)
+
+    async def _drop(self, attempt: asyncio.Future[Attempt]) -> None:
+        attempt.cancel()
+        await asyncio.wait((attempt,))
+        if not attempt.cancelled() and attempt.exception() is None:
+            attempt.result().answer.abandon()
+            self.finish(attempt.result())
+
+    async def _send(self, ticket: Ticket) -> Attempt:
+        server = ticket.server
+        assert server is not None
+        started = self.state.clock.monotonic()
+        completion = Completion(False, 0, cancelled=True)
+        answer: Answer | None = None
+        try:
+            answer = await self._exchange(server)
+            completion = self._completion(answer, started)
+            if completion.shed:
+                raise _shed(server, answer)
+        except ExchangeError as error:
+            if not completion.shed:
+                completion = Completion(
+                    succeeded=False,
+                    latency_seconds=self.state.clock.monotonic() - started,
+                    cancelled=error.event is Event.DEADLINE_PASSED,
+                )
+            self.pool.release(server, completion)
+            raise
+        except BaseException:
+            self.pool.release(server, completion)
+            raise
+        return Attempt(server, answer, completion)
+
+    async def _exchange(self, server: ServerState) -> Answer:
+        loop = asyncio.get_running_loop()
+        remaining = self.parsed.deadline - self.state.clock.monotonic()
+        return await exchange(
+            self.state.connections,
+            (server.server.host, server.server.port),
+            self.parsed.backend_request,
+            loop.time() + remaining,
+        )
+
+    def _completion(self, answer: Answer, started: float) -> Completion:
+        headers = answer.message.headers
+        return Completion(
+            succeeded=answer.message.code < _ERROR_STATUS,
+            latency_seconds=self.state.clock.monotonic() - started,
+            report=read_load(headers),
+            shed=is_shed(answer.message),
+            leaving=is_leaving(headers),
+        )
+
+
+def _shed(server: ServerState, answer: Answer) -> ExchangeError:
+    answer.abandon()
+    return ExchangeError(
+        f'{server.server.name} shed the request',
+        Phase.SENT_WHOLE,
+        Event.SERVER_SHED,
+    )
+
+
+def _furthest(*attempts: asyncio.Future[Attempt]) -> BaseException:
+    errors = [attempt.exception() for attempt in attempts]
+    exchanges = [error for error in errors if isinstance(error, ExchangeError)]
+    return max(exchanges, key=_certainty)
+
+
+def _certainty(error: ExchangeError) -> tuple[bool, Phase]:
+    return error.event is not Event.SERVER_SHED, error.phase
--- a/zinniaturn/entry/dispatch.py
+++ b/zinniaturn/entry/dispatch.py
@@ -2,25 +2,17 @@
 
 __all__ = ('Dispatcher',)
 
-import asyncio
-
 from aiohttp import web
 
-from zinniaturn.choosing import (
-    Completion,
-    PoolState,
-    RefusedError,
-    ServerState,
-)
+from zinniaturn.choosing import RefusedError
 from zinniaturn.entry.answers import make_refusal, relay_answer
-from zinniaturn.entry.load_reports import is_shed, read_load
+from zinniaturn.entry.attempts import Attempts
 from zinniaturn.entry.requests import CallerRequest
 from zinniaturn.entry.state import EntryState
-from zinniaturn.forwarding import Answer, ExchangeError, exchange
-from zinniaturn.outcomes import Event, Outcome, Phase, Verdict, decide
+from zinniaturn.forwarding import ExchangeError
+from zinniaturn.outcomes import Outcome, Phase, Verdict, decide
 
 _MAX_ATTEMPTS = 3
-_ERROR_STATUS = 500
 
 
 class Dispatcher:
@@ -36,99 +28,84 @@
     ) -> web.StreamResponse:
         """Return the answer to the caller; raises where it was cut short."""
         pool = self.state.pools[parsed.route.pool]
-        tried: set[str] = set()
+        attempts = Attempts(self.state, parsed, pool)
+        known = Outcome.NOT_RUN
         while True:
             try:
-                server = pool.acquire(tried)
+                return await self._attempt(request, attempts)
             except RefusedError as error:
-                return self._refuse(parsed, error)
-            tried.add(server.server.name)
-            try:
-                return await self._attempt(request, parsed, pool, server)
+                return self._refuse(parsed, error, known)
             except ExchangeError as error:
-                verdict = decide(error.phase, error.event)
-                if error.phase >= Phase.ANSWER_BEGUN:
-                    raise
-                if not _may_retry(verdict, parsed, len(tried)):
-                    return self._give_up(parsed, verdict, error)
+                verdict = _verdict(error)
+                known = _worse(known, verdict.outcome)
+                if not _may_retry(verdict, attempts):
+                    return self._give_up(parsed, verdict, known, error)
 
     async def _attempt(
         self,
         request: web.BaseRequest,
-        parsed: CallerRequest,
-        pool: PoolState,
-        server: ServerState,
+        attempts: Attempts,
     ) -> web.StreamResponse:
-        started = self.state.clock.monotonic()
-        completion = Completion(succeeded=False, latency_seconds=0)
+        attempt = await attempts.run()
         try:
-            answer = await self._exchange(parsed, server)
-            completion = Completion(
-                succeeded=answer.message.code < _ERROR_STATUS,
-                latency_seconds=self.state.clock.monotonic() - started,
-                report=read_load(answer.message.headers),
-            )
-            response = await relay_answer(request, answer)
+            response = await relay_answer(request, attempt.answer)
         finally:
-            pool.release(server, completion)
-        self.state.metrics.count(pool.pool.name, 'answered')
+            attempts.finish(attempt)
+        self.state.metrics.count(attempts.pool.pool.name, 'answered')
         return response
 
-    async def _exchange(
-        self,
-        parsed: CallerRequest,
-        server: ServerState,
-    ) -> Answer:
-        loop = asyncio.get_running_loop()
-        remaining = parsed.deadline - self.state.clock.monotonic()
-        answer = await exchange(
-            self.state.connections,
-            (server.server.host, server.server.port),
-            parsed.backend_request,
-            loop.time() + remaining,
-        )
-        if is_shed(answer.message):
-            answer.abandon()
-            raise ExchangeError(
-                f'{server.server.name} shed the request',
-                Phase.SENT_WHOLE,
-                Event.SERVER_SHED,
-            )
-        return answer
-
     def _give_up(
         self,
         parsed: CallerRequest,
         verdict: Verdict,
+        known: Outcome,
         error: ExchangeError,
     ) -> web.Response:
-        self.state.metrics.count(parsed.route.pool, verdict.outcome.value)
+        self.state.metrics.count(parsed.route.pool, known.value)
         return make_refusal(
             verdict.code,
-            verdict.outcome,
+            known,
             error.message,
             parsed.request_id,
-            retry_after_seconds=1,
+            self.state.pools[parsed.route.pool].retry_after(),
         )
 
     def _refuse(
         self,
         parsed: CallerRequest,
         error: RefusedError,
+        known: Outcome,
     ) -> web.Response:
-        self.state.metrics.count(parsed.route.pool, Outcome.NOT_RUN.value)
+        self.state.metrics.count(parsed.route.pool, known.value)
         return make_refusal(
             error.code,
-            Outcome.NOT_RUN,
+            known,
             error.message,
             parsed.request_id,
             error.retry_after_seconds,
         )
 
 
-def _may_retry(verdict: Verdict, parsed: CallerRequest, attempts: int) -> bool:
-    if attempts >= _MAX_ATTEMPTS or not parsed.can_repeat:
+def _verdict(error: ExchangeError) -> Verdict:
+    if error.phase >= Phase.ANSWER_BEGUN:
+        raise error
+    return decide(error.phase, error.event)
+
+
+def _worse(known: Outcome, outcome: Outcome) -> Outcome:
+    """Return what is known of a request after one more attempt."""
+    return outcome if known is Outcome.NOT_RUN else known
+
+
+def _may_retry(verdict: Verdict, attempts: Attempts) -> bool:
+    parsed = attempts.parsed
+    allowed = (
+        verdict.retry_idempotent
+        if parsed.idempotent
+        else verdict.retry_non_idempotent
+    )
+    if not allowed or not parsed.can_repeat:
+        return False
+    if len(attempts.tried) >= _MAX_ATTEMPTS:
         return False
-    if parsed.idempotent:
-        return verdict.retry_idempotent
-    return verdict.retry_non_idempotent
+    return attempts.pool.retries.spend()
--- a/zinniaturn/entry/load_reports.py
+++ b/zinniaturn/entry/load_reports.py
@@ -4,17 +4,25 @@
 The header names are those that the backend servers document.
 """
 
-__all__ = ('LOAD_HEADER', 'SHED_HEADER', 'is_shed', 'read_load')
+__all__ = (
+    'LEAVING_HEADER',
+    'LOAD_HEADER',
+    'SHED_HEADER',
+    'is_leaving',
+    'is_shed',
+    'read_load',
+)
 
 from collections.abc import Mapping
 from http import HTTPStatus
 
 from aiohttp.http_parser import RawResponseMessage
 
-from zinniaturn.choosing.server_state import LoadReport
+from zinniaturn.choosing import LoadReport
 
 LOAD_HEADER = 'Server-Load'
 SHED_HEADER = 'Server-Shed'
+LEAVING_HEADER = 'Server-Leaving'
 
 _FIELDS = ('busy', 'queued', 'slots')
 _MAX_COUNT_DIGITS = 9
@@ -37,6 +45,11 @@
     return LoadReport(busy, queued, slots)
 
 
+def is_leaving(headers: Mapping[str, str]) -> bool:
+    """Return whether the server says that it is about to leave."""
+    return headers.get(LEAVING_HEADER) == 'true'
+
+
 def is_shed(message: RawResponseMessage) -> bool:
     """Return whether the server says that it did not run the request."""
     return (
--- a/zinniaturn/entry/state.py
+++ b/zinniaturn/entry/state.py
@@ -5,7 +5,7 @@
 import random
 from dataclasses import dataclass, field
 
-from zinniaturn.choosing import PoolState, policy_named
+from zinniaturn.choosing import PoolState, policy_for_pool
 from zinniaturn.clock import Clock
 from zinniaturn.configuration import TablesHolder
 from zinniaturn.entry.lifecycle import Lifecycle
@@ -38,8 +38,17 @@
         for name, pool in tables.pools.items():
             known = self.pools.get(name)
             if known is None:
-                policy = policy_named(self.settings.policy, self.source)
-                self.pools[name] = PoolState(pool, policy, self.clock)
+                policy = policy_for_pool(
+                    self.settings.policy,
+                    name,
+                    self.source,
+                )
+                self.pools[name] = PoolState(
+                    pool,
+                    policy,
+                    self.clock,
+                    self.source,
+                )
             else:
                 known.update(pool)
         self.lifecycle.tables_installed()
--- a/zinniaturn/outcomes/refusals.py
+++ b/zinniaturn/outcomes/refusals.py
@@ -39,6 +39,11 @@
         HTTPStatus.SERVICE_UNAVAILABLE,
         'Too many requests wait for the pool',
     ),
+    Refusal(
+        'deadline-unreachable',
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'The wait for a server would pass the deadline',
+    ),
     Refusal(
         'server-shed',
         HTTPStatus.SERVICE_UNAVAILABLE,
--- a/zinniaturn/settings/models.py
+++ b/zinniaturn/settings/models.py
@@ -24,7 +24,7 @@
     admin_host: str = Field(default='127.0.0.1', min_length=1)
     admin_port: int = Field(default=8081, ge=0, le=65_535)
     store_url: str = Field(pattern='^https?://')
-    policy: str = 'least-in-flight'
+    policy: str = 'estimated-wait'
     address_lifetime_seconds: float = Field(default=5, gt=0, le=3600)
     log_level: Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
     seed: int | None = None
