--- a/zinniaturn/entry/answers.py
+++ b/zinniaturn/entry/answers.py
@@ -16,9 +16,11 @@
 
 OUTCOME_HEADER = 'Zinniaturn-Outcome'
 CODE_HEADER = 'Zinniaturn-Code'
+RETRY_AFTER_HEADER = 'Zinniaturn-Retry-After-Ms'
 
 SERVER_NAME = 'zinniaturn'
 
+_MILLISECONDS = 1000
 _NO_BODY = frozenset((204, 304))
 _INVENTED = ('Content-Type', 'Server')
 _LINGER_ZERO = struct.pack('ii', 1, 0)
@@ -61,6 +63,9 @@
     }
     if retry_after_seconds is not None:
         headers['Retry-After'] = str(math.ceil(retry_after_seconds))
+        headers[RETRY_AFTER_HEADER] = str(
+            math.ceil(retry_after_seconds * _MILLISECONDS),
+        )
     return web.Response(
         status=int(refusal.status),
         headers=headers,
--- a/zinniaturn/entry/state.py
+++ b/zinniaturn/entry/state.py
@@ -5,11 +5,12 @@
 import random
 from dataclasses import dataclass, field
 
-from zinniaturn.choosing import PoolState, policy_named
+from zinniaturn.choosing import PoolState, policy_for_pool
 from zinniaturn.clock import Clock
 from zinniaturn.configuration import TablesHolder
 from zinniaturn.entry.lifecycle import Lifecycle
 from zinniaturn.entry.metrics import EntryMetrics
+from zinniaturn.explain import DecisionLog
 from zinniaturn.forwarding import ConnectionPool
 from zinniaturn.settings import EntrySettings
 from zinniaturn.tables import Tables
@@ -27,6 +28,7 @@
     connections: ConnectionPool = field(default_factory=ConnectionPool)
     metrics: EntryMetrics = field(default_factory=EntryMetrics)
     pools: dict[str, PoolState] = field(default_factory=dict)
+    recorder: DecisionLog = field(default_factory=DecisionLog)
     requests_in_flight: int = 0
     port: int = 0
 
@@ -38,8 +40,17 @@
         for name, pool in tables.pools.items():
             known = self.pools.get(name)
             if known is None:
-                policy = policy_named(self.settings.policy, self.source)
-                self.pools[name] = PoolState(pool, policy, self.clock)
+                policy = policy_for_pool(
+                    self.settings.policy,
+                    name,
+                    self.source,
+                )
+                self.pools[name] = PoolState(
+                    pool,
+                    policy,
+                    self.clock,
+                    self.source,
+                )
             else:
                 known.update(pool)
         self.lifecycle.tables_installed()
