Keep the tables as hashed segments under one small head; settle lost replies

Cause: one value for both tables must grow past 1 MB at the target's size, a second operator's edit was refused even where it touched other rows, and a swap still on its way could take effect after its sender was told 'not accepted'.

The head (revision, chain digests, segment keys) is the only value swapped with a meaning. Segments and audit records are created before it under keys that are never used twice; an intent names them, so that those of a commit that never ended can be removed, and only once the head has reached their revision. A lost reply is settled by reading the chain back and moving the head's version, which fences the write that is still under way. Entries move only along their own history (chain digests) and fence a store that is behind them.

--- a/zinniaturn/configuration/commit.py
+++ b/zinniaturn/configuration/commit.py
@@ -1,33 +1,96 @@
-"""Commits: one compare-and-swap moves both tables to the next revision."""
+"""
+Commits: one compare-and-swap of the head accepts a change.
 
-__all__ = ('TABLES_KEY', 'commit', 'read_tables')
+A change keeps its identity over all attempts. Where the swap's reply is lost,
+the head is read back; a version bump makes sure that a write which is still
+on its way cannot take effect after the answer "not accepted".
+"""
 
-import json
+__all__ = (
+    'Settlement',
+    'StoredTables',
+    'commit',
+    'new_change_id',
+    'read_tables',
+    'settle',
+)
+
+import asyncio
+import getpass
+import random
+import time
 import uuid
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field
 
-from zinniaturn.configuration.edits import check_references
+from zinniaturn.configuration.changes import Change, diff_tables
 from zinniaturn.configuration.exceptions import (
     CommitConflictError,
     CommitUnknownError,
     ConfigurationUnavailableError,
+    NotInitializedError,
+)
+from zinniaturn.configuration.head import Ancestor, encode_head
+from zinniaturn.configuration.layout import (
+    HEAD_KEY,
+    create_all,
+    declare_intent,
+    load_snapshot,
+    read_head,
+    remove_all,
 )
+from zinniaturn.configuration.pages import find_revision, keep_page
+from zinniaturn.configuration.planning import (
+    Authorship,
+    CommitPlan,
+    check_fence,
+    plan_commit,
+)
+from zinniaturn.configuration.snapshot import EMPTY, Snapshot
 from zinniaturn.store import (
     ConfigurationStore,
+    StoreBusyError,
     StoreConflictError,
     StoreUnavailableError,
 )
-from zinniaturn.tables import Tables, decode_tables, encode_tables
+from zinniaturn.tables import Tables
 
-TABLES_KEY = 'zinniaturn/tables'
+_ATTEMPTS = 12
+_PAUSE_SECONDS = 0.05
 
 
 @dataclass(frozen=True, slots=True)
 class StoredTables:
-    """Tables with the store's version of their key."""
+    """Tables as stored, with the version of the head."""
 
     tables: Tables
     version: int
+    snapshot: Snapshot = EMPTY
+
+
+@dataclass(frozen=True, slots=True)
+class Settlement:
+    """What became of a change; ``revision`` is ``None`` if not accepted."""
+
+    change_id: str
+    revision: int | None
+
+
+@dataclass(slots=True)
+class Proposal:
+    """A change on its way: it stays the same over all attempts."""
+
+    change: Change
+    change_id: str
+    authorship: Authorship
+    base_revision: int
+    merged: tuple[Ancestor, ...] = ()
+    attempt: int = 0
+    source: random.Random = field(default_factory=random.SystemRandom)
+
+
+def new_change_id() -> str:
+    """Return a fresh change id."""
+    return uuid.uuid4().hex[:16]
 
 
 async def read_tables(store: ConfigurationStore) -> StoredTables:
@@ -37,52 +100,169 @@
     Raises `ConfigurationUnavailableError` while the store is out.
     """
     try:
-        entry = await store.read(TABLES_KEY)
-    except StoreUnavailableError as error:
+        snapshot, version = await load_snapshot(store)
+    except (StoreUnavailableError, StoreBusyError) as error:
         raise ConfigurationUnavailableError(str(error)) from error
-    if not entry.version:
-        return StoredTables(Tables(), 0)
-    return StoredTables(decode_tables(entry.value), entry.version)
+    return StoredTables(snapshot.tables, version, snapshot)
 
 
 async def commit(
     store: ConfigurationStore,
     base: StoredTables,
     edited: Tables,
+    *,
+    author: str = '',
+    reason: str = '',
+    change_id: str = '',
+    may_initialize: bool = True,
 ) -> Tables:
     """
-    Make ``edited`` the next revision after ``base`` and return it.
+    Make the change from ``base`` to ``edited`` the next revision.
+
+    Returns the accepted tables; an empty change makes no revision. A change
+    accepted meanwhile that touches other rows is kept. Raises `OverlapError` where it touches the same ones,
+    `PoolInUseError` and `DanglingRouteError` for broken references,
+    `NotInitializedError` for an empty store unless ``may_initialize``,
+    `StoreResetError` for a fenced one, `ConfigurationUnavailableError` where
+    nothing was accepted and `CommitUnknownError` where that is not known.
+    """
+    if not base.tables.revision and not may_initialize:
+        raise NotInitializedError(
+            'the store holds no tables; if it has never had any, say so with '
+            '--initialize',
+        )
+    check_fence(base.snapshot.head)
+    change = diff_tables(base.tables, edited)
+    if change.is_empty():
+        return base.tables
+    proposal = Proposal(
+        change=change,
+        change_id=change_id or new_change_id(),
+        authorship=Authorship(author or _user(), reason, time.time()),
+        base_revision=base.tables.revision,
+    )
+    return await propose(store, base, proposal)
+
+
+async def propose(
+    store: ConfigurationStore,
+    base: StoredTables,
+    proposal: Proposal,
+) -> Tables:
+    """Try a proposal until it is accepted or refused."""
+    while proposal.attempt < _ATTEMPTS:
+        accepted = await _attempt(store, base, proposal)
+        if accepted is not None:
+            return accepted
+        proposal.attempt += 1
+        await asyncio.sleep(
+            _PAUSE_SECONDS * proposal.attempt * proposal.source.random(),
+        )
+        base = await _read_again(store, base)
+    raise CommitConflictError(
+        f'{_ATTEMPTS} attempts met another change each; nothing was accepted',
+    )
+
+
+async def settle(store: ConfigurationStore, change_id: str) -> Settlement:
+    """
+    Return what became of a change, for good.
 
-    Raises `CommitConflictError` where another change came first and
-    `CommitUnknownError` where the outcome cannot be found out now.
+    Where the change is not in the chain, the head's version is moved, so
+    that a swap which is still on its way fails. Raises
+    `CommitUnknownError` while the store gives no reply.
     """
-    check_references(edited)
-    accepted = replace(edited, revision=base.tables.revision + 1)
-    change_id = uuid.uuid4().hex
-    text = encode_tables(accepted, change_id)
     try:
-        await store.compare_and_swap(TABLES_KEY, base.version, text)
-    except StoreConflictError as error:
-        raise CommitConflictError(
-            f'the tables are no longer at revision {base.tables.revision}',
-        ) from error
+        for _ in range(_ATTEMPTS):
+            settlement = await _try_settle(store, change_id)
+            if settlement is not None:
+                return settlement
+    except (StoreUnavailableError, StoreBusyError) as error:
+        raise _unknown(change_id) from error
+    raise _unknown(change_id)
+
+
+async def _attempt(
+    store: ConfigurationStore,
+    base: StoredTables,
+    proposal: Proposal,
+) -> Tables | None:
+    plan = plan_commit(
+        base.snapshot,
+        proposal.change,
+        proposal.change_id,
+        proposal.authorship,
+        proposal.base_revision,
+        proposal.attempt,
+        proposal.merged,
+    )
+    text = await _prepare(store, plan)
+    try:
+        await store.compare_and_swap(HEAD_KEY, base.version, text)
+    except (StoreConflictError, StoreBusyError):
+        return None
     except StoreUnavailableError:
-        await _settle(store, accepted.revision, change_id)
-    return accepted
+        settlement = await settle(store, proposal.change_id)
+        return None if settlement.revision is None else plan.tables
+    return plan.tables
 
 
-async def _settle(
+async def _prepare(store: ConfigurationStore, plan: CommitPlan) -> str:
+    try:
+        await keep_page(store, plan.base.head)
+        await declare_intent(store, plan)
+        versions = await create_all(store, plan.writes())
+        await remove_all(store, plan.garbage)
+    except (StoreUnavailableError, StoreBusyError) as error:
+        raise ConfigurationUnavailableError(
+            f'nothing was accepted: {error}',
+        ) from error
+    return encode_head(plan.head(versions))
+
+
+async def _read_again(
     store: ConfigurationStore,
-    revision: int,
-    change_id: str,
-) -> None:
+    base: StoredTables,
+) -> StoredTables:
     try:
-        entry = await store.read(TABLES_KEY)
-    except StoreUnavailableError as error:
-        raise CommitUnknownError(
-            f'revision {revision} may have been accepted; ask again with '
-            f'change {change_id}',
+        snapshot, version = await load_snapshot(store, base.snapshot)
+    except (StoreUnavailableError, StoreBusyError) as error:
+        raise ConfigurationUnavailableError(
+            f'nothing was accepted: {error}',
         ) from error
-    stored = json.loads(entry.value or '{}')
-    if stored.get('change_id') != change_id:
-        raise CommitConflictError(f'change {change_id} was not accepted')
+    return StoredTables(snapshot.tables, version, snapshot)
+
+
+async def _try_settle(
+    store: ConfigurationStore,
+    change_id: str,
+) -> Settlement | None:
+    stored = await read_head(store)
+    check_fence(stored.head)
+    revision = await find_revision(store, stored.head, change_id)
+    if revision is not None:
+        return Settlement(change_id, revision)
+    try:
+        await store.compare_and_swap(
+            HEAD_KEY,
+            stored.version,
+            encode_head(stored.head),
+        )
+    except StoreConflictError:
+        return None
+    return Settlement(change_id, None)
+
+
+def _unknown(change_id: str) -> CommitUnknownError:
+    return CommitUnknownError(
+        f'the store gave no reply, so change {change_id} may or may not have '
+        f'been accepted; ask later with "zinniaturn audit settle {change_id}"',
+        change_id,
+    )
+
+
+def _user() -> str:
+    try:
+        return getpass.getuser()
+    except OSError:
+        return 'unknown'
--- a/zinniaturn/configuration/edits.py
+++ b/zinniaturn/configuration/edits.py
@@ -1,10 +1,21 @@
 """Edits of the tables, as pure functions."""
 
-__all__ = ('apply_pools', 'apply_routes', 'check_references')
+__all__ = (
+    'apply_pools',
+    'apply_routes',
+    'check_references',
+    'check_unused',
+    'delete_pools',
+    'delete_routes',
+)
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import replace
 
+from zinniaturn.configuration.exceptions import (
+    PoolInUseError,
+    RowNotFoundError,
+)
 from zinniaturn.tables.domain import Pool, Route, Tables
 from zinniaturn.tables.exceptions import DanglingRouteError
 
@@ -21,6 +32,40 @@
     return replace(tables, pools=merged)
 
 
+def delete_routes(tables: Tables, names: Iterable[str]) -> Tables:
+    """Return the tables without these routes; raises `RowNotFoundError`."""
+    gone = frozenset(names)
+    _check_present('route', gone, tables.routes)
+    kept = {
+        name: route for name, route in tables.routes.items() if name not in gone
+    }
+    return replace(tables, routes=kept)
+
+
+def delete_pools(tables: Tables, names: Iterable[str]) -> Tables:
+    """
+    Return the tables without these pools.
+
+    Raises `RowNotFoundError` for an absent pool and `PoolInUseError` for one
+    that a route refers to.
+    """
+    gone = frozenset(names)
+    _check_present('pool', gone, tables.pools)
+    check_unused(tables, gone)
+    kept = {
+        name: pool for name, pool in tables.pools.items() if name not in gone
+    }
+    return replace(tables, pools=kept)
+
+
+def check_unused(tables: Tables, pools: Container[str]) -> None:
+    """Raise `PoolInUseError` where a route refers to one of ``pools``."""
+    for name in sorted(tables.routes):
+        pool = tables.routes[name].pool
+        if pool in pools:
+            raise PoolInUseError(f'pool "{pool}" is in use by route "{name}"')
+
+
 def check_references(tables: Tables) -> None:
     """Raise `DanglingRouteError` where a route names a missing pool."""
     for route in tables.routes.values():
@@ -29,3 +74,13 @@
                 f'route "{route.name}" refers to pool "{route.pool}", '
                 'which does not exist',
             )
+
+
+def _check_present(
+    table: str,
+    names: Iterable[str],
+    rows: Container[str],
+) -> None:
+    for name in sorted(names):
+        if name not in rows:
+            raise RowNotFoundError(f'there is no {table} "{name}"')
--- a/zinniaturn/configuration/follower.py
+++ b/zinniaturn/configuration/follower.py
@@ -1,18 +1,128 @@
-"""Following the store's tables with one long poll at a time."""
+"""
+Following the store's head with one long poll at a time.
 
-__all__ = ('follow_store',)
+A head that does not move on from the one in force is never obeyed. A store
+that is behind or empty gets a fence, so that no operator builds upon it.
+"""
+
+__all__ = ('StoreFollower', 'follow_store')
 
 import asyncio
 import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
 
-from zinniaturn.configuration.commit import TABLES_KEY
+from zinniaturn.clock import Clock, SystemClock
+from zinniaturn.configuration.exceptions import (
+    ConfigurationError,
+    StoredStateError,
+)
+from zinniaturn.configuration.fencing import fence_store
 from zinniaturn.configuration.holder import TablesHolder
+from zinniaturn.configuration.judgement import Judgement
+from zinniaturn.configuration.layout import (
+    HEAD_KEY,
+    StoredHead,
+    head_of,
+    read_texts,
+)
+from zinniaturn.configuration.snapshot import assemble
 from zinniaturn.events import LogEvent, log_event
-from zinniaturn.store import ConfigurationStore, Entry, StoreError
-from zinniaturn.tables import TablesError, decode_tables
+from zinniaturn.store import ConfigurationStore, StoreError
+
+_WAIT_SECONDS = 15.0
+_PAUSE_SECONDS = 0.3
+_IDLE_SECONDS = 5.0
+
+
+def _always() -> bool:
+    return True
+
 
-_WAIT_SECONDS = 20.0
-_PAUSE_SECONDS = 0.5
+@dataclass
+class StoreFollower:
+    """
+    Brings the store's head into force at one entry.
+
+    ``watches`` says whether this entry waits on the store; one that does not
+    reads the head now and then. ``confirmed_at`` is the monotonic time in
+    seconds of the last reply that showed no other revision.
+    """
+
+    store: ConfigurationStore
+    holder: TablesHolder
+    source: random.Random
+    name: str = ''
+    clock: Clock = field(default_factory=SystemClock)
+    watches: Callable[[], bool] = _always
+    confirmed_at: float = 0
+    is_out: bool = False
+    version: int = -1
+
+    async def run(self) -> None:
+        """Follow for ever."""
+        while True:
+            try:
+                await self.step()
+            except (StoreError, ConfigurationError) as error:
+                self._note_outage(str(error))
+                pause = _PAUSE_SECONDS * (1 + self.source.random())
+                await asyncio.sleep(pause)
+                continue
+            if not self.watches():
+                await asyncio.sleep(_IDLE_SECONDS * (1 + self.source.random()))
+
+    async def step(self) -> None:
+        """Wait for another head, or read it, and deal with it."""
+        if self.version < 0 or not self.watches():
+            entry = await self.store.read(HEAD_KEY)
+        else:
+            entry = await self.store.watch(
+                HEAD_KEY,
+                self.version,
+                _WAIT_SECONDS,
+            )
+        if self.is_out:
+            self.is_out = False
+            log_event(LogEvent.STORE_BACK)
+        if entry.version != self.version:
+            await self._take(head_of(entry))
+            self.version = entry.version
+        self.confirmed_at = self.clock.monotonic()
+
+    async def _take(self, stored: StoredHead) -> None:
+        judgement = self.holder.judge(stored.head)
+        match judgement:
+            case Judgement.INSTALL:
+                await self._install(stored)
+            case Judgement.OLDER | Judgement.FORKED | Judgement.EMPTY:
+                await self._refuse(stored, judgement)
+
+    async def _install(self, stored: StoredHead) -> None:
+        known = self.holder.snapshot
+        texts = await read_texts(self.store, stored.head, known)
+        try:
+            self.holder.offer(assemble(stored.head, texts, known))
+        except StoredStateError as error:
+            log_event(LogEvent.REVISION_REFUSED, reason=str(error))
+            raise
+
+    async def _refuse(self, stored: StoredHead, judgement: Judgement) -> None:
+        held = self.holder.head
+        if not held.revision or stored.head.fence is not None:
+            return
+        if await fence_store(self.store, stored, held, self.name):
+            log_event(
+                LogEvent.STORE_RESET,
+                found=judgement.value,
+                offered=stored.head.revision,
+                in_force=held.revision,
+            )
+
+    def _note_outage(self, reason: str) -> None:
+        if not self.is_out:
+            log_event(LogEvent.STORE_UNAVAILABLE, reason=reason)
+        self.is_out = True
 
 
 async def follow_store(
@@ -21,39 +131,4 @@
     source: random.Random,
 ) -> None:
     """Install every higher revision that the store shows, for ever."""
-    version = 0
-    is_out = False
-    while True:
-        try:
-            entry = await store.watch(TABLES_KEY, version, _WAIT_SECONDS)
-        except StoreError as error:
-            if not is_out:
-                log_event(LogEvent.STORE_UNAVAILABLE, reason=str(error))
-            is_out = True
-            await asyncio.sleep(_PAUSE_SECONDS * (1 + source.random()))
-            continue
-        if is_out:
-            log_event(LogEvent.STORE_BACK)
-        is_out = False
-        if entry.version != version:
-            _install(holder, entry)
-        version = entry.version
-
-
-def _install(holder: TablesHolder, entry: Entry) -> None:
-    if not entry.version:
-        if holder.tables.revision:
-            log_event(LogEvent.REVISION_REFUSED, reason='the store is empty')
-        return
-    try:
-        tables = decode_tables(entry.value)
-    except TablesError as error:
-        log_event(LogEvent.REVISION_REFUSED, reason=str(error))
-        return
-    if not holder.install(tables):
-        log_event(
-            LogEvent.REVISION_REFUSED,
-            reason='the store holds an older revision',
-            offered=tables.revision,
-            in_force=holder.tables.revision,
-        )
+    await StoreFollower(store, holder, source).run()
--- a/zinniaturn/configuration/holder.py
+++ b/zinniaturn/configuration/holder.py
@@ -2,18 +2,47 @@
 
 __all__ = ('TablesHolder',)
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
+from zinniaturn.configuration.head import Head
+from zinniaturn.configuration.judgement import Judgement, judge
+from zinniaturn.configuration.snapshot import EMPTY, Snapshot
 from zinniaturn.events import LogEvent, log_event
 from zinniaturn.tables import Tables
 
 
 class TablesHolder:
-    """Holds the highest revision seen; it never goes back."""
+    """
+    Holds the tables in force; they only move on along their own history.
+
+    ``observers`` get the tables and ``followers`` the snapshot whenever
+    others come into force.
+    """
 
     def __init__(self) -> None:
         self.tables = Tables()
+        self.snapshot: Snapshot = EMPTY
         self.observers: list[Callable[[Tables], None]] = []
+        self.followers: list[Callable[[Snapshot], None]] = []
+
+    @property
+    def head(self) -> Head:
+        """Return the head of the snapshot in force."""
+        return self.snapshot.head
+
+    def judge(self, head: Head) -> Judgement:
+        """Return what an offered head is to the one in force."""
+        return judge(self.head, head)
+
+    def offer(self, snapshot: Snapshot) -> Judgement:
+        """Put a snapshot in force if it moves on; return the judgement."""
+        judgement = self.judge(snapshot.head)
+        if judgement is Judgement.INSTALL:
+            self.snapshot = snapshot
+            self.install(snapshot.tables)
+            for follower in self.followers:
+                follower(snapshot)
+        return judgement
 
     def install(self, tables: Tables) -> bool:
         """
@@ -28,3 +57,10 @@
         for observer in self.observers:
             observer(tables)
         return True
+
+    def texts(self) -> Mapping[str, str]:
+        """Return the texts of the segments in force by digest."""
+        return {
+            segment.digest: segment.text
+            for segment in self.snapshot.segments.values()
+        }
--- /dev/null
+++ b/zinniaturn/configuration/planning.py
@@ -0,0 +1,226 @@
+"""
+Plans of commits, as pure functions.
+
+A plan says what is written before the head, what the next head is and which
+old segments may go. The model check drives these functions too.
+"""
+
+__all__ = (
+    'KEPT_STEPS',
+    'PAGE_STEPS',
+    'PREFIX',
+    'Authorship',
+    'CommitPlan',
+    'Write',
+    'check_fence',
+    'plan_commit',
+    'record_key',
+)
+
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+
+from zinniaturn.configuration.changes import Change, apply_change
+from zinniaturn.configuration.exceptions import StoreResetError
+from zinniaturn.configuration.head import (
+    Ancestor,
+    Head,
+    Retired,
+    SegmentRef,
+    Step,
+    extend_chain,
+)
+from zinniaturn.configuration.records import (
+    AuditRecord,
+    ChangeKind,
+    encode_record,
+)
+from zinniaturn.configuration.segments import (
+    BUCKETS,
+    bucket_of,
+    digest_of,
+    encode_segment,
+    split_tables,
+)
+from zinniaturn.configuration.snapshot import Snapshot
+from zinniaturn.tables.domain import Tables
+
+PREFIX = 'zinniaturn'
+KEPT_STEPS = 128
+KEPT_RETIRED_REVISIONS = 32
+PAGE_STEPS = 64
+MAX_MERGED = 16
+
+
+@dataclass(frozen=True, slots=True)
+class Authorship:
+    """Who makes a change, why, and when in seconds since the epoch."""
+
+    author: str
+    reason: str
+    at: float
+    kind: ChangeKind = ChangeKind.EDIT
+
+
+@dataclass(frozen=True, slots=True)
+class Write:
+    """A value to create before the head is swapped."""
+
+    key: str
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class CommitPlan:
+    """
+    What a commit does.
+
+    ``segments`` are the new segments by bucket and ``emptied`` the buckets
+    without rows. ``garbage`` may be removed whatever becomes of the commit.
+    """
+
+    base: Snapshot
+    change_id: str
+    tables: Tables
+    segments: Mapping[str, Write]
+    emptied: frozenset[str]
+    record: Write
+    garbage: tuple[Retired, ...]
+    merged: tuple[Ancestor, ...] = ()
+
+    @property
+    def revision(self) -> int:
+        """Return the revision that the commit makes."""
+        return self.tables.revision
+
+    def writes(self) -> tuple[Write, ...]:
+        """Return all values to create before the head is swapped."""
+        return (*self.segments.values(), self.record)
+
+    def head(self, versions: Mapping[str, int]) -> Head:
+        """Return the next head, given the created keys' versions."""
+        before = self.base.head
+        segments = {
+            bucket: ref
+            for bucket, ref in before.segments.items()
+            if bucket not in self.emptied
+        }
+        for bucket, write in self.segments.items():
+            segments[bucket] = SegmentRef(
+                write.key,
+                versions[write.key],
+                digest_of(write.text),
+            )
+        return Head(
+            revision=self.revision,
+            steps=(*_kept_steps(before), self._step(segments)),
+            segments=segments,
+            retired=(*self._still_retired(), *self._newly_retired(segments)),
+            merged=(*before.merged, *self.merged)[-MAX_MERGED:],
+        )
+
+    def _step(self, segments: Mapping[str, SegmentRef]) -> Step:
+        digests = [ref.digest for ref in segments.values()]
+        before = self.base.head.chain
+        return Step(
+            self.change_id,
+            extend_chain(before, self.change_id, digests),
+        )
+
+    def _still_retired(self) -> list[Retired]:
+        gone = frozenset(self.garbage)
+        return [old for old in self.base.head.retired if old not in gone]
+
+    def _newly_retired(
+        self,
+        segments: Mapping[str, SegmentRef],
+    ) -> list[Retired]:
+        return [
+            Retired(ref.key, ref.version, self.revision)
+            for bucket, ref in self.base.head.segments.items()
+            if segments.get(bucket) != ref
+        ]
+
+
+def plan_commit(
+    base: Snapshot,
+    change: Change,
+    change_id: str,
+    authorship: Authorship,
+    base_revision: int,
+    attempt: int = 0,
+    merged: tuple[Ancestor, ...] = (),
+) -> CommitPlan:
+    """
+    Return the plan that accepts ``change`` on top of ``base``.
+
+    ``base_revision`` is the one that the operator saw. Raises what
+    `apply_change` raises, `StoreResetError` for a fenced head and
+    `ChangeTooLargeError` for a value over 1 MB.
+    """
+    check_fence(base.head)
+    revision = base.head.revision + 1
+    tables = replace(apply_change(change, base.tables), revision=revision)
+    suffix = f'{revision}-{change_id}-{attempt}'
+    touched = {
+        bucket_of(name)
+        for name in change.touched_routes() | change.touched_pools()
+    }
+    rows = split_tables(tables, BUCKETS)
+    record = AuditRecord(
+        change_id=change_id,
+        base_revision=base_revision,
+        revision=revision,
+        kind=authorship.kind,
+        author=authorship.author,
+        reason=authorship.reason,
+        at=authorship.at,
+        change=change,
+    )
+    return CommitPlan(
+        base=base,
+        change_id=change_id,
+        tables=tables,
+        segments={
+            bucket: Write(
+                f'{PREFIX}/segments/{bucket}-{suffix}',
+                encode_segment(rows[bucket]),
+            )
+            for bucket in sorted(touched)
+            if bucket in rows
+        },
+        emptied=frozenset(touched - rows.keys()),
+        record=Write(record_key(revision, change_id), encode_record(record)),
+        garbage=_garbage(base.head, revision),
+        merged=merged,
+    )
+
+
+def record_key(revision: int, change_id: str) -> str:
+    """Return the key of the audit record of a revision."""
+    return f'{PREFIX}/records/{revision}-{change_id}'
+
+
+def check_fence(head: Head) -> None:
+    """Raise `StoreResetError` where entries have fenced the store."""
+    if head.fence is not None:
+        held = head.fence.held
+        raise StoreResetError(
+            f'the store is at revision {head.revision}, but '
+            f'{head.fence.entry} holds revision {held.revision}; put the '
+            'tables back with "zinniaturn audit restore"',
+        )
+
+
+def _kept_steps(head: Head) -> tuple[Step, ...]:
+    if len(head.steps) < KEPT_STEPS:
+        return head.steps
+    return head.steps[PAGE_STEPS:]
+
+
+def _garbage(head: Head, revision: int) -> tuple[Retired, ...]:
+    return tuple(
+        old
+        for old in head.retired
+        if old.since <= revision - KEPT_RETIRED_REVISIONS
+    )
--- /dev/null
+++ b/zinniaturn/configuration/snapshot.py
@@ -0,0 +1,84 @@
+"""
+Snapshots: a head with the rows of its segments.
+
+A new head is assembled from the segments that changed; the others are taken
+over from the snapshot before it.
+"""
+
+__all__ = ('EMPTY', 'Snapshot', 'assemble', 'missing_segments')
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from zinniaturn.configuration.exceptions import StoredStateError
+from zinniaturn.configuration.head import Head, SegmentRef
+from zinniaturn.configuration.segments import decode_segment
+from zinniaturn.tables.domain import Pool, Route, Tables
+
+
+@dataclass(frozen=True, slots=True)
+class Segment:
+    """A segment's text and its rows."""
+
+    digest: str
+    text: str
+    rows: Tables
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """Both tables at a revision, with what they were read from."""
+
+    head: Head = field(default_factory=Head)
+    segments: Mapping[str, Segment] = field(default_factory=dict)
+    tables: Tables = field(default_factory=Tables)
+
+
+EMPTY = Snapshot()
+
+
+def missing_segments(
+    head: Head,
+    known: Snapshot,
+) -> Mapping[str, SegmentRef]:
+    """Return the segments of ``head`` that ``known`` does not have."""
+    return {
+        bucket: ref
+        for bucket, ref in head.segments.items()
+        if bucket not in known.segments
+        or known.segments[bucket].digest != ref.digest
+    }
+
+
+def assemble(
+    head: Head,
+    texts: Mapping[str, str],
+    known: Snapshot,
+) -> Snapshot:
+    """
+    Return the snapshot of ``head``.
+
+    ``texts`` holds the missing segments by bucket. Raises `StoredStateError`
+    where one is absent or damaged.
+    """
+    segments: dict[str, Segment] = {}
+    missing = missing_segments(head, known)
+    for bucket, ref in head.segments.items():
+        if bucket not in missing:
+            segments[bucket] = known.segments[bucket]
+            continue
+        text = texts.get(bucket)
+        if text is None:
+            raise StoredStateError(f'segment {ref.key} is missing')
+        rows = decode_segment(text, ref.digest)
+        segments[bucket] = Segment(ref.digest, text, rows)
+    return Snapshot(head, segments, _join(head.revision, segments))
+
+
+def _join(revision: int, segments: Mapping[str, Segment]) -> Tables:
+    routes: dict[str, Route] = {}
+    pools: dict[str, Pool] = {}
+    for segment in segments.values():
+        routes.update(segment.rows.routes)
+        pools.update(segment.rows.pools)
+    return Tables(revision, routes, pools)
--- a/zinniaturn/events/catalogue.py
+++ b/zinniaturn/events/catalogue.py
@@ -24,6 +24,7 @@
     REVISION_REFUSED = 201
     STORE_UNAVAILABLE = 202
     STORE_BACK = 203
+    STORE_RESET = 204
 
 
 _INFO = logging.INFO
@@ -47,6 +48,10 @@
             'the store offered an older or invalid revision',
         ),
         LogEvent.STORE_UNAVAILABLE: (_WARNING, 'the store does not answer'),
+        LogEvent.STORE_RESET: (
+            _WARNING,
+            'the store has lost accepted revisions and was fenced',
+        ),
         LogEvent.STORE_BACK: (_INFO, 'the store answers again'),
     }
 )
