--- a/zinniaturn/configuration/commit.py
+++ b/zinniaturn/configuration/commit.py
@@ -120,7 +120,8 @@
     Make the change from ``base`` to ``edited`` the next revision.
 
     Returns the accepted tables; an empty change makes no revision. A change
-    accepted meanwhile that touches other rows is kept. Raises `OverlapError` where it touches the same ones,
+    accepted meanwhile that touches other rows is kept. Raises `OverlapError` where it
+    touches the same ones,
     `PoolInUseError` and `DanglingRouteError` for broken references,
     `NotInitializedError` for an empty store unless ``may_initialize``,
     `StoreResetError` for a fenced one, `ConfigurationUnavailableError` where
