--- a/zinniaturn/configuration/commit.py
+++ b/zinniaturn/configuration/commit.py
@@ -120,12 +120,12 @@
     Make the change from ``base`` to ``edited`` the next revision.
 
     Returns the accepted tables; an empty change makes no revision. A change
-    accepted meanwhile that touches other rows is kept. Raises `OverlapError` where it
-    touches the same ones,
-    `PoolInUseError` and `DanglingRouteError` for broken references,
-    `NotInitializedError` for an empty store unless ``may_initialize``,
-    `StoreResetError` for a fenced one, `ConfigurationUnavailableError` where
-    nothing was accepted and `CommitUnknownError` where that is not known.
+    accepted meanwhile that touches other rows is kept. Raises `OverlapError`
+    where it touches the same ones, `PoolInUseError` and `DanglingRouteError`
+    for broken references, `NotInitializedError` for an empty store unless
+    ``may_initialize``, `StoreResetError` for a fenced one,
+    `ConfigurationUnavailableError` where nothing was accepted and
+    `CommitUnknownError` where that is not known.
     """
     if not base.tables.revision and not may_initialize:
         raise NotInitializedError(
