--- a/features/outcome_table.feature
+++ b/features/outcome_table.feature
@@ -17,7 +17,7 @@
       | sent-part    | connection-lost | a cut upload                 | 2       | unknown | connection-lost  | 0     | 0    |
       | sent-part    | deadline-passed | an upload past the deadline  | 2       | unknown | deadline-passed  | 0     | 0    |
       | sent-part    | bad-answer      | garbage during the upload    | 2       | unknown | bad-answer       | 0     | 0    |
-      | sent-part    | request-broken  | a bad chunk in the upload    | 2       | unknown | request-broken   | 0     | 0    |
+      | sent-part    | request-broken  | a bad chunk in the upload    | 2       | unknown | body-broken      | 0     | 0    |
       | sent-part    | server-shed     | shedding during the upload   | 1       | not-run | server-shed      | 0     | 0    |
       | sent-whole   | connection-lost | a cut before the answer      | 2       | unknown | connection-lost  | 1     | 1    |
       | sent-whole   | deadline-passed | a lost answer                | 2       | unknown | deadline-passed  | 1     | 1    |
--- a/features/support/scripted_server.py
+++ b/features/support/scripted_server.py
@@ -1,126 +1,132 @@
-"""A backend server whose answers are written byte by byte."""
+"""A backend server that records raw requests and answers from a script."""
 
 import asyncio
-from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
-
-@dataclass(frozen=True)
-class Send:
-    content: bytes
-
-
-@dataclass(frozen=True)
-class Pause:
-    seconds: float
-
-
-@dataclass(frozen=True)
-class Close:
-    """Close the connection."""
-
-
-@dataclass(frozen=True)
-class ReadBody:
-    """Read the rest of the request and count it as run."""
+BLOCK = b'z' * 65_536
 
 
 @dataclass
-class SeenRequest:
-    """What came: the method, the target, the headers and the body."""
-
-    method: str
-    target: str
-    headers: dict[str, str]
-    raw_head: bytes
-    body: bytes = b''
-
-    @property
-    def request_id(self):
-        return self.headers.get('x-request-id', '')
-
-
-def whole_answer(body, status=200, extra=''):
-    head = f'HTTP/1.1 {status} OK\r\nContent-Length: {len(body)}\r\n{extra}\r\n'
-    return head.encode() + body
-
-
-def answer_with_token(request):
-    return [ReadBody(), Send(whole_answer(request.request_id.encode()))]
-
-
 class ScriptedServer:
-    """Answers each request by the steps that ``script`` returns for it."""
-
-    def __init__(self, script=answer_with_token):
-        self.script = script
-        self.executions = Counter()
-        self.requests = []
-        self.connections = 0
-        self.writers = set()
+    """
+    Answers every request with ``answer``, byte for byte.
+
+    ``heads`` and ``bodies`` are what came in, in order. With ``early`` the
+    answer goes out before the body is read. ``stream_bytes`` follow the
+    answer's head. With ``holds`` no answer comes at all. ``hangs_up`` ends
+    the connection after an answer.
+    """
+
+    answer: bytes = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+    early: bool = False
+    holds: bool = False
+    hangs_up: bool = False
+    stream_bytes: int = 0
+    heads: list[bytes] = field(default_factory=list)
+    bodies: list[bytes] = field(default_factory=list)
+    keeps_bodies: bool = True
+    received_bytes: int = 0
+    sent_bytes: int = 0
+    lost_connections: int = 0
+    open_connections: int = 0
+
+    def __post_init__(self):
+        self.received = asyncio.Event()
+        self.gate = asyncio.Event()
+        self.gate.set()
 
     async def start(self):
         self.server = await asyncio.start_server(
             self.serve,
             '127.0.0.1',
             0,
+            limit=1_048_576,
         )
         self.port = self.server.sockets[0].getsockname()[1]
+        self.writers = set()
 
     async def stop(self):
         self.server.close()
         for writer in list(self.writers):
-            writer.close()
+            writer.transport.abort()
+        await asyncio.sleep(0)
 
     async def serve(self, reader, writer):
-        self.connections += 1
+        self.open_connections += 1
         self.writers.add(writer)
         try:
-            while not writer.is_closing():
-                request = await self.read_head(reader)
-                self.requests.append(request)
-                await self.play(request, reader, writer)
-        except (OSError, asyncio.IncompleteReadError):
-            return
+            is_open = True
+            while is_open:
+                is_open = await self.serve_one(reader, writer)
+        except (asyncio.IncompleteReadError, OSError):
+            self.lost_connections += 1
         finally:
+            self.open_connections -= 1
             self.writers.discard(writer)
             writer.close()
 
-    async def play(self, request, reader, writer):
-        for step in self.script(request):
-            match step:
-                case Send(content):
-                    writer.write(content)
-                    await writer.drain()
-                case Pause(seconds):
-                    await asyncio.sleep(seconds)
-                case Close():
-                    writer.close()
-                case ReadBody():
-                    request.body = await self.read_body(request, reader)
-                    self.executions[request.request_id] += 1
-
-    async def read_head(self, reader):
-        raw = await reader.readuntil(b'\r\n\r\n')
-        first, *rows = raw.decode('latin-1').rstrip().split('\r\n')
-        method, target, _ = first.split(' ')
-        headers = {}
-        for row in rows:
-            name, _, text = row.partition(':')
-            headers[name.lower()] = text.strip()
-        return SeenRequest(method, target, headers, raw)
-
-    async def read_body(self, request, reader):
-        if 'transfer-encoding' in request.headers:
-            return await self.read_chunks(reader)
-        length = int(request.headers.get('content-length', '0'))
-        return await reader.readexactly(length)
-
-    async def read_chunks(self, reader):
-        chunks = []
+    async def serve_one(self, reader, writer):
+        head = await self._read_head(reader)
+        if head is None:
+            return False
+        self.heads.append(head)
+        self.received.set()
+        if self.holds:
+            await reader.readexactly(1)
+        if self.early:
+            await self._send(writer)
+            self.bodies.append(await self._read_body(reader, head))
+        else:
+            self.bodies.append(await self._read_body(reader, head))
+            await self._send(writer)
+        return not self.hangs_up
+
+    async def _read_head(self, reader):
+        try:
+            return await reader.readuntil(b'\r\n\r\n')
+        except asyncio.IncompleteReadError as error:
+            if error.partial:
+                raise
+            return None
+
+    async def _send(self, writer):
+        writer.write(self.answer)
+        remaining = self.stream_bytes
+        while remaining:
+            block = BLOCK[:remaining]
+            writer.write(block)
+            await writer.drain()
+            remaining -= len(block)
+            self.sent_bytes += len(block)
+        await writer.drain()
+
+    async def _read_body(self, reader, head):
+        if b'transfer-encoding: chunked' in head.lower():
+            return await self._read_chunks(reader)
+        for line in head.lower().split(b'\r\n'):
+            if line.startswith(b'content-length:'):
+                return await self._read_exactly(reader, int(line[15:]))
+        return b''
+
+    async def _read_exactly(self, reader, length):
+        body = bytearray()
+        while length:
+            await self.gate.wait()
+            chunk = await reader.read(min(length, len(BLOCK)))
+            if not chunk:
+                raise asyncio.IncompleteReadError(bytes(body), length)
+            length -= len(chunk)
+            self.received_bytes += len(chunk)
+            if self.keeps_bodies:
+                body += chunk
+        return bytes(body)
+
+    async def _read_chunks(self, reader):
+        body = bytearray()
         while True:
-            size = int(await reader.readline(), 16)
-            chunks.append(await reader.readexactly(size))
+            size = int(await reader.readuntil(b'\r\n'), 16)
+            body += await reader.readexactly(size)
+            self.received_bytes += size
             await reader.readexactly(2)
             if not size:
-                return b''.join(chunks)
+                return bytes(body)
--- a/features/support/small_fleet.py
+++ b/features/support/small_fleet.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from features.support.scripted_server import ScriptedServer, answer_with_token
+from features.support.stepped_server import SteppedServer, answer_with_token
 from zinniaturn.configuration import (
     apply_pools,
     apply_routes,
@@ -27,7 +27,7 @@
 
     def __init__(self, servers=1, entries=1, script=answer_with_token, **more):
         self.store_stand_in = StoreStandIn()
-        self.backends = [ScriptedServer(script) for _ in range(servers)]
+        self.backends = [SteppedServer(script) for _ in range(servers)]
         self.proxies = []
         self.entries = []
         self.faults = []
--- a/zinniaturn/commands/standin.py
+++ b/zinniaturn/commands/standin.py
@@ -8,7 +8,12 @@
 import click
 import uvloop
 
-from zinniaturn.standins import BackendStandIn, ServiceTime, StoreStandIn
+from zinniaturn.standins import (
+    BackendStandIn,
+    ServiceTime,
+    StoreStandIn,
+    VmListStandIn,
+)
 from zinniaturn.standins.backend_group import BackendGroup, OracleBackend
 
 _MILLISECONDS = 1000
@@ -26,6 +31,14 @@
     asyncio.run(_run_until_signal(StoreStandIn(), port))
 
 
+@standin.command('vm-list')
+@click.option('--port', type=click.IntRange(0, 65_535), default=0)
+@click.option('--lag-seconds', type=click.FloatRange(0), default=1)
+def vm_list(port: int, lag_seconds: float) -> None:
+    """Run the list of live and leaving VMs."""
+    asyncio.run(_run_until_signal(VmListStandIn(lag_seconds), port))
+
+
 @standin.command()
 @click.argument('name')
 @click.option('--port', type=click.IntRange(0, 65_535), default=0)
@@ -87,7 +100,7 @@
 
 
 async def _run_until_signal(
-    server: StoreStandIn | BackendStandIn | BackendGroup,
+    server: StoreStandIn | BackendStandIn | BackendGroup | VmListStandIn,
     port: int,
 ) -> None:
     stopping = asyncio.Event()
--- a/zinniaturn/entry/dispatch.py
+++ b/zinniaturn/entry/dispatch.py
@@ -2,26 +2,17 @@
 
 __all__ = ('Dispatcher',)
 
-import asyncio
-import itertools
-
 from aiohttp import web
 
-from zinniaturn.choosing import (
-    Completion,
-    PoolState,
-    RefusedError,
-    ServerState,
-)
+from zinniaturn.choosing import RefusedError
 from zinniaturn.entry.answers import make_refusal, relay_answer
-from zinniaturn.entry.load_reports import is_shed, read_load
+from zinniaturn.entry.attempts import Attempts
 from zinniaturn.entry.requests import CallerRequest
 from zinniaturn.entry.state import EntryState
-from zinniaturn.forwarding import Answer, ExchangeError, exchange
+from zinniaturn.forwarding import ExchangeError
 from zinniaturn.outcomes import Event, Outcome, Phase, Verdict, combine, decide
 
 _MAX_ATTEMPTS = 3
-_ERROR_STATUS = 500
 
 
 class Dispatcher:
@@ -37,82 +28,48 @@
     ) -> web.StreamResponse:
         """Return the answer to the caller; raises where it was cut short."""
         pool = self.state.pools[parsed.route.pool]
-        tried: set[str] = set()
+        attempts = Attempts(self.state, parsed, pool)
         known: Verdict | None = None
-        for attempt in itertools.count(1):
+        while True:
             try:
-                server = pool.acquire(tried)
+                return await self._attempt(request, attempts)
             except RefusedError as error:
                 return self._refuse(parsed, error, known)
-            tried.add(server.server.name)
-            try:
-                return await self._attempt(request, parsed, pool, server)
             except ExchangeError as error:
-                if error.phase >= Phase.ANSWER_BEGUN:
-                    raise
-                known = combine(known, decide(error.phase, error.event))
-                if not _may_retry(known, parsed, attempt):
+                known = combine(known, _verdict(error))
+                if not _may_retry(known, attempts):
                     return self._give_up(parsed, known, error)
-        raise AssertionError('unreachable: the attempts are bounded')
 
     async def _attempt(
         self,
         request: web.BaseRequest,
-        parsed: CallerRequest,
-        pool: PoolState,
-        server: ServerState,
+        attempts: Attempts,
     ) -> web.StreamResponse:
-        started = self.state.clock.monotonic()
-        completion = Completion(succeeded=False, latency_seconds=0)
+        attempt = await attempts.run()
         try:
-            answer = await self._exchange(parsed, server)
-            completion = Completion(
-                succeeded=answer.message.code < _ERROR_STATUS,
-                latency_seconds=self.state.clock.monotonic() - started,
-                report=read_load(answer.message.headers),
-            )
-            response = await relay_answer(request, answer)
+            response = await relay_answer(request, attempt.answer)
         finally:
-            pool.release(server, completion)
-        self.state.metrics.count(pool.pool.name, 'answered')
+            attempts.finish(attempt)
+        self.state.metrics.count(attempts.pool.pool.name, 'answered')
         return response
 
-    async def _exchange(
-        self,
-        parsed: CallerRequest,
-        server: ServerState,
-    ) -> Answer:
-        loop = asyncio.get_running_loop()
-        remaining = parsed.deadline - self.state.clock.monotonic()
-        answer = await exchange(
-            self.state.connections,
-            (server.server.host, server.server.port),
-            parsed.backend_request,
-            loop.time() + remaining,
-        )
-        if is_shed(answer.message):
-            answer.discard()
-            raise ExchangeError(
-                f'{server.server.name} shed the request',
-                answer.sent,
-                Event.SERVER_SHED,
-            )
-        return answer
-
     def _give_up(
         self,
         parsed: CallerRequest,
-        verdict: Verdict,
+        known: Verdict,
         error: ExchangeError,
     ) -> web.Response:
-        self.state.metrics.count(parsed.route.pool, verdict.outcome.value)
-        return make_refusal(
-            verdict.code,
-            verdict.outcome,
+        self.state.metrics.count(parsed.route.pool, known.outcome.value)
+        refusal = make_refusal(
+            known.code,
+            known.outcome,
             error.message,
             parsed.request_id,
-            retry_after_seconds=1,
+            self.state.pools[parsed.route.pool].retry_after(),
         )
+        if error.event is Event.REQUEST_BROKEN:
+            refusal.force_close()
+        return refusal
 
     def _refuse(
         self,
@@ -120,7 +77,7 @@
         error: RefusedError,
         known: Verdict | None,
     ) -> web.Response:
-        """Refuse, saying what is known of the tries that came before."""
+        """Refuse, saying what is known of the attempts that came before."""
         outcome, code = Outcome.NOT_RUN, error.code
         if known is not None and known.outcome is not Outcome.NOT_RUN:
             outcome, code = known.outcome, known.code
@@ -134,9 +91,21 @@
         )
 
 
-def _may_retry(verdict: Verdict, parsed: CallerRequest, attempts: int) -> bool:
-    if attempts >= _MAX_ATTEMPTS or not parsed.can_repeat:
+def _verdict(error: ExchangeError) -> Verdict:
+    if error.phase >= Phase.ANSWER_BEGUN:
+        raise error
+    return decide(error.phase, error.event)
+
+
+def _may_retry(verdict: Verdict, attempts: Attempts) -> bool:
+    parsed = attempts.parsed
+    allowed = (
+        verdict.retry_idempotent
+        if parsed.idempotent
+        else verdict.retry_non_idempotent
+    )
+    if not allowed or not parsed.can_repeat:
+        return False
+    if attempts.sent >= _MAX_ATTEMPTS:
         return False
-    if parsed.idempotent:
-        return verdict.retry_idempotent
-    return verdict.retry_non_idempotent
+    return attempts.pool.retries.spend()
--- a/zinniaturn/forwarding/answer.py
+++ b/zinniaturn/forwarding/answer.py
@@ -15,6 +15,7 @@
     ConnectionPool,
 )
 from zinniaturn.forwarding.exceptions import ExchangeError
+from zinniaturn.forwarding.upload import Upload
 from zinniaturn.outcomes.table import Event, Phase
 
 
@@ -35,6 +36,7 @@
         pool: ConnectionPool,
         deadline: float,
         sent: Phase,
+        upload: Upload | None = None,
     ) -> None:
         self.message = message
         self.payload = payload
@@ -42,6 +44,7 @@
         self.pool = pool
         self.deadline = deadline
         self.sent = sent
+        self.upload = upload
 
     async def read_chunks(self) -> AsyncIterator[bytes]:
         """Yield the body; raises `ExchangeError` where it is cut short."""
@@ -49,20 +52,27 @@
             chunk = await self._read()
             if chunk:
                 yield chunk
+        self._end_upload()
         self.pool.give_back(self.connection)
 
     def abandon(self) -> None:
         """Close the connection, so that no one else reads what is left."""
+        self._end_upload()
         self.connection.close()
 
     def discard(self) -> None:
         """Keep the connection if the whole body is here, else close it."""
         if self.payload.is_eof():
             self.payload.read_nowait()
+            self._end_upload()
             self.pool.give_back(self.connection)
         else:
             self.abandon()
 
+    def _end_upload(self) -> None:
+        if self.upload is not None:
+            self.upload.end()
+
     async def _read(self) -> bytes:
         try:
             async with asyncio.timeout_at(self.deadline):
--- a/zinniaturn/forwarding/connections.py
+++ b/zinniaturn/forwarding/connections.py
@@ -7,6 +7,7 @@
 from collections import deque
 
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.streams import StreamReader
 
 Address = tuple[str, int]
 
@@ -23,6 +24,8 @@
 
     A byte that comes while no request waits belongs to no one: it closes the
     connection, so that it is never read as the answer to the next request.
+    Where aiohttp finds a body malformed it tells only those who wait for a
+    head; here the body's reader is told too.
     """
 
     is_idle = False
@@ -31,8 +34,12 @@
         """Parse bytes of an answer."""
         if self.is_idle and data:
             self.abort()
-        else:
-            super().data_received(data)
+            return
+        payload = self._payload
+        super().data_received(data)
+        error = self.exception()
+        if payload is not None and error is not None:
+            _break_payload(payload, error)
 
 
 class BackendConnection:
@@ -161,6 +168,11 @@
     )
 
 
+def _break_payload(payload: StreamReader, error: BaseException) -> None:
+    if not payload.is_eof() and payload.exception() is None:
+        payload.set_exception(error)
+
+
 def _poll_of(protocol: BackendProtocol) -> 'select.poll | None':
     transport = protocol.transport
     if transport is None:
--- a/zinniaturn/forwarding/exchange.py
+++ b/zinniaturn/forwarding/exchange.py
@@ -18,6 +18,7 @@
 from zinniaturn.forwarding.exceptions import ExchangeError
 from zinniaturn.forwarding.framing import find_flaw
 from zinniaturn.forwarding.messages import BackendRequest, request_head
+from zinniaturn.forwarding.upload import Upload
 from zinniaturn.outcomes.table import Event, Phase
 
 _FINAL_STATUS = 200
@@ -95,8 +96,13 @@
         if self.request.stream is None:
             await self._send_small(connection)
             message, payload = await self._read_head(connection)
+            upload = None
         else:
-            message, payload = await self._send_while_reading(connection)
+            upload = Upload(connection, self._send_stream(connection))
+            message, payload = await self._read_while_sending(
+                connection,
+                upload,
+            )
         flaw = find_flaw(self.request, message)
         if flaw:
             raise self.error(Event.BAD_ANSWER, flaw)
@@ -107,6 +113,7 @@
             self.pool,
             self.deadline,
             self.phase,
+            upload,
         )
 
     async def _connect(self) -> BackendConnection:
@@ -142,36 +149,31 @@
             return chunk
         return b'%x\r\n%b\r\n' % (len(chunk), chunk)
 
-    async def _send_while_reading(
+    async def _read_while_sending(
         self,
         connection: BackendConnection,
+        upload: Upload,
     ) -> tuple[RawResponseMessage, StreamReader]:
-        """
-        Relay the body, and stop as soon as the server answers.
-
-        A server may answer before it has read the body, and may close the
-        connection after that; the answer goes before the broken sending.
-        """
-        sending = asyncio.ensure_future(self._send_guarded(connection))
+        """Return the answer's head, which may come before the body is sent."""
         reading = asyncio.ensure_future(self._read_head(connection))
         try:
             await asyncio.wait(
-                (sending, reading),
+                (upload.task, reading),
                 return_when=asyncio.FIRST_COMPLETED,
             )
             if not reading.done():
-                await sending
-            head = await reading
-            if self.phase < Phase.SENT_WHOLE:
-                connection.protocol.force_close()
-            return head
+                await self._finish_upload(upload)
+            return await reading
+        except BaseException:
+            upload.end()
+            raise
         finally:
-            await _cancel(sending, reading)
+            reading.cancel()
 
-    async def _send_guarded(self, connection: BackendConnection) -> None:
+    async def _finish_upload(self, upload: Upload) -> None:
         try:
-            await self._send_stream(connection)
-        except (ClientError, OSError):
+            await upload.wait()
+        except ClientError:
             return
         except Exception as error:
             raise self.error(Event.REQUEST_BROKEN, str(error)) from error
@@ -187,9 +189,3 @@
             if message.code == _SWITCHING_PROTOCOLS:
                 break
         raise self.error(Event.BAD_ANSWER, 'only interim answers came')
-
-
-async def _cancel(*tasks: asyncio.Future[object]) -> None:
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
--- a/zinniaturn/forwarding/messages.py
+++ b/zinniaturn/forwarding/messages.py
@@ -7,7 +7,7 @@
     'request_head',
 )
 
-from collections.abc import AsyncIterator, Iterable, Mapping
+from collections.abc import AsyncIterable, Iterable, Mapping
 from dataclasses import dataclass
 
 from multidict import CIMultiDict, CIMultiDictProxy
@@ -46,7 +46,7 @@
     target: str
     headers: CIMultiDict[str]
     body: bytes = b''
-    stream: AsyncIterator[bytes] | None = None
+    stream: AsyncIterable[bytes] | None = None
     length: int | None = 0
     once: bool = False
 
--- a/zinniaturn/outcomes/printing.py
+++ b/zinniaturn/outcomes/printing.py
@@ -9,7 +9,6 @@
     '| idempotent: try again | non-idempotent: try again |',
     '|---|---|---|---|---|---|',
 )
-_WORDS = {True: 'yes', False: 'no'}
 
 
 def print_outcomes() -> str:
@@ -21,10 +20,14 @@
                 event.value,
                 verdict.outcome.value,
                 f'`{verdict.code}`',
-                _WORDS[verdict.retry_idempotent],
-                f'{_WORDS[verdict.retry_non_idempotent]} |',
+                _word(verdict.retry_idempotent),
+                f'{_word(verdict.retry_non_idempotent)} |',
             )
         )
         for (phase, event), verdict in OUTCOMES.items()
     ]
     return '\n'.join((*_HEADING, *rows))
+
+
+def _word(flag: bool) -> str:
+    return 'yes' if flag else 'no'
--- a/zinniaturn/outcomes/refusals.py
+++ b/zinniaturn/outcomes/refusals.py
@@ -39,6 +39,11 @@
         HTTPStatus.SERVICE_UNAVAILABLE,
         'Too many requests wait for the pool',
     ),
+    Refusal(
+        'deadline-unreachable',
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'The wait for a server would pass the deadline',
+    ),
     Refusal(
         'server-shed',
         HTTPStatus.SERVICE_UNAVAILABLE,
@@ -65,14 +70,29 @@
         'The backend server sent a malformed answer',
     ),
     Refusal(
-        'request-broken',
+        'bad-request',
         HTTPStatus.BAD_REQUEST,
-        'The request broke off after a part of it was sent',
+        'The request is malformed',
     ),
     Refusal(
-        'bad-request',
+        'head-too-large',
+        HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+        "The request's head is too large",
+    ),
+    Refusal(
+        'no-tunnel',
+        HTTPStatus.NOT_IMPLEMENTED,
+        'The entry opens no tunnels',
+    ),
+    Refusal(
+        'body-broken',
         HTTPStatus.BAD_REQUEST,
-        'The request is malformed',
+        "The request's body broke off or is malformed",
+    ),
+    Refusal(
+        'internal',
+        HTTPStatus.INTERNAL_SERVER_ERROR,
+        'The entry failed',
     ),
 )
 
--- a/zinniaturn/outcomes/table.py
+++ b/zinniaturn/outcomes/table.py
@@ -71,7 +71,7 @@
 _LATE = Verdict(Outcome.UNKNOWN, False, False, 'deadline-passed')
 _LATE_NOT_RUN = Verdict(Outcome.NOT_RUN, False, False, 'deadline-not-run')
 _BAD = Verdict(Outcome.UNKNOWN, True, False, 'bad-answer')
-_BROKEN = Verdict(Outcome.UNKNOWN, False, False, 'request-broken')
+_BROKEN = Verdict(Outcome.UNKNOWN, False, False, 'body-broken')
 _CUT = Verdict(Outcome.UNKNOWN, False, False, 'answer-cut')
 
 OUTCOMES: Mapping[tuple[Phase, Event], Verdict] = MappingProxyType(
