--- a/features/http_border.feature
+++ b/features/http_border.feature
@@ -120,13 +120,15 @@
     And the caller reads 1 answer
     Then every answer has status 200 and body "ok"
 
-  Scenario: an answer that ends with its connection is passed on whole
+  Scenario: an answer that ends with its connection gets no surer end
     Given the server answers "HTTP/1.1 200 OK||all of it"
     And the server closes after its answer
     When the caller sends "GET /a HTTP/1.1|Host: x||"
     And the caller reads 1 answer
     Then every answer has status 200 and body "all of it"
-    And the answer's "Transfer-Encoding" is "chunked"
+    And the answer has no "Transfer-Encoding"
+    And the answer has no "Content-Length"
+    And the caller's connection has ended
 
   Scenario: a caller of HTTP/1.0 gets an answer that ends with its connection
     Given the server answers "HTTP/1.1 200 OK|Transfer-Encoding: chunked||2|ok|0||"
--- a/zinniaturn/entry/answers.py
+++ b/zinniaturn/entry/answers.py
@@ -135,7 +135,10 @@
     answer: Answer,
 ) -> None:
     is_bodyless = request.method == 'HEAD' or response.status in _NO_BODY
-    if response.content_length is None and not is_bodyless:
+    if not answer.has_certain_end:
+        response._length_check = False
+        response.force_close()
+    elif response.content_length is None and not is_bodyless:
         if request.version.minor:
             response.enable_chunked_encoding()
     await response.prepare(request)
--- a/zinniaturn/forwarding/answer.py
+++ b/zinniaturn/forwarding/answer.py
@@ -3,6 +3,7 @@
 __all__ = ('Answer',)
 
 import asyncio
+import math
 from collections.abc import AsyncIterator
 
 from aiohttp import ClientError
@@ -25,7 +26,8 @@
 
     Whoever has it must read the body to its end or call `abandon`. The body
     must be whole by ``deadline``, which is in the loop's time. ``sent`` is how
-    much of the request was sent when the head came.
+    much of the request was sent when the head came. Without
+    ``has_certain_end`` the body ends where the connection closes.
     """
 
     def __init__(
@@ -34,17 +36,15 @@
         payload: StreamReader,
         connection: BackendConnection,
         pool: ConnectionPool,
-        deadline: float,
-        sent: Phase,
-        upload: Upload | None = None,
     ) -> None:
         self.message = message
         self.payload = payload
         self.connection = connection
         self.pool = pool
-        self.deadline = deadline
-        self.sent = sent
-        self.upload = upload
+        self.deadline = math.inf
+        self.sent = Phase.SENT_WHOLE
+        self.upload: Upload | None = None
+        self.has_certain_end = True
 
     async def read_chunks(self) -> AsyncIterator[bytes]:
         """Yield the body; raises `ExchangeError` where it is cut short."""
@@ -52,6 +52,9 @@
             chunk = await self._read()
             if chunk:
                 yield chunk
+        if self.payload.exception() is not None:
+            error = ConnectionResetError('the connection was reset')
+            raise self._cut(Event.CONNECTION_LOST, error)
         self._end_upload()
         self.pool.give_back(self.connection)
 
--- a/zinniaturn/forwarding/connections.py
+++ b/zinniaturn/forwarding/connections.py
@@ -41,6 +41,12 @@
         if payload is not None and error is not None:
             _break_payload(payload, error)
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Break a body that a reset cut, however its end was to be told."""
+        if exc is not None and self._payload is not None:
+            _break_payload(self._payload, exc)
+        super().connection_lost(exc)
+
 
 class BackendConnection:
     """
--- a/zinniaturn/forwarding/exchange.py
+++ b/zinniaturn/forwarding/exchange.py
@@ -16,7 +16,7 @@
     ConnectionPool,
 )
 from zinniaturn.forwarding.exceptions import ExchangeError
-from zinniaturn.forwarding.framing import find_flaw
+from zinniaturn.forwarding.framing import find_flaw, has_certain_end
 from zinniaturn.forwarding.messages import BackendRequest, request_head
 from zinniaturn.forwarding.upload import Upload
 from zinniaturn.outcomes.table import Event, Phase
@@ -106,15 +106,12 @@
         flaw = find_flaw(self.request, message)
         if flaw:
             raise self.error(Event.BAD_ANSWER, flaw)
-        return Answer(
-            message,
-            payload,
-            connection,
-            self.pool,
-            self.deadline,
-            self.phase,
-            upload,
-        )
+        answer = Answer(message, payload, connection, self.pool)
+        answer.deadline = self.deadline
+        answer.sent = self.phase
+        answer.upload = upload
+        answer.has_certain_end = has_certain_end(self.request, message)
+        return answer
 
     async def _connect(self) -> BackendConnection:
         connection = self.pool.take_idle(self.address, self.request.once)
--- a/zinniaturn/forwarding/framing.py
+++ b/zinniaturn/forwarding/framing.py
@@ -1,5 +1,5 @@
 """
-Whether an answer's end and owner can be told for certain.
+Whose an answer is and whether its end can be told for certain.
 
 aiohttp's parser refuses both lengths, repeated lengths and bad chunks. What it
 lets pass is looked at here.
@@ -10,7 +10,7 @@
 
 """
 
-__all__ = ('find_flaw',)
+__all__ = ('find_flaw', 'has_certain_end')
 
 import re
 
@@ -26,13 +26,9 @@
     """
     Return why an answer must not be passed on, or an empty string.
 
-    An answer that ends where the connection closes is refused: it cannot be
-    told from one that was cut short. An answer that names another request is
-    someone else's.
+    An answer that names another request is someone else's.
     """
     headers = message.headers
-    if not _has_length(request, message):
-        return 'the answer has no length'
     echoed = headers.get(REQUEST_ID_HEADER)
     if echoed and echoed != request.headers.get(REQUEST_ID_HEADER):
         return 'the answer names another request'
@@ -41,7 +37,15 @@
     return ''
 
 
-def _has_length(request: BackendRequest, message: RawResponseMessage) -> bool:
+def has_certain_end(
+    request: BackendRequest, message: RawResponseMessage
+) -> bool:
+    """
+    Return whether a whole answer can be told from a cut one.
+
+    One that ends where the connection closes cannot. It is passed on in the
+    same form, so that no caller takes its end for a certain one.
+    """
     return (
         message.chunked
         or 'Content-Length' in message.headers
