--- a/zinniaturn/entry/dispatch.py
+++ b/zinniaturn/entry/dispatch.py
@@ -2,6 +2,8 @@
 
 __all__ = ('Dispatcher',)
 
+from collections.abc import Awaitable, Callable
+
 from aiohttp import web
 
 from zinniaturn.choosing import RefusedError
@@ -9,11 +11,13 @@
 from zinniaturn.entry.attempts import Attempts
 from zinniaturn.entry.requests import CallerRequest
 from zinniaturn.entry.state import EntryState
-from zinniaturn.forwarding import ExchangeError
+from zinniaturn.forwarding import Answer, ExchangeError
 from zinniaturn.outcomes import Event, Outcome, Phase, Verdict, combine, decide
 
 _MAX_ATTEMPTS = 3
 
+Relay = Callable[[web.BaseRequest, Answer], Awaitable[web.StreamResponse]]
+
 
 class Dispatcher:
     """Runs requests against the pools of an entry."""
@@ -25,14 +29,19 @@
         self,
         request: web.BaseRequest,
         parsed: CallerRequest,
+        relay: Relay = relay_answer,
     ) -> web.StreamResponse:
-        """Return the answer to the caller; raises where it was cut short."""
+        """
+        Return the answer to the caller, as ``relay`` passes it on.
+
+        Raises `ExchangeError` where it was cut short.
+        """
         pool = self.state.pools[parsed.route.pool]
         attempts = Attempts(self.state, parsed, pool)
         known: Verdict | None = None
         while True:
             try:
-                return await self._attempt(request, attempts)
+                return await self._attempt(request, attempts, relay)
             except RefusedError as error:
                 return self._refuse(parsed, error, known)
             except ExchangeError as error:
@@ -44,10 +53,11 @@
         self,
         request: web.BaseRequest,
         attempts: Attempts,
+        relay: Relay,
     ) -> web.StreamResponse:
         attempt = await attempts.run()
         try:
-            response = await relay_answer(request, attempt.answer)
+            response = await relay(request, attempt.answer)
         finally:
             attempts.finish(attempt)
         self.state.metrics.count(attempts.pool.pool.name, 'answered')
--- a/zinniaturn/entry/frontend.py
+++ b/zinniaturn/entry/frontend.py
@@ -9,11 +9,14 @@
 from zinniaturn.entry.bodies import expects_continue
 from zinniaturn.entry.dispatch import Dispatcher
 from zinniaturn.entry.exceptions import BadRequestError
+from zinniaturn.entry.issuing import KEYS_PATH, answer_keys
+from zinniaturn.entry.once import OnceRunner
 from zinniaturn.entry.requests import parse_request
 from zinniaturn.entry.state import EntryState
 from zinniaturn.entry.targets import RequestTarget, parse_target
 from zinniaturn.forwarding import ExchangeError
 from zinniaturn.outcomes import Outcome
+from zinniaturn.store import ConfigurationStore
 from zinniaturn.tables import Route, find_route
 
 ADDRESSES_PATH = '/v1/entries'
@@ -24,9 +27,10 @@
 class Frontend:
     """Answers callers' requests."""
 
-    def __init__(self, state: EntryState) -> None:
+    def __init__(self, state: EntryState, store: ConfigurationStore) -> None:
         self.state = state
         self.dispatcher = Dispatcher(state)
+        self.once = OnceRunner(state, self.dispatcher, store)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
@@ -44,22 +48,24 @@
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.method == _TUNNEL_METHOD:
-            return self._refuse('', 'no-tunnel', 'CONNECT is not served')
+            return self._refuse(request, '', 'no-tunnel', 'CONNECT is not served')
         try:
             target = parse_target(
                 request.raw_path,
                 request.headers.get('Host', ''),
             )
         except BadRequestError as error:
-            return self._refuse('', error.code, error.message)
+            return self._refuse(request, '', error.code, error.message)
         if target.path == ADDRESSES_PATH:
             return answer_addresses(self.state)
+        if target.path == KEYS_PATH:
+            return answer_keys(self.once, target.origin_form.partition('?')[2])
         tables = self.state.holder.tables
         if not tables.revision:
-            return self._refuse('', 'not-ready', 'no tables were found yet', 1)
+            return self._refuse(request, '', 'not-ready', 'no tables were found yet', 1)
         route = find_route(tables, target.host, target.path, request.method)
         if route is None:
-            return self._refuse('', 'no-route', 'see the route table')
+            return self._refuse(request, '', 'no-route', 'see the route table')
         return await self._run(request, target, route)
 
     async def _run(
@@ -76,20 +82,30 @@
                 self.state.clock,
             )
         except BadRequestError as error:
-            return self._refuse(route.pool, error.code, error.message)
-        return await self.dispatcher.run(request, parsed)
+            return self._refuse(request, route.pool, error.code, error.message)
+        try:
+            return await self.once.run(request, parsed)
+        except BadRequestError as error:
+            return self._refuse(
+                request,
+                route.pool,
+                error.code,
+                error.message,
+            )
 
     def _refuse(
         self,
+        request: web.BaseRequest,
         pool: str,
         code: str,
         detail: str,
         retry_after_seconds: float | None = None,
     ) -> web.Response:
-        self.state.metrics.count(pool, Outcome.NOT_RUN.value)
+        outcome = self.once.refused_outcome(request)
+        self.state.metrics.count(pool, outcome.value)
         return make_refusal(
             code,
-            Outcome.NOT_RUN,
+            outcome,
             detail,
             '',
             retry_after_seconds,
--- /dev/null
+++ b/zinniaturn/entry/hops.py
@@ -0,0 +1,79 @@
+"""Passing a request on to the entry process that its key belongs to."""
+
+__all__ = ('HOP_HEADER', 'pass_on')
+
+import asyncio
+
+from aiohttp import web
+
+from zinniaturn.entry.answers import make_refusal, relay_answer
+from zinniaturn.entry.requests import DEADLINE_HEADER, CallerRequest
+from zinniaturn.entry.state import EntryState
+from zinniaturn.forwarding import Answer, ExchangeError, exchange
+from zinniaturn.outcomes import Event, Outcome, Phase
+
+HOP_HEADER = 'Zinniaturn-Hop'
+
+_MAX_TRIES = 2
+_MILLISECONDS = 1000
+_RETRY_SECONDS = 1.0
+
+Address = tuple[str, int]
+
+
+async def pass_on(
+    state: EntryState,
+    request: web.BaseRequest,
+    parsed: CallerRequest,
+    address: Address,
+) -> web.StreamResponse:
+    """
+    Return the answer of the entry at ``address``.
+
+    A request is passed on once only. The other entry runs it at most once, so
+    that a lost connection may be tried again. Raises `ExchangeError` where the
+    answer was cut short.
+    """
+    if HOP_HEADER in request.headers:
+        return _refuse(parsed, 'key-elsewhere', 'the entry did not issue it')
+    parsed.backend_request.headers[HOP_HEADER] = state.settings.name
+    try:
+        answer = await _ask(state, parsed, address)
+    except ExchangeError as error:
+        if error.phase >= Phase.ANSWER_BEGUN:
+            raise
+        return _refuse(parsed, 'key-entry-unreachable', error.message)
+    return await relay_answer(request, answer)
+
+
+async def _ask(
+    state: EntryState,
+    parsed: CallerRequest,
+    address: Address,
+) -> Answer:
+    for attempt in range(1, _MAX_TRIES + 1):
+        remaining = parsed.deadline - state.clock.monotonic()
+        headers = parsed.backend_request.headers
+        headers[DEADLINE_HEADER] = str(max(0, int(remaining * _MILLISECONDS)))
+        try:
+            return await exchange(
+                state.connections,
+                address,
+                parsed.backend_request,
+                asyncio.get_running_loop().time() + remaining,
+            )
+        except ExchangeError as error:
+            is_last = attempt == _MAX_TRIES or not parsed.can_repeat
+            if is_last or error.event is not Event.CONNECTION_LOST:
+                raise
+    raise AssertionError('unreachable: the last try returns or raises')
+
+
+def _refuse(parsed: CallerRequest, code: str, detail: str) -> web.Response:
+    return make_refusal(
+        code,
+        Outcome.UNKNOWN,
+        detail,
+        parsed.request_id,
+        _RETRY_SECONDS,
+    )
--- /dev/null
+++ b/zinniaturn/entry/once.py
@@ -0,0 +1,291 @@
+"""
+Requests that run at most once, by their idempotency keys.
+
+Each key has one process that may run it: the issuer of an issued key, or the
+claimer of a caller's own key. Any other entry passes the request on to that
+process, and says *unknown* where it cannot be reached: an earlier attempt may
+have run there.
+"""
+
+__all__ = ('IDEMPOTENCY_KEY_HEADER', 'OnceRunner')
+
+import asyncio
+import re
+from types import MappingProxyType
+
+import xxhash
+from aiohttp import web
+
+from zinniaturn.entry.answers import make_refusal
+from zinniaturn.entry.dispatch import Dispatcher
+from zinniaturn.entry.exceptions import BadRequestError
+from zinniaturn.entry.hops import pass_on
+from zinniaturn.entry.keeping import AnswerKeeper, replay
+from zinniaturn.entry.requests import CallerRequest
+from zinniaturn.entry.state import EntryState
+from zinniaturn.idempotency import (
+    ClaimBook,
+    ClaimOwner,
+    ClaimUnavailableError,
+    KeyIssuer,
+    KeyRecord,
+    KeyReusedError,
+    KeyState,
+    KeyTable,
+    KeyTableFullError,
+    UnreadableKeyError,
+)
+from zinniaturn.idempotency.keys import is_issued
+from zinniaturn.idempotency.records import KeyLimits
+from zinniaturn.outcomes import Outcome
+from zinniaturn.store import ConfigurationStore
+
+IDEMPOTENCY_KEY_HEADER = 'Idempotency-Key'
+
+_KEY = re.compile('[!-~]{1,256}')
+_RETRY_SECONDS = 1.0
+_FULL_RETRY_SECONDS = 5.0
+
+
+class OnceRunner:
+    """Runs requests; those with a key at most once."""
+
+    def __init__(
+        self,
+        state: EntryState,
+        dispatcher: Dispatcher,
+        store: ConfigurationStore,
+    ) -> None:
+        settings = state.settings
+        self.state = state
+        self.dispatcher = dispatcher
+        self.issuer = KeyIssuer(
+            settings.key_secret.get_secret_value().encode(),
+            state.clock,
+        )
+        self.claims = ClaimBook(
+            store,
+            state.clock,
+            settings.key_window_seconds,
+        )
+        limits = KeyLimits(
+            window_seconds=settings.key_window_seconds,
+            keys=settings.key_limit,
+            answer_bytes=settings.key_answer_bytes,
+        )
+        self.table = KeyTable(limits, state.clock)
+        self.running: set[asyncio.Task[web.StreamResponse]] = set()
+
+    async def run(
+        self,
+        request: web.BaseRequest,
+        parsed: CallerRequest,
+    ) -> web.StreamResponse:
+        """Return the answer; raises as `Dispatcher.run` does."""
+        key = request.headers.get(IDEMPOTENCY_KEY_HEADER)
+        if key is None or parsed.idempotent:
+            return await self.dispatcher.run(request, parsed)
+        try:
+            if is_issued(key):
+                return await self._run_issued(request, parsed, key)
+            return await self._run_claimed(request, parsed, key)
+        except KeyReusedError as error:
+            return _refuse(parsed, error.code, Outcome.NOT_RUN, error.message)
+        except (UnreadableKeyError, ClaimUnavailableError) as error:
+            return _refuse(parsed, error.code, Outcome.UNKNOWN, error.message)
+
+    def refused_outcome(self, request: web.BaseRequest) -> Outcome:
+        """
+        Return what is known of a request that is refused before its key.
+
+        An earlier attempt of a request with a key may have run elsewhere.
+        """
+        if IDEMPOTENCY_KEY_HEADER in request.headers:
+            return Outcome.UNKNOWN
+        return Outcome.NOT_RUN
+
+    def issue(self, count: int) -> list[str]:
+        """Return new keys that this process alone will run."""
+        host, port = self.state.settings.host, self.state.port
+        return [self.issuer.issue(host, port) for _ in range(count)]
+
+    async def _run_issued(
+        self,
+        request: web.BaseRequest,
+        parsed: CallerRequest,
+        text: str,
+    ) -> web.StreamResponse:
+        key = self.issuer.read(text)
+        if not self.issuer.is_own(key):
+            return await pass_on(
+                self.state,
+                request,
+                parsed,
+                (key.host, key.port),
+            )
+        fingerprint = _fingerprint(parsed)
+        record = self.table.find(text, fingerprint)
+        if record is not None:
+            return await self._repeat(parsed, record)
+        if self._is_expired(key.issued_at):
+            return _refuse(
+                parsed,
+                'key-expired',
+                Outcome.UNKNOWN,
+                'the key is older than its window',
+            )
+        return await self._begin(request, parsed, text, forgets=True)
+
+    async def _run_claimed(
+        self,
+        request: web.BaseRequest,
+        parsed: CallerRequest,
+        key: str,
+    ) -> web.StreamResponse:
+        check_key(key)
+        record = self.table.find(key, _fingerprint(parsed))
+        if record is not None and record.state is not KeyState.NOT_RUN:
+            return await self._repeat(parsed, record)
+        if record is not None:
+            return await self._begin(request, parsed, key, forgets=False)
+        own = ClaimOwner(
+            self.state.settings.host,
+            self.state.port,
+            self.issuer.boot.hex(),
+        )
+        owner = await self.claims.claim(key, own)
+        if owner != own:
+            address = (owner.host, owner.port)
+            return await pass_on(self.state, request, parsed, address)
+        return await self._begin(request, parsed, key, forgets=False)
+
+    def _is_expired(self, issued_at: float) -> bool:
+        age = self.state.clock.monotonic() - issued_at
+        return age >= self.state.settings.key_window_seconds
+
+    async def _begin(
+        self,
+        request: web.BaseRequest,
+        parsed: CallerRequest,
+        key: str,
+        forgets: bool,
+    ) -> web.StreamResponse:
+        """
+        Run the request in a task of its own.
+
+        It goes on when its caller goes away: the caller will ask again with
+        the same key.
+        """
+        try:
+            record = self.table.begin(key, _fingerprint(parsed))
+        except KeyTableFullError as error:
+            return _refuse(
+                parsed,
+                error.code,
+                Outcome.NOT_RUN,
+                error.message,
+                _FULL_RETRY_SECONDS,
+            )
+        task = asyncio.create_task(self._execute(request, parsed, record))
+        self.running.add(task)
+        self.state.requests_in_flight += 1
+        task.add_done_callback(self._end)
+        response = await asyncio.shield(task)
+        if forgets and record.state is KeyState.NOT_RUN:
+            self.table.drop(key)
+        return response
+
+    def _end(self, task: asyncio.Task[web.StreamResponse]) -> None:
+        self.running.discard(task)
+        self.state.requests_in_flight -= 1
+        if not task.cancelled():
+            task.exception()
+
+    async def _execute(
+        self,
+        request: web.BaseRequest,
+        parsed: CallerRequest,
+        record: KeyRecord,
+    ) -> web.StreamResponse:
+        keeper = AnswerKeeper()
+        state = KeyState.UNKNOWN
+        try:
+            response = await self.dispatcher.run(request, parsed, keeper.relay)
+            state = _state_after(keeper, response)
+        finally:
+            self.table.settle(record, state, keeper.kept)
+        return response
+
+    async def _repeat(
+        self,
+        parsed: CallerRequest,
+        record: KeyRecord,
+    ) -> web.StreamResponse:
+        if record.state is KeyState.IN_FLIGHT:
+            await self._wait(parsed, record)
+        if record.state is KeyState.ANSWERED and record.answer is not None:
+            return replay(record.answer, parsed.request_id)
+        code, outcome = _TOLD[record.state]
+        return _refuse(parsed, code, outcome, 'see the code', _RETRY_SECONDS)
+
+    async def _wait(self, parsed: CallerRequest, record: KeyRecord) -> None:
+        settled = asyncio.Event()
+        record.on_settled.append(settled.set)
+        remaining = parsed.deadline - self.state.clock.monotonic()
+        try:
+            async with asyncio.timeout(remaining):
+                await settled.wait()
+        except TimeoutError:
+            return
+
+
+_TOLD = MappingProxyType(
+    {
+    KeyState.IN_FLIGHT: ('key-in-flight', Outcome.UNKNOWN),
+    KeyState.NOT_RUN: ('key-not-run', Outcome.NOT_RUN),
+    KeyState.ANSWERED: ('already-run', Outcome.RUN),
+    KeyState.RAN: ('already-run', Outcome.RUN),
+    KeyState.UNKNOWN: ('key-unknown', Outcome.UNKNOWN),
+}
+)
+
+
+def check_key(key: str) -> None:
+    """Raise `BadRequestError` where a caller's own key is no usable one."""
+    if _KEY.fullmatch(key) is None:
+        raise BadRequestError(
+            f'{IDEMPOTENCY_KEY_HEADER} is not 1 to 256 visible ASCII '
+            'characters',
+        )
+
+
+def _state_after(keeper: AnswerKeeper, response: web.StreamResponse) -> KeyState:
+    if keeper.kept is not None:
+        return KeyState.ANSWERED
+    if keeper.has_answered:
+        return KeyState.RAN
+    if response.headers['Zinniaturn-Outcome'] == Outcome.NOT_RUN.value:
+        return KeyState.NOT_RUN
+    return KeyState.UNKNOWN
+
+
+def _fingerprint(parsed: CallerRequest) -> bytes:
+    sent = parsed.backend_request
+    text = f'{sent.method} {sent.target} {sent.length}\n'
+    return xxhash.xxh3_128(text.encode() + sent.body).digest()
+
+
+def _refuse(
+    parsed: CallerRequest,
+    code: str,
+    outcome: Outcome,
+    detail: str,
+    retry_after_seconds: float | None = None,
+) -> web.Response:
+    return make_refusal(
+        code,
+        outcome,
+        detail,
+        parsed.request_id,
+        retry_after_seconds,
+    )
--- a/zinniaturn/entry/process.py
+++ b/zinniaturn/entry/process.py
@@ -39,7 +39,7 @@
 
     async def start(self) -> None:
         """Listen and begin to follow the store; raises `ListenError`."""
-        frontend = Frontend(self.state)
+        frontend = Frontend(self.state, self.store)
         self.server = CallerServer(
             frontend.handle,
             handler_cancellation=True,
--- a/zinniaturn/forwarding/answer.py
+++ b/zinniaturn/forwarding/answer.py
@@ -45,9 +45,13 @@
         self.sent = Phase.SENT_WHOLE
         self.upload: Upload | None = None
         self.has_certain_end = True
+        self.begun: list[bytes] = []
 
     async def read_chunks(self) -> AsyncIterator[bytes]:
         """Yield the body; raises `ExchangeError` where it is cut short."""
+        for begun in self.begun:
+            yield begun
+        self.begun = []
         while not self.payload.at_eof():
             chunk = await self._read()
             if chunk:
@@ -58,6 +62,10 @@
         self._end_upload()
         self.pool.give_back(self.connection)
 
+    def put_back(self, chunks: list[bytes]) -> None:
+        """Have `read_chunks` begin with chunks that were read already."""
+        self.begun = chunks
+
     def abandon(self) -> None:
         """Close the connection, so that no one else reads what is left."""
         self._end_upload()
--- a/zinniaturn/outcomes/refusals.py
+++ b/zinniaturn/outcomes/refusals.py
@@ -89,6 +89,66 @@
         HTTPStatus.BAD_REQUEST,
         "The request's body broke off or is malformed",
     ),
+    Refusal(
+        'draining',
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'The entry is being stopped',
+    ),
+    Refusal(
+        'keys-full',
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'The entry keeps as many keys as it may',
+    ),
+    Refusal(
+        'key-in-flight',
+        HTTPStatus.CONFLICT,
+        'The request with this key still runs',
+    ),
+    Refusal(
+        'key-not-run',
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'The request with this key was not run',
+    ),
+    Refusal(
+        'already-run',
+        HTTPStatus.CONFLICT,
+        'The request with this key has run; its answer is not kept',
+    ),
+    Refusal(
+        'key-unknown',
+        HTTPStatus.CONFLICT,
+        'The request with this key may have run',
+    ),
+    Refusal(
+        'key-expired',
+        HTTPStatus.CONFLICT,
+        'The key is older than its window',
+    ),
+    Refusal(
+        'key-unreadable',
+        HTTPStatus.CONFLICT,
+        'The key was not issued by this system',
+    ),
+    Refusal(
+        'key-elsewhere',
+        HTTPStatus.CONFLICT,
+        'The process that issued the key is gone',
+    ),
+    Refusal(
+        'key-entry-unreachable',
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'The entry that the key belongs to cannot be reached',
+    ),
+    Refusal(
+        'key-reused',
+        HTTPStatus.UNPROCESSABLE_ENTITY,
+        'The key belongs to another request',
+    ),
+    Refusal(
+        'claim-unavailable',
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'The store did not say whose the key is',
+    ),
     Refusal(
         'internal',
         HTTPStatus.INTERNAL_SERVER_ERROR,
--- a/zinniaturn/settings/models.py
+++ b/zinniaturn/settings/models.py
@@ -4,7 +4,7 @@
 
 from typing import Literal
 
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import BaseModel, ConfigDict, Field, SecretStr
 
 
 class EntrySettings(BaseModel):
@@ -26,5 +26,9 @@
     store_url: str = Field(pattern='^https?://')
     policy: str = 'estimated-wait'
     address_lifetime_seconds: float = Field(default=5, gt=0, le=3600)
+    key_secret: SecretStr = Field(default=SecretStr(''), max_length=4096)
+    key_window_seconds: float = Field(default=600, ge=1, le=86_400)
+    key_limit: int = Field(default=100_000, ge=1, le=10_000_000)
+    key_answer_bytes: int = Field(default=33_554_432, ge=0)
     log_level: Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
     seed: int | None = None
