Run a request with an idempotency key at most once

Issued keys name the one process that may run them, with a code over the fields; callers' own keys are claimed by one compare-and-swap.

--- a/zinniaturn/caller/__init__.py
+++ b/zinniaturn/caller/__init__.py
@@ -1,6 +1,18 @@
 """A caller that follows the caller guide."""
 
-__all__ = ('Caller', 'CallerAnswer', 'CallerError')
+__all__ = (
+    'CallOptions',
+    'Caller',
+    'CallerAnswer',
+    'CallerError',
+    'call_idempotent',
+    'call_once',
+)
 
 from zinniaturn.caller.client import Caller, CallerAnswer
 from zinniaturn.caller.exceptions import CallerError
+from zinniaturn.caller.retrying import (
+    CallOptions,
+    call_idempotent,
+    call_once,
+)
--- a/zinniaturn/caller/client.py
+++ b/zinniaturn/caller/client.py
@@ -1,18 +1,24 @@
-"""Asking for addresses and sending requests to them."""
+"""Asking for addresses and keys, and sending requests once."""
 
 __all__ = ('Caller', 'CallerAnswer')
 
 import random
 import time
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import aiohttp
 import msgspec
 
 from zinniaturn.caller.exceptions import CallerError
 
+CODE_HEADER = 'Zinniaturn-Code'
 OUTCOME_HEADER = 'Zinniaturn-Outcome'
+RETRY_AFTER_HEADER = 'Zinniaturn-Retry-After-Ms'
+
+_BATCH = 32
+_MILLISECONDS = 1000
+_CONNECT_SECONDS = 2.0
 
 Address = tuple[str, int]
 
@@ -31,6 +37,40 @@
     body: bytes
     outcome: str
 
+    @property
+    def code(self) -> str:
+        """Return the code of an answer of the system's own, or nothing."""
+        return self.headers.get(CODE_HEADER, '')
+
+    @property
+    def retry_after_seconds(self) -> float:
+        """Return when to come back; 0 where nothing was said."""
+        text = self.headers.get(RETRY_AFTER_HEADER, '0')
+        return int(text) / _MILLISECONDS
+
+
+@dataclass(slots=True)
+class KeyBatch:
+    """Unused keys of one entry; ``expires_at`` is in monotonic seconds."""
+
+    keys: list[str] = field(default_factory=list)
+    expires_at: float = 0
+
+
+class _Entries(msgspec.Struct):
+    entries: list['_Entry']
+    lifetime_seconds: float
+
+
+class _Entry(msgspec.Struct):
+    host: str
+    port: int
+
+
+class _Keys(msgspec.Struct):
+    keys: list[str]
+    lifetime_seconds: float
+
 
 class Caller:
     """
@@ -44,6 +84,7 @@
         self.source = source
         self.addresses = list(seeds)
         self.expires_at = time.monotonic()
+        self.batches: dict[Address, KeyBatch] = {}
         self.session: aiohttp.ClientSession | None = None
 
     async def close(self) -> None:
@@ -63,30 +104,49 @@
 
         Raises `CallerError` where no whole answer came.
         """
+        address = await self.choose_address()
+        return await self.send(address, method, path, headers, body)
+
+    async def choose_address(self) -> Address:
+        """Return one of the entries to use at this moment."""
         if time.monotonic() >= self.expires_at:
             await self.refresh()
-        address = self.source.choice(self.addresses)
-        return await self._send(address, method, path, headers, body)
+        return self.source.choice(self.addresses)
 
     async def refresh(self) -> None:
         """Ask which addresses to use; keep the old ones if none answers."""
         for address in (*self.addresses, *self.seeds):
             try:
-                answer = await self._send(address, 'GET', '/v1/entries', {})
-            except CallerError:
+                answer = await self.send(address, 'GET', '/v1/entries', {})
+                reply = msgspec.json.decode(answer.body, type=_Entries)
+            except (CallerError, msgspec.DecodeError):
                 continue
-            self._take(answer)
+            self.addresses = [
+                (entry.host, entry.port) for entry in reply.entries
+            ]
+            self.expires_at = time.monotonic() + reply.lifetime_seconds
             return
 
-    def _take(self, answer: CallerAnswer) -> None:
-
-        reply = msgspec.json.decode(answer.body)
-        self.addresses = [
-            (entry['host'], entry['port']) for entry in reply['entries']
-        ]
-        self.expires_at = time.monotonic() + reply['lifetime_seconds']
+    async def take_key(self, address: Address) -> str:
+        """
+        Return a fresh key that the entry at ``address`` issued.
 
-    async def _send(
+        Raises `CallerError` where it issues none, as when it is being stopped.
+        """
+        batch = self.batches.setdefault(address, KeyBatch())
+        if time.monotonic() >= batch.expires_at:
+            batch.keys = []
+        if not batch.keys:
+            path = f'/v1/keys?count={_BATCH}'
+            answer = await self.send(address, 'GET', path, {})
+            if answer.outcome:
+                raise CallerError(f'no key: {answer.code}', answer.code)
+            reply = msgspec.json.decode(answer.body, type=_Keys)
+            batch.keys = reply.keys
+            batch.expires_at = time.monotonic() + reply.lifetime_seconds
+        return batch.keys.pop()
+
+    async def send(
         self,
         address: Address,
         method: str,
@@ -94,13 +154,10 @@
         headers: Mapping[str, str],
         body: bytes = b'',
     ) -> CallerAnswer:
-        if self.session is None:
-            connector = aiohttp.TCPConnector(limit=0)
-            self.session = aiohttp.ClientSession(connector=connector)
-            self.session._retry_connection = False
+        """Send one request to one entry, as `call` does."""
         host, port = address
         try:
-            async with self.session.request(
+            async with self._session().request(
                 method,
                 f'http://{host}:{port}{path}',
                 headers=headers,
@@ -114,4 +171,14 @@
                     response.headers.get(OUTCOME_HEADER, ''),
                 )
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            raise CallerError(f'{host}:{port}: {error}') from error
+            raise CallerError(f'{host}:{port}: {error!r}') from error
+
+    def _session(self) -> aiohttp.ClientSession:
+        if self.session is None:
+            self.session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0),
+                timeout=aiohttp.ClientTimeout(sock_connect=_CONNECT_SECONDS),
+                cookie_jar=aiohttp.DummyCookieJar(),
+            )
+            self.session._retry_connection = False
+        return self.session
--- a/zinniaturn/entry/frontend.py
+++ b/zinniaturn/entry/frontend.py
@@ -48,7 +48,9 @@
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.method == _TUNNEL_METHOD:
-            return self._refuse(request, '', 'no-tunnel', 'CONNECT is not served')
+            return self._refuse(
+                request, '', 'no-tunnel', 'CONNECT is not served'
+            )
         try:
             target = parse_target(
                 request.raw_path,
@@ -62,7 +64,9 @@
             return answer_keys(self.once, target.origin_form.partition('?')[2])
         tables = self.state.holder.tables
         if not tables.revision:
-            return self._refuse(request, '', 'not-ready', 'no tables were found yet', 1)
+            return self._refuse(
+                request, '', 'not-ready', 'no tables were found yet', 1
+            )
         route = find_route(tables, target.host, target.path, request.method)
         if route is None:
             return self._refuse(request, '', 'no-route', 'see the route table')
--- a/zinniaturn/entry/keeping.py
+++ b/zinniaturn/entry/keeping.py
@@ -58,7 +58,7 @@
     """Return a kept answer to a repeat, under the repeat's own id."""
     response = _response(stored)
     response.headers[REPLAYED_HEADER] = 'true'
-    if REQUEST_ID_HEADER in response.headers:
+    if response.headers.popall(REQUEST_ID_HEADER, None):
         response.headers[REQUEST_ID_HEADER] = request_id
     return response
 
--- a/zinniaturn/entry/once.py
+++ b/zinniaturn/entry/once.py
@@ -10,6 +10,7 @@
 __all__ = ('IDEMPOTENCY_KEY_HEADER', 'OnceRunner')
 
 import asyncio
+import math
 import re
 from types import MappingProxyType
 
@@ -19,7 +20,7 @@
 from zinniaturn.entry.answers import make_refusal
 from zinniaturn.entry.dispatch import Dispatcher
 from zinniaturn.entry.exceptions import BadRequestError
-from zinniaturn.entry.hops import pass_on
+from zinniaturn.entry.hops import HOP_HEADER, pass_on
 from zinniaturn.entry.keeping import AnswerKeeper, replay
 from zinniaturn.entry.requests import CallerRequest
 from zinniaturn.entry.state import EntryState
@@ -82,6 +83,7 @@
         parsed: CallerRequest,
     ) -> web.StreamResponse:
         """Return the answer; raises as `Dispatcher.run` does."""
+        parsed.backend_request.headers.popall(HOP_HEADER, None)
         key = request.headers.get(IDEMPOTENCY_KEY_HEADER)
         if key is None or parsed.idempotent:
             return await self.dispatcher.run(request, parsed)
@@ -123,18 +125,7 @@
                 parsed,
                 (key.host, key.port),
             )
-        fingerprint = _fingerprint(parsed)
-        record = self.table.find(text, fingerprint)
-        if record is not None:
-            return await self._repeat(parsed, record)
-        if self._is_expired(key.issued_at):
-            return _refuse(
-                parsed,
-                'key-expired',
-                Outcome.UNKNOWN,
-                'the key is older than its window',
-            )
-        return await self._begin(request, parsed, text, forgets=True)
+        return await self._run_own(request, parsed, text, key.issued_at)
 
     async def _run_claimed(
         self,
@@ -144,23 +135,46 @@
     ) -> web.StreamResponse:
         check_key(key)
         record = self.table.find(key, _fingerprint(parsed))
-        if record is not None and record.state is not KeyState.NOT_RUN:
-            return await self._repeat(parsed, record)
         if record is not None:
-            return await self._begin(request, parsed, key, forgets=False)
+            return await self._run_own(request, parsed, key, math.inf)
         own = ClaimOwner(
             self.state.settings.host,
             self.state.port,
             self.issuer.boot.hex(),
         )
-        owner = await self.claims.claim(key, own)
-        if owner != own:
-            address = (owner.host, owner.port)
+        claim = await self.claims.claim(key, own)
+        if claim.owner != own:
+            address = (claim.owner.host, claim.owner.port)
             return await pass_on(self.state, request, parsed, address)
-        return await self._begin(request, parsed, key, forgets=False)
+        return await self._run_own(request, parsed, key, claim.claimed_at)
 
-    def _is_expired(self, issued_at: float) -> bool:
-        age = self.state.clock.monotonic() - issued_at
+    async def _run_own(
+        self,
+        request: web.BaseRequest,
+        parsed: CallerRequest,
+        key: str,
+        given_at: float,
+    ) -> web.StreamResponse:
+        """
+        Run a key of this process, or tell what became of it.
+
+        A key that was given to this process within the window and has no
+        record was never begun: records are kept for the window at least.
+        """
+        record = self.table.find(key, _fingerprint(parsed))
+        if record is not None and record.state is not KeyState.NOT_RUN:
+            return await self._repeat(parsed, record)
+        if record is None and self._is_expired(given_at):
+            return _refuse(
+                parsed,
+                'key-expired',
+                Outcome.UNKNOWN,
+                'the key is older than its window',
+            )
+        return await self._begin(request, parsed, key)
+
+    def _is_expired(self, given_at: float) -> bool:
+        age = self.state.clock.monotonic() - given_at
         return age >= self.state.settings.key_window_seconds
 
     async def _begin(
@@ -168,7 +182,6 @@
         request: web.BaseRequest,
         parsed: CallerRequest,
         key: str,
-        forgets: bool,
     ) -> web.StreamResponse:
         """
         Run the request in a task of its own.
@@ -190,10 +203,7 @@
         self.running.add(task)
         self.state.requests_in_flight += 1
         task.add_done_callback(self._end)
-        response = await asyncio.shield(task)
-        if forgets and record.state is KeyState.NOT_RUN:
-            self.table.drop(key)
-        return response
+        return await asyncio.shield(task)
 
     def _end(self, task: asyncio.Task[web.StreamResponse]) -> None:
         self.running.discard(task)
@@ -241,12 +251,12 @@
 
 _TOLD = MappingProxyType(
     {
-    KeyState.IN_FLIGHT: ('key-in-flight', Outcome.UNKNOWN),
-    KeyState.NOT_RUN: ('key-not-run', Outcome.NOT_RUN),
-    KeyState.ANSWERED: ('already-run', Outcome.RUN),
-    KeyState.RAN: ('already-run', Outcome.RUN),
-    KeyState.UNKNOWN: ('key-unknown', Outcome.UNKNOWN),
-}
+        KeyState.IN_FLIGHT: ('key-in-flight', Outcome.UNKNOWN),
+        KeyState.NOT_RUN: ('key-not-run', Outcome.NOT_RUN),
+        KeyState.ANSWERED: ('already-run', Outcome.RUN),
+        KeyState.RAN: ('already-run', Outcome.RUN),
+        KeyState.UNKNOWN: ('key-unknown', Outcome.UNKNOWN),
+    }
 )
 
 
@@ -259,7 +269,9 @@
         )
 
 
-def _state_after(keeper: AnswerKeeper, response: web.StreamResponse) -> KeyState:
+def _state_after(
+    keeper: AnswerKeeper, response: web.StreamResponse
+) -> KeyState:
     if keeper.kept is not None:
         return KeyState.ANSWERED
     if keeper.has_answered:
--- a/zinniaturn/entry/process.py
+++ b/zinniaturn/entry/process.py
@@ -32,6 +32,7 @@
         self.state = EntryState(settings, SystemClock(), source)
         self.state.holder.observers.append(self.state.install_pools)
         self.store = HttpStore(settings.store_url, caller=settings.name)
+        self.frontend = Frontend(self.state, self.store)
         self.parts = build_parts(self.state, self.store)
         self.server: web.Server | None = None
         self.listener: asyncio.Server | None = None
@@ -39,16 +40,15 @@
 
     async def start(self) -> None:
         """Listen and begin to follow the store; raises `ListenError`."""
-        frontend = Frontend(self.state, self.store)
         self.server = CallerServer(
-            frontend.handle,
+            self.frontend.handle,
             handler_cancellation=True,
             access_log=None,
             auto_decompress=False,
             max_line_size=_HEADER_BYTES,
             max_field_size=_HEADER_BYTES,
         )
-        self.server.on_failure = frontend.count_failure
+        self.server.on_failure = self.frontend.count_failure
         try:
             self.listener = await asyncio.get_running_loop().create_server(
                 self.server,
--- a/zinniaturn/forwarding/exchange.py
+++ b/zinniaturn/forwarding/exchange.py
@@ -122,6 +122,8 @@
                 raise self.error(Event.CONNECT_FAILED, str(error)) from error
         self.connection = connection
         connection.check_open()
+        if asyncio.get_running_loop().time() >= self.deadline:
+            raise self.error(Event.DEADLINE_PASSED, 'deadline')
         return connection
 
     async def _send_small(self, connection: BackendConnection) -> None:
--- a/zinniaturn/idempotency/claims.py
+++ b/zinniaturn/idempotency/claims.py
@@ -7,10 +7,9 @@
 share and that no one renews.
 """
 
-__all__ = ('ClaimBook', 'ClaimOwner')
+__all__ = ('Claim', 'ClaimBook', 'ClaimOwner')
 
 import hashlib
-import secrets
 
 import msgspec
 
@@ -19,6 +18,7 @@
 from zinniaturn.store import (
     ConfigurationStore,
     Lease,
+    LeaseLapsedError,
     StoreConflictError,
     StoreError,
     StoreUnavailableError,
@@ -26,7 +26,6 @@
 
 _LEASES_PER_WINDOW = 4
 _DIGEST_BYTES = 20
-_NONCE_BYTES = 6
 
 
 class ClaimOwner(msgspec.Struct, frozen=True):
@@ -37,9 +36,11 @@
     boot: str
 
 
-class _Claim(msgspec.Struct):
+class Claim(msgspec.Struct, frozen=True):
+    """A claim; ``claimed_at`` is in seconds of its owner's monotonic clock."""
+
     owner: ClaimOwner
-    nonce: str
+    claimed_at: float
 
 
 class ClaimBook:
@@ -57,44 +58,62 @@
         self.lease: Lease | None = None
         self.lease_granted_at: float = 0
 
-    async def claim(self, key: str, owner: ClaimOwner) -> ClaimOwner:
+    async def claim(self, key: str, owner: ClaimOwner) -> Claim:
         """
-        Return whose the key is: ``owner``, if no one was before it.
+        Return the key's claim: one of ``owner``, if no one was before it.
 
         A write whose reply was lost is resolved by reading back. Raises
         `ClaimUnavailableError` where the store says nothing.
         """
         path = _path(key)
-        claim = _Claim(owner, secrets.token_hex(_NONCE_BYTES))
+        claim = Claim(owner, self.clock.monotonic())
         text = msgspec.json.encode(claim).decode()
         try:
             lease = await self._current_lease()
             await self.store.compare_and_swap(path, 0, text, lease.lease_id)
         except (StoreConflictError, StoreUnavailableError) as error:
             return await self._read_back(path, str(error))
-        except StoreError as error:
+        except LeaseLapsedError as error:
             self.lease = None
             raise ClaimUnavailableError(str(error)) from error
-        return owner
+        except StoreError as error:
+            raise ClaimUnavailableError(str(error)) from error
+        return claim
 
-    async def _read_back(self, path: str, reason: str) -> ClaimOwner:
+    async def _read_back(self, path: str, reason: str) -> Claim:
         try:
             entry = await self.store.read(path)
         except StoreError as error:
             raise ClaimUnavailableError(str(error)) from error
         if not entry.version:
             raise ClaimUnavailableError(reason)
-        return msgspec.json.decode(entry.value, type=_Claim).owner
+        return msgspec.json.decode(entry.value, type=Claim)
 
     async def _current_lease(self) -> Lease:
-        now = self.clock.monotonic()
+        """
+        Return a lease that lives for the window at least.
+
+        It is replaced after one rotation; the old one serves for a second
+        rotation while the store gives none.
+        """
         rotation = self.window_seconds / _LEASES_PER_WINDOW
-        if self.lease is None or now >= self.lease_granted_at + rotation:
-            self.lease = await self.store.grant_lease(
-                'idempotency-keys',
-                self.window_seconds + rotation,
-            )
-            self.lease_granted_at = now
+        age = self.clock.monotonic() - self.lease_granted_at
+        if self.lease is not None and age < rotation:
+            return self.lease
+        try:
+            return await self._grant(rotation)
+        except StoreError:
+            if self.lease is None or age >= rotation * 2:
+                raise
+            return self.lease
+
+    async def _grant(self, rotation: float) -> Lease:
+        granted_at = self.clock.monotonic()
+        self.lease = await self.store.grant_lease(
+            'idempotency-keys',
+            self.window_seconds + rotation * 2,
+        )
+        self.lease_granted_at = granted_at
         return self.lease
 
 
--- a/zinniaturn/idempotency/records.py
+++ b/zinniaturn/idempotency/records.py
@@ -98,6 +98,7 @@
         self._expire()
         known = self.records.get(key)
         if known is not None:
+            assert known.state is KeyState.NOT_RUN
             known.state = KeyState.IN_FLIGHT
             return known
         if len(self.records) >= self.limits.keys:
@@ -119,14 +120,11 @@
         record.state = state
         if answer is not None:
             self._keep(record, answer)
-        waiting, record.on_settled = record.on_settled, []
+        waiting = record.on_settled
+        record.on_settled = []
         for callback in waiting:
             callback()
 
-    def drop(self, key: str) -> None:
-        """Forget a key that was never sent to a backend server."""
-        self._forget(self.records.pop(key, None))
-
     def _keep(self, record: KeyRecord, answer: StoredAnswer) -> None:
         if self.answer_bytes + len(answer.body) > self.limits.answer_bytes:
             record.state = KeyState.RAN
@@ -142,7 +140,7 @@
                 return
             self._forget(self.records.popitem(last=False)[1])
 
-    def _forget(self, record: KeyRecord | None) -> None:
-        if record is not None and record.answer is not None:
+    def _forget(self, record: KeyRecord) -> None:
+        if record.answer is not None:
             self.answer_bytes -= len(record.answer.body)
             record.answer = None
