Give the tables and the settings their whole border

Table files reported their first problem only, took repeated keys and names, aliases and text for numbers, and died with a traceback on a missing file or one that is not UTF-8. JSON Schemas are made from the models and a feature holds the committed ones against them, as it does docs/TABLES.md.

Settings report all wrong values at once, each with flag, variable, value and what is allowed; exit statuses have their table; completion scripts are click's, without its look at bash's version, which starts a process.

--- /dev/null
+++ b/zinniaturn/commands/edits.py
@@ -0,0 +1,143 @@
+"""Showing what an edit changes and having it accepted."""
+
+__all__ = ('Edit', 'EditOptions', 'accept_edit', 'load_tables')
+
+import asyncio
+import sys
+from collections.abc import AsyncIterator, Callable, Mapping
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import Self
+
+import click
+import msgspec
+
+from zinniaturn.commands.output import print_json
+from zinniaturn.configuration import StoredTables, commit, read_tables
+from zinniaturn.configuration.edits import check_references
+from zinniaturn.store import HttpStore
+from zinniaturn.tables import Tables
+from zinniaturn.tables.differences import (
+    RowChange,
+    compare_tables,
+    format_changes,
+)
+from zinniaturn.tables.files import STANDARD_INPUT
+
+Edit = Callable[[Tables], Tables]
+
+
+@dataclass(frozen=True, slots=True)
+class EditOptions:
+    """How an edit is to be made, as the command line has it."""
+
+    as_json: bool = False
+    dry_run: bool = False
+    author: str = ''
+    reason: str = ''
+    change_id: str = ''
+    may_initialize: bool = False
+    asks: bool = False
+
+    @classmethod
+    def of(cls, options: Mapping[str, object], file: str = '') -> Self:
+        """Return the options of a command that may read ``file``."""
+        is_quiet = options['yes'] or options['as_json'] or options['dry_run']
+        is_person = file != STANDARD_INPUT and sys.stdin.isatty()
+        return cls(
+            as_json=bool(options['as_json']),
+            dry_run=bool(options['dry_run']),
+            author=str(options['author']),
+            reason=str(options['reason']),
+            change_id=str(options['change_id']),
+            may_initialize=bool(options['initialize']),
+            asks=is_person and not is_quiet,
+        )
+
+
+class EditOutput(msgspec.Struct):
+    """
+    What ``--json`` prints of an edit.
+
+    ``outcome`` is ``accepted``, ``unchanged`` or ``dry-run``. ``revision`` is
+    the one that holds now.
+    """
+
+    outcome: str
+    revision: int
+    base_revision: int
+    changes: tuple[RowChange, ...]
+
+
+def load_tables(store_url: str) -> Tables:
+    """Return the tables as the store holds them."""
+    return asyncio.run(_load(store_url))
+
+
+def accept_edit(store_url: str, edit: Edit, options: EditOptions) -> None:
+    """Show what an edit changes and commit it, unless it is a dry run."""
+    asyncio.run(_accept(store_url, edit, options))
+
+
+async def _load(store_url: str) -> Tables:
+    async with _opened(store_url) as store:
+        return (await read_tables(store)).tables
+
+
+async def _accept(store_url: str, edit: Edit, options: EditOptions) -> None:
+    async with _opened(store_url) as store:
+        base = await read_tables(store)
+        edited = edit(base.tables)
+        changes = compare_tables(base.tables, edited)
+        if not options.as_json and changes:
+            click.echo(format_changes(changes))
+        if options.asks and changes:
+            click.confirm('Accept?', abort=True, err=True)
+        output = await _settle(store, base, edited, changes, options)
+    if options.as_json:
+        print_json(output)
+    else:
+        click.echo(_sentence(output))
+
+
+async def _settle(
+    store: HttpStore,
+    base: StoredTables,
+    edited: Tables,
+    changes: tuple[RowChange, ...],
+    options: EditOptions,
+) -> EditOutput:
+    revision = base.tables.revision
+    if not changes:
+        return EditOutput('unchanged', revision, revision, changes)
+    if options.dry_run:
+        check_references(edited)
+        return EditOutput('dry-run', revision, revision, changes)
+    accepted = await commit(
+        store,
+        base,
+        edited,
+        author=options.author,
+        reason=options.reason,
+        change_id=options.change_id,
+        may_initialize=options.may_initialize,
+    )
+    return EditOutput('accepted', accepted.revision, revision, changes)
+
+
+def _sentence(output: EditOutput) -> str:
+    match output.outcome:
+        case 'unchanged':
+            return f'no change; revision {output.revision} stands'
+        case 'dry-run':
+            return f'dry run; revision {output.revision} stands'
+    return f'accepted as revision {output.revision}'
+
+
+@asynccontextmanager
+async def _opened(store_url: str) -> AsyncIterator[HttpStore]:
+    store = HttpStore(store_url)
+    try:
+        yield store
+    finally:
+        await store.close()
--- a/zinniaturn/commands/entry.py
+++ b/zinniaturn/commands/entry.py
@@ -3,32 +3,83 @@
 __all__ = ('entry',)
 
 import asyncio
+import os
 
 import click
+from click.types import OptionHelpExtra
 
+from zinniaturn.commands.options import AUTHOR_VARIABLE
 from zinniaturn.entry import run_entry
-from zinniaturn.events import configure_logging
+from zinniaturn.events import LogEvent, configure_logging, log_event
 from zinniaturn.settings import EntrySettings, check_settings
-from zinniaturn.settings.checking import flag_of, variable_of
+from zinniaturn.settings.checking import (
+    PREFIX,
+    allowed_text,
+    flag_of,
+    unknown_variables,
+    variable_of,
+)
 
 
-def _options(command: click.Command) -> click.Command:
-    for name, field in reversed(EntrySettings.model_fields.items()):
-        option = click.Option(
-            [flag_of(name)],
-            envvar=variable_of(name),
-            default=None,
-            help=field.description,
+class _Setting(click.Option):
+    """The flag of a settings field; its value is checked by the model."""
+
+    def __init__(self, field: str) -> None:
+        info = EntrySettings.model_fields[field]
+        allowed = allowed_text(EntrySettings, field)
+        super().__init__(
+            [flag_of(field)],
+            envvar=variable_of(field),
+            show_envvar=True,
+            metavar=field.upper(),
+            help=f'{info.description} Allowed: {allowed}.',
         )
-        command.params.insert(0, option)
+        self.info = info
+
+    def get_help_extra(self, ctx: click.Context) -> OptionHelpExtra:
+        """Return the notes behind the help, with the model's default."""
+        extra = super().get_help_extra(ctx)
+        if self.info.is_required():
+            extra['required'] = 'required'
+        elif self.info.default not in {None, ''}:
+            extra['default'] = str(self.info.default)
+        return extra
+
+
+def _add_settings(command: click.Command) -> click.Command:
+    settings = [_Setting(name) for name in EntrySettings.model_fields]
+    command.params = [*settings, *command.params]
     return command
 
 
-@_options
+@_add_settings
 @click.command()
 def entry(**given: str | None) -> None:
-    """Run the process of an entry VM."""
+    """
+    Run the process of an entry VM until it is told to stop.
+
+    Every setting is a flag or an environment variable; the flag goes first.
+    SIGTERM and SIGINT stop it once its last request is served.
+    """
     stated = {name: text for name, text in given.items() if text is not None}
     settings = check_settings(EntrySettings, stated)
     configure_logging(settings.log_level, settings.name)
+    _warn_of_unknown_variables()
     asyncio.run(run_entry(settings))
+
+
+def _warn_of_unknown_variables() -> None:
+    commands = click.get_current_context().find_root().command
+    assert isinstance(commands, click.Group)
+    known = [variable_of(name) for name in EntrySettings.model_fields]
+    prefixes = tuple(
+        f'{PREFIX}{name.upper()}_'
+        for name in commands.list_commands(click.get_current_context())
+    )
+    unknown = unknown_variables(
+        os.environ,
+        (*known, AUTHOR_VARIABLE),
+        prefixes,
+    )
+    for name, closest in unknown.items():
+        log_event(LogEvent.VARIABLE_UNKNOWN, variable=name, closest=closest)
--- /dev/null
+++ b/zinniaturn/commands/exit_status.py
@@ -0,0 +1,45 @@
+"""
+Exit statuses of the command line.
+
+``docs/OPERATORS.md`` lists them; scripts may rely on them.
+"""
+
+__all__ = ('ExitStatus', 'exit_status_of')
+
+import enum
+from types import MappingProxyType
+
+from zinniaturn.errors import CodedError
+
+
+class ExitStatus(enum.IntEnum):
+    """What the status of a finished command says."""
+
+    DONE = 0
+    CHECK_FAILED = 1
+    USAGE = 2
+    REFUSED = 3
+    UNKNOWN = 4
+    UNAVAILABLE = 5
+    INTERNAL = 70
+
+
+_BY_CODE = MappingProxyType(
+    {
+        'setting-invalid': ExitStatus.USAGE,
+        'change-unknown': ExitStatus.UNKNOWN,
+        'tables-unavailable': ExitStatus.UNAVAILABLE,
+        'store-unavailable': ExitStatus.UNAVAILABLE,
+        'listen-failed': ExitStatus.UNAVAILABLE,
+    }
+)
+
+
+def exit_status_of(error: CodedError) -> ExitStatus:
+    """
+    Return the status for an error that ended a command.
+
+    >>> exit_status_of(CodedError('no', 'change-unknown')).name
+    'UNKNOWN'
+    """
+    return _BY_CODE.get(error.code, ExitStatus.REFUSED)
--- a/zinniaturn/commands/main.py
+++ b/zinniaturn/commands/main.py
@@ -5,30 +5,33 @@
 command does not pay for a heavy one.
 """
 
-__all__ = ('main',)
+__all__ = ('cli', 'main')
 
 import importlib
 import sys
+import traceback
 from types import MappingProxyType
 
 import click
 
 from zinniaturn import VERSION
+from zinniaturn.commands.exit_status import ExitStatus, exit_status_of
+from zinniaturn.commands.output import print_error
 from zinniaturn.errors import CodedError
 
 _COMMANDS = MappingProxyType(
     {
+        'completion': 'zinniaturn.commands.completion:completion',
         'demo': 'zinniaturn.commands.demo:demo',
         'entry': 'zinniaturn.commands.entry:entry',
         'experiment': 'zinniaturn.commands.experiment:experiment',
         'pools': 'zinniaturn.commands.pools:pools',
         'routes': 'zinniaturn.commands.routes:routes',
+        'schema': 'zinniaturn.commands.schema:schema',
         'standin': 'zinniaturn.commands.standin:standin',
     }
 )
 
-EXIT_REFUSED = 3
-
 
 class _LazyGroup(click.Group):
     """A group that imports a subcommand's module on its first use."""
@@ -47,6 +50,7 @@
         module_name, _, attribute = target.partition(':')
         module = importlib.import_module(module_name)
         command: click.Command = getattr(module, attribute)
+        _show_variables(command)
         return command
 
 
@@ -56,13 +60,32 @@
 )
 @click.version_option(VERSION, prog_name='zinniaturn')
 def cli() -> None:
-    """Pick the backend server for each request of tireless callers."""
+    """
+    Pick the backend server for each request of tireless callers.
+
+    The exit status is 0 when done, 1 when a check failed, 2 for wrong usage
+    or settings, 3 when refused, 4 when the outcome of a change is unknown,
+    5 when the store or an address is unavailable, 70 for an internal error.
+    """
 
 
 def main() -> None:
-    """Run the command line; coded errors become one line and a status."""
+    """Run the command line; errors become one line and a status."""
     try:
         cli(prog_name='zinniaturn')
     except CodedError as error:
-        click.echo(f'zinniaturn: {error}', err=True)
-        sys.exit(EXIT_REFUSED)
+        print_error(error, as_json='--json' in sys.argv)
+        sys.exit(exit_status_of(error))
+    except Exception:
+        click.echo(f'zinniaturn: internal: {traceback.format_exc()}', err=True)
+        sys.exit(ExitStatus.INTERNAL)
+
+
+def _show_variables(command: click.Command) -> None:
+    """Have the help of every option name its environment variable."""
+    for parameter in command.params:
+        if isinstance(parameter, click.Option):
+            parameter.show_envvar = True
+    if isinstance(command, click.Group):
+        for child in command.commands.values():
+            _show_variables(child)
--- a/zinniaturn/commands/options.py
+++ b/zinniaturn/commands/options.py
@@ -1,20 +1,119 @@
 """Options that several subcommands share."""
 
-__all__ = ('STORE_URL_VARIABLE', 'json_option', 'store_option')
+__all__ = (
+    'AUTHOR_VARIABLE',
+    'STORE_URL_VARIABLE',
+    'dry_run_option',
+    'edit_options',
+    'json_option',
+    'store_option',
+)
+
+from collections.abc import Callable
+from typing import Any
 
 import click
 
+from zinniaturn.settings.fields import check_store_url
+
 STORE_URL_VARIABLE = 'ZINNIATURN_STORE_URL'
+AUTHOR_VARIABLE = 'ZINNIATURN_AUTHOR'
+
+_AUTHOR_CHARACTERS = 100
+_REASON_CHARACTERS = 500
+
+Command = Callable[..., Any]
+
+
+class _Text(click.ParamType):
+    """Text of a bounded length without control characters."""
+
+    name = 'text'
+
+    def __init__(self, longest: int) -> None:
+        self.longest = longest
+
+    def convert(
+        self,
+        value: str,
+        param: click.Parameter | None,
+        ctx: click.Context | None,
+    ) -> str:
+        if len(value) > self.longest:
+            self.fail(f'over {self.longest} characters', param, ctx)
+        if not value.isprintable():
+            self.fail('holds control characters', param, ctx)
+        return value
+
+
+class _StoreUrl(click.ParamType):
+    """An URL of the store."""
+
+    name = 'url'
+
+    def convert(
+        self,
+        value: str,
+        param: click.Parameter | None,
+        ctx: click.Context | None,
+    ) -> str:
+        try:
+            return check_store_url(value)
+        except ValueError as error:
+            self.fail(f'{value!r}: {error}', param, ctx)
+
 
 store_option = click.option(
     '--store-url',
     envvar=STORE_URL_VARIABLE,
+    show_envvar=True,
     required=True,
-    help='URL of the configuration store.',
+    type=_StoreUrl(),
+    help='URL of the configuration store, http://ADDRESS:PORT.',
 )
 json_option = click.option(
     '--json',
     'as_json',
     is_flag=True,
-    help='Print JSON for programs.',
+    help='Print one JSON object for programs, also for an error.',
 )
+dry_run_option = click.option(
+    '--dry-run',
+    is_flag=True,
+    help='Show the change and have nothing accepted.',
+)
+_EDIT_OPTIONS = (
+    click.option('--yes', is_flag=True, help='Do not ask on a terminal.'),
+    click.option(
+        '--author',
+        envvar=AUTHOR_VARIABLE,
+        show_envvar=True,
+        type=_Text(_AUTHOR_CHARACTERS),
+        default='',
+        help='Who makes the change; the name of the login if not given.',
+    ),
+    click.option(
+        '--reason',
+        type=_Text(_REASON_CHARACTERS),
+        default='',
+        help='Why, for the audit trail.',
+    ),
+    click.option(
+        '--change-id',
+        type=_Text(_AUTHOR_CHARACTERS),
+        default='',
+        help='Identity of the change; a fresh one if not given.',
+    ),
+    click.option(
+        '--initialize/--no-initialize',
+        default=True,
+        help='Whether this may be the first revision of an empty store.',
+    ),
+)
+
+
+def edit_options(command: Command) -> Command:
+    """Add the options of every edit."""
+    for option in reversed(_EDIT_OPTIONS):
+        command = option(command)
+    return command
--- a/zinniaturn/commands/pools.py
+++ b/zinniaturn/commands/pools.py
@@ -2,48 +2,53 @@
 
 __all__ = ('pools',)
 
-from pathlib import Path
+from collections.abc import Sequence
 
-import click
-import msgspec
-import yaml
-
-from zinniaturn.commands.options import json_option, store_option
-from zinniaturn.commands.tables import accept_edit, load_tables
-from zinniaturn.configuration import apply_pools
-from zinniaturn.tables import parse_pools
+from zinniaturn.commands.tables import TableKind, table_group
+from zinniaturn.configuration import apply_pools, delete_pools
+from zinniaturn.tables import Tables, parse_pools
 from zinniaturn.tables.codec import models_of
-
-
-@click.group()
-def pools() -> None:
-    """Read and edit the pool table."""
-
-
-@pools.command('list')
-@store_option
-@json_option
-def list_pools(store_url: str, as_json: bool) -> None:
-    """Print the pool table."""
-    tables = load_tables(store_url)
-    rows = models_of(tables)[1]
-    dumped = [row.model_dump(mode='json') for row in rows]
-    if as_json:
-        click.echo(_json({'revision': tables.revision, 'pools': dumped}))
-    else:
-        click.echo(yaml.safe_dump({'pools': dumped}, sort_keys=False), nl=False)
-
-
-@pools.command()
-@click.argument('file', type=click.Path(exists=True, path_type=Path))
-@click.option('--dry-run', is_flag=True, help='Show the change only.')
-@store_option
-def apply(file: Path, dry_run: bool, store_url: str) -> None:
-    """Add or replace the pools in FILE."""
-    models = parse_pools(file.read_text('utf-8'), file.name)
-    rows = [model.to_domain() for model in models]
-    accept_edit(store_url, lambda tables: apply_pools(tables, rows), dry_run)
-
-
-def _json(document: object) -> str:
-    return msgspec.json.encode(document).decode()
+from zinniaturn.tables.models import PoolModel
+
+
+def _rows(tables: Tables) -> Sequence[PoolModel]:
+    return models_of(tables)[1]
+
+
+def _apply(tables: Tables, rows: Sequence[PoolModel]) -> Tables:
+    return apply_pools(tables, [row.to_domain() for row in rows])
+
+
+def _summarize(pool: PoolModel) -> Sequence[str]:
+    servers = pool.servers
+    return [
+        pool.name,
+        str(len(servers)),
+        str(sum(server.leaving for server in servers)),
+        str(sum(server.slots for server in servers)),
+        f'{pool.measuring_budget:g}',
+        f'{pool.retry_share:g}',
+        str(pool.queue_limit),
+    ]
+
+
+pools = table_group(
+    TableKind(
+        name='pools',
+        noun='pool',
+        columns=(
+            'NAME',
+            'SERVERS',
+            'LEAVING',
+            'SLOTS',
+            'BUDGET (1/s a server)',
+            'RETRY SHARE',
+            'QUEUE',
+        ),
+        summarize=_summarize,
+        rows=_rows,
+        parse=parse_pools,
+        apply=_apply,
+        delete=delete_pools,
+    ),
+)
--- /dev/null
+++ b/zinniaturn/commands/schema.py
@@ -0,0 +1,14 @@
+"""``zinniaturn schema``."""
+
+__all__ = ('schema',)
+
+import click
+
+from zinniaturn.tables.schema import SCHEMAS, schema_text
+
+
+@click.command()
+@click.argument('table', type=click.Choice(sorted(SCHEMAS)))
+def schema(table: str) -> None:
+    """Print the JSON Schema of a file of routes or of pools."""
+    click.echo(schema_text(table), nl=False)
--- a/zinniaturn/commands/tables.py
+++ b/zinniaturn/commands/tables.py
@@ -1,80 +1,166 @@
-"""What ``zinniaturn routes`` and ``zinniaturn pools`` have in common."""
+"""
+What ``zinniaturn routes`` and ``zinniaturn pools`` have in common.
 
-__all__ = ('accept_edit', 'load_tables')
+A `TableKind` says in what the two tables differ; `table_group` makes the
+subcommands from it.
+"""
 
-import asyncio
-import difflib
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
-
-import click
-import yaml
-
-from zinniaturn.configuration import commit, read_tables
-from zinniaturn.store import HttpStore
-from zinniaturn.tables import Tables
-from zinniaturn.tables.codec import models_of
-
-Edit = Callable[[Tables], Tables]
-
-
-def load_tables(store_url: str) -> Tables:
-    """Return the tables as the store holds them."""
-    return asyncio.run(_load(store_url))
+__all__ = ('TableKind', 'table_group')
 
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+from typing import Generic, TypeVar
 
-def accept_edit(store_url: str, edit: Edit, dry_run: bool) -> None:
-    """Show what an edit changes and commit it, unless it is a dry run."""
-    asyncio.run(_accept(store_url, edit, dry_run))
+import click
 
+from zinniaturn.commands.edits import (
+    EditOptions,
+    accept_edit,
+    load_tables,
+)
+from zinniaturn.commands.options import (
+    dry_run_option,
+    edit_options,
+    json_option,
+    store_option,
+)
+from zinniaturn.commands.output import format_columns, print_json, print_yaml
+from zinniaturn.configuration.exceptions import RowNotFoundError
+from zinniaturn.tables import Tables, read_table_file
+from zinniaturn.tables.models import PoolModel, RouteModel
+
+Row = TypeVar('Row', RouteModel, PoolModel)
+
+
+@dataclass(frozen=True, slots=True)
+class TableKind(Generic[Row]):
+    """
+    One of the two tables.
+
+    ``name`` is the key of its files, ``noun`` names one row, ``columns`` and
+    ``summarize`` make the listing, ``rows`` picks the table's rows, ``parse``
+    reads a file and ``apply`` and ``delete`` edit.
+    """
+
+    name: str
+    noun: str
+    columns: tuple[str, ...]
+    summarize: Callable[[Row], Sequence[str]]
+    rows: Callable[[Tables], Sequence[Row]]
+    parse: Callable[[str, str], Sequence[Row]]
+    apply: Callable[[Tables, Sequence[Row]], Tables]
+    delete: Callable[[Tables, Iterable[str]], Tables]
+
+
+def table_group(kind: TableKind[Row]) -> click.Group:
+    """Return the command group of a table."""
+    group = click.Group(kind.name, help=f'Read and edit the {kind.noun} table.')
+    group.add_command(_list_command(kind))
+    group.add_command(_show_command(kind))
+    group.add_command(_apply_command(kind))
+    group.add_command(_delete_command(kind))
+    return group
+
+
+def _list_command(kind: TableKind[Row]) -> click.Command:
+    @click.command('list', help=f'Print a line for each {kind.noun}.')
+    @store_option
+    @json_option
+    def list_rows(store_url: str, as_json: bool) -> None:
+        tables = load_tables(store_url)
+        if as_json:
+            print_json(_document(kind, tables, kind.rows(tables)))
+            return
+        lines = [kind.summarize(row) for row in kind.rows(tables)]
+        click.echo(format_columns(kind.columns, lines))
+        click.echo(f'revision {tables.revision}', err=True)
 
-async def _load(store_url: str) -> Tables:
-    async with _opened(store_url) as store:
-        return (await read_tables(store)).tables
+    return list_rows
 
 
-async def _accept(store_url: str, edit: Edit, dry_run: bool) -> None:
-    async with _opened(store_url) as store:
-        base = await read_tables(store)
-        edited = edit(base.tables)
-        difference = _difference(base.tables, edited)
-        if not difference:
-            click.echo(f'no change; revision {base.tables.revision} stands')
-            return
-        click.echo(difference)
-        if dry_run:
-            click.echo('dry run; nothing was changed')
-            return
-        accepted = await commit(store, base, edited)
-        click.echo(f'accepted as revision {accepted.revision}')
-
-
-@asynccontextmanager
-async def _opened(store_url: str) -> AsyncIterator[HttpStore]:
-    store = HttpStore(store_url)
-    try:
-        yield store
-    finally:
-        await store.close()
-
-
-def _difference(before: Tables, after: Tables) -> str:
-    lines = difflib.unified_diff(
-        _text(before).splitlines(),
-        _text(after).splitlines(),
-        f'revision {before.revision}',
-        'edited',
-        lineterm='',
+def _show_command(kind: TableKind[Row]) -> click.Command:
+    @click.command(
+        'show',
+        help=(
+            f'Print the {kind.name} with these NAMES, or all, in the form '
+            'that "apply" reads.'
+        ),
     )
-    return '\n'.join(lines)
-
-
-def _text(tables: Tables) -> str:
-    routes, pools = models_of(tables)
-    return yaml.safe_dump(
-        {
-            'routes': [route.model_dump(mode='json') for route in routes],
-            'pools': [pool.model_dump(mode='json') for pool in pools],
-        },
-        sort_keys=False,
+    @click.argument('names', nargs=-1)
+    @store_option
+    @json_option
+    def show_rows(names: Sequence[str], store_url: str, as_json: bool) -> None:
+        tables = load_tables(store_url)
+        rows = _pick(kind, tables, names)
+        document = _document(kind, tables, rows)
+        if as_json:
+            print_json(document)
+        else:
+            print_yaml({kind.name: document[kind.name]})
+
+    return show_rows
+
+
+def _apply_command(kind: TableKind[Row]) -> click.Command:
+    @click.command(
+        'apply',
+        help=(
+            f'Add or replace the {kind.name} in FILE ("-" is standard input). '
+            f'Other {kind.name} stay as they are.'
+        ),
     )
+    @click.argument('file')
+    @dry_run_option
+    @edit_options
+    @store_option
+    @json_option
+    def apply_rows(file: str, store_url: str, **options: object) -> None:
+        rows = kind.parse(read_table_file(file), file)
+
+        def edit(tables: Tables) -> Tables:
+            return kind.apply(tables, rows)
+
+        accept_edit(store_url, edit, EditOptions.of(options, file))
+
+    return apply_rows
+
+
+def _delete_command(kind: TableKind[Row]) -> click.Command:
+    @click.command('delete', help=f'Delete the {kind.name} with these NAMES.')
+    @click.argument('names', nargs=-1, required=True)
+    @dry_run_option
+    @edit_options
+    @store_option
+    @json_option
+    def delete_rows(
+        names: Sequence[str],
+        store_url: str,
+        **options: object,
+    ) -> None:
+        def edit(tables: Tables) -> Tables:
+            return kind.delete(tables, names)
+
+        accept_edit(store_url, edit, EditOptions.of(options))
+
+    return delete_rows
+
+
+def _pick(
+    kind: TableKind[Row],
+    tables: Tables,
+    names: Sequence[str],
+) -> Sequence[Row]:
+    rows = {row.name: row for row in kind.rows(tables)}
+    absent = [name for name in names if name not in rows]
+    if absent:
+        raise RowNotFoundError(f'there is no {kind.noun} "{absent[0]}"')
+    return [rows[name] for name in names or rows]
+
+
+def _document(
+    kind: TableKind[Row],
+    tables: Tables,
+    rows: Sequence[Row],
+) -> dict[str, object]:
+    dumped = [row.model_dump(mode='json') for row in rows]
+    return {'revision': tables.revision, kind.name: dumped}
--- a/zinniaturn/events/catalogue.py
+++ b/zinniaturn/events/catalogue.py
@@ -20,6 +20,7 @@
     ENTRY_READY = 101
     ENTRY_DRAINING = 102
     ENTRY_STOPPED = 103
+    VARIABLE_UNKNOWN = 104
     REQUEST_FAILED = 110
     REVISION_INSTALLED = 200
     REVISION_REFUSED = 201
@@ -40,6 +41,10 @@
         ),
         LogEvent.ENTRY_DRAINING: (_INFO, 'the entry was told to stop'),
         LogEvent.ENTRY_STOPPED: (_INFO, 'the entry served its last request'),
+        LogEvent.VARIABLE_UNKNOWN: (
+            _WARNING,
+            'an environment variable is unknown',
+        ),
         LogEvent.REQUEST_FAILED: (
             logging.ERROR,
             'a request ended in a fault of the entry',
--- a/zinniaturn/settings/__init__.py
+++ b/zinniaturn/settings/__init__.py
@@ -1,7 +1,13 @@
 """Settings from flags and environment variables, checked at start."""
 
-__all__ = ('EntrySettings', 'SettingsError', 'check_settings')
+__all__ = (
+    'EntrySettings',
+    'SettingsError',
+    'check_settings',
+    'check_store_url',
+)
 
 from zinniaturn.settings.checking import check_settings
 from zinniaturn.settings.exceptions import SettingsError
+from zinniaturn.settings.fields import check_store_url
 from zinniaturn.settings.models import EntrySettings
--- /dev/null
+++ b/zinniaturn/settings/fields.py
@@ -0,0 +1,51 @@
+"""Kinds of values that several settings share."""
+
+__all__ = ('IpAddress', 'StoreUrl', 'check_store_url')
+
+import ipaddress
+from typing import Annotated
+from urllib.parse import urlsplit
+
+from pydantic import AfterValidator, Field
+
+_SCHEMES = frozenset(('http', 'https'))
+
+
+def check_address(text: str) -> str:
+    """
+    Return an IP address in its usual form; raises `ValueError`.
+
+    >>> check_address('::0001')
+    '::1'
+    """
+    return str(ipaddress.ip_address(text))
+
+
+def check_store_url(text: str) -> str:
+    """
+    Return an URL of the store without a slash at its end.
+
+    Raises `ValueError` where it is no ``http`` or ``https`` URL of a host.
+    """
+    parts = urlsplit(text)
+    if parts.scheme not in _SCHEMES or not parts.hostname:
+        raise ValueError('not http://ADDRESS:PORT')
+    if parts.port == 0:
+        raise ValueError('the port is 0')
+    if parts.query or parts.fragment or parts.username is not None:
+        raise ValueError('holds more than an address and a path')
+    if not text.isprintable() or ' ' in text:
+        raise ValueError('holds spaces or control characters')
+    return text.rstrip('/')
+
+
+IpAddress = Annotated[
+    str,
+    AfterValidator(check_address),
+    Field(json_schema_extra={'allowed': 'an IP address'}),
+]
+StoreUrl = Annotated[
+    str,
+    AfterValidator(check_store_url),
+    Field(json_schema_extra={'allowed': 'http://ADDRESS:PORT or https'}),
+]
--- a/zinniaturn/settings/models.py
+++ b/zinniaturn/settings/models.py
@@ -1,10 +1,43 @@
-"""Validated models of the settings."""
+"""
+Validated models of the settings.
+
+Every field has a description, with its unit where there is one; it is the
+help of the field's flag.
+"""
 
 __all__ = ('EntrySettings',)
 
-from typing import Literal
+import random
+from typing import Annotated, Literal, Self
+
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    model_validator,
+)
+
+from zinniaturn.choosing.exceptions import UnknownPolicyError
+from zinniaturn.choosing.registry import PRODUCT_POLICY, policy_for_pool
+from zinniaturn.settings.fields import IpAddress, StoreUrl
+
 
-from pydantic import BaseModel, ConfigDict, Field
+def _check_policy(setting: str) -> str:
+    for part in setting.split(','):
+        pool = part.rpartition('=')[0]
+        try:
+            policy_for_pool(setting, pool, random.Random(0))
+        except UnknownPolicyError as error:
+            raise ValueError(error.message) from error
+    return setting
+
+
+Policy = Annotated[
+    str,
+    AfterValidator(_check_policy),
+    Field(json_schema_extra={'allowed': 'NAME[,POOL=NAME]...'}),
+]
 
 
 class EntrySettings(BaseModel):
@@ -17,14 +50,62 @@
 
     model_config = ConfigDict(extra='forbid', frozen=True)
 
-    name: str = Field(pattern='^[a-z0-9][a-z0-9.-]{0,61}$')
-    data_center: str = Field(default='', max_length=63)
-    host: str = Field(default='127.0.0.1', min_length=1)
-    port: int = Field(default=8080, ge=0, le=65_535)
-    admin_host: str = Field(default='127.0.0.1', min_length=1)
-    admin_port: int = Field(default=8081, ge=0, le=65_535)
-    store_url: str = Field(pattern='^https?://')
-    policy: str = 'estimated-wait'
-    address_lifetime_seconds: float = Field(default=5, gt=0, le=3600)
-    log_level: Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
-    seed: int | None = None
+    name: str = Field(
+        pattern='^[a-z0-9][a-z0-9.-]{0,61}$',
+        description='Name of the entry, unique in the fleet.',
+    )
+    data_center: str = Field(
+        default='',
+        max_length=63,
+        description='Data centre that the entry is in.',
+    )
+    host: IpAddress = Field(
+        default='127.0.0.1',
+        description='Address to listen on for callers.',
+    )
+    port: int = Field(
+        default=8080,
+        ge=0,
+        le=65_535,
+        description='TCP port for callers; 0 takes a free one.',
+    )
+    admin_host: IpAddress = Field(
+        default='127.0.0.1',
+        description='Address to listen on for health, readiness and metrics.',
+    )
+    admin_port: int = Field(
+        default=8081,
+        ge=0,
+        le=65_535,
+        description='TCP port of the admin address; 0 takes a free one.',
+    )
+    store_url: StoreUrl = Field(
+        description='URL of the configuration store.',
+    )
+    policy: Policy = Field(
+        default=PRODUCT_POLICY,
+        description='How backend servers are chosen, for all pools or by pool.',
+    )
+    address_lifetime_seconds: float = Field(
+        default=5,
+        gt=0,
+        le=3600,
+        allow_inf_nan=False,
+        description='How long callers keep the addresses, in seconds.',
+    )
+    log_level: Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = Field(
+        default='INFO',
+        description='Least severe level that is logged.',
+    )
+    seed: int | None = Field(
+        default=None,
+        description='Seed of random choices; unset draws one.',
+    )
+
+    @model_validator(mode='after')
+    def check_ports(self) -> Self:
+        """Refuse one port for callers and for the admin address."""
+        is_same = (self.host, self.port) == (self.admin_host, self.admin_port)
+        if is_same and self.port:
+            raise ValueError('--port and --admin-port are the same')
+        return self
--- a/zinniaturn/tables/__init__.py
+++ b/zinniaturn/tables/__init__.py
@@ -6,6 +6,7 @@
 """
 
 __all__ = (
+    'InvalidTableError',
     'Pool',
     'Route',
     'Server',
@@ -16,10 +17,12 @@
     'find_route',
     'parse_pools',
     'parse_routes',
+    'read_table_file',
 )
 
 from zinniaturn.tables.codec import decode_tables, encode_tables
 from zinniaturn.tables.domain import Pool, Route, Server, Tables
-from zinniaturn.tables.exceptions import TablesError
+from zinniaturn.tables.exceptions import InvalidTableError, TablesError
+from zinniaturn.tables.files import read_table_file
 from zinniaturn.tables.matching import find_route
 from zinniaturn.tables.parsing import parse_pools, parse_routes
--- a/zinniaturn/tables/parsing.py
+++ b/zinniaturn/tables/parsing.py
@@ -1,101 +1,124 @@
 """
 Table files in YAML.
 
-A file holds a list of rows under ``routes`` or ``pools``. Every error names
-the file, the line and the field.
+A file holds a list of rows under ``routes`` or ``pools``. All problems of a
+file are found at once; each names the file, the line and the field.
 """
 
 __all__ = ('parse_pools', 'parse_routes')
 
+import re
+from collections.abc import Iterator, Mapping
+from types import MappingProxyType
 from typing import TypeVar
 
-import yaml
 from pydantic import BaseModel, ValidationError
-
-from zinniaturn.tables.exceptions import TablesError, TableSyntaxError
-from zinniaturn.tables.models import PoolModel, RouteModel
-
-Row = TypeVar('Row', bound=BaseModel)
+from pydantic_core import ErrorDetails
+
+from zinniaturn.tables.documents import (
+    Document,
+    FieldPath,
+    format_path,
+    read_document,
+)
+from zinniaturn.tables.exceptions import InvalidTableError
+from zinniaturn.tables.models import (
+    DUPLICATE_NAME,
+    PoolFileModel,
+    PoolModel,
+    RouteFileModel,
+    RouteModel,
+)
+
+Model = TypeVar('Model', bound=BaseModel)
+
+_SHOWN_CHARACTERS = 60
+_PLAIN_TEXTS = MappingProxyType(
+    {
+        'extra_forbidden': 'there is no such field',
+        'missing': 'is missing',
+        'model_type': 'not a mapping of fields',
+        'too_short': 'the list is empty',
+        'tuple_type': 'not a list',
+    }
+)
+_OPENING = re.compile('^(Input|String) should')
 
 
 def parse_routes(text: str, file_name: str) -> tuple[RouteModel, ...]:
-    """Return the routes of a route file; raises `TablesError`."""
-    return _parse(text, file_name, 'routes', RouteModel)
+    """Return the routes of a route file; raises `InvalidTableError`."""
+    return _parse(text, file_name, RouteFileModel).routes
 
 
 def parse_pools(text: str, file_name: str) -> tuple[PoolModel, ...]:
-    """Return the pools of a pool file; raises `TablesError`."""
-    return _parse(text, file_name, 'pools', PoolModel)
-
+    """Return the pools of a pool file; raises `InvalidTableError`."""
+    return _parse(text, file_name, PoolFileModel).pools
 
-def _parse(
-    text: str,
-    file_name: str,
-    section: str,
-    model: type[Row],
-) -> tuple[Row, ...]:
-    root = _compose(text, file_name)
-    rows = _rows(root, file_name, section)
-    return tuple(_row(node, file_name, model) for node in rows)
 
-
-def _compose(text: str, file_name: str) -> yaml.Node:
-    try:
-        root = yaml.compose(text, Loader=yaml.SafeLoader)
-    except yaml.MarkedYAMLError as error:
-        line = error.problem_mark.line + 1 if error.problem_mark else 1
-        raise TableSyntaxError(
-            f'{file_name}:{line}: not YAML: {error.problem}',
-        ) from error
-    if root is None:
-        raise TableSyntaxError(f'{file_name}:1: the file is empty')
-    return root
-
-
-def _rows(root: yaml.Node, file_name: str, section: str) -> list[yaml.Node]:
-    if isinstance(root, yaml.MappingNode):
-        for key, rows in root.value:
-            if key.value == section and isinstance(rows, yaml.SequenceNode):
-                return list(rows.value)
-    line = root.start_mark.line + 1
-    raise TableSyntaxError(
-        f'{file_name}:{line}: a list under "{section}" is missing',
-    )
-
-
-def _row(node: yaml.Node, file_name: str, model: type[Row]) -> Row:
-    loader = yaml.SafeLoader('')
+def _parse(text: str, file_name: str, model: type[Model]) -> Model:
+    document = read_document(text, file_name)
+    _report_repeated_names(document, document.data, ())
     try:
-        return model.model_validate(loader.construct_document(node))
+        rows = model.model_validate(document.data)
     except ValidationError as error:
-        problem = error.errors()[0]
-        location = problem['loc']
-        line = _line_of(node, location) + 1
-        field = '.'.join(str(part) for part in location)
-        raise TablesError(
-            f'{file_name}:{line}: {field}: {problem["msg"]}',
-        ) from error
-    finally:
-        loader.dispose()
-
-
-def _line_of(node: yaml.Node, location: tuple[int | str, ...]) -> int:
-    line = node.start_mark.line
-    for part in location:
-        child = _child(node, part)
-        if child is None:
-            break
-        node = child
-        line = node.start_mark.line
-    return line
-
-
-def _child(node: yaml.Node, part: int | str) -> yaml.Node | None:
-    match node:
-        case yaml.MappingNode():
-            for key, child in node.value:
-                if key.value == part:
-                    return child
-        case yaml.SequenceNode() if isinstance(part, int):
-            return node.value[part]
-    return None
+        _report_invalid_fields(document, error)
+        raise InvalidTableError(sorted(document.problems)) from error
+    if document.problems:
+        raise InvalidTableError(sorted(document.problems))
+    return rows
+
+
+def _report_invalid_fields(
+    document: Document,
+    error: ValidationError,
+) -> None:
+    reported = {problem.field for problem in document.problems}
+    for details in error.errors(include_url=False):
+        path: FieldPath = details['loc']
+        is_known = format_path(path) in reported
+        if not is_known and not _is_reported_elsewhere(details):
+            document.report(path, _text(details))
+
+
+def _is_reported_elsewhere(details: ErrorDetails) -> bool:
+    if details['type'] == 'too_short':
+        return bool(details['input'])
+    return details['type'] == DUPLICATE_NAME
+
+
+def _text(details: ErrorDetails) -> str:
+    plain = _PLAIN_TEXTS.get(details['type'])
+    if plain is not None:
+        return plain
+    shown = repr(details['input'])
+    if len(shown) > _SHOWN_CHARACTERS:
+        shown = f'{shown[:_SHOWN_CHARACTERS]}...'
+    return f'{_OPENING.sub("must", details["msg"])}, not {shown}'
+
+
+def _report_repeated_names(
+    document: Document,
+    data: object,
+    path: FieldPath,
+) -> None:
+    """Report each row whose name an earlier row of its list has."""
+    if isinstance(data, Mapping):
+        for key, child in data.items():
+            _report_repeated_names(document, child, (*path, key))
+    elif isinstance(data, list):
+        first: dict[str, int] = {}
+        for index, name in _names(data):
+            earlier = first.setdefault(name, index)
+            if earlier != index:
+                line = document.line_of((*path, earlier, 'name'))
+                text = f'"{name}" stands twice, first on line {line}'
+                document.report((*path, index, 'name'), text)
+        for index, row in enumerate(data):
+            _report_repeated_names(document, row, (*path, index))
+
+
+def _names(rows: list[object]) -> Iterator[tuple[int, str]]:
+    for index, row in enumerate(rows):
+        name = row.get('name') if isinstance(row, Mapping) else None
+        if isinstance(name, str):
+            yield index, name
