--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,10 @@
 features: setup
 	$(BIN)/python -m features.run $(FEATURES)
 
+generate: setup
+	$(BIN)/python -m grpc_tools.protoc --proto_path=. --python_out=. \
+		--grpc_python_out=. --mypy_out=quiet:. zinniaturn/peers/messages.proto
+
 lock: setup
 	$(BIN)/pip freeze --exclude-editable > constraints.txt
 
--- a/zinniaturn/events/catalogue.py
+++ b/zinniaturn/events/catalogue.py
@@ -25,6 +25,12 @@
     STORE_UNAVAILABLE = 202
     STORE_BACK = 203
     STORE_RESET = 204
+    REVISION_FORKED = 205
+    REPORTER_STARTED = 300
+    REPORTER_ENDED = 301
+    VM_LIST_UNAVAILABLE = 302
+    VM_LIST_DOUBTED = 303
+    PEER_REFUSED = 304
 
 
 _INFO = logging.INFO
@@ -53,5 +59,29 @@
             'the store has lost accepted revisions and was fenced',
         ),
         LogEvent.STORE_BACK: (_INFO, 'the store answers again'),
+        LogEvent.REVISION_FORKED: (
+            _WARNING,
+            'a peer holds another history of the tables',
+        ),
+        LogEvent.REPORTER_STARTED: (
+            _INFO,
+            'the entry reports its data centre to the store',
+        ),
+        LogEvent.REPORTER_ENDED: (
+            _WARNING,
+            'the entry gave up reporting to another one',
+        ),
+        LogEvent.VM_LIST_UNAVAILABLE: (
+            _WARNING,
+            'the VM list does not answer',
+        ),
+        LogEvent.VM_LIST_DOUBTED: (
+            _WARNING,
+            'the VM list says that most VMs are leaving and is not believed',
+        ),
+        LogEvent.PEER_REFUSED: (
+            _WARNING,
+            'a peer sent something that cannot be read',
+        ),
     }
 )
--- /dev/null
+++ b/zinniaturn/peers/__init__.py
@@ -0,0 +1,17 @@
+"""The protocol between entries, over gRPC."""
+
+__all__ = (
+    'Bulletin',
+    'PeerClient',
+    'PeerError',
+    'PeerExchange',
+    'PeerSecurity',
+    'PeerServer',
+)
+
+from zinniaturn.peers.bulletin import Bulletin
+from zinniaturn.peers.client import PeerClient
+from zinniaturn.peers.credentials import PeerSecurity
+from zinniaturn.peers.exceptions import PeerError
+from zinniaturn.peers.exchange import PeerExchange
+from zinniaturn.peers.server import PeerServer
--- /dev/null
+++ b/zinniaturn/peers/client.py
@@ -0,0 +1,115 @@
+"""The calling side of the protocol between entries."""
+
+__all__ = ('PeerClient',)
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+import grpc
+
+from zinniaturn.configuration.exceptions import StoredStateError
+from zinniaturn.configuration.head import Head, decode_head
+from zinniaturn.membership.domain import Address
+from zinniaturn.peers import messages_pb2 as wire
+from zinniaturn.peers import messages_pb2_grpc as service
+from zinniaturn.peers.bulletin import (
+    Bulletin,
+    decode_bulletin,
+    encode_bulletin,
+)
+from zinniaturn.peers.credentials import PeerSecurity
+from zinniaturn.peers.exceptions import PeerError, PeerMessageError
+
+EXCHANGE_SECONDS = 1.0
+CONTENT_SECONDS = 3.0
+
+_MAX_CHANNELS = 32
+_MAX_MESSAGE_BYTES = 4_194_304
+_OPTIONS = (
+    ('grpc.max_receive_message_length', _MAX_MESSAGE_BYTES),
+    ('grpc.enable_http_proxy', 0),
+    ('grpc.initial_reconnect_backoff_ms', 200),
+    ('grpc.max_reconnect_backoff_ms', 2000),
+)
+
+
+@dataclass
+class PeerClient:
+    """
+    Calls peers over a bounded number of channels.
+
+    Every call raises `PeerError` where the peer does not answer in time.
+    """
+
+    security: PeerSecurity = field(default_factory=PeerSecurity)
+    channels: dict[Address, grpc.aio.Channel] = field(default_factory=dict)
+
+    async def exchange(self, address: Address, bulletin: Bulletin) -> Bulletin:
+        """Tell a peer a bulletin and return its own."""
+        try:
+            reply = await (await self._stub(address)).Exchange(
+                encode_bulletin(bulletin),
+                timeout=EXCHANGE_SECONDS,
+            )
+        except grpc.aio.AioRpcError as error:
+            raise _unavailable(address, error) from error
+        return decode_bulletin(reply)
+
+    async def read_head(self, address: Address) -> Head:
+        """Return the head that a peer has in force."""
+        try:
+            reply = await (await self._stub(address)).ReadHead(
+                wire.HeadRequest(),
+                timeout=CONTENT_SECONDS,
+            )
+        except grpc.aio.AioRpcError as error:
+            raise _unavailable(address, error) from error
+        try:
+            return decode_head(reply.head)
+        except StoredStateError as error:
+            raise PeerMessageError(error.message) from error
+
+    async def read_segments(
+        self,
+        address: Address,
+        digests: Iterable[str],
+    ) -> Mapping[str, str]:
+        """Return by digest the segments that a peer has."""
+        call = (await self._stub(address)).ReadSegments(
+            wire.SegmentsRequest(digests=list(digests)),
+            timeout=CONTENT_SECONDS,
+        )
+        try:
+            return {reply.digest: reply.text async for reply in call}
+        except grpc.aio.AioRpcError as error:
+            raise _unavailable(address, error) from error
+
+    async def close(self) -> None:
+        """Close the channels."""
+        while self.channels:
+            _, channel = self.channels.popitem()
+            await channel.close(None)
+
+    async def _stub(self, address: Address) -> service.PeersStub:
+        channel = self.channels.pop(address, None)
+        if channel is None:
+            channel = self._open(address)
+        self.channels[address] = channel
+        if len(self.channels) > _MAX_CHANNELS:
+            oldest = next(iter(self.channels))
+            await self.channels.pop(oldest).close(EXCHANGE_SECONDS)
+        return service.PeersStub(channel)
+
+    def _open(self, address: Address) -> grpc.aio.Channel:
+        credentials = self.security.channel
+        if credentials is None:
+            return grpc.aio.insecure_channel(str(address), _OPTIONS)
+        options = _OPTIONS
+        if self.security.server_name:
+            name = self.security.server_name
+            options = (*_OPTIONS, ('grpc.ssl_target_name_override', name))
+        return grpc.aio.secure_channel(str(address), credentials, options)
+
+
+def _unavailable(address: Address, error: grpc.aio.AioRpcError) -> PeerError:
+    return PeerError(f'{address}: {error.code().name}')
--- /dev/null
+++ b/zinniaturn/peers/exchange.py
@@ -0,0 +1,233 @@
+"""
+The exchange of bulletins with peers.
+
+Each round tells a few peers where this entry stands. A higher position on
+either side makes the one behind ask for the head and the segments it lacks.
+"""
+
+__all__ = ('PeerExchange',)
+
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+from zinniaturn.clock import Clock
+from zinniaturn.configuration import Judgement, Snapshot, TablesHolder
+from zinniaturn.configuration.exceptions import StoredStateError
+from zinniaturn.configuration.head import Ancestor
+from zinniaturn.configuration.snapshot import assemble, missing_segments
+from zinniaturn.events import LogEvent, log_event
+from zinniaturn.membership.domain import Address, Member
+from zinniaturn.membership.table import MemberTable
+from zinniaturn.peers.bulletin import Beat, Bulletin, Note
+from zinniaturn.peers.client import PeerClient
+from zinniaturn.peers.exceptions import PeerError
+from zinniaturn.peers.spread import choose_targets, is_behind
+
+ROUND_SECONDS = 1.0
+ROUND_TARGETS = 2
+PUSH_TARGETS = 3
+BEATS = 24
+NEWS = 6
+
+_TASKS = 64
+
+Provider = Callable[[], bytes]
+Receiver = Callable[[str, bytes], None]
+
+
+@dataclass
+class PeerExchange:
+    """
+    Talks to peers for ever.
+
+    ``providers`` fill notes of other subsystems by topic and ``receivers``
+    get them with the sender's name. ``confirmed_age`` says how many seconds
+    ago the store confirmed the revision in force.
+    """
+
+    client: PeerClient
+    holder: TablesHolder
+    table: MemberTable
+    clock: Clock
+    source: random.Random
+    seeds: tuple[Address, ...] = ()
+    confirmed_age: Callable[[], float | None] = lambda: None
+    providers: dict[str, Provider] = field(default_factory=dict)
+    receivers: dict[str, Receiver] = field(default_factory=dict)
+    leaving: bool = False
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    confirmed_at: float | None = None
+    forks: set[Ancestor] = field(default_factory=set)
+    fetching: asyncio.Lock = field(default_factory=asyncio.Lock)
+
+    def __post_init__(self) -> None:
+        """Push whatever comes into force."""
+        self.holder.followers.append(self._push)
+
+    async def run(self) -> None:
+        """Talk for ever."""
+        while True:
+            await self.round()
+            pause = ROUND_SECONDS * (0.75 + self.source.random() / 2)
+            await asyncio.sleep(pause)
+
+    async def round(self) -> None:
+        """Beat once and tell a few peers."""
+        self.table.beat(self.leaving)
+        self.table.forget()
+        addresses = self._targets(ROUND_TARGETS)
+        await asyncio.gather(*(self._tell(address) for address in addresses))
+
+    async def first_round(self) -> None:
+        """Ask every seed and some known members, and take what they have."""
+        self.table.beat(self.leaving)
+        known = self._targets(PUSH_TARGETS * 2)
+        addresses = dict.fromkeys([*self.seeds, *known])
+        await asyncio.gather(*(self._tell(address) for address in addresses))
+
+    async def stop(self) -> None:
+        """Tell some peers about leaving, then close."""
+        self.leaving = True
+        await self.round()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.client.close()
+
+    def answer(self, bulletin: Bulletin) -> Bulletin:
+        """Take a peer's bulletin in and return the reply."""
+        self._take(bulletin)
+        if is_behind(self.holder.head, bulletin.position):
+            self._spawn(bulletin.sender.peers)
+        return self._bulletin(is_full=bulletin.wants_members)
+
+    def announce(self) -> None:
+        """Tell some peers at once, such as about leaving."""
+        self.table.beat(self.leaving)
+        for address in self._targets(PUSH_TARGETS):
+            self._start(self._tell(address))
+
+    def _push(self, snapshot: Snapshot) -> None:
+        for address in self._targets(PUSH_TARGETS):
+            self._start(self._tell(address))
+
+    def _targets(self, count: int) -> list[Address]:
+        members = choose_targets(
+            self.table.reachable(),
+            self.table.me.data_center,
+            count,
+            self.source,
+        )
+        addresses = [member.peers for member in members]
+        missing = count - len(addresses)
+        seeds = [seed for seed in self.seeds if seed != self.table.me.peers]
+        spare = self.source.sample(seeds, min(len(seeds), max(missing, 0)))
+        return list(dict.fromkeys([*addresses, *spare]))
+
+    async def _tell(self, address: Address) -> None:
+        wants_members = not self.table.known
+        try:
+            reply = await self.client.exchange(
+                address,
+                self._bulletin(is_full=False, wants_members=wants_members),
+            )
+        except PeerError:
+            return
+        self._take(reply)
+        if is_behind(self.holder.head, reply.position):
+            await self._fetch(address)
+
+    def _take(self, bulletin: Bulletin) -> None:
+        self.table.learn(bulletin.sender)
+        for member in bulletin.members:
+            self.table.learn(member)
+        for beat in bulletin.beats:
+            self.table.hear(beat.name, beat.heartbeat)
+        self._confirm(bulletin)
+        for note in bulletin.notes:
+            receiver = self.receivers.get(note.topic)
+            if receiver is not None:
+                receiver(bulletin.sender.name, note.payload)
+
+    def _confirm(self, bulletin: Bulletin) -> None:
+        age = bulletin.confirmed_age
+        if age is None or bulletin.position != self.holder.head.position:
+            return
+        confirmed_at = self.clock.monotonic() - age
+        self.confirmed_at = max(self.confirmed_at or 0, confirmed_at)
+
+    def _bulletin(
+        self,
+        is_full: bool,
+        wants_members: bool = False,
+    ) -> Bulletin:
+        beats = self.table.sample_heartbeats(BEATS, self.source)
+        return Bulletin(
+            sender=self.table.me,
+            position=self.holder.head.position,
+            confirmed_age=self.confirmed_age(),
+            beats=tuple(Beat(one.name, one.heartbeat) for one in beats),
+            members=self._members(is_full),
+            notes=tuple(
+                Note(topic, provide())
+                for topic, provide in self.providers.items()
+            ),
+            wants_members=wants_members,
+        )
+
+    def _members(self, is_full: bool) -> tuple[Member, ...]:
+        if is_full:
+            return tuple(self.table.reachable())
+        return tuple(self.table.news(NEWS, self.source))
+
+    def _spawn(self, address: Address) -> None:
+        self._start(self._fetch(address))
+
+    def _start(self, work: Sequence[None] | object) -> None:
+        if len(self.tasks) >= _TASKS:
+            work.close()  # type: ignore[union-attr]
+            return
+        task = asyncio.create_task(work)  # type: ignore[arg-type]
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _fetch(self, address: Address) -> None:
+        async with self.fetching:
+            try:
+                await self._install_from(address)
+            except (PeerError, StoredStateError) as error:
+                if isinstance(error, StoredStateError):
+                    log_event(LogEvent.PEER_REFUSED, reason=str(error))
+
+    async def _install_from(self, address: Address) -> None:
+        head = await self.client.read_head(address)
+        judgement = self.holder.judge(head)
+        if judgement is Judgement.FORKED:
+            self._report_fork(head.position, address)
+        if judgement is not Judgement.INSTALL:
+            return
+        known = self.holder.snapshot
+        missing = missing_segments(head, known)
+        found = await self.client.read_segments(
+            address,
+            [ref.digest for ref in missing.values()],
+        )
+        texts = {
+            bucket: found[ref.digest]
+            for bucket, ref in missing.items()
+            if ref.digest in found
+        }
+        self.holder.offer(assemble(head, texts, known))
+
+    def _report_fork(self, position: Ancestor, address: Address) -> None:
+        if position in self.forks:
+            return
+        self.forks.add(position)
+        log_event(
+            LogEvent.REVISION_FORKED,
+            peer=str(address),
+            offered=position.revision,
+            in_force=self.holder.head.revision,
+        )
--- /dev/null
+++ b/zinniaturn/peers/server.py
@@ -0,0 +1,105 @@
+"""The answering side of the protocol between entries."""
+
+__all__ = ('PeerServer',)
+
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass, field
+
+import grpc
+
+from zinniaturn.configuration import TablesHolder
+from zinniaturn.configuration.head import encode_head
+from zinniaturn.events import LogEvent, log_event
+from zinniaturn.membership.domain import Address
+from zinniaturn.peers import messages_pb2 as wire
+from zinniaturn.peers import messages_pb2_grpc as service
+from zinniaturn.peers.bulletin import (
+    Bulletin,
+    decode_bulletin,
+    encode_bulletin,
+)
+from zinniaturn.peers.credentials import PeerSecurity, check_security
+from zinniaturn.peers.exceptions import PeerListenError, PeerMessageError
+
+_GRACE_SECONDS = 0.2
+_OPTIONS = (('grpc.so_reuseport', 0),)
+
+Answerer = Callable[[Bulletin], Bulletin]
+
+
+@dataclass
+class PeerServer:
+    """
+    Listens for peers; ``answer`` takes a bulletin in and returns the reply.
+    """
+
+    holder: TablesHolder
+    answer: Answerer
+    security: PeerSecurity = field(default_factory=PeerSecurity)
+    server: grpc.aio.Server | None = None
+
+    async def start(self, address: Address) -> int:
+        """
+        Listen and return the port; port 0 takes any free one.
+
+        Raises `PeersInsecureError` and `PeerListenError`.
+        """
+        check_security(self.security, address.host)
+        server = grpc.aio.server(options=_OPTIONS)
+        service.add_PeersServicer_to_server(
+            _Servicer(self.holder, self.answer),
+            server,
+        )
+        try:
+            port = self._listen(server, str(address))
+        except RuntimeError as error:
+            raise PeerListenError(f'{address}: {error}') from error
+        await server.start()
+        self.server = server
+        return port
+
+    async def stop(self) -> None:
+        """Stop after a short grace for calls under way."""
+        if self.server is not None:
+            await self.server.stop(_GRACE_SECONDS)
+            self.server = None
+
+    def _listen(self, server: grpc.aio.Server, address: str) -> int:
+        if self.security.server is None:
+            return int(server.add_insecure_port(address))
+        return int(server.add_secure_port(address, self.security.server))
+
+
+class _Servicer(service.PeersServicer):
+    def __init__(self, holder: TablesHolder, answer: Answerer) -> None:
+        self.holder = holder
+        self.answer = answer
+
+    async def Exchange(  # noqa: N802
+        self,
+        request: wire.Bulletin,
+        context: grpc.aio.ServicerContext,
+    ) -> wire.Bulletin:
+        try:
+            bulletin = decode_bulletin(request)
+        except PeerMessageError as error:
+            log_event(LogEvent.PEER_REFUSED, reason=str(error))
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
+        return encode_bulletin(self.answer(bulletin))
+
+    async def ReadHead(  # noqa: N802
+        self,
+        request: wire.HeadRequest,
+        context: grpc.aio.ServicerContext,
+    ) -> wire.HeadReply:
+        return wire.HeadReply(head=encode_head(self.holder.head))
+
+    async def ReadSegments(  # noqa: N802
+        self,
+        request: wire.SegmentsRequest,
+        context: grpc.aio.ServicerContext,
+    ) -> AsyncIterator[wire.SegmentReply]:
+        texts = self.holder.texts()
+        for digest in request.digests:
+            if digest in texts:
+                yield wire.SegmentReply(digest=digest, text=texts[digest])
