--- a/zinniaturn/configuration/follower.py
+++ b/zinniaturn/configuration/follower.py
@@ -30,7 +30,7 @@
 from zinniaturn.events import LogEvent, log_event
 from zinniaturn.store import ConfigurationStore, StoreError
 
-_WAIT_SECONDS = 15.0
+_WAIT_SECONDS = 5.0
 _PAUSE_SECONDS = 0.3
 _IDLE_SECONDS = 5.0
 
@@ -55,7 +55,7 @@
     name: str = ''
     clock: Clock = field(default_factory=SystemClock)
     watches: Callable[[], bool] = _always
-    confirmed_at: float = 0
+    confirmed_at: float | None = None
     is_out: bool = False
     version: int = -1
 
--- a/zinniaturn/entry/admin.py
+++ b/zinniaturn/entry/admin.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from zinniaturn.entry.state import EntryState
+from zinniaturn.entry.status import add_status_routes, readiness_reason
 
 
 def make_admin(state: EntryState) -> web.Application:
@@ -16,6 +17,7 @@
     application.router.add_get('/health', admin.answer_health)
     application.router.add_get('/ready', admin.answer_readiness)
     application.router.add_get('/metrics', admin.answer_metrics)
+    add_status_routes(application.router, state)
     return application
 
 
@@ -33,6 +35,7 @@
             {
                 'state': self.state.lifecycle.state,
                 'revision': self.state.holder.tables.revision,
+                'reason': readiness_reason(self.state),
             },
             status=status,
         )
--- /dev/null
+++ b/zinniaturn/entry/control_part.py
@@ -0,0 +1,143 @@
+"""
+The control plane as a part of an entry.
+
+At its start the entry asks its peers before it obeys the store, so that a
+store that has lost revisions cannot take a fresh entry back.
+"""
+
+__all__ = ('ControlPart',)
+
+import asyncio
+import contextlib
+from collections.abc import Coroutine
+
+from zinniaturn.configuration import StoreFollower
+from zinniaturn.entry.control import Control
+from zinniaturn.entry.state import EntryState
+from zinniaturn.membership import LeaseKeeper, MemberTable, VmWatch
+from zinniaturn.membership.domain import Address, Heartbeat, Member
+from zinniaturn.membership.exceptions import MembershipError
+from zinniaturn.membership.reporter import TTL_SECONDS, Reporter
+from zinniaturn.peers import (
+    PeerClient,
+    PeerExchange,
+    PeerSecurity,
+    PeerServer,
+)
+from zinniaturn.store import ConfigurationStore, StoreError
+from zinniaturn.vmlist import HttpVmList
+
+_FIRST_READ_SECONDS = 2.0
+_MILLISECONDS = 1000
+
+
+class ControlPart:
+    """Peers, membership and the store's follower."""
+
+    def __init__(
+        self,
+        state: EntryState,
+        store: ConfigurationStore,
+        security: PeerSecurity,
+    ) -> None:
+        self.state = state
+        self.store = store
+        self.security = security
+        self.tasks: list[asyncio.Task[None]] = []
+        self.control = self._build()
+        self.server = PeerServer(
+            state.holder,
+            self.control.exchange.answer,
+            security,
+        )
+        state.control = self.control
+
+    async def start(self) -> None:
+        """Listen for peers, ask them, then follow the store."""
+        settings = self.state.settings
+        port = await self.server.start(
+            Address(settings.peer_host, settings.peer_port),
+        )
+        self.control.table.me = self._me(port)
+        with contextlib.suppress(StoreError, MembershipError, TimeoutError):
+            async with asyncio.timeout(_FIRST_READ_SECONDS):
+                await self.control.reporter.read_all()
+        await self.control.exchange.first_round()
+        self._run(self.control.exchange.run())
+        self._run(self.control.reporter.run())
+        self._run(self.control.follower.run())
+        if self.control.vms is not None:
+            self._run(self.control.vms.run())
+
+    async def stop(self) -> None:
+        """Tell the peers, give the lease up and end the tasks."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.control.exchange.stop()
+        await self.control.reporter.stop()
+        if self.control.vms is not None:
+            await self.control.vms.vm_list.close()
+        await self.server.stop()
+
+    def _run(self, work: Coroutine[None, None, None]) -> None:
+        self.tasks.append(asyncio.create_task(work))
+
+    def _build(self) -> Control:
+        state = self.state
+        settings = state.settings
+        table = MemberTable(self._me(settings.peer_port), state.clock)
+        exchange = PeerExchange(
+            client=PeerClient(self.security),
+            holder=state.holder,
+            table=table,
+            clock=state.clock,
+            source=state.source,
+            seeds=settings.peer_seeds(),
+            is_leaving=state.lifecycle.is_leaving,
+        )
+        follower = StoreFollower(
+            self.store,
+            state.holder,
+            state.source,
+            settings.name,
+            state.clock,
+        )
+        control = Control(
+            clock=state.clock,
+            table=table,
+            exchange=exchange,
+            follower=follower,
+            reporter=self._reporter(table),
+            vms=self._vm_watch(table),
+        )
+        exchange.confirmed_age = control.confirmed_age
+        follower.watches = control.watches_store
+        return control
+
+    def _reporter(self, table: MemberTable) -> Reporter:
+        keeper = LeaseKeeper(
+            self.store,
+            self.state.settings.name,
+            TTL_SECONDS,
+            self.state.clock,
+        )
+        return Reporter(self.store, table, keeper, self.state.source)
+
+    def _vm_watch(self, table: MemberTable) -> VmWatch | None:
+        url = self.state.settings.vm_list_url
+        if not url:
+            return None
+        return VmWatch(HttpVmList(url), self.state.source, table)
+
+    def _me(self, peer_port: int) -> Member:
+        settings = self.state.settings
+        return Member(
+            name=settings.name,
+            callers=Address(settings.host, self.state.port),
+            peers=Address(settings.peer_host, peer_port),
+            admin=Address(settings.admin_host, self.state.admin_port),
+            data_center=settings.data_center,
+            vm=settings.vm or settings.name,
+            heartbeat=Heartbeat(int(self.state.clock.wall() * _MILLISECONDS)),
+        )
--- a/zinniaturn/entry/lifecycle.py
+++ b/zinniaturn/entry/lifecycle.py
@@ -9,6 +9,7 @@
 from zinniaturn.events import LogEvent, log_event
 
 _STATES = ('starting', 'ready', 'draining', 'stopped')
+_LEAVING_STATES = frozenset(('draining', 'stopped'))
 _TRANSITIONS = (
     {
         'trigger': 'tables_installed',
@@ -54,6 +55,10 @@
             ignore_invalid_triggers=True,
         )
 
+    def is_leaving(self) -> bool:
+        """Return whether the entry was told to stop."""
+        return self.state in _LEAVING_STATES
+
     def log_ready(self) -> None:
         """Log that the entry is ready."""
         log_event(LogEvent.ENTRY_READY)
--- a/zinniaturn/entry/process.py
+++ b/zinniaturn/entry/process.py
@@ -59,6 +59,7 @@
         except OSError as error:
             raise ListenError(str(error)) from error
         self.state.port = self.port
+        self.state.admin_port = self.admin_port
         for part in self.parts:
             await part.start()
         log_event(LogEvent.ENTRY_STARTED, port=self.port)
--- a/zinniaturn/entry/state.py
+++ b/zinniaturn/entry/state.py
@@ -8,6 +8,7 @@
 from zinniaturn.choosing import PoolState, policy_for_pool
 from zinniaturn.clock import Clock
 from zinniaturn.configuration import TablesHolder
+from zinniaturn.entry.control import Control
 from zinniaturn.entry.lifecycle import Lifecycle
 from zinniaturn.entry.metrics import EntryMetrics
 from zinniaturn.explain import DecisionLog
@@ -31,6 +32,8 @@
     recorder: DecisionLog = field(default_factory=DecisionLog)
     requests_in_flight: int = 0
     port: int = 0
+    admin_port: int = 0
+    control: Control | None = None
 
     def install_pools(self, tables: Tables) -> None:
         """Bring the pools in line with newly installed tables."""
--- /dev/null
+++ b/zinniaturn/entry/status.py
@@ -0,0 +1,145 @@
+"""
+The status that an entry gives of itself, and its tables for a restore.
+
+Both are read over the admin address.
+"""
+
+__all__ = ('EntryStatus', 'add_status_routes', 'readiness_reason')
+
+from http import HTTPStatus
+
+import msgspec
+from aiohttp import web
+
+from zinniaturn.configuration.head import Head
+from zinniaturn.entry.state import EntryState
+
+
+class PeerStatus(msgspec.Struct):
+    """A peer as this entry sees it; ages are in seconds."""
+
+    name: str
+    data_center: str
+    state: str
+    heartbeat_age: float
+    admin: str
+
+
+class LeaseStatus(msgspec.Struct):
+    """Whether this entry reports its data centre, and with what number."""
+
+    is_held: bool
+    fencing: int
+
+
+class EntryStatus(msgspec.Struct):
+    """
+    What an entry says of itself.
+
+    ``knowledge_age`` is in seconds since the store confirmed the revision,
+    ``None`` where it never did since the start.
+    """
+
+    name: str
+    data_center: str
+    state: str
+    is_ready: bool
+    reason: str
+    revision: int
+    chain: str
+    knowledge_age: float | None
+    store_is_out: bool
+    watches_store: bool
+    lease: LeaseStatus
+    peers: list[PeerStatus]
+
+
+class StoredTablesAnswer(msgspec.Struct):
+    """A head and the texts of its segments by digest."""
+
+    head: Head
+    texts: dict[str, str]
+
+
+def readiness_reason(state: EntryState) -> str:
+    """Return why the entry is not ready, or an empty text."""
+    if state.lifecycle.state == 'ready':
+        return ''
+    if state.lifecycle.state != 'starting':
+        return f'the entry is {state.lifecycle.state}'
+    if state.control is None:
+        return 'no tables yet'
+    store = 'does not answer' if state.control.follower.is_out else 'has none'
+    peers = len(state.control.table.reachable())
+    return f'no tables yet: the store {store}, nor has any of {peers} peers'
+
+
+def add_status_routes(router: web.UrlDispatcher, state: EntryState) -> None:
+    """Add the handlers to the admin application."""
+
+    async def answer_status(request: web.Request) -> web.Response:
+        return _json(_status(state))
+
+    async def answer_tables(request: web.Request) -> web.Response:
+        if not state.holder.head.revision:
+            return web.Response(status=int(HTTPStatus.NOT_FOUND))
+        holder = state.holder
+        return _json(StoredTablesAnswer(holder.head, dict(holder.texts())))
+
+    router.add_get('/status', answer_status)
+    router.add_get('/tables', answer_tables)
+
+
+def _status(state: EntryState) -> EntryStatus:
+    control = state.control
+    reason = readiness_reason(state)
+    status = EntryStatus(
+        name=state.settings.name,
+        data_center=state.settings.data_center,
+        state=state.lifecycle.state,
+        is_ready=not reason,
+        reason=reason,
+        revision=state.holder.tables.revision,
+        chain=state.holder.head.chain,
+        knowledge_age=None,
+        store_is_out=False,
+        watches_store=False,
+        lease=LeaseStatus(is_held=False, fencing=0),
+        peers=[],
+    )
+    if control is not None:
+        keeper = control.reporter.keeper
+        status.knowledge_age = control.confirmed_age()
+        status.store_is_out = control.follower.is_out
+        status.watches_store = control.watches_store()
+        status.lease = LeaseStatus(
+            keeper.is_held(),
+            keeper.lease.fencing if keeper.lease else 0,
+        )
+        status.peers = _peers(state)
+    return status
+
+
+def _peers(state: EntryState) -> list[PeerStatus]:
+    if state.control is None:
+        return []
+    table = state.control.table
+    now = state.clock.monotonic()
+    states = table.states()
+    return [
+        PeerStatus(
+            name=name,
+            data_center=known.member.data_center,
+            state=states[name].value,
+            heartbeat_age=round(now - known.heard_at, 3),
+            admin=str(known.member.admin),
+        )
+        for name, known in sorted(table.known.items())
+    ]
+
+
+def _json(document: object) -> web.Response:
+    return web.Response(
+        body=msgspec.json.encode(document),
+        content_type='application/json',
+    )
--- a/zinniaturn/membership/vm_watch.py
+++ b/zinniaturn/membership/vm_watch.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, field
 
 from zinniaturn.events import LogEvent, log_event
+from zinniaturn.membership.table import MemberTable
 from zinniaturn.vmlist import ListedVm, VmList, VmListError, VmState
 
 PERIOD_SECONDS = 1.0
@@ -42,6 +43,7 @@
 
     vm_list: VmList
     source: random.Random
+    table: MemberTable | None = None
     states: Mapping[str, VmState] = field(default_factory=dict)
     is_out: bool = False
     is_doubted: bool = False
@@ -82,3 +84,5 @@
             vm.name: VmState.LEAVING if vm.name in leaving else VmState.LIVE
             for vm in vms
         }
+        if self.table is not None:
+            self.table.listed = self.states
--- a/zinniaturn/peers/bulletin.py
+++ b/zinniaturn/peers/bulletin.py
@@ -5,7 +5,7 @@
 that if it needs it.
 """
 
-__all__ = ('Bulletin', 'Beat', 'Note', 'decode_bulletin', 'encode_bulletin')
+__all__ = ('Beat', 'Bulletin', 'Note', 'decode_bulletin', 'encode_bulletin')
 
 from dataclasses import dataclass
 
--- a/zinniaturn/peers/client.py
+++ b/zinniaturn/peers/client.py
@@ -21,11 +21,11 @@
 from zinniaturn.peers.exceptions import PeerError, PeerMessageError
 
 EXCHANGE_SECONDS = 1.0
-CONTENT_SECONDS = 3.0
+CONTENT_SECONDS = 1.5
 
 _MAX_CHANNELS = 32
 _MAX_MESSAGE_BYTES = 4_194_304
-_OPTIONS = (
+_OPTIONS: tuple[tuple[str, int | str], ...] = (
     ('grpc.max_receive_message_length', _MAX_MESSAGE_BYTES),
     ('grpc.enable_http_proxy', 0),
     ('grpc.initial_reconnect_backoff_ms', 200),
--- a/zinniaturn/peers/exchange.py
+++ b/zinniaturn/peers/exchange.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 
 from zinniaturn.clock import Clock
@@ -32,11 +32,20 @@
 NEWS = 6
 
 _TASKS = 64
+_FETCHES = 3
 
 Provider = Callable[[], bytes]
 Receiver = Callable[[str, bytes], None]
 
 
+def _never() -> None:
+    """Return no age: the store has confirmed nothing."""
+
+
+def _fetch_limit() -> asyncio.Semaphore:
+    return asyncio.Semaphore(_FETCHES)
+
+
 @dataclass
 class PeerExchange:
     """
@@ -53,14 +62,15 @@
     clock: Clock
     source: random.Random
     seeds: tuple[Address, ...] = ()
-    confirmed_age: Callable[[], float | None] = lambda: None
+    confirmed_age: Callable[[], float | None] = _never
     providers: dict[str, Provider] = field(default_factory=dict)
     receivers: dict[str, Receiver] = field(default_factory=dict)
-    leaving: bool = False
+    is_leaving: Callable[[], bool] = bool
+    is_stopping: bool = False
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
     confirmed_at: float | None = None
     forks: set[Ancestor] = field(default_factory=set)
-    fetching: asyncio.Lock = field(default_factory=asyncio.Lock)
+    fetching: asyncio.Semaphore = field(default_factory=_fetch_limit)
 
     def __post_init__(self) -> None:
         """Push whatever comes into force."""
@@ -75,21 +85,21 @@
 
     async def round(self) -> None:
         """Beat once and tell a few peers."""
-        self.table.beat(self.leaving)
+        self._beat()
         self.table.forget()
         addresses = self._targets(ROUND_TARGETS)
         await asyncio.gather(*(self._tell(address) for address in addresses))
 
     async def first_round(self) -> None:
         """Ask every seed and some known members, and take what they have."""
-        self.table.beat(self.leaving)
+        self._beat()
         known = self._targets(PUSH_TARGETS * 2)
         addresses = dict.fromkeys([*self.seeds, *known])
         await asyncio.gather(*(self._tell(address) for address in addresses))
 
     async def stop(self) -> None:
         """Tell some peers about leaving, then close."""
-        self.leaving = True
+        self.is_stopping = True
         await self.round()
         for task in self.tasks:
             task.cancel()
@@ -100,12 +110,14 @@
         """Take a peer's bulletin in and return the reply."""
         self._take(bulletin)
         if is_behind(self.holder.head, bulletin.position):
-            self._spawn(bulletin.sender.peers)
+            self._start(
+                self._fetch(bulletin.sender.peers, bulletin.position),
+            )
         return self._bulletin(is_full=bulletin.wants_members)
 
     def announce(self) -> None:
         """Tell some peers at once, such as about leaving."""
-        self.table.beat(self.leaving)
+        self._beat()
         for address in self._targets(PUSH_TARGETS):
             self._start(self._tell(address))
 
@@ -137,7 +149,7 @@
             return
         self._take(reply)
         if is_behind(self.holder.head, reply.position):
-            await self._fetch(address)
+            await self._fetch(address, reply.position)
 
     def _take(self, bulletin: Bulletin) -> None:
         self.table.learn(bulletin.sender)
@@ -152,6 +164,11 @@
                 receiver(bulletin.sender.name, note.payload)
 
     def _confirm(self, bulletin: Bulletin) -> None:
+        held = self.holder.head
+        position = bulletin.position
+        if position.revision == held.revision:
+            if position.chain != held.chain:
+                self._report_fork(position, bulletin.sender.peers)
         age = bulletin.confirmed_age
         if age is None or bulletin.position != self.holder.head.position:
             return
@@ -182,24 +199,27 @@
             return tuple(self.table.reachable())
         return tuple(self.table.news(NEWS, self.source))
 
-    def _spawn(self, address: Address) -> None:
-        self._start(self._fetch(address))
+    def _beat(self) -> None:
+        self.table.beat(self.is_stopping or self.is_leaving())
 
-    def _start(self, work: Sequence[None] | object) -> None:
-        if len(self.tasks) >= _TASKS:
-            work.close()  # type: ignore[union-attr]
+    def _start(self, work: Coroutine[None, None, None]) -> None:
+        if self.is_stopping or len(self.tasks) >= _TASKS:
+            work.close()
             return
-        task = asyncio.create_task(work)  # type: ignore[arg-type]
+        task = asyncio.create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def _fetch(self, address: Address) -> None:
+    async def _fetch(self, address: Address, position: Ancestor) -> None:
         async with self.fetching:
+            if not is_behind(self.holder.head, position):
+                return
             try:
                 await self._install_from(address)
-            except (PeerError, StoredStateError) as error:
-                if isinstance(error, StoredStateError):
-                    log_event(LogEvent.PEER_REFUSED, reason=str(error))
+            except StoredStateError as error:
+                log_event(LogEvent.PEER_REFUSED, reason=str(error))
+            except PeerError:
+                return
 
     async def _install_from(self, address: Address) -> None:
         head = await self.client.read_head(address)
--- a/zinniaturn/peers/server.py
+++ b/zinniaturn/peers/server.py
@@ -29,9 +29,7 @@
 
 @dataclass
 class PeerServer:
-    """
-    Listens for peers; ``answer`` takes a bulletin in and returns the reply.
-    """
+    """Listens for peers; ``answer`` takes a bulletin in and replies."""
 
     holder: TablesHolder
     answer: Answerer
@@ -75,7 +73,7 @@
         self.holder = holder
         self.answer = answer
 
-    async def Exchange(  # noqa: N802
+    async def Exchange(
         self,
         request: wire.Bulletin,
         context: grpc.aio.ServicerContext,
@@ -87,19 +85,20 @@
             await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
         return encode_bulletin(self.answer(bulletin))
 
-    async def ReadHead(  # noqa: N802
+    async def ReadHead(
         self,
         request: wire.HeadRequest,
         context: grpc.aio.ServicerContext,
     ) -> wire.HeadReply:
         return wire.HeadReply(head=encode_head(self.holder.head))
 
-    async def ReadSegments(  # noqa: N802
+    async def ReadSegments(
         self,
         request: wire.SegmentsRequest,
         context: grpc.aio.ServicerContext,
     ) -> AsyncIterator[wire.SegmentReply]:
         texts = self.holder.texts()
         for digest in request.digests:
-            if digest in texts:
-                yield wire.SegmentReply(digest=digest, text=texts[digest])
+            text = texts.get(digest)
+            if text is not None:
+                yield wire.SegmentReply(digest=digest, text=text)
--- a/zinniaturn/settings/models.py
+++ b/zinniaturn/settings/models.py
@@ -2,10 +2,15 @@
 
 __all__ = ('EntrySettings',)
 
+import re
 from typing import Literal
 
 from pydantic import BaseModel, ConfigDict, Field
 
+from zinniaturn.membership.domain import Address
+
+_PEER = re.compile(r'([\d.]+):(\d+)')
+
 
 class EntrySettings(BaseModel):
     """
@@ -23,8 +28,23 @@
     port: int = Field(default=8080, ge=0, le=65_535)
     admin_host: str = Field(default='127.0.0.1', min_length=1)
     admin_port: int = Field(default=8081, ge=0, le=65_535)
+    peer_host: str = Field(default='127.0.0.1', min_length=1)
+    peer_port: int = Field(default=0, ge=0, le=65_535)
+    peers: str = Field(
+        default='',
+        pattern=r'^(\d+\.\d+\.\d+\.\d+:\d{1,5}(,|$))*$',
+        description='IP:PORT,... of some entries, used where the store is out',
+    )
+    vm: str = Field(default='', max_length=63)
+    vm_list_url: str = Field(default='', pattern='^(https?://.*)?$')
     store_url: str = Field(pattern='^https?://')
     policy: str = 'estimated-wait'
     address_lifetime_seconds: float = Field(default=5, gt=0, le=3600)
     log_level: Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
     seed: int | None = None
+
+    def peer_seeds(self) -> tuple[Address, ...]:
+        """Return the addresses of the entries named in ``peers``."""
+        return tuple(
+            Address(host, int(port)) for host, port in _PEER.findall(self.peers)
+        )
