--- /dev/null
+++ b/zinniaturn/audit/rollback.py
@@ -0,0 +1,33 @@
+"""Rollback: the rows of an older revision as a new one."""
+
+__all__ = ('roll_back',)
+
+from zinniaturn.configuration.commit import commit, read_tables
+from zinniaturn.configuration.records import ChangeKind
+from zinniaturn.configuration.replaying import tables_before
+from zinniaturn.store import ConfigurationStore
+from zinniaturn.tables.domain import Tables
+
+
+async def roll_back(
+    store: ConfigurationStore,
+    revision: int,
+    author: str,
+    reason: str,
+) -> Tables:
+    """
+    Commit the rows of ``revision`` as the next revision and return it.
+
+    A change accepted meanwhile is kept where it touches other rows. Raises
+    what `commit` raises and `RevisionNotFoundError`.
+    """
+    current = await read_tables(store)
+    older = await tables_before(store, current, revision)
+    return await commit(
+        store,
+        current,
+        older,
+        author=author,
+        reason=reason or f'back to revision {revision}',
+        kind=ChangeKind.ROLLBACK,
+    )
--- a/zinniaturn/configuration/commit.py
+++ b/zinniaturn/configuration/commit.py
@@ -13,6 +13,7 @@
     'new_change_id',
     'read_tables',
     'settle',
+    'user_name',
 )
 
 import asyncio
@@ -45,6 +46,7 @@
     check_fence,
     plan_commit,
 )
+from zinniaturn.configuration.records import ChangeKind
 from zinniaturn.configuration.snapshot import EMPTY, Snapshot
 from zinniaturn.store import (
     ConfigurationStore,
@@ -115,6 +117,7 @@
     reason: str = '',
     change_id: str = '',
     may_initialize: bool = True,
+    kind: ChangeKind = ChangeKind.EDIT,
 ) -> Tables:
     """
     Make the change from ``base`` to ``edited`` the next revision.
@@ -139,7 +142,12 @@
     proposal = Proposal(
         change=change,
         change_id=change_id or new_change_id(),
-        authorship=Authorship(author or _user(), reason, time.time()),
+        authorship=Authorship(
+            author or user_name(),
+            reason,
+            time.time(),
+            kind,
+        ),
         base_revision=base.tables.revision,
     )
     return await propose(store, base, proposal)
@@ -262,7 +270,8 @@
     )
 
 
-def _user() -> str:
+def user_name() -> str:
+    """Return the name of the operator who runs this process."""
     try:
         return getpass.getuser()
     except OSError:
--- /dev/null
+++ b/zinniaturn/configuration/replaying.py
@@ -0,0 +1,64 @@
+"""Older revisions of the tables, worked out from the audit trail."""
+
+__all__ = ('tables_before',)
+
+from dataclasses import replace
+
+from zinniaturn.configuration.changes import Change
+from zinniaturn.configuration.commit import StoredTables
+from zinniaturn.configuration.exceptions import RevisionNotFoundError
+from zinniaturn.configuration.pages import read_pages
+from zinniaturn.configuration.planning import record_key
+from zinniaturn.configuration.records import decode_record
+from zinniaturn.store import ConfigurationStore
+from zinniaturn.tables.domain import Tables
+
+
+async def tables_before(
+    store: ConfigurationStore,
+    current: StoredTables,
+    revision: int,
+) -> Tables:
+    """
+    Return the tables as they were at an older revision.
+
+    The changes since are taken back one by one. Raises
+    `RevisionNotFoundError` where the trail does not reach back that far.
+    """
+    head = current.snapshot.head
+    tables = current.tables
+    if not 0 <= revision <= head.revision:
+        raise RevisionNotFoundError(f'there is no revision {revision}')
+    async for page in read_pages(store, head):
+        numbered = list(enumerate(page.steps, page.first_revision))
+        for number, step in reversed(numbered):
+            if number <= revision:
+                return replace(tables, revision=revision)
+            entry = await store.read(record_key(number, step.change_id))
+            if not entry.version:
+                raise RevisionNotFoundError(
+                    f'the record of revision {number} is gone',
+                )
+            tables = _take_back(decode_record(entry.value).change, tables)
+    if revision:
+        raise RevisionNotFoundError(f'revision {revision} is too old')
+    return replace(tables, revision=0)
+
+
+def _take_back(change: Change, tables: Tables) -> Tables:
+    # References are not checked: every older revision was consistent.
+    routes = {
+        name: row
+        for name, row in tables.routes.items()
+        if name not in change.after.routes
+    }
+    pools = {
+        name: row
+        for name, row in tables.pools.items()
+        if name not in change.after.pools
+    }
+    return Tables(
+        tables.revision,
+        {**routes, **change.before.routes},
+        {**pools, **change.before.pools},
+    )
--- /dev/null
+++ b/zinniaturn/configuration/restoring.py
@@ -0,0 +1,238 @@
+"""
+Putting the tables back from an entry's memory, after the store lost revisions.
+
+What the store accepted on top of its older state is kept: those changes are
+applied once more on top of the entry's tables, under the same change ids.
+"""
+
+__all__ = ('RestorePlan', 'common_revision', 'plan_restore', 'restore')
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, replace
+
+from zinniaturn.configuration.changes import apply_change, diff_tables
+from zinniaturn.configuration.exceptions import (
+    CommitConflictError,
+    OverlapError,
+    StoredStateError,
+)
+from zinniaturn.configuration.head import (
+    Head,
+    Retired,
+    SegmentRef,
+    Step,
+    encode_head,
+    extend_chain,
+)
+from zinniaturn.configuration.layout import (
+    HEAD_KEY,
+    StoredHead,
+    create_all,
+    read_head,
+)
+from zinniaturn.configuration.planning import (
+    MAX_MERGED,
+    PREFIX,
+    Authorship,
+    Write,
+    record_key,
+)
+from zinniaturn.configuration.records import (
+    AuditRecord,
+    ChangeKind,
+    decode_record,
+    encode_record,
+)
+from zinniaturn.configuration.segments import (
+    digest_of,
+    encode_segment,
+    split_tables,
+)
+from zinniaturn.configuration.snapshot import Snapshot
+from zinniaturn.store import ConfigurationStore, StoreConflictError
+from zinniaturn.tables.domain import Tables
+
+
+@dataclass(frozen=True, slots=True)
+class RestorePlan:
+    """
+    What a restore writes.
+
+    ``left_out`` are changes that overlap with what the entries hold and were
+    left out at the operator's word.
+    """
+
+    tables: Tables
+    steps: tuple[Step, ...]
+    segments: dict[str, Write]
+    records: tuple[Write, ...]
+    left_out: tuple[AuditRecord, ...]
+
+
+async def restore(
+    store: ConfigurationStore,
+    held: Snapshot,
+    authorship: Authorship,
+    change_id: str,
+    prefers_entries: bool = False,
+) -> RestorePlan:
+    """
+    Make what an entry holds, and what the store got since, the next revision.
+
+    Raises `OverlapError` where both changed the same row, unless
+    ``prefers_entries``, `CommitConflictError` where the head moved meanwhile
+    or nothing was lost, and the store's errors.
+    """
+    stored = await read_head(store)
+    since = await _records_since(store, held.head, stored.head)
+    plan = plan_restore(held, since, authorship, change_id, prefers_entries)
+    versions = await create_all(
+        store,
+        (*plan.segments.values(), *plan.records),
+    )
+    head = _head(plan, held.head, stored, versions)
+    try:
+        await store.compare_and_swap(
+            HEAD_KEY,
+            stored.version,
+            encode_head(head),
+        )
+    except StoreConflictError as error:
+        raise CommitConflictError('the head moved; try again') from error
+    return plan
+
+
+def common_revision(first: Head, second: Head) -> int:
+    """
+    Return the last revision that two histories share, 0 for none.
+
+    >>> common_revision(Head(), Head())
+    0
+    """
+    newest = min(first.revision, second.revision)
+    oldest = max(first.first_revision, second.first_revision)
+    for revision in range(newest, oldest - 1, -1):
+        if first.chain_at(revision) == second.chain_at(revision):
+            return revision
+    return 0
+
+
+def plan_restore(
+    held: Snapshot,
+    since: Iterable[AuditRecord],
+    authorship: Authorship,
+    change_id: str,
+    prefers_entries: bool,
+) -> RestorePlan:
+    """Return the plan that applies ``since`` on top of ``held``."""
+    tables = held.tables
+    steps = list(held.head.steps)
+    records = []
+    left_out = []
+    for old in since:
+        try:
+            tables = apply_change(old.change, tables)
+        except OverlapError:
+            if not prefers_entries:
+                raise
+            left_out.append(old)
+            continue
+        tables = replace(tables, revision=tables.revision + 1)
+        steps.append(_next_step(steps, old.change_id))
+        records.append(replace(old, revision=tables.revision))
+    # The last step is the restore's own: it changes no row.
+    tables = replace(tables, revision=tables.revision + 1)
+    steps.append(_next_step(steps, change_id))
+    records.append(
+        AuditRecord(
+            change_id=change_id,
+            base_revision=held.head.revision,
+            revision=tables.revision,
+            kind=ChangeKind.RESTORE,
+            author=authorship.author,
+            reason=authorship.reason,
+            at=authorship.at,
+            change=diff_tables(tables, tables),
+        ),
+    )
+    return RestorePlan(
+        tables,
+        tuple(steps),
+        _segments(tables, change_id),
+        tuple(_record_write(record) for record in records),
+        tuple(left_out),
+    )
+
+
+async def _records_since(
+    store: ConfigurationStore,
+    held: Head,
+    stored: Head,
+) -> tuple[AuditRecord, ...]:
+    common = common_revision(held, stored)
+    if held.revision and common == held.revision:
+        raise CommitConflictError(
+            f'the store has all up to revision {held.revision}; nothing is '
+            'lost',
+        )
+    found = []
+    for revision in range(common + 1, stored.revision + 1):
+        index = revision - stored.first_revision
+        if index < 0:
+            raise StoredStateError('the histories parted too long ago')
+        change_id = stored.steps[index].change_id
+        entry = await store.read(record_key(revision, change_id))
+        if not entry.version:
+            raise StoredStateError(f'the record of {revision} is missing')
+        found.append(decode_record(entry.value))
+    return tuple(found)
+
+
+def _head(
+    plan: RestorePlan,
+    held: Head,
+    stored: StoredHead,
+    versions: Mapping[str, int],
+) -> Head:
+    refs = {
+        bucket: SegmentRef(
+            write.key,
+            versions[write.key],
+            digest_of(write.text),
+        )
+        for bucket, write in plan.segments.items()
+    }
+    revision = plan.tables.revision
+    merged = (*held.merged, stored.head.position)
+    retired = [
+        Retired(ref.key, ref.version, revision)
+        for ref in stored.head.segments.values()
+    ]
+    return Head(
+        revision=revision,
+        steps=plan.steps,
+        segments=refs,
+        retired=(*stored.head.retired, *retired),
+        merged=merged[-MAX_MERGED:],
+    )
+
+
+def _next_step(steps: list[Step], change_id: str) -> Step:
+    before = steps[-1].chain if steps else ''
+    return Step(change_id, extend_chain(before, change_id, ()))
+
+
+def _segments(tables: Tables, change_id: str) -> dict[str, Write]:
+    suffix = f'{tables.revision}-{change_id}-restore'
+    return {
+        bucket: Write(
+            f'{PREFIX}/segments/{bucket}-{suffix}',
+            encode_segment(rows),
+        )
+        for bucket, rows in split_tables(tables).items()
+    }
+
+
+def _record_write(record: AuditRecord) -> Write:
+    key = record_key(record.revision, record.change_id)
+    return Write(key, encode_record(record))
--- a/zinniaturn/membership/reporter.py
+++ b/zinniaturn/membership/reporter.py
@@ -41,6 +41,7 @@
 _RENEW_SECONDS = 4.0
 _ROUND_SECONDS = 1.0
 _READ_SECONDS = 10.0
+_LONELY_ROUNDS = 20
 _DUTY = 'report'
 
 
@@ -61,6 +62,7 @@
     version: int = 0
     renew_at: float = 0
     read_at: float = 0
+    lonely_rounds: int = 0
 
     async def run(self) -> None:
         """Keep the directory up to date."""
@@ -74,7 +76,7 @@
         """Do what is due: read, take over, renew or write."""
         now = self.keeper.clock.monotonic()
         if now >= self.read_at:
-            self.read_at = now + _READ_SECONDS * (0.5 + self.source.random())
+            self.read_at = now + self._read_pause()
             await self.read_all()
         if self.keeper.is_held():
             await self._report(now)
@@ -97,6 +99,14 @@
         """Give the duty up."""
         await self.keeper.release()
 
+    def _read_pause(self) -> float:
+        # An entry that knows nobody looks often, but not for ever.
+        if not self.table.known and self.lonely_rounds < _LONELY_ROUNDS:
+            self.lonely_rounds += 1
+            return 0
+        self.lonely_rounds = 0
+        return _READ_SECONDS * (0.5 + self.source.random())
+
     def _is_candidate(self) -> bool:
         others = [member.name for member in self._live_here()]
         return not self.table.me.heartbeat.leaving and is_on_duty(
