--- a/zinniaturn/entry/frontend.py
+++ b/zinniaturn/entry/frontend.py
@@ -8,10 +8,11 @@
 from zinniaturn.entry.answers import make_refusal
 from zinniaturn.entry.bodies import expects_continue
 from zinniaturn.entry.dispatch import Dispatcher
-from zinniaturn.entry.exceptions import BadRequestError, BrokenBodyError
+from zinniaturn.entry.exceptions import BadRequestError
 from zinniaturn.entry.requests import parse_request
 from zinniaturn.entry.state import EntryState
 from zinniaturn.entry.targets import RequestTarget, parse_target
+from zinniaturn.forwarding import ExchangeError
 from zinniaturn.outcomes import Outcome
 from zinniaturn.tables import Route, find_route
 
@@ -32,6 +33,8 @@
         self.state.requests_in_flight += 1
         try:
             return _closing_if_unread(request, await self._answer(request))
+        except ExchangeError:
+            return _cut(request)
         finally:
             self.state.requests_in_flight -= 1
 
@@ -74,18 +77,7 @@
             )
         except BadRequestError as error:
             return self._refuse(route.pool, error.code, error.message)
-        try:
-            return await self.dispatcher.run(request, parsed)
-        except BrokenBodyError as error:
-            self.state.metrics.count(route.pool, Outcome.UNKNOWN.value)
-            refusal = make_refusal(
-                error.code,
-                Outcome.UNKNOWN,
-                error.message,
-                parsed.request_id,
-            )
-            refusal.force_close()
-            return refusal
+        return await self.dispatcher.run(request, parsed)
 
     def _refuse(
         self,
@@ -104,6 +96,17 @@
         )
 
 
+def _cut(request: web.BaseRequest) -> web.Response:
+    """
+    Break the caller's connection, so that a cut answer does not look whole.
+
+    The response returned can reach no one any more.
+    """
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response()
+
+
 def _closing_if_unread(
     request: web.BaseRequest,
     response: web.StreamResponse,
--- a/zinniaturn/entry/requests.py
+++ b/zinniaturn/entry/requests.py
@@ -86,6 +86,7 @@
         deadline=clock.monotonic() + seconds,
         idempotent=_is_idempotent(request, route),
     )
+    backend_request.once = not parsed.idempotent
     if request.body_exists:
         await _attach_body(request, parsed)
     return parsed
