--- a/features/steps/spread_steps.py
+++ b/features/steps/spread_steps.py
@@ -70,7 +70,8 @@
 
 
 def _table(entry):
-    return entry.state.control.table
+    state = entry.state
+    return state.control.table
 
 
 async def _start_entry(context, name, seeds=()):
@@ -301,7 +302,8 @@
 
 @when('an operator restores the tables from the entries')
 def restore_tables(context):
-    held = context.entries['entry-0'].state.holder.snapshot
+    state = context.entries['entry-0'].state
+    held = state.holder.snapshot
     _run(
         context,
         restore(
