--- a/zinniaturn/settings/fields.py
+++ b/zinniaturn/settings/fields.py
@@ -1,6 +1,6 @@
 """Kinds of values that several settings share."""
 
-__all__ = ('IpAddress', 'StoreUrl', 'check_store_url')
+__all__ = ('IpAddress', 'StoreUrl', 'VmListUrl', 'check_store_url')
 
 import ipaddress
 from typing import Annotated
@@ -39,6 +39,10 @@
     return text.rstrip('/')
 
 
+def _check_optional_url(text: str) -> str:
+    return check_store_url(text) if text else ''
+
+
 IpAddress = Annotated[
     str,
     AfterValidator(check_address),
@@ -49,3 +53,8 @@
     AfterValidator(check_store_url),
     Field(json_schema_extra={'allowed': 'http://ADDRESS:PORT or https'}),
 ]
+VmListUrl = Annotated[
+    str,
+    AfterValidator(_check_optional_url),
+    Field(json_schema_extra={'allowed': 'http://ADDRESS:PORT or https'}),
+]
