--- a/zinniaturn/commands/entry.py
+++ b/zinniaturn/commands/entry.py
@@ -7,6 +7,7 @@
 import click
 
 from zinniaturn.entry import run_entry
+from zinniaturn.entry.loops import loop_factory
 from zinniaturn.events import configure_logging
 from zinniaturn.settings import EntrySettings, check_settings
 from zinniaturn.settings.checking import flag_of, variable_of
@@ -31,4 +32,7 @@
     stated = {name: text for name, text in given.items() if text is not None}
     settings = check_settings(EntrySettings, stated)
     configure_logging(settings.log_level, settings.name)
-    asyncio.run(run_entry(settings))
+    with asyncio.Runner(
+        loop_factory=loop_factory(settings.event_loop),
+    ) as runner:
+        runner.run(run_entry(settings))
--- a/zinniaturn/settings/models.py
+++ b/zinniaturn/settings/models.py
@@ -27,4 +27,5 @@
     policy: str = 'estimated-wait'
     address_lifetime_seconds: float = Field(default=5, gt=0, le=3600)
     log_level: Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
+    event_loop: Literal['uvloop', 'asyncio'] = 'uvloop'
     seed: int | None = None
