--- a/zinniaturn/entry/frontend.py
+++ b/zinniaturn/entry/frontend.py
@@ -13,7 +13,7 @@
 from zinniaturn.entry.state import EntryState
 from zinniaturn.entry.targets import RequestTarget, parse_target
 from zinniaturn.outcomes import Outcome
-from zinniaturn.tables import Route, find_route
+from zinniaturn.tables import Route
 
 ADDRESSES_PATH = '/v1/entries'
 
@@ -51,10 +51,13 @@
             return self._refuse('', error.code, error.message)
         if target.path == ADDRESSES_PATH:
             return answer_addresses(self.state)
-        tables = self.state.holder.tables
-        if not tables.revision:
+        if not self.state.holder.tables.revision:
             return self._refuse('', 'not-ready', 'no tables were found yet', 1)
-        route = find_route(tables, target.host, target.path, request.method)
+        route = self.state.matcher.find(
+            target.host,
+            target.path,
+            request.method,
+        )
         if route is None:
             return self._refuse('', 'no-route', 'see the route table')
         return await self._run(request, target, route)
--- a/zinniaturn/entry/state.py
+++ b/zinniaturn/entry/state.py
@@ -13,7 +13,7 @@
 from zinniaturn.explain import DecisionLog
 from zinniaturn.forwarding import ConnectionPool
 from zinniaturn.settings import EntrySettings
-from zinniaturn.tables import Tables
+from zinniaturn.tables import RouteMatcher, Tables
 
 
 @dataclass(slots=True)
@@ -28,12 +28,14 @@
     connections: ConnectionPool = field(default_factory=ConnectionPool)
     metrics: EntryMetrics = field(default_factory=EntryMetrics)
     pools: dict[str, PoolState] = field(default_factory=dict)
+    matcher: RouteMatcher = field(default_factory=RouteMatcher)
     recorder: DecisionLog = field(default_factory=DecisionLog)
     requests_in_flight: int = 0
     port: int = 0
 
     def install_pools(self, tables: Tables) -> None:
-        """Bring the pools in line with newly installed tables."""
+        """Bring the routes and pools in line with newly installed tables."""
+        self.matcher = RouteMatcher(tables.routes.values())
         for name in list(self.pools):
             if name not in tables.pools:
                 self.pools.pop(name)
--- a/zinniaturn/tables/__init__.py
+++ b/zinniaturn/tables/__init__.py
@@ -8,12 +8,12 @@
 __all__ = (
     'Pool',
     'Route',
+    'RouteMatcher',
     'Server',
     'Tables',
     'TablesError',
     'decode_tables',
     'encode_tables',
-    'find_route',
     'parse_pools',
     'parse_routes',
 )
@@ -21,5 +21,5 @@
 from zinniaturn.tables.codec import decode_tables, encode_tables
 from zinniaturn.tables.domain import Pool, Route, Server, Tables
 from zinniaturn.tables.exceptions import TablesError
-from zinniaturn.tables.matching import find_route
+from zinniaturn.tables.matching import RouteMatcher
 from zinniaturn.tables.parsing import parse_pools, parse_routes
