--- /dev/null
+++ b/features/support/requests.py
@@ -0,0 +1,43 @@
+"""Requests byte by byte, and what became of their answers."""
+
+import asyncio
+from dataclasses import dataclass
+
+from features.support.byte_caller import ByteCaller
+
+
+@dataclass
+class Ending:
+    """How a request ended; a cut answer has status 0."""
+
+    status: int = 0
+    body: bytes = b''
+    outcome: str = ''
+    code: str = ''
+
+
+def head(method, path, request_id, **headers):
+    rows = [
+        f'{method} {path} HTTP/1.1',
+        'Host: entry',
+        f'X-Request-Id: {request_id}',
+    ]
+    for name, text in headers.items():
+        dashed = name.replace('_', '-')
+        rows.append(f'{dashed}: {text}')
+    return '\r\n'.join((*rows, '', '')).encode()
+
+
+async def receive(caller: ByteCaller):
+    """Return how the request ended; an answer that was cut is no error."""
+    try:
+        async with asyncio.timeout(10):
+            answer = await caller.read_answer()
+    except (OSError, ValueError, asyncio.IncompleteReadError):
+        return Ending()
+    return Ending(
+        answer.status,
+        answer.body,
+        ''.join(answer.values('Zinniaturn-Outcome')),
+        ''.join(answer.values('Zinniaturn-Code')),
+    )
--- a/zinniaturn/entry/attempts.py
+++ b/zinniaturn/entry/attempts.py
@@ -50,6 +50,7 @@
         self.parsed = parsed
         self.pool = pool
         self.tried: set[str] = set()
+        self.sent = 0
 
     async def run(self) -> Attempt:
         """
@@ -157,6 +158,7 @@
     async def _send(self, ticket: Ticket) -> Attempt:
         server = ticket.server
         assert server is not None
+        self.sent += 1
         started = self.state.clock.monotonic()
         completion = Completion(False, 0, cancelled=True)
         answer: Answer | None = None
@@ -201,10 +203,10 @@
 
 
 def _shed(server: ServerState, answer: Answer) -> ExchangeError:
-    answer.abandon()
+    answer.discard()
     return ExchangeError(
         f'{server.server.name} shed the request',
-        Phase.SENT_WHOLE,
+        answer.sent,
         Event.SERVER_SHED,
     )
 
--- a/zinniaturn/entry/dispatch.py
+++ b/zinniaturn/entry/dispatch.py
@@ -10,7 +10,7 @@
 from zinniaturn.entry.requests import CallerRequest
 from zinniaturn.entry.state import EntryState
 from zinniaturn.forwarding import ExchangeError
-from zinniaturn.outcomes import Outcome, Phase, Verdict, decide
+from zinniaturn.outcomes import Event, Outcome, Phase, Verdict, combine, decide
 
 _MAX_ATTEMPTS = 3
 
@@ -29,17 +29,16 @@
         """Return the answer to the caller; raises where it was cut short."""
         pool = self.state.pools[parsed.route.pool]
         attempts = Attempts(self.state, parsed, pool)
-        known = Outcome.NOT_RUN
+        known: Verdict | None = None
         while True:
             try:
                 return await self._attempt(request, attempts)
             except RefusedError as error:
                 return self._refuse(parsed, error, known)
             except ExchangeError as error:
-                verdict = _verdict(error)
-                known = _worse(known, verdict.outcome)
-                if not _may_retry(verdict, attempts):
-                    return self._give_up(parsed, verdict, known, error)
+                known = combine(known, _verdict(error))
+                if not _may_retry(known, attempts):
+                    return self._give_up(parsed, known, error)
 
     async def _attempt(
         self,
@@ -57,29 +56,35 @@
     def _give_up(
         self,
         parsed: CallerRequest,
-        verdict: Verdict,
-        known: Outcome,
+        known: Verdict,
         error: ExchangeError,
     ) -> web.Response:
-        self.state.metrics.count(parsed.route.pool, known.value)
-        return make_refusal(
-            verdict.code,
-            known,
+        self.state.metrics.count(parsed.route.pool, known.outcome.value)
+        refusal = make_refusal(
+            known.code,
+            known.outcome,
             error.message,
             parsed.request_id,
             self.state.pools[parsed.route.pool].retry_after(),
         )
+        if error.event is Event.REQUEST_BROKEN:
+            refusal.force_close()
+        return refusal
 
     def _refuse(
         self,
         parsed: CallerRequest,
         error: RefusedError,
-        known: Outcome,
+        known: Verdict | None,
     ) -> web.Response:
-        self.state.metrics.count(parsed.route.pool, known.value)
+        """Refuse, saying what is known of the attempts that came before."""
+        outcome, code = Outcome.NOT_RUN, error.code
+        if known is not None and known.outcome is not Outcome.NOT_RUN:
+            outcome, code = known.outcome, known.code
+        self.state.metrics.count(parsed.route.pool, outcome.value)
         return make_refusal(
-            error.code,
-            known,
+            code,
+            outcome,
             error.message,
             parsed.request_id,
             error.retry_after_seconds,
@@ -92,11 +97,6 @@
     return decide(error.phase, error.event)
 
 
-def _worse(known: Outcome, outcome: Outcome) -> Outcome:
-    """Return what is known of a request after one more attempt."""
-    return outcome if known is Outcome.NOT_RUN else known
-
-
 def _may_retry(verdict: Verdict, attempts: Attempts) -> bool:
     parsed = attempts.parsed
     allowed = (
@@ -106,6 +106,6 @@
     )
     if not allowed or not parsed.can_repeat:
         return False
-    if len(attempts.tried) >= _MAX_ATTEMPTS:
+    if attempts.sent >= _MAX_ATTEMPTS:
         return False
     return attempts.pool.retries.spend()
--- /dev/null
+++ b/zinniaturn/outcomes/printing.py
@@ -0,0 +1,33 @@
+"""The outcome table as the documentation shows it."""
+
+__all__ = ('print_outcomes',)
+
+from zinniaturn.outcomes.table import OUTCOMES
+
+_HEADING = (
+    '| sent so far | what ended it | outcome | code '
+    '| idempotent: try again | non-idempotent: try again |',
+    '|---|---|---|---|---|---|',
+)
+
+
+def print_outcomes() -> str:
+    """Return the outcome table in Markdown."""
+    rows = [
+        ' | '.join(
+            (
+                f'| {phase.name.lower().replace("_", "-")}',
+                event.value,
+                verdict.outcome.value,
+                f'`{verdict.code}`',
+                _word(verdict.retry_idempotent),
+                f'{_word(verdict.retry_non_idempotent)} |',
+            )
+        )
+        for (phase, event), verdict in OUTCOMES.items()
+    ]
+    return '\n'.join((*_HEADING, *rows))
+
+
+def _word(flag: bool) -> str:
+    return 'yes' if flag else 'no'
