--- a/zinniaturn/commands/experiment.py
+++ b/zinniaturn/commands/experiment.py
@@ -8,6 +8,7 @@
 import click
 
 from zinniaturn.experiments import experiments
+from zinniaturn.experiments.choosing.generator import run_generator
 from zinniaturn.experiments.registry import ExperimentOptions
 
 
@@ -65,3 +66,11 @@
         as_json=as_json,
     )
     sys.exit(known[name].load()(options))
+
+
+@experiment.command(hidden=True)
+@click.argument('order', type=click.Path(exists=True, path_type=Path))
+@click.argument('rows', type=click.Path(path_type=Path))
+def generate(order: Path, rows: Path) -> None:
+    """Send the load of one generator process of an experiment."""
+    run_generator(order, rows)
--- /dev/null
+++ b/zinniaturn/experiments/choosing/__init__.py
@@ -0,0 +1,3 @@
+"""Experiments on choosing the backend server."""
+
+__all__ = ()
--- /dev/null
+++ b/zinniaturn/experiments/choosing/fleet.py
@@ -0,0 +1,227 @@
+"""The fleet of an experiment on choosing: real processes on loopback."""
+
+__all__ = ('ChoosingFleet',)
+
+import asyncio
+from collections.abc import Mapping
+from pathlib import Path
+from types import MappingProxyType
+
+import aiohttp
+import msgspec
+
+from zinniaturn.configuration import (
+    apply_pools,
+    apply_routes,
+    commit,
+    read_tables,
+)
+from zinniaturn.experiments.choosing.plan import ORACLE, Plan, Workload
+from zinniaturn.experiments.exceptions import ExperimentError
+from zinniaturn.experiments.processes import ProcessGroup, free_port
+from zinniaturn.standins.backend_faults import BackendFaults
+from zinniaturn.standins.backend_group import GroupCounts, GroupOrder
+from zinniaturn.store import HttpStore
+from zinniaturn.tables import Pool, Route, Server
+
+_POLL_SECONDS = 0.05
+_READY_SECONDS = 20.0
+_MILLISECONDS = 1000
+
+
+class ChoosingFleet:
+    """
+    A store, a city's backend servers and its entries.
+
+    Every policy has a pool of its own over the same servers, so that what one
+    policy learnt doesn't help another.
+    """
+
+    def __init__(self, plan: Plan, logs: Path) -> None:
+        self.plan = plan
+        self.group = ProcessGroup(logs)
+        self.store_port = free_port()
+        self.control_ports = {
+            workload.service: free_port() for workload in plan.workloads
+        }
+        self.entry_ports = [free_port() for _ in range(plan.city.entries)]
+        self.admin_ports = [free_port() for _ in range(plan.city.entries)]
+        self.server_ports: dict[str, dict[str, int]] = {}
+
+    @property
+    def entries(self) -> tuple[tuple[str, int], ...]:
+        """Return the addresses that callers use."""
+        return tuple(('127.0.0.1', port) for port in self.entry_ports)
+
+    async def start(self) -> None:
+        """Start everything and wait until every entry is ready."""
+        await self.group.start(
+            'store',
+            'standin',
+            'store',
+            '--port',
+            str(self.store_port),
+        )
+        for workload in self.plan.workloads:
+            await self._start_backends(workload)
+        for number in range(len(self.entry_ports)):
+            await self.start_entry(number)
+        await self.group.wait_for_port('store', self.store_port)
+        for service, port in self.control_ports.items():
+            await self.group.wait_for_port(service, port)
+            self.server_ports[service] = await _get_json(port, '/servers')
+        await self._commit_tables()
+        for port in self.admin_ports:
+            await _wait_until_ready(port)
+
+    async def start_entry(self, number: int) -> None:
+        """Start one entry."""
+        await self.group.start(
+            f'entry-{number}',
+            'entry',
+            *self._entry_flags(number),
+        )
+
+    async def stop(self) -> None:
+        """Kill every process."""
+        await self.group.stop_all()
+
+    async def order(
+        self,
+        service: str,
+        faults: Mapping[str, BackendFaults] = MappingProxyType({}),
+        *,
+        oracle: bool = False,
+    ) -> None:
+        """Set faults of a service's servers and whether the oracle is on."""
+        body = GroupOrder(faults=dict(faults), oracle=oracle)
+        port = self.control_ports[service]
+        async with aiohttp.ClientSession() as session:
+            async with session.post(
+                f'http://127.0.0.1:{port}/faults',
+                data=msgspec.json.encode(body),
+            ) as response:
+                response.raise_for_status()
+
+    async def counts(self) -> dict[str, GroupCounts]:
+        """Return what each service's servers counted."""
+        counted: dict[str, GroupCounts] = {}
+        for service, port in self.control_ports.items():
+            counted[service] = msgspec.convert(
+                await _get_json(port, '/counts'),
+                GroupCounts,
+            )
+        return counted
+
+    def server_names(self, service: str) -> list[str]:
+        """Return the names of a service's servers."""
+        return sorted(self.server_ports[service])
+
+    async def _start_backends(self, workload: Workload) -> None:
+        city = self.plan.city
+        delay_ms = city.between_data_centers_seconds * _MILLISECONDS
+        flags = {
+            '--port': self.control_ports[workload.service],
+            '--count': workload.servers,
+            '--slots': workload.slots,
+            '--delay-ms': delay_ms,
+            '--connect-ms': city.connect_seconds * _MILLISECONDS,
+            '--seed': self.plan.seed,
+        }
+        await self.group.start(
+            workload.service,
+            'standin',
+            'backends',
+            workload.service,
+            *_words(flags),
+        )
+
+    def _entry_flags(self, number: int) -> list[str]:
+        plan = self.plan
+        overrides = [
+            f'{workload.service}-{policy}={entry_policy(policy)}'
+            for workload in plan.workloads
+            for policy in plan.policies
+        ]
+        return _words(
+            {
+                '--name': f'entry-{number}',
+                '--data-center': f'dc-{number % plan.city.data_centers}',
+                '--port': self.entry_ports[number],
+                '--admin-port': self.admin_ports[number],
+                '--store-url': f'http://127.0.0.1:{self.store_port}',
+                '--policy': ','.join(('random', *overrides)),
+                '--seed': plan.seed * _MILLISECONDS + number,
+                '--log-level': 'WARNING',
+            },
+        )
+
+    async def _commit_tables(self) -> None:
+        store = HttpStore(f'http://127.0.0.1:{self.store_port}')
+        try:
+            base = await read_tables(store)
+            tables = apply_pools(base.tables, self._pools())
+            await commit(store, base, apply_routes(tables, self._routes()))
+        finally:
+            await store.close()
+
+    def _pools(self) -> list[Pool]:
+        plan = self.plan
+        return [
+            Pool(
+                name=f'{workload.service}-{policy}',
+                servers=tuple(
+                    Server(name, '127.0.0.1', port, workload.slots)
+                    for name, port in self.server_ports[
+                        workload.service
+                    ].items()
+                ),
+                measuring_budget=(
+                    plan.measuring_budget
+                    if policy in plan.budget_policies
+                    else 0
+                ),
+            )
+            for workload in plan.workloads
+            for policy in plan.policies
+        ]
+
+    def _routes(self) -> list[Route]:
+        return [
+            Route(pool.name, pool.name, path_prefix=f'/{pool.name}/')
+            for pool in self._pools()
+        ]
+
+
+def entry_policy(policy: str) -> str:
+    """
+    Return the policy that entries use for a column of the results.
+
+    Under the oracle the stand-ins choose, so that the entries' choice does
+    not matter.
+    """
+    return 'random' if policy == ORACLE else policy
+
+
+def _words(flags: Mapping[str, object]) -> list[str]:
+    return [str(word) for pair in flags.items() for word in pair]
+
+
+async def _get_json(port: int, path: str) -> dict:
+    async with aiohttp.ClientSession() as session:
+        async with session.get(f'http://127.0.0.1:{port}{path}') as response:
+            response.raise_for_status()
+            return msgspec.json.decode(await response.read())
+
+
+async def _wait_until_ready(port: int) -> None:
+    loop = asyncio.get_running_loop()
+    give_up_at = loop.time() + _READY_SECONDS
+    while loop.time() < give_up_at:
+        try:
+            await _get_json(port, '/ready')
+        except aiohttp.ClientError:
+            await asyncio.sleep(_POLL_SECONDS)
+            continue
+        return
+    raise ExperimentError(f'the entry at port {port} is not ready')
--- /dev/null
+++ b/zinniaturn/experiments/choosing/plan.py
@@ -0,0 +1,159 @@
+"""
+What an experiment on choosing does: services, slices, faults.
+
+A slice is a stretch of time in which one policy serves the load. The slices
+of all policies take turns within one run, with the same arrivals and the same
+service times in each.
+"""
+
+__all__ = (
+    'BASELINES',
+    'ORACLE',
+    'FaultAt',
+    'Plan',
+    'Slice',
+    'Workload',
+    'interleaved',
+    'workloads_of',
+)
+
+import random
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from types import MappingProxyType
+
+from zinniaturn.experiments.cities import City
+from zinniaturn.standins.backend_faults import BackendFaults
+
+ORACLE = 'oracle'
+BASELINES = (
+    'random',
+    'round-robin',
+    'least-in-flight',
+    'power-of-two',
+    'hot-cold',
+)
+
+_SERVICE_SECONDS: Mapping[str, float] = MappingProxyType(
+    {
+        'card': 0.04,
+        'ledger': 0.08,
+        'extract': 0.4,
+        'depreciation': 0.4,
+        'chart': 0.04,
+        'payment': 0.08,
+        'export': 0.4,
+        'booking': 0.12,
+    }
+)
+_SIGMA = 0.5
+_LONGER_BY_SIGMA = 1.1331
+
+
+@dataclass(frozen=True, slots=True)
+class Workload:
+    """
+    The requests of a service.
+
+    ``mean_seconds`` is the mean execution. A share ``long_share`` of the
+    requests takes ``long_factor`` times as long. ``post_share`` is not
+    idempotent.
+    """
+
+    service: str
+    servers: int
+    slots: int
+    mean_seconds: float
+    sigma: float = _SIGMA
+    post_share: float = 0.1
+    long_share: float = 0
+    long_factor: float = 10
+
+    @property
+    def capacity(self) -> float:
+        """Return the requests per second that fill every slot."""
+        lengthening = 1 + self.long_share * (self.long_factor - 1)
+        slots = self.servers * self.slots
+        return slots / (self.mean_seconds * lengthening)
+
+    def draw_seconds(self, source: random.Random) -> float:
+        """Return one execution's length."""
+        median = self.mean_seconds / _LONGER_BY_SIGMA
+        seconds = median * source.lognormvariate(0, self.sigma)
+        if source.random() < self.long_share:
+            return seconds * self.long_factor
+        return seconds
+
+
+@dataclass(frozen=True, slots=True)
+class FaultAt:
+    """Faults of servers of a service, ``after_seconds`` into a slice."""
+
+    after_seconds: float
+    service: str
+    faults: Mapping[str, BackendFaults]
+
+
+@dataclass(frozen=True, slots=True)
+class Slice:
+    """One policy's turn; times are seconds."""
+
+    policy: str
+    round_number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """
+    A whole experiment.
+
+    ``loads`` are pairs of the second from which a share of capacity holds.
+    Latencies of requests due before ``warm_seconds`` don't count.
+    """
+
+    name: str
+    city: City
+    workloads: tuple[Workload, ...]
+    policies: tuple[str, ...]
+    loads: tuple[tuple[float, float], ...]
+    seed: int
+    slice_seconds: float
+    warm_seconds: float = 0.5
+    rounds: int = 2
+    faults: tuple[FaultAt, ...] = ()
+    measuring_budget: float = 4
+    deadline_seconds: float = 5
+    budget_policies: tuple[str, ...] = ('hot-cold',)
+
+    @property
+    def main(self) -> Workload:
+        """Return the workload whose latency is the headline."""
+        return self.workloads[0]
+
+
+def workloads_of(city: City, count: int = 4) -> tuple[Workload, ...]:
+    """Return the first ``count`` services of a city as workloads."""
+    return tuple(
+        Workload(
+            service=service.name,
+            servers=service.servers,
+            slots=city.slots,
+            mean_seconds=_SERVICE_SECONDS[service.name],
+        )
+        for service in city.services[:count]
+    )
+
+
+def interleaved(
+    policies: Sequence[str],
+    rounds: int,
+    seed: int,
+) -> list[Slice]:
+    """Return every policy once a round, in a random order in each."""
+    source = random.Random(seed)
+    turns: list[Slice] = []
+    for number in range(rounds):
+        order = list(policies)
+        source.shuffle(order)
+        turns.extend(Slice(policy, number) for policy in order)
+    return turns
--- /dev/null
+++ b/zinniaturn/experiments/choosing/results.py
@@ -0,0 +1,208 @@
+"""
+Results of an experiment: histograms by policy, counts and a summary.
+
+References
+----------
+.. [1] G. Tene, "HdrHistogram: a high dynamic range histogram",
+   hdrhistogram.org.
+
+"""
+
+__all__ = ('PolicyFigures', 'Results', 'summarize')
+
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from zinniaturn.experiments.choosing.load_order import LoadRow
+from zinniaturn.experiments.choosing.plan import ORACLE, Plan, Slice
+from zinniaturn.standins.backend_group import GroupCounts
+
+_MICROSECONDS = 1_000_000
+_MILLISECONDS = 1000
+_LONGEST_MICROSECONDS = 600_000_000
+_DIGITS = 3
+_QUANTILES = (50.0, 90.0, 99.0, 99.9)
+
+
+class PolicyFigures(msgspec.Struct):
+    """
+    One policy's figures for one service; latencies in milliseconds.
+
+    ``histogram`` is HdrHistogram's own encoding.
+    """
+
+    policy: str
+    service: str
+    requests: int
+    answered: int
+    refusals_repeated: int
+    unanswered: int
+    goodput: float
+    p50_ms: float
+    p90_ms: float
+    p99_ms: float
+    p999_ms: float
+    rounds_p99_ms: list[float]
+    histogram: str
+
+
+class Results(msgspec.Struct):
+    """The results file of one run."""
+
+    experiment: str
+    city: str
+    load: float
+    seed: int
+    main_service: str
+    figures: list[PolicyFigures]
+    doubled: int
+    lost: int
+    told_not_run_but_ran: int
+    probe_peak_over_budget: float
+    measuring_total: int
+    late_p99_ms: float
+    servers_requests: dict[str, dict[str, int]]
+
+
+def summarize(
+    plan: Plan,
+    load: float,
+    turns: list[Slice],
+    rows: list[LoadRow],
+    counts: Mapping[str, GroupCounts],
+) -> Results:
+    """Return the results of a run."""
+    by_column: dict[tuple[str, str], list[LoadRow]] = defaultdict(list)
+    for row in rows:
+        if row.due_seconds >= plan.warm_seconds:
+            policy = turns[row.slice_number].policy
+            by_column[policy, row.service].append(row)
+    figures = [
+        _figures(plan, turns, policy, service, column)
+        for (policy, service), column in sorted(by_column.items())
+    ]
+    executions = {
+        request_id: times
+        for count in counts.values()
+        for request_id, times in count.executions.items()
+    }
+    peak = max(
+        peak
+        for count in counts.values()
+        for peak in count.measuring_peak.values()
+    )
+    budget = plan.measuring_budget if plan.budget_policies else 0
+    return Results(
+        experiment=plan.name,
+        city=plan.city.name,
+        load=load,
+        seed=plan.seed,
+        main_service=plan.main.service,
+        figures=figures,
+        doubled=_doubled(executions),
+        lost=sum(row.told == 'nothing' for row in rows),
+        told_not_run_but_ran=sum(
+            row.told == 'not-run' and row.request_id in executions
+            for row in rows
+        ),
+        probe_peak_over_budget=peak / budget if budget else float(peak),
+        measuring_total=sum(
+            sum(count.measuring_total.values()) for count in counts.values()
+        ),
+        late_p99_ms=_quantile(row.late_seconds for row in rows),
+        servers_requests={
+            service: count.requests for service, count in counts.items()
+        },
+    )
+
+
+def chosen_over(results: Results, chosen: str) -> dict[str, object]:
+    """Return the ratios of the chosen policy over the others."""
+    p99 = {
+        figures.policy: figures.p99_ms
+        for figures in results.figures
+        if figures.service == results.main_service
+    }
+    baselines = {
+        policy: latency
+        for policy, latency in p99.items()
+        if policy not in {chosen, ORACLE}
+    }
+    best = min(baselines, key=lambda policy: baselines[policy], default='')
+    return {
+        'p99_ms': p99,
+        'chosen': chosen,
+        'best_baseline': best,
+        'p99_over_best_baseline': _ratio(p99, chosen, best),
+        'p99_over_oracle': _ratio(p99, chosen, ORACLE),
+        'probe_peak_over_budget': results.probe_peak_over_budget,
+        'lost': results.lost,
+        'doubled': results.doubled,
+    }
+
+
+def _figures(
+    plan: Plan,
+    turns: list[Slice],
+    policy: str,
+    service: str,
+    column: list[LoadRow],
+) -> PolicyFigures:
+    histogram = histogram_of(row.latency_seconds for row in column)
+    answered = [row for row in column if row.told == 'answered']
+    by_round: dict[int, list[float]] = defaultdict(list)
+    for row in column:
+        number = turns[row.slice_number].round_number
+        by_round[number].append(row.latency_seconds)
+    seconds = plan.rounds * (plan.slice_seconds - plan.warm_seconds)
+    p50, p90, p99, p999 = (
+        histogram.get_value_at_percentile(quantile) / _MILLISECONDS
+        for quantile in _QUANTILES
+    )
+    return PolicyFigures(
+        policy=policy,
+        service=service,
+        requests=len(column),
+        answered=len(answered),
+        refusals_repeated=sum(row.tries - 1 for row in column),
+        unanswered=len(column) - len(answered),
+        goodput=len(answered) / seconds,
+        p50_ms=p50,
+        p90_ms=p90,
+        p99_ms=p99,
+        p999_ms=p999,
+        rounds_p99_ms=[
+            _quantile(latencies) for _, latencies in sorted(by_round.items())
+        ],
+        histogram=histogram.encode().decode(),
+    )
+
+
+def histogram_of(latencies: Iterable[float]) -> HdrHistogram:
+    """Return a histogram of seconds, kept in microseconds [1]_."""
+    histogram = HdrHistogram(1, _LONGEST_MICROSECONDS, _DIGITS)
+    for seconds in latencies:
+        histogram.record_value(max(1, int(seconds * _MICROSECONDS)))
+    return histogram
+
+
+def _quantile(latencies: Iterable[float]) -> float:
+    histogram = histogram_of(latencies)
+    return histogram.get_value_at_percentile(_QUANTILES[2]) / _MILLISECONDS
+
+
+def _ratio(p99: Mapping[str, float], chosen: str, other: str) -> float | None:
+    if chosen not in p99 or not p99.get(other):
+        return None
+    return round(p99[chosen] / p99[other], 3)
+
+
+def _doubled(executions: Mapping[str, int]) -> int:
+    return sum(
+        times > 1
+        for request_id, times in executions.items()
+        if request_id.startswith('post-')
+    )
--- a/zinniaturn/experiments/registry.py
+++ b/zinniaturn/experiments/registry.py
@@ -51,7 +51,13 @@
         return function  # type: ignore[no-any-return]
 
 
-_ALL: tuple[Experiment, ...] = ()
+_ALL: tuple[Experiment, ...] = (
+    Experiment(
+        'choosing-smoke',
+        'all policies on steady load, within 45 s',
+        'zinniaturn.experiments.choosing.smoke:run_smoke',
+    ),
+)
 
 
 def experiments() -> Mapping[str, Experiment]:
