--- a/zinniaturn/choosing/policies.py
+++ b/zinniaturn/choosing/policies.py
@@ -20,13 +20,19 @@
     'RoundRobin',
 )
 
+import math
 import random
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from typing import Protocol
 
 from zinniaturn.choosing.estimates import PoolAverages, estimated_wait
 from zinniaturn.choosing.server_state import ServerState
 
+_BEARABLE_RATIO = 2.5
+_COMPARED_SHARE = 0.25
+_FEWEST_COMPARED = 2
+
 
 class Policy(Protocol):
     """Chooses one of the available servers."""
@@ -118,10 +124,13 @@
 
 class EstimatedWait:
     """
-    Takes the server whose answer is expected first.
+    Takes the shortest estimated wait among the servers not used for longest.
 
     A fresh report of a free slot is remembered and used [2]_; a server of
-    which nothing fresh is known counts as an average one.
+    which nothing fresh is known counts as an average one. Keeping to the
+    quarter that was not used for longest spreads the requests evenly, and
+    keeps entries from meeting at the server that looks best to all. Servers
+    that are much slower than the best one are left out first.
     """
 
     def __init__(self, source: random.Random) -> None:
@@ -133,14 +142,21 @@
         averages: PoolAverages,
         now: float,
     ) -> ServerState:
-        """Return the candidate with the shortest estimated wait."""
-        return min(
-            candidates,
-            key=lambda state: (
+        """Return a candidate with a short estimated wait."""
+        ranked = [
+            _Ranked(
+                state,
                 estimated_wait(state, averages, now),
                 self.source.random(),
-            ),
-        )
+            )
+            for state in candidates
+        ]
+        bearable = min(each.wait for each in ranked) * _BEARABLE_RATIO
+        sound = [each for each in ranked if each.wait <= bearable]
+        sound.sort(key=_last_used)
+        fewest = min(len(sound), _FEWEST_COMPARED)
+        compared = max(fewest, math.ceil(len(sound) * _COMPARED_SHARE))
+        return min(sound[:compared], key=_wait).state
 
 
 class Oracle:
@@ -172,5 +188,22 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class _Ranked:
+    """A candidate with its estimated wait and a random rank for ties."""
+
+    state: ServerState
+    wait: float
+    rank: float
+
+
+def _last_used(ranked: _Ranked) -> tuple[float, float]:
+    return ranked.state.sent_at, ranked.rank
+
+
+def _wait(ranked: _Ranked) -> float:
+    return ranked.wait
+
+
 def _name(state: ServerState) -> str:
     return state.server.name
--- a/zinniaturn/choosing/pool_state.py
+++ b/zinniaturn/choosing/pool_state.py
@@ -187,6 +187,7 @@
         state = self.policy.choose(candidates, self.averages, now)
         state.in_flight += 1
         state.sent_since_report += 1
+        state.sent_at = now
         ticket.server = state
         return True
 
--- a/zinniaturn/choosing/server_state.py
+++ b/zinniaturn/choosing/server_state.py
@@ -46,7 +46,8 @@
     One server of a pool as this entry sees it.
 
     ``in_flight`` counts this entry's own requests and is exact.
-    ``sent_since_report`` counts those sent after ``report`` was received.
+    ``sent_since_report`` counts those sent after ``report`` was received and
+    ``sent_at`` is when the last was sent.
     ``service_seconds`` is the estimate of an execution without its wait, 0
     where nothing is known. Times are monotonic seconds.
     """
@@ -56,6 +57,7 @@
     report: LoadReport | None = None
     reported_at: float = 0
     sent_since_report: int = 0
+    sent_at: float = 0
     service_seconds: float = 0
     served_at: float = 0
     consecutive_failures: int = 0
--- a/zinniaturn/experiments/choosing/fleet.py
+++ b/zinniaturn/experiments/choosing/fleet.py
@@ -5,7 +5,6 @@
 import asyncio
 from collections.abc import Mapping
 from pathlib import Path
-from types import MappingProxyType
 
 import aiohttp
 import msgspec
@@ -64,7 +63,7 @@
         )
         for workload in self.plan.workloads:
             await self._start_backends(workload)
-        for number in range(len(self.entry_ports)):
+        for number, _ in enumerate(self.entry_ports):
             await self.start_entry(number)
         await self.group.wait_for_port('store', self.store_port)
         for service, port in self.control_ports.items():
@@ -89,7 +88,7 @@
     async def order(
         self,
         service: str,
-        faults: Mapping[str, BackendFaults] = MappingProxyType({}),
+        faults: Mapping[str, BackendFaults],
         *,
         oracle: bool = False,
     ) -> None:
--- a/zinniaturn/experiments/choosing/results.py
+++ b/zinniaturn/experiments/choosing/results.py
@@ -75,11 +75,7 @@
     counts: Mapping[str, GroupCounts],
 ) -> Results:
     """Return the results of a run."""
-    by_column: dict[tuple[str, str], list[LoadRow]] = defaultdict(list)
-    for row in rows:
-        if row.due_seconds >= plan.warm_seconds:
-            policy = turns[row.slice_number].policy
-            by_column[policy, row.service].append(row)
+    by_column = _by_column(plan, turns, rows)
     figures = [
         _figures(plan, turns, policy, service, column)
         for (policy, service), column in sorted(by_column.items())
@@ -144,6 +140,30 @@
     }
 
 
+def _by_column(
+    plan: Plan,
+    turns: list[Slice],
+    rows: list[LoadRow],
+) -> dict[tuple[str, str], list[LoadRow]]:
+    columns: dict[tuple[str, str], list[LoadRow]] = defaultdict(list)
+    for row in rows:
+        if row.due_seconds >= plan.warm_seconds:
+            policy = turns[row.slice_number].policy
+            columns[policy, row.service].append(row)
+    return columns
+
+
+def _rounds(
+    turns: list[Slice],
+    column: list[LoadRow],
+) -> list[list[float]]:
+    by_round: dict[int, list[float]] = defaultdict(list)
+    for row in column:
+        number = turns[row.slice_number].round_number
+        by_round[number].append(row.latency_seconds)
+    return [by_round[number] for number in sorted(by_round)]
+
+
 def _figures(
     plan: Plan,
     turns: list[Slice],
@@ -152,11 +172,7 @@
     column: list[LoadRow],
 ) -> PolicyFigures:
     histogram = histogram_of(row.latency_seconds for row in column)
-    answered = [row for row in column if row.told == 'answered']
-    by_round: dict[int, list[float]] = defaultdict(list)
-    for row in column:
-        number = turns[row.slice_number].round_number
-        by_round[number].append(row.latency_seconds)
+    answered = [each for each in column if each.told == 'answered']
     seconds = plan.rounds * (plan.slice_seconds - plan.warm_seconds)
     p50, p90, p99, p999 = (
         histogram.get_value_at_percentile(quantile) / _MILLISECONDS
@@ -175,7 +191,7 @@
         p99_ms=p99,
         p999_ms=p999,
         rounds_p99_ms=[
-            _quantile(latencies) for _, latencies in sorted(by_round.items())
+            _quantile(latencies) for latencies in _rounds(turns, column)
         ],
         histogram=histogram.encode().decode(),
     )
--- a/zinniaturn/experiments/choosing/tables.py
+++ b/zinniaturn/experiments/choosing/tables.py
@@ -20,7 +20,7 @@
 
 def table_of(results: Results) -> str:
     """Return a Markdown table of every policy and service."""
-    lines = [_row(_HEAD), _row(['---'] * len(_HEAD))]
+    lines = [_row(_HEAD), _row(['---' for _ in _HEAD])]
     ordered = sorted(
         results.figures,
         key=lambda figures: (figures.service, figures.p99_ms),
