--- a/zinniaturn/events/catalogue.py
+++ b/zinniaturn/events/catalogue.py
@@ -20,10 +20,13 @@
     ENTRY_READY = 101
     ENTRY_DRAINING = 102
     ENTRY_STOPPED = 103
+    VARIABLE_UNKNOWN = 104
+    REQUEST_FAILED = 110
     REVISION_INSTALLED = 200
     REVISION_REFUSED = 201
     STORE_UNAVAILABLE = 202
     STORE_BACK = 203
+    STORE_RESET = 204
 
 
 _INFO = logging.INFO
@@ -38,6 +41,14 @@
         ),
         LogEvent.ENTRY_DRAINING: (_INFO, 'the entry was told to stop'),
         LogEvent.ENTRY_STOPPED: (_INFO, 'the entry served its last request'),
+        LogEvent.VARIABLE_UNKNOWN: (
+            _WARNING,
+            'an environment variable is unknown',
+        ),
+        LogEvent.REQUEST_FAILED: (
+            logging.ERROR,
+            'a request ended in a fault of the entry',
+        ),
         LogEvent.REVISION_INSTALLED: (
             _INFO,
             'a revision of the tables is in force',
@@ -47,6 +58,10 @@
             'the store offered an older or invalid revision',
         ),
         LogEvent.STORE_UNAVAILABLE: (_WARNING, 'the store does not answer'),
+        LogEvent.STORE_RESET: (
+            _WARNING,
+            'the store has lost accepted revisions and was fenced',
+        ),
         LogEvent.STORE_BACK: (_INFO, 'the store answers again'),
     }
 )
--- a/zinniaturn/experiments/registry.py
+++ b/zinniaturn/experiments/registry.py
@@ -57,6 +57,16 @@
         'all policies on steady load, within 45 s',
         'zinniaturn.experiments.choosing.smoke:run_smoke',
     ),
+    Experiment(
+        'speed',
+        'latency that an entry adds, and requests per core, at four loads',
+        'zinniaturn.experiments.speed.run:run_speed',
+    ),
+    Experiment(
+        'speed-smoke',
+        'the same at one load, within 45 s',
+        'zinniaturn.experiments.speed.run:run_speed_smoke',
+    ),
 )
 
 
--- /dev/null
+++ b/zinniaturn/forwarding/answer.py
@@ -0,0 +1,96 @@
+"""An answer whose head has come and whose body is still to be read."""
+
+__all__ = ('Answer',)
+
+import asyncio
+import math
+from collections.abc import AsyncIterator
+
+from aiohttp import ClientError
+from aiohttp.http_exceptions import HttpProcessingError
+from aiohttp.http_parser import RawResponseMessage
+from aiohttp.streams import StreamReader
+
+from zinniaturn.forwarding.connections import (
+    BackendConnection,
+    ConnectionPool,
+)
+from zinniaturn.forwarding.exceptions import ExchangeError
+from zinniaturn.forwarding.upload import Upload
+from zinniaturn.outcomes.table import Event, Phase
+
+
+class Answer:
+    """
+    The head of an answer and the stream of its body.
+
+    Whoever has it must read the body to its end or call `abandon`. The body
+    must be whole by ``deadline``, which is in the loop's time. ``sent`` is how
+    much of the request was sent when the head came. Without
+    ``has_certain_end`` the body ends where the connection closes.
+    """
+
+    def __init__(
+        self,
+        message: RawResponseMessage,
+        payload: StreamReader,
+        connection: BackendConnection,
+        pool: ConnectionPool,
+    ) -> None:
+        self.message = message
+        self.payload = payload
+        self.connection = connection
+        self.pool = pool
+        self.deadline = math.inf
+        self.sent = Phase.SENT_WHOLE
+        self.upload: Upload | None = None
+        self.has_certain_end = True
+
+    async def read_chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body; raises `ExchangeError` where it is cut short."""
+        while not self.payload.at_eof():
+            chunk = await self._read()
+            if chunk:
+                yield chunk
+        if self.payload.exception() is not None:
+            error = ConnectionResetError('the connection was reset')
+            raise self._cut(Event.CONNECTION_LOST, error)
+        self._end_upload()
+        self.pool.give_back(self.connection)
+
+    def abandon(self) -> None:
+        """Close the connection, so that no one else reads what is left."""
+        self._end_upload()
+        self.connection.close()
+
+    def discard(self) -> None:
+        """Keep the connection if the whole body is here, else close it."""
+        if self.payload.is_eof():
+            self.payload.read_nowait()
+            self._end_upload()
+            self.pool.give_back(self.connection)
+        else:
+            self.abandon()
+
+    def _end_upload(self) -> None:
+        if self.upload is not None:
+            self.upload.end()
+
+    async def _read(self) -> bytes:
+        try:
+            async with asyncio.timeout_at(self.deadline):
+                return await self.payload.readany()
+        except TimeoutError as error:
+            raise self._cut(Event.DEADLINE_PASSED, error) from error
+        except (ClientError, OSError) as error:
+            raise self._cut(Event.CONNECTION_LOST, error) from error
+        except HttpProcessingError as error:
+            raise self._cut(Event.BAD_ANSWER, error) from error
+
+    def _cut(self, event: Event, error: Exception) -> ExchangeError:
+        self.abandon()
+        return ExchangeError(
+            f'the answer was cut short: {error}',
+            Phase.ANSWER_BEGUN,
+            event,
+        )
