--- a/zinniaturn/settings/models.py
+++ b/zinniaturn/settings/models.py
@@ -8,6 +8,7 @@
 __all__ = ('EntrySettings',)
 
 import random
+import re
 from typing import Annotated, Literal, Self
 
 from pydantic import (
@@ -20,7 +21,10 @@
 
 from zinniaturn.choosing.exceptions import UnknownPolicyError
 from zinniaturn.choosing.registry import PRODUCT_POLICY, policy_for_pool
-from zinniaturn.settings.fields import IpAddress, StoreUrl
+from zinniaturn.membership.domain import Address
+from zinniaturn.settings.fields import IpAddress, StoreUrl, VmListUrl
+
+_PEER = re.compile(r'([\d.]+):(\d+)')
 
 
 def _check_policy(setting: str) -> str:
@@ -79,6 +83,31 @@
         le=65_535,
         description='TCP port of the admin address; 0 takes a free one.',
     )
+    peer_host: IpAddress = Field(
+        default='127.0.0.1',
+        description='Address to listen on for other entries.',
+    )
+    peer_port: int = Field(
+        default=0,
+        ge=0,
+        le=65_535,
+        description='TCP port for other entries; 0 takes a free one.',
+    )
+    peers: str = Field(
+        default='',
+        pattern=r'^(\d+\.\d+\.\d+\.\d+:\d{1,5}(,|$))*$',
+        description='IP:PORT,... of some entries, for when the store is out.',
+        json_schema_extra={'allowed': 'IP:PORT[,IP:PORT]...'},
+    )
+    vm: str = Field(
+        default='',
+        max_length=63,
+        description="This VM's name in the VM list; unset takes the name.",
+    )
+    vm_list_url: VmListUrl = Field(
+        default='',
+        description='URL of the list of VMs; unset does without.',
+    )
     store_url: StoreUrl = Field(
         description='URL of the configuration store.',
     )
@@ -102,6 +131,12 @@
         description='Seed of random choices; unset draws one.',
     )
 
+    def peer_seeds(self) -> tuple[Address, ...]:
+        """Return the addresses of the entries named in ``peers``."""
+        return tuple(
+            Address(host, int(port)) for host, port in _PEER.findall(self.peers)
+        )
+
     @model_validator(mode='after')
     def check_ports(self) -> Self:
         """Refuse one port for callers and for the admin address."""
