--- a/zinniaturn/entry/frontend.py
+++ b/zinniaturn/entry/frontend.py
@@ -17,7 +17,7 @@
 from zinniaturn.forwarding import ExchangeError
 from zinniaturn.outcomes import Outcome
 from zinniaturn.store import ConfigurationStore
-from zinniaturn.tables import Route, find_route
+from zinniaturn.tables import Route
 
 ADDRESSES_PATH = '/v1/entries'
 
@@ -62,12 +62,19 @@
             return answer_addresses(self.state)
         if target.path == KEYS_PATH:
             return answer_keys(self.once, target.origin_form.partition('?')[2])
-        tables = self.state.holder.tables
-        if not tables.revision:
+        if not self.state.holder.tables.revision:
             return self._refuse(
-                request, '', 'not-ready', 'no tables were found yet', 1
+                request,
+                '',
+                'not-ready',
+                'no tables were found yet',
+                1,
             )
-        route = find_route(tables, target.host, target.path, request.method)
+        route = self.state.matcher.find(
+            target.host,
+            target.path,
+            request.method,
+        )
         if route is None:
             return self._refuse(request, '', 'no-route', 'see the route table')
         return await self._run(request, target, route)
--- a/zinniaturn/tables/__init__.py
+++ b/zinniaturn/tables/__init__.py
@@ -9,12 +9,12 @@
     'InvalidTableError',
     'Pool',
     'Route',
+    'RouteMatcher',
     'Server',
     'Tables',
     'TablesError',
     'decode_tables',
     'encode_tables',
-    'find_route',
     'parse_pools',
     'parse_routes',
     'read_table_file',
@@ -24,5 +24,5 @@
 from zinniaturn.tables.domain import Pool, Route, Server, Tables
 from zinniaturn.tables.exceptions import InvalidTableError, TablesError
 from zinniaturn.tables.files import read_table_file
-from zinniaturn.tables.matching import find_route
+from zinniaturn.tables.matching import RouteMatcher
 from zinniaturn.tables.parsing import parse_pools, parse_routes
