--- a/zinniaturn/audit/__init__.py
+++ b/zinniaturn/audit/__init__.py
@@ -2,12 +2,10 @@
 
 __all__ = (
     'diff_revisions',
-    'format_change',
     'list_records',
     'read_record',
     'roll_back',
 )
 
-from zinniaturn.audit.formatting import format_change
 from zinniaturn.audit.rollback import roll_back
 from zinniaturn.audit.trail import diff_revisions, list_records, read_record
--- /dev/null
+++ b/zinniaturn/commands/audit.py
@@ -0,0 +1,281 @@
+"""``zinniaturn audit``."""
+
+__all__ = ('audit',)
+
+import asyncio
+import datetime
+import time
+from collections.abc import Sequence
+
+import aiohttp
+import click
+import msgspec
+
+from zinniaturn.audit import (
+    diff_revisions,
+    list_records,
+    read_record,
+    roll_back,
+)
+from zinniaturn.commands.options import (
+    authorship_options,
+    entries_option,
+    json_option,
+    store_option,
+)
+from zinniaturn.commands.output import format_columns, print_json
+from zinniaturn.commands.stores import opened
+from zinniaturn.configuration import Change, settle
+from zinniaturn.configuration.commit import new_change_id, user_name
+from zinniaturn.configuration.exceptions import RevisionNotFoundError
+from zinniaturn.configuration.planning import Authorship
+from zinniaturn.configuration.records import AuditRecord
+from zinniaturn.configuration.restoring import RestorePlan, restore
+from zinniaturn.status import (
+    FleetStatus,
+    StatusError,
+    find_admins,
+    read_fleet,
+    read_tables_of,
+)
+from zinniaturn.tables.differences import (
+    RowChange,
+    compare_tables,
+    format_changes,
+)
+
+_COLUMNS = ('REVISION', 'FROM', 'WHEN', 'KIND', 'WHO', 'CHANGE', 'ROWS', 'WHY')
+
+
+class RecordOutput(msgspec.Struct):
+    """What ``--json`` prints of a record; ``at`` is in ISO 8601."""
+
+    revision: int
+    base_revision: int
+    change_id: str
+    kind: str
+    author: str
+    at: str
+    reason: str
+    changes: tuple[RowChange, ...]
+
+
+class SettledOutput(msgspec.Struct):
+    """What ``--json`` prints of a settled change or a new revision."""
+
+    outcome: str
+    revision: int | None
+
+
+@click.group()
+def audit() -> None:
+    """Read the trail of accepted changes, settle, roll back and restore."""
+
+
+@audit.command('list')
+@click.option('--limit', type=click.IntRange(1, 10_000), default=20)
+@store_option
+@json_option
+def list_changes(limit: int, store_url: str, as_json: bool) -> None:
+    """Print the last changes, the newest first."""
+
+    async def read() -> tuple[AuditRecord, ...]:
+        async with opened(store_url) as store:
+            return await list_records(store, limit)
+
+    records = [_output(record) for record in asyncio.run(read())]
+    if as_json:
+        print_json({'changes': records})
+    else:
+        click.echo(format_columns(_COLUMNS, [_row(one) for one in records]))
+
+
+@audit.command()
+@click.argument('name')
+@store_option
+@json_option
+def show(name: str, store_url: str, as_json: bool) -> None:
+    """Print one change by its revision or its change id."""
+
+    async def read() -> AuditRecord:
+        async with opened(store_url) as store:
+            return await read_record(store, name)
+
+    output = _output(asyncio.run(read()))
+    if as_json:
+        print_json(output)
+        return
+    click.echo(format_columns(_COLUMNS, [_row(output)]))
+    click.echo(format_changes(output.changes))
+
+
+@audit.command()
+@click.argument('first', type=click.IntRange(0))
+@click.argument('second', type=click.IntRange(0))
+@store_option
+@json_option
+def diff(first: int, second: int, store_url: str, as_json: bool) -> None:
+    """Print what changed from revision FIRST to revision SECOND."""
+
+    async def read() -> Change:
+        async with opened(store_url) as store:
+            return await diff_revisions(store, first, second)
+
+    changes = _changes(asyncio.run(read()))
+    if as_json:
+        print_json({'first': first, 'second': second, 'changes': changes})
+    elif changes:
+        click.echo(format_changes(changes))
+    else:
+        click.echo('no difference')
+
+
+@audit.command('settle')
+@click.argument('change_id')
+@store_option
+@json_option
+def settle_change(change_id: str, store_url: str, as_json: bool) -> None:
+    """
+    Say what became of the change CHANGE_ID whose outcome was unknown.
+
+    The answer is for good: a write that is still on its way cannot take
+    effect after the answer "not accepted".
+    """
+
+    async def ask() -> int | None:
+        async with opened(store_url) as store:
+            return (await settle(store, change_id)).revision
+
+    revision = asyncio.run(ask())
+    outcome = 'not-accepted' if revision is None else 'accepted'
+    if as_json:
+        print_json(SettledOutput(outcome, revision))
+    elif revision is None:
+        click.echo(f'change {change_id} was not accepted and never will be')
+    else:
+        click.echo(f'change {change_id} was accepted as revision {revision}')
+
+
+@audit.command()
+@click.argument('revision', type=click.IntRange(1))
+@authorship_options
+@store_option
+@json_option
+def rollback(
+    revision: int,
+    author: str,
+    reason: str,
+    store_url: str,
+    as_json: bool,
+) -> None:
+    """Make the rows of REVISION the next revision."""
+
+    async def run() -> int:
+        async with opened(store_url) as store:
+            tables = await roll_back(store, revision, author, reason)
+            return tables.revision
+
+    accepted = asyncio.run(run())
+    if as_json:
+        print_json(SettledOutput('accepted', accepted))
+    else:
+        click.echo(f'accepted as revision {accepted}')
+
+
+@audit.command('restore')
+@entries_option
+@click.option(
+    '--prefer-entries',
+    is_flag=True,
+    help='Leave out changes of the store that overlap with the entries.',
+)
+@authorship_options
+@store_option
+@json_option
+def restore_tables(
+    entries: Sequence[str],
+    prefer_entries: bool,
+    author: str,
+    reason: str,
+    store_url: str,
+    as_json: bool,
+) -> None:
+    """
+    Put the tables back into a store that lost them, from the entries.
+
+    The entry with the highest revision is asked. What the store accepted
+    since is applied on top, under the same change ids.
+    """
+    authorship = Authorship(author or user_name(), reason, time.time())
+    plan = asyncio.run(
+        _restore(store_url, entries, authorship, prefer_entries),
+    )
+    if as_json:
+        print_json(SettledOutput('accepted', plan.tables.revision))
+        return
+    click.echo(f'accepted as revision {plan.tables.revision}')
+    for record in plan.left_out:
+        click.echo(f'left out: change {record.change_id}', err=True)
+
+
+async def _restore(
+    store_url: str,
+    entries: Sequence[str],
+    authorship: Authorship,
+    prefers_entries: bool,
+) -> RestorePlan:
+    async with opened(store_url) as store:
+        fleet = await read_fleet(await find_admins(store, entries))
+        admin = _highest(fleet)
+        timeout = aiohttp.ClientTimeout(10)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            held = await read_tables_of(session, admin)
+        return await restore(
+            store,
+            held,
+            authorship,
+            new_change_id(),
+            prefers_entries,
+        )
+
+
+def _highest(fleet: FleetStatus) -> str:
+    revision = fleet.revision()
+    if not revision:
+        raise RevisionNotFoundError('no entry that answers holds tables')
+    best = [entry for entry in fleet.entries if entry.revision == revision]
+    if len({entry.chain for entry in best}) > 1:
+        names = ', '.join(entry.name for entry in best)
+        raise StatusError(f'{names} hold different tables as {revision}')
+    return best[0].admin
+
+
+def _output(record: AuditRecord) -> RecordOutput:
+    at = datetime.datetime.fromtimestamp(record.at, datetime.UTC)
+    return RecordOutput(
+        revision=record.revision,
+        base_revision=record.base_revision,
+        change_id=record.change_id,
+        kind=record.kind.value,
+        author=record.author,
+        at=at.isoformat(timespec='seconds'),
+        reason=record.reason,
+        changes=_changes(record.change),
+    )
+
+
+def _changes(change: Change) -> tuple[RowChange, ...]:
+    return compare_tables(change.before, change.after)
+
+
+def _row(record: RecordOutput) -> Sequence[str]:
+    return [
+        str(record.revision),
+        str(record.base_revision),
+        record.at,
+        record.kind,
+        record.author,
+        record.change_id,
+        str(len(record.changes)),
+        record.reason or '-',
+    ]
--- a/zinniaturn/commands/edits.py
+++ b/zinniaturn/commands/edits.py
@@ -4,8 +4,7 @@
 
 import asyncio
 import sys
-from collections.abc import AsyncIterator, Callable, Mapping
-from contextlib import asynccontextmanager
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Self
 
@@ -13,8 +12,10 @@
 import msgspec
 
 from zinniaturn.commands.output import print_json
+from zinniaturn.commands.stores import opened
 from zinniaturn.configuration import StoredTables, commit, read_tables
 from zinniaturn.configuration.edits import check_references
+from zinniaturn.status import find_admins, wait_in_force
 from zinniaturn.store import HttpStore
 from zinniaturn.tables import Tables
 from zinniaturn.tables.differences import (
@@ -38,6 +39,7 @@
     change_id: str = ''
     may_initialize: bool = False
     asks: bool = False
+    wait_seconds: float = 0
 
     @classmethod
     def of(cls, options: Mapping[str, object], file: str = '') -> Self:
@@ -52,6 +54,7 @@
             change_id=str(options['change_id']),
             may_initialize=bool(options['initialize']),
             asks=is_person and not is_quiet,
+            wait_seconds=float(str(options['wait'])),
         )
 
 
@@ -60,13 +63,16 @@
     What ``--json`` prints of an edit.
 
     ``outcome`` is ``accepted``, ``unchanged`` or ``dry-run``. ``revision`` is
-    the one that holds now.
+    the one that holds now. With ``--wait``, ``in_force`` names the entries that
+    have it in force and ``lagging`` those that do not or do not answer.
     """
 
     outcome: str
     revision: int
     base_revision: int
     changes: tuple[RowChange, ...]
+    in_force: list[str] = []
+    lagging: list[str] = []
 
 
 def load_tables(store_url: str) -> Tables:
@@ -80,12 +86,12 @@
 
 
 async def _load(store_url: str) -> Tables:
-    async with _opened(store_url) as store:
+    async with opened(store_url) as store:
         return (await read_tables(store)).tables
 
 
 async def _accept(store_url: str, edit: Edit, options: EditOptions) -> None:
-    async with _opened(store_url) as store:
+    async with opened(store_url) as store:
         base = await read_tables(store)
         edited = edit(base.tables)
         changes = compare_tables(base.tables, edited)
@@ -122,7 +128,21 @@
         change_id=options.change_id,
         may_initialize=options.may_initialize,
     )
-    return EditOutput('accepted', accepted.revision, revision, changes)
+    output = EditOutput('accepted', accepted.revision, revision, changes)
+    if options.wait_seconds:
+        await _wait(store, output, options.wait_seconds)
+    return output
+
+
+async def _wait(store: HttpStore, output: EditOutput, seconds: float) -> None:
+    admins = await find_admins(store, ())
+    fleet = await wait_in_force(admins, output.revision, seconds)
+    output.lagging = fleet.lagging(output.revision)
+    output.in_force = [
+        entry.name
+        for entry in fleet.entries
+        if entry.revision >= output.revision
+    ]
 
 
 def _sentence(output: EditOutput) -> str:
@@ -131,13 +151,9 @@
             return f'no change; revision {output.revision} stands'
         case 'dry-run':
             return f'dry run; revision {output.revision} stands'
-    return f'accepted as revision {output.revision}'
-
-
-@asynccontextmanager
-async def _opened(store_url: str) -> AsyncIterator[HttpStore]:
-    store = HttpStore(store_url)
-    try:
-        yield store
-    finally:
-        await store.close()
+    parts = [f'accepted as revision {output.revision}']
+    if output.in_force:
+        parts.append(f'in force at {", ".join(output.in_force)}')
+    if output.lagging:
+        parts.append(f'not yet at {", ".join(output.lagging)}')
+    return '; '.join(parts)
--- a/zinniaturn/commands/exit_status.py
+++ b/zinniaturn/commands/exit_status.py
@@ -30,6 +30,8 @@
         'change-unknown': ExitStatus.UNKNOWN,
         'tables-unavailable': ExitStatus.UNAVAILABLE,
         'store-unavailable': ExitStatus.UNAVAILABLE,
+        'store-busy': ExitStatus.UNAVAILABLE,
+        'entry-unavailable': ExitStatus.UNAVAILABLE,
         'listen-failed': ExitStatus.UNAVAILABLE,
     }
 )
--- a/zinniaturn/commands/main.py
+++ b/zinniaturn/commands/main.py
@@ -21,6 +21,7 @@
 
 _COMMANDS = MappingProxyType(
     {
+        'audit': 'zinniaturn.commands.audit:audit',
         'completion': 'zinniaturn.commands.completion:completion',
         'demo': 'zinniaturn.commands.demo:demo',
         'entry': 'zinniaturn.commands.entry:entry',
@@ -29,6 +30,7 @@
         'routes': 'zinniaturn.commands.routes:routes',
         'schema': 'zinniaturn.commands.schema:schema',
         'standin': 'zinniaturn.commands.standin:standin',
+        'status': 'zinniaturn.commands.status:status',
     }
 )
 
--- a/zinniaturn/commands/options.py
+++ b/zinniaturn/commands/options.py
@@ -3,9 +3,12 @@
 __all__ = (
     'AUTHOR_VARIABLE',
     'STORE_URL_VARIABLE',
+    'authorship_options',
     'dry_run_option',
     'edit_options',
+    'entries_option',
     'json_option',
+    'optional_store_option',
     'store_option',
 )
 
@@ -63,6 +66,18 @@
             self.fail(f'{value!r}: {error}', param, ctx)
 
 
+class _OptionalStoreUrl(_StoreUrl):
+    """An URL of the store, or none."""
+
+    def convert(
+        self,
+        value: str,
+        param: click.Parameter | None,
+        ctx: click.Context | None,
+    ) -> str:
+        return super().convert(value, param, ctx) if value else ''
+
+
 store_option = click.option(
     '--store-url',
     envvar=STORE_URL_VARIABLE,
@@ -71,6 +86,21 @@
     type=_StoreUrl(),
     help='URL of the configuration store, http://ADDRESS:PORT.',
 )
+optional_store_option = click.option(
+    '--store-url',
+    envvar=STORE_URL_VARIABLE,
+    show_envvar=True,
+    default='',
+    type=_OptionalStoreUrl(),
+    help='URL of the configuration store, if it answers.',
+)
+entries_option = click.option(
+    '--entry',
+    'entries',
+    multiple=True,
+    metavar='IP:PORT',
+    help="An entry's admin address; may be given several times.",
+)
 json_option = click.option(
     '--json',
     'as_json',
@@ -82,8 +112,7 @@
     is_flag=True,
     help='Show the change and have nothing accepted.',
 )
-_EDIT_OPTIONS = (
-    click.option('--yes', is_flag=True, help='Do not ask on a terminal.'),
+_AUTHORSHIP_OPTIONS = (
     click.option(
         '--author',
         envvar=AUTHOR_VARIABLE,
@@ -98,6 +127,16 @@
         default='',
         help='Why, for the audit trail.',
     ),
+)
+_EDIT_OPTIONS = (
+    click.option('--yes', is_flag=True, help='Do not ask on a terminal.'),
+    *_AUTHORSHIP_OPTIONS,
+    click.option(
+        '--wait',
+        type=click.FloatRange(0, 3600),
+        default=0,
+        help='Seconds to wait until all entries have the revision in force.',
+    ),
     click.option(
         '--change-id',
         type=_Text(_AUTHOR_CHARACTERS),
@@ -112,6 +151,13 @@
 )
 
 
+def authorship_options(command: Command) -> Command:
+    """Add the options that say who makes a change and why."""
+    for option in reversed(_AUTHORSHIP_OPTIONS):
+        command = option(command)
+    return command
+
+
 def edit_options(command: Command) -> Command:
     """Add the options of every edit."""
     for option in reversed(_EDIT_OPTIONS):
--- /dev/null
+++ b/zinniaturn/commands/status.py
@@ -0,0 +1,86 @@
+"""``zinniaturn status``."""
+
+__all__ = ('status',)
+
+import asyncio
+import sys
+from collections.abc import Sequence
+
+import click
+
+from zinniaturn.commands.exit_status import ExitStatus
+from zinniaturn.commands.options import (
+    entries_option,
+    json_option,
+    optional_store_option,
+)
+from zinniaturn.commands.output import format_columns, print_json
+from zinniaturn.commands.stores import opened_optional
+from zinniaturn.status import (
+    EntryStatus,
+    FleetStatus,
+    find_admins,
+    read_fleet,
+)
+
+_COLUMNS = (
+    'ENTRY',
+    'DATA CENTRE',
+    'STATE',
+    'REVISION',
+    'AGE (s)',
+    'PEERS',
+    'LEASE',
+    'STORE',
+    'REASON',
+)
+
+
+@click.command()
+@optional_store_option
+@entries_option
+@json_option
+def status(store_url: str, entries: Sequence[str], as_json: bool) -> None:
+    """
+    Print what each entry has in force and whether it is ready.
+
+    The entries are found through the store, through those named by --entry
+    and through the peers that these know. The exit status is 1 if an entry
+    is not ready, does not answer or is behind.
+    """
+    fleet = asyncio.run(_read(store_url, entries))
+    if as_json:
+        print_json(fleet)
+    else:
+        rows = [_row(entry) for entry in fleet.entries]
+        click.echo(format_columns(_COLUMNS, rows))
+        for missing in fleet.unreachable:
+            click.echo(f'no answer: {missing.reason}', err=True)
+    if not _is_well(fleet):
+        sys.exit(ExitStatus.CHECK_FAILED)
+
+
+async def _read(store_url: str, entries: Sequence[str]) -> FleetStatus:
+    async with opened_optional(store_url) as store:
+        return await read_fleet(await find_admins(store, entries))
+
+
+def _is_well(fleet: FleetStatus) -> bool:
+    is_ready = all(entry.is_ready for entry in fleet.entries)
+    return is_ready and not fleet.lagging(fleet.revision())
+
+
+def _row(entry: EntryStatus) -> Sequence[str]:
+    age = entry.knowledge_age
+    live = sum(peer.state == 'live' for peer in entry.peers)
+    return [
+        entry.name,
+        entry.data_center or '-',
+        entry.state,
+        str(entry.revision),
+        '-' if age is None else f'{age:.1f}',
+        f'{live}/{len(entry.peers)}',
+        str(entry.lease.fencing) if entry.lease.is_held else '-',
+        'out' if entry.store_is_out else 'ok',
+        entry.reason or '-',
+    ]
--- a/zinniaturn/configuration/commit.py
+++ b/zinniaturn/configuration/commit.py
@@ -19,12 +19,14 @@
 import asyncio
 import getpass
 import random
+import re
 import time
 import uuid
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from zinniaturn.configuration.changes import Change, diff_tables
 from zinniaturn.configuration.exceptions import (
+    ChangeIdError,
     CommitConflictError,
     CommitUnknownError,
     ConfigurationUnavailableError,
@@ -58,6 +60,7 @@
 
 _ATTEMPTS = 12
 _PAUSE_SECONDS = 0.05
+_CHANGE_ID = re.compile('[A-Za-z0-9._-]{1,64}')
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,6 +125,9 @@
     """
     Make the change from ``base`` to ``edited`` the next revision.
 
+    A ``change_id`` given again is not accepted again: the revision it was
+    accepted as is returned.
+
     Returns the accepted tables; an empty change makes no revision. A change
     accepted meanwhile that touches other rows is kept. Raises `OverlapError`
     where it touches the same ones, `PoolInUseError` and `DanglingRouteError`
@@ -130,6 +136,10 @@
     `ConfigurationUnavailableError` where nothing was accepted and
     `CommitUnknownError` where that is not known.
     """
+    _check_change_id(change_id)
+    earlier = base.snapshot.head.revision_of(change_id)
+    if earlier is not None:
+        return replace(base.tables, revision=earlier)
     if not base.tables.revision and not may_initialize:
         raise NotInitializedError(
             'the store holds no tables; if it has never had any, say so with '
@@ -262,6 +272,13 @@
     return Settlement(change_id, None)
 
 
+def _check_change_id(change_id: str) -> None:
+    if change_id and not _CHANGE_ID.fullmatch(change_id):
+        raise ChangeIdError(
+            f'{change_id!r}: up to 64 letters, digits, ".", "_" and "-"',
+        )
+
+
 def _unknown(change_id: str) -> CommitUnknownError:
     return CommitUnknownError(
         f'the store gave no reply, so change {change_id} may or may not have '
--- a/zinniaturn/configuration/exceptions.py
+++ b/zinniaturn/configuration/exceptions.py
@@ -1,6 +1,7 @@
 """Errors of the configuration layer."""
 
 __all__ = (
+    'ChangeIdError',
     'ChangeTooLargeError',
     'CommitConflictError',
     'CommitUnknownError',
@@ -96,3 +97,9 @@
     """There is no route or pool of this name."""
 
     code = 'row-not-found'
+
+
+class ChangeIdError(ConfigurationError):
+    """A change id has characters that the store's keys do not take."""
+
+    code = 'change-id-invalid'
--- a/zinniaturn/entry/status.py
+++ b/zinniaturn/entry/status.py
@@ -4,61 +4,20 @@
 Both are read over the admin address.
 """
 
-__all__ = ('EntryStatus', 'add_status_routes', 'readiness_reason')
+__all__ = ('add_status_routes', 'readiness_reason')
 
 from http import HTTPStatus
 
 import msgspec
 from aiohttp import web
 
-from zinniaturn.configuration.head import Head
 from zinniaturn.entry.state import EntryState
-
-
-class PeerStatus(msgspec.Struct):
-    """A peer as this entry sees it; ages are in seconds."""
-
-    name: str
-    data_center: str
-    state: str
-    heartbeat_age: float
-    admin: str
-
-
-class LeaseStatus(msgspec.Struct):
-    """Whether this entry reports its data centre, and with what number."""
-
-    is_held: bool
-    fencing: int
-
-
-class EntryStatus(msgspec.Struct):
-    """
-    What an entry says of itself.
-
-    ``knowledge_age`` is in seconds since the store confirmed the revision,
-    ``None`` where it never did since the start.
-    """
-
-    name: str
-    data_center: str
-    state: str
-    is_ready: bool
-    reason: str
-    revision: int
-    chain: str
-    knowledge_age: float | None
-    store_is_out: bool
-    watches_store: bool
-    lease: LeaseStatus
-    peers: list[PeerStatus]
-
-
-class StoredTablesAnswer(msgspec.Struct):
-    """A head and the texts of its segments by digest."""
-
-    head: Head
-    texts: dict[str, str]
+from zinniaturn.status.models import (
+    EntryStatus,
+    LeaseStatus,
+    PeerStatus,
+    TablesAnswer,
+)
 
 
 def readiness_reason(state: EntryState) -> str:
@@ -84,7 +43,7 @@
         if not state.holder.head.revision:
             return web.Response(status=int(HTTPStatus.NOT_FOUND))
         holder = state.holder
-        return _json(StoredTablesAnswer(holder.head, dict(holder.texts())))
+        return _json(TablesAnswer(holder.head, dict(holder.texts())))
 
     router.add_get('/status', answer_status)
     router.add_get('/tables', answer_tables)
--- /dev/null
+++ b/zinniaturn/status/reading.py
@@ -0,0 +1,63 @@
+"""Reading of one entry's admin address."""
+
+__all__ = ('read_status', 'read_tables_of')
+
+from http import HTTPStatus
+from typing import TypeVar
+
+import aiohttp
+import msgspec
+
+from zinniaturn.configuration import Snapshot
+from zinniaturn.configuration.exceptions import StoredStateError
+from zinniaturn.configuration.snapshot import EMPTY, assemble
+from zinniaturn.status.exceptions import StatusError
+from zinniaturn.status.models import EntryStatus, TablesAnswer
+
+Model = TypeVar('Model', bound=msgspec.Struct)
+
+
+async def read_status(
+    session: aiohttp.ClientSession,
+    admin: str,
+) -> EntryStatus:
+    """Return the status of the entry at ``host:port``; `StatusError`."""
+    status = await _read(session, f'http://{admin}/status', EntryStatus)
+    status.admin = admin
+    return status
+
+
+async def read_tables_of(
+    session: aiohttp.ClientSession,
+    admin: str,
+) -> Snapshot:
+    """Return the tables that an entry holds; raises `StatusError`."""
+    answer = await _read(session, f'http://{admin}/tables', TablesAnswer)
+    texts = {
+        bucket: answer.texts[ref.digest]
+        for bucket, ref in answer.head.segments.items()
+        if ref.digest in answer.texts
+    }
+    try:
+        return assemble(answer.head, texts, EMPTY)
+    except StoredStateError as error:
+        raise StatusError(f'{admin}: {error.message}') from error
+
+
+async def _read(
+    session: aiohttp.ClientSession,
+    url: str,
+    model: type[Model],
+) -> Model:
+    try:
+        async with session.get(url) as reply:
+            status = reply.status
+            body = await reply.read()
+    except (TimeoutError, aiohttp.ClientError) as error:
+        raise StatusError(f'{url}: {type(error).__name__}') from error
+    if status != HTTPStatus.OK:
+        raise StatusError(f'{url}: status {status}')
+    try:
+        return msgspec.json.decode(body, type=model)
+    except msgspec.DecodeError as error:
+        raise StatusError(f'{url}: {error}') from error
