--- a/features/tables.feature
+++ b/features/tables.feature
@@ -9,7 +9,7 @@
       | pools.yaml  | pools: [{name: card, servers: [{name: card-0, host: 10.0.0.1, port: 80, slots: 4}]}]              |
       | routes.yaml | routes: [{name: cards, pool: card, path_prefix: /cards, methods: [GET]}]                         |
       | more.yaml   | pools: [{name: card, servers: [{name: card-0, host: 10.0.0.1, port: 80, slots: 4, leaving: true}, {name: card-1, host: 10.0.0.2, port: 80, slots: 3}]}] |
-    When the operator runs "pools apply pools.yaml"
+    When the operator runs "pools apply pools.yaml --initialize"
     Then the status is 0 and the output has "+ pool card" and "accepted as revision 1"
     When the operator runs "routes apply routes.yaml"
     Then the status is 0 and the output has "+ route cards" and "accepted as revision 2"
@@ -38,7 +38,7 @@
     Given a store and the files
       | name        | text                                                                                             |
       | pools.yaml  | pools: [{name: card, servers: [{name: card-0, host: '::1', port: 80, slots: 4}]}]                 |
-    When the operator runs "pools apply pools.yaml"
+    When the operator runs "pools apply pools.yaml --initialize"
     And what "pools show" prints is applied with "pools apply -"
     Then the status is 0 and the output has "no change" and "revision 1 stands"
 
--- a/zinniaturn/commands/options.py
+++ b/zinniaturn/commands/options.py
@@ -144,9 +144,9 @@
         help='Identity of the change; a fresh one if not given.',
     ),
     click.option(
-        '--initialize/--no-initialize',
-        default=True,
-        help='Whether this may be the first revision of an empty store.',
+        '--initialize',
+        is_flag=True,
+        help='Make the first revision of a store that never had one.',
     ),
 )
 
--- a/zinniaturn/configuration/commit.py
+++ b/zinniaturn/configuration/commit.py
@@ -25,6 +25,7 @@
 from dataclasses import dataclass, field, replace
 
 from zinniaturn.configuration.changes import Change, diff_tables
+from zinniaturn.configuration.edits import check_references
 from zinniaturn.configuration.exceptions import (
     ChangeIdError,
     CommitConflictError,
@@ -140,6 +141,7 @@
     earlier = base.snapshot.head.revision_of(change_id)
     if earlier is not None:
         return replace(base.tables, revision=earlier)
+    check_references(edited)
     if not base.tables.revision and not may_initialize:
         raise NotInitializedError(
             'the store holds no tables; if it has never had any, say so with '
