--- a/zinniaturn/configuration/commit.py
+++ b/zinniaturn/configuration/commit.py
@@ -141,13 +141,13 @@
     earlier = base.snapshot.head.revision_of(change_id)
     if earlier is not None:
         return replace(base.tables, revision=earlier)
+    check_fence(base.snapshot.head)
     check_references(edited)
     if not base.tables.revision and not may_initialize:
         raise NotInitializedError(
             'the store holds no tables; if it has never had any, say so with '
             '--initialize',
         )
-    check_fence(base.snapshot.head)
     change = diff_tables(base.tables, edited)
     if change.is_empty():
         return base.tables
