--- a/zinniaturn/experiments/registry.py
+++ b/zinniaturn/experiments/registry.py
@@ -52,6 +52,11 @@
 
 
 _ALL: tuple[Experiment, ...] = (
+    Experiment(
+        'choosing-smoke',
+        'all policies on steady load, within 45 s',
+        'zinniaturn.experiments.choosing.smoke:run_smoke',
+    ),
     Experiment(
         'speed',
         'latency that an entry adds, and requests per core, at four loads',
