Keep a request's pool while its body comes, and never lift a mark

Cause, found in review: (1) the pool was looked up again after the body had been read, so a pool deleted meanwhile ended the request in a KeyError and a 500 without an outcome; (2) the caller's header 'idempotent: true' overrode a route that the operator marks non-idempotent, which allowed a second run.

Ruled out: looking the pool up with a default and refusing, since the request was accepted under the older revision and its server still runs. Conclusion: route and pool are taken together in one step of the loop.

--- a/zinniaturn/entry/dispatch.py
+++ b/zinniaturn/entry/dispatch.py
@@ -4,7 +4,7 @@
 
 from aiohttp import web
 
-from zinniaturn.choosing import RefusedError
+from zinniaturn.choosing import PoolState, RefusedError
 from zinniaturn.entry.answers import make_refusal, relay_answer
 from zinniaturn.entry.attempts import Attempts
 from zinniaturn.entry.requests import CallerRequest
@@ -25,9 +25,9 @@
         self,
         request: web.BaseRequest,
         parsed: CallerRequest,
+        pool: PoolState,
     ) -> web.StreamResponse:
         """Return the answer to the caller; raises where it was cut short."""
-        pool = self.state.pools[parsed.route.pool]
         attempts = Attempts(self.state, parsed, pool)
         known: Verdict | None = None
         while True:
@@ -38,7 +38,7 @@
             except ExchangeError as error:
                 known = combine(known, _verdict(error))
                 if not _may_retry(known, attempts):
-                    return self._give_up(parsed, known, error)
+                    return self._give_up(attempts, known, error)
 
     async def _attempt(
         self,
@@ -55,17 +55,18 @@
 
     def _give_up(
         self,
-        parsed: CallerRequest,
+        attempts: Attempts,
         known: Verdict,
         error: ExchangeError,
     ) -> web.Response:
-        self.state.metrics.count(parsed.route.pool, known.outcome.value)
+        pool = attempts.pool
+        self.state.metrics.count(pool.pool.name, known.outcome.value)
         refusal = make_refusal(
             known.code,
             known.outcome,
             error.message,
-            parsed.request_id,
-            self.state.pools[parsed.route.pool].retry_after(),
+            attempts.parsed.request_id,
+            pool.retry_after(),
         )
         if error.event is Event.REQUEST_BROKEN:
             refusal.force_close()
--- a/zinniaturn/entry/frontend.py
+++ b/zinniaturn/entry/frontend.py
@@ -68,6 +68,8 @@
         target: RequestTarget,
         route: Route,
     ) -> web.StreamResponse:
+        # Both tables are replaced at once; the body may take longer.
+        pool = self.state.pools[route.pool]
         try:
             parsed = await parse_request(
                 request,
@@ -77,7 +79,7 @@
             )
         except BadRequestError as error:
             return self._refuse(route.pool, error.code, error.message)
-        return await self.dispatcher.run(request, parsed)
+        return await self.dispatcher.run(request, parsed, pool)
 
     def _refuse(
         self,
--- a/zinniaturn/entry/requests.py
+++ b/zinniaturn/entry/requests.py
@@ -5,39 +5,27 @@
 import re
 import uuid
 from dataclasses import dataclass
-from types import MappingProxyType
 
 from aiohttp.web import BaseRequest
 
 from zinniaturn.clock import Clock
 from zinniaturn.entry.bodies import RequestBody, expects_continue
 from zinniaturn.entry.exceptions import BadRequestError
+from zinniaturn.entry.marks import is_idempotent, read_mark
 from zinniaturn.entry.targets import RequestTarget
 from zinniaturn.forwarding import BackendRequest
 from zinniaturn.forwarding.messages import end_to_end_headers
 from zinniaturn.tables import Route
 
 DEADLINE_HEADER = 'Zinniaturn-Deadline-Ms'
-IDEMPOTENT_HEADER = 'Zinniaturn-Idempotent'
 REQUEST_ID_HEADER = 'X-Request-Id'
 
-_IDEMPOTENT_METHODS = frozenset(
-    (
-        'DELETE',
-        'GET',
-        'HEAD',
-        'OPTIONS',
-        'PUT',
-        'TRACE',
-    )
-)
 _REPLAY_BYTES = 65_536
 _MILLISECONDS = 1000
 _ID_CHARACTERS = 128
 _REQUEST_ID = re.compile(f'[!-~]{{1,{_ID_CHARACTERS}}}')
 _DEADLINE_DIGITS = 9
 _DEADLINE = re.compile(f'[0-9]{{1,{_DEADLINE_DIGITS}}}')
-_FLAGS = MappingProxyType({'true': True, 'false': False})
 
 
 @dataclass(slots=True)
@@ -84,7 +72,11 @@
         route=route,
         backend_request=backend_request,
         deadline=clock.monotonic() + seconds,
-        idempotent=_is_idempotent(request, route),
+        idempotent=is_idempotent(
+            request.method,
+            read_mark(request.headers),
+            route,
+        ),
     )
     backend_request.once = not parsed.idempotent
     if request.body_exists:
@@ -131,19 +123,3 @@
             f'{_DEADLINE_DIGITS} digits long',
         )
     return int(text) / _MILLISECONDS
-
-
-def _is_idempotent(request: BaseRequest, route: Route) -> bool:
-    stated = request.headers.get(IDEMPOTENT_HEADER)
-    if stated is not None:
-        return _flag(stated)
-    if route.idempotent is not None:
-        return route.idempotent
-    return request.method in _IDEMPOTENT_METHODS
-
-
-def _flag(text: str) -> bool:
-    flag = _FLAGS.get(text.strip().lower())
-    if flag is None:
-        raise BadRequestError(f'{IDEMPOTENT_HEADER} is not true or false')
-    return flag
