--- a/zinniaturn/settings/models.py
+++ b/zinniaturn/settings/models.py
@@ -126,6 +126,10 @@
         default='INFO',
         description='Least severe level that is logged.',
     )
+    event_loop: Literal['uvloop', 'asyncio'] = Field(
+        default='uvloop',
+        description='Event loop of the process.',
+    )
     seed: int | None = Field(
         default=None,
         description='Seed of random choices; unset draws one.',
