--- a/zinniaturn/entry/frontend.py
+++ b/zinniaturn/entry/frontend.py
@@ -10,7 +10,7 @@
 from zinniaturn.entry.dispatch import Dispatcher
 from zinniaturn.entry.exceptions import BadRequestError
 from zinniaturn.entry.issuing import KEYS_PATH, answer_keys
-from zinniaturn.entry.once import OnceRunner
+from zinniaturn.entry.once import Arrival, OnceRunner
 from zinniaturn.entry.requests import parse_request
 from zinniaturn.entry.state import EntryState
 from zinniaturn.entry.targets import RequestTarget, parse_target
@@ -85,6 +85,8 @@
         target: RequestTarget,
         route: Route,
     ) -> web.StreamResponse:
+        # Both tables are replaced at once; the body may take longer.
+        pool = self.state.pools[route.pool]
         try:
             parsed = await parse_request(
                 request,
@@ -95,7 +97,7 @@
         except BadRequestError as error:
             return self._refuse(request, route.pool, error.code, error.message)
         try:
-            return await self.once.run(request, parsed)
+            return await self.once.run(Arrival(request, parsed, pool))
         except BadRequestError as error:
             return self._refuse(
                 request,
--- a/zinniaturn/entry/once.py
+++ b/zinniaturn/entry/once.py
@@ -7,18 +7,20 @@
 have run there.
 """
 
-__all__ = ('IDEMPOTENCY_KEY_HEADER', 'OnceRunner')
+__all__ = ('IDEMPOTENCY_KEY_HEADER', 'Arrival', 'OnceRunner')
 
 import asyncio
 import math
 import re
+from dataclasses import dataclass
 from types import MappingProxyType
 
 import xxhash
 from aiohttp import web
 
-from zinniaturn.entry.answers import make_refusal
-from zinniaturn.entry.dispatch import Dispatcher
+from zinniaturn.choosing import PoolState
+from zinniaturn.entry.answers import make_refusal, relay_answer
+from zinniaturn.entry.dispatch import Dispatcher, Relay
 from zinniaturn.entry.exceptions import BadRequestError
 from zinniaturn.entry.hops import HOP_HEADER, pass_on
 from zinniaturn.entry.keeping import AnswerKeeper, replay
@@ -48,6 +50,15 @@
 _FULL_RETRY_SECONDS = 5.0
 
 
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A caller's request as it came, as it was parsed, and its pool."""
+
+    request: web.BaseRequest
+    parsed: CallerRequest
+    pool: PoolState
+
+
 class OnceRunner:
     """Runs requests; those with a key at most once."""
 
@@ -79,23 +90,47 @@
 
     async def run(
         self,
-        request: web.BaseRequest,
-        parsed: CallerRequest,
+        arrival: Arrival,
     ) -> web.StreamResponse:
         """Return the answer; raises as `Dispatcher.run` does."""
+        request, parsed = arrival.request, arrival.parsed
         parsed.backend_request.headers.popall(HOP_HEADER, None)
         key = request.headers.get(IDEMPOTENCY_KEY_HEADER)
         if key is None or parsed.idempotent:
-            return await self.dispatcher.run(request, parsed)
+            return await self._dispatch(arrival, relay_answer)
         try:
             if is_issued(key):
-                return await self._run_issued(request, parsed, key)
-            return await self._run_claimed(request, parsed, key)
+                return await self._run_issued(arrival, key)
+            return await self._run_claimed(arrival, key)
         except KeyReusedError as error:
             return _refuse(parsed, error.code, Outcome.NOT_RUN, error.message)
         except (UnreadableKeyError, ClaimUnavailableError) as error:
             return _refuse(parsed, error.code, Outcome.UNKNOWN, error.message)
 
+    async def _dispatch(
+        self,
+        arrival: Arrival,
+        relay: Relay,
+    ) -> web.StreamResponse:
+        return await self.dispatcher.run(
+            arrival.request,
+            arrival.parsed,
+            arrival.pool,
+            relay,
+        )
+
+    async def _pass_on(
+        self,
+        arrival: Arrival,
+        address: tuple[str, int],
+    ) -> web.StreamResponse:
+        return await pass_on(
+            self.state,
+            arrival.request,
+            arrival.parsed,
+            address,
+        )
+
     def refused_outcome(self, request: web.BaseRequest) -> Outcome:
         """
         Return what is known of a request that is refused before its key.
@@ -113,30 +148,23 @@
 
     async def _run_issued(
         self,
-        request: web.BaseRequest,
-        parsed: CallerRequest,
+        arrival: Arrival,
         text: str,
     ) -> web.StreamResponse:
         key = self.issuer.read(text)
         if not self.issuer.is_own(key):
-            return await pass_on(
-                self.state,
-                request,
-                parsed,
-                (key.host, key.port),
-            )
-        return await self._run_own(request, parsed, text, key.issued_at)
+            return await self._pass_on(arrival, (key.host, key.port))
+        return await self._run_own(arrival, text, key.issued_at)
 
     async def _run_claimed(
         self,
-        request: web.BaseRequest,
-        parsed: CallerRequest,
+        arrival: Arrival,
         key: str,
     ) -> web.StreamResponse:
         check_key(key)
-        record = self.table.find(key, _fingerprint(parsed))
+        record = self.table.find(key, _fingerprint(arrival.parsed))
         if record is not None:
-            return await self._run_own(request, parsed, key, math.inf)
+            return await self._run_own(arrival, key, math.inf)
         own = ClaimOwner(
             self.state.settings.host,
             self.state.port,
@@ -145,13 +173,12 @@
         claim = await self.claims.claim(key, own)
         if claim.owner != own:
             address = (claim.owner.host, claim.owner.port)
-            return await pass_on(self.state, request, parsed, address)
-        return await self._run_own(request, parsed, key, claim.claimed_at)
+            return await self._pass_on(arrival, address)
+        return await self._run_own(arrival, key, claim.claimed_at)
 
     async def _run_own(
         self,
-        request: web.BaseRequest,
-        parsed: CallerRequest,
+        arrival: Arrival,
         key: str,
         given_at: float,
     ) -> web.StreamResponse:
@@ -161,17 +188,17 @@
         A key that was given to this process within the window and has no
         record was never begun: records are kept for the window at least.
         """
-        record = self.table.find(key, _fingerprint(parsed))
+        record = self.table.find(key, _fingerprint(arrival.parsed))
         if record is not None and record.state is not KeyState.NOT_RUN:
-            return await self._repeat(parsed, record)
+            return await self._repeat(arrival.parsed, record)
         if record is None and self._is_expired(given_at):
             return _refuse(
-                parsed,
+                arrival.parsed,
                 'key-expired',
                 Outcome.UNKNOWN,
                 'the key is older than its window',
             )
-        return await self._begin(request, parsed, key)
+        return await self._begin(arrival, key)
 
     def _is_expired(self, given_at: float) -> bool:
         age = self.state.clock.monotonic() - given_at
@@ -179,8 +206,7 @@
 
     async def _begin(
         self,
-        request: web.BaseRequest,
-        parsed: CallerRequest,
+        arrival: Arrival,
         key: str,
     ) -> web.StreamResponse:
         """
@@ -190,16 +216,16 @@
         the same key.
         """
         try:
-            record = self.table.begin(key, _fingerprint(parsed))
+            record = self.table.begin(key, _fingerprint(arrival.parsed))
         except KeyTableFullError as error:
             return _refuse(
-                parsed,
+                arrival.parsed,
                 error.code,
                 Outcome.NOT_RUN,
                 error.message,
                 _FULL_RETRY_SECONDS,
             )
-        task = asyncio.create_task(self._execute(request, parsed, record))
+        task = asyncio.create_task(self._execute(arrival, record))
         self.running.add(task)
         self.state.requests_in_flight += 1
         task.add_done_callback(self._end)
@@ -213,14 +239,13 @@
 
     async def _execute(
         self,
-        request: web.BaseRequest,
-        parsed: CallerRequest,
+        arrival: Arrival,
         record: KeyRecord,
     ) -> web.StreamResponse:
         keeper = AnswerKeeper()
         state = KeyState.UNKNOWN
         try:
-            response = await self.dispatcher.run(request, parsed, keeper.relay)
+            response = await self._dispatch(arrival, keeper.relay)
             state = _state_after(keeper, response)
         finally:
             self.table.settle(record, state, keeper.kept)
