Stop without cutting, name usable entries, and soak the outcomes

The stop waited for handlers, not for bytes on their way to slow callers, and took no note of a head or an upload in progress; closing aiohttp's connections early drops the rest of an upload. Connections are now closed as they fall idle. SIGQUIT is the operator's way to cut.

--- a/features/steps/http_border_steps.py
+++ b/features/steps/http_border_steps.py
@@ -67,6 +67,7 @@
                 admin_port=0,
                 store_url=UNUSED_STORE,
                 address_lifetime_seconds=0.01,
+                address_lag_seconds=0,
             ),
         )
         await context.entry.start()
--- a/features/steps/spread_steps.py
+++ b/features/steps/spread_steps.py
@@ -82,6 +82,7 @@
             admin_port=0,
             store_url=context.stand_in.url,
             address_lifetime_seconds=0.1,
+            address_lag_seconds=0,
             vm_list_url=context.vm_list_url,
             peers=','.join(str(_table(seed).me.peers) for seed in seeds),
         ),
@@ -383,6 +384,7 @@
                 admin_port=0,
                 store_url=context.stand_in.url,
                 address_lifetime_seconds=0.1,
+                address_lag_seconds=0,
                 peer_host=host,
             ),
         )
--- a/features/steps/whole_path_steps.py
+++ b/features/steps/whole_path_steps.py
@@ -39,6 +39,7 @@
                 admin_port=0,
                 store_url=store.url,
                 address_lifetime_seconds=0.1,
+                address_lag_seconds=0,
             ),
         )
         await entry.start()
--- a/features/support/small_fleet.py
+++ b/features/support/small_fleet.py
@@ -56,6 +56,7 @@
             'admin_port': 0,
             'store_url': self.store_stand_in.url,
             'address_lifetime_seconds': 0.1,
+            'address_lag_seconds': 0,
             'seed': number,
         }
         entry = Entry(EntrySettings(**fields | self.settings))
--- a/zinniaturn/caller/__init__.py
+++ b/zinniaturn/caller/__init__.py
@@ -7,6 +7,7 @@
     'CallerError',
     'call_idempotent',
     'call_once',
+    'call_with_key',
 )
 
 from zinniaturn.caller.client import Caller, CallerAnswer
@@ -15,4 +16,5 @@
     CallOptions,
     call_idempotent,
     call_once,
+    call_with_key,
 )
--- a/zinniaturn/caller/retrying.py
+++ b/zinniaturn/caller/retrying.py
@@ -6,7 +6,12 @@
 while that does not answer, at others, which pass it on.
 """
 
-__all__ = ('CallOptions', 'call_idempotent', 'call_once')
+__all__ = (
+    'CallOptions',
+    'call_idempotent',
+    'call_once',
+    'call_with_key',
+)
 
 import asyncio
 import time
@@ -30,7 +35,8 @@
     A request.
 
     It is repeated for at most ``patience_seconds``. ``try_seconds`` bounds one
-    try, after which the caller asks again.
+    try, after which the caller asks again; ``key_seconds`` bounds one wait for
+    keys.
     """
 
     method: str
@@ -39,6 +45,7 @@
     body: bytes = b''
     patience_seconds: float = 30
     try_seconds: float = 10
+    key_seconds: float = 2
 
 
 async def call_idempotent(
@@ -63,51 +70,75 @@
     """
     Return the answer to a request that runs at most once.
 
-    An answer with outcome ``unknown`` or ``run`` is final: the system cannot
-    say more. Raises `CallerError` where no answer at all came in time; the
-    request may have run then.
+    It goes under keys that the system issues. An answer with outcome
+    ``unknown`` or ``run`` is final: the system cannot say more. Raises
+    `CallerError` where no answer at all came in time; the request may have run
+    then.
     """
     tries = _Tries(caller, options)
     while True:
         issuer, key = await _fresh_key(caller, tries)
-        answer = await _repeat_key(caller, tries, issuer, key)
-        if answer is None or not _is_refused(answer):
-            return answer or tries.last_answer()
+        answer = await _repeat_key(tries, key, issuer)
+        if not _is_refused(answer):
+            return answer
+        if not await tries.pause(answer):
+            return answer
+
+
+async def call_with_key(
+    caller: Caller,
+    options: CallOptions,
+    key: str,
+) -> CallerAnswer:
+    """Return the answer under a key of the caller's own, as `call_once`."""
+    tries = _Tries(caller, options)
+    while True:
+        answer = await _repeat_key(tries, key, await caller.choose_address())
+        if not _is_refused(answer):
+            return answer
         if not await tries.pause(answer):
             return answer
 
 
 async def _fresh_key(caller: Caller, tries: '_Tries') -> tuple[Address, str]:
-    """Return a key and its issuer; nothing has been sent so far."""
+    """Return a key and its issuer; nothing was sent under it so far."""
     while True:
         address = await caller.choose_address()
         try:
-            async with asyncio.timeout(tries.options.try_seconds):
-                key = await caller.take_key(address)
+            async with asyncio.timeout(tries.options.key_seconds):
+                return address, await caller.take_key(address)
         except (CallerError, TimeoutError) as error:
             if not await tries.pause(None):
                 raise CallerError('no key was to be had', 'no-key') from error
-            continue
-        tries.answer = None
-        return address, key
 
 
 async def _repeat_key(
-    caller: Caller,
     tries: '_Tries',
-    issuer: Address,
     key: str,
-) -> CallerAnswer | None:
-    """Return the last word on a key, or nothing once patience is over."""
-    address = issuer
+    address: Address,
+) -> CallerAnswer:
+    """
+    Return the last word on a key.
+
+    *Not run* is the last word only if no try was lost on its way: such a try
+    may still arrive. Raises `CallerError` where there is no last word in time.
+    """
+    issuer = address
+    lost = 0
     while True:
         answer = await tries.send(address, {'Idempotency-Key': key})
-        if answer is not None and answer.code not in _PASSING_CODES:
+        if answer is None:
+            lost += 1
+        elif not _is_open(answer, lost):
             return answer
         if not await tries.pause(answer):
-            return None
-        others = [*caller.addresses, issuer]
-        address = caller.source.choice(others)
+            raise CallerError('there was no last word in time')
+        caller = tries.caller
+        address = caller.source.choice((*caller.addresses, issuer))
+
+
+def _is_open(answer: CallerAnswer, lost: int) -> bool:
+    return answer.code in _PASSING_CODES or (lost > 0 and _is_refused(answer))
 
 
 def _is_passing(answer: CallerAnswer) -> bool:
--- a/zinniaturn/commands/entry.py
+++ b/zinniaturn/commands/entry.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import sys
 
 import click
 from click.types import OptionHelpExtra
@@ -21,6 +22,8 @@
     variable_of,
 )
 
+EXIT_FORCED = 4
+
 
 class _Setting(click.Option):
     """The flag of a settings field; its value is checked by the model."""
@@ -60,7 +63,8 @@
     Run the process of an entry VM until it is told to stop.
 
     Every setting is a flag or an environment variable; the flag goes first.
-    SIGTERM and SIGINT stop it once its last request is served.
+    SIGTERM and SIGINT stop it once its last request is served, also when
+    they come twice. SIGQUIT cuts off what is in flight.
     """
     stated = {name: text for name, text in given.items() if text is not None}
     settings = check_settings(EntrySettings, stated)
@@ -69,7 +73,9 @@
     with asyncio.Runner(
         loop_factory=loop_factory(settings.event_loop),
     ) as runner:
-        runner.run(run_entry(settings))
+        is_graceful = runner.run(run_entry(settings))
+    if not is_graceful:
+        sys.exit(EXIT_FORCED)
 
 
 def _warn_of_unknown_variables() -> None:
--- a/zinniaturn/demo/fleet.py
+++ b/zinniaturn/demo/fleet.py
@@ -101,6 +101,7 @@
             admin_port=0,
             store_url=self.store_stand_in.url,
             address_lifetime_seconds=_ADDRESS_LIFETIME_SECONDS,
+            address_lag_seconds=_ADDRESS_LIFETIME_SECONDS,
             seed=self.seed + number,
         )
 
--- a/zinniaturn/entry/frontend.py
+++ b/zinniaturn/entry/frontend.py
@@ -36,7 +36,10 @@
         """Answer one request."""
         self.state.requests_in_flight += 1
         try:
-            return _closing_if_unread(request, await self._answer(request))
+            response = await self._answer(request)
+            if self.state.is_closing and not response.prepared:
+                response.force_close()
+            return _closing_if_unread(request, response)
         except ExchangeError:
             return _cut(request)
         finally:
--- a/zinniaturn/entry/parts.py
+++ b/zinniaturn/entry/parts.py
@@ -10,6 +10,8 @@
 from typing import Protocol
 
 from zinniaturn.entry.control_part import ControlPart
+from zinniaturn.entry.leaving_part import LEAVING_TOPIC, LeavingPart
+from zinniaturn.entry.overload import OVERLOAD_TOPIC, OverloadPart
 from zinniaturn.entry.state import EntryState
 from zinniaturn.peers import PeerSecurity
 from zinniaturn.store import ConfigurationStore
@@ -27,4 +29,11 @@
 
 def build_parts(state: EntryState, store: ConfigurationStore) -> list[Part]:
     """Return the parts of an entry."""
-    return [ControlPart(state, store, PeerSecurity())]
+    control = ControlPart(state, store, PeerSecurity())
+    leaving = LeavingPart(state)
+    exchange = control.control.exchange
+    exchange.providers[LEAVING_TOPIC] = leaving.provide
+    exchange.receivers[LEAVING_TOPIC] = leaving.receive
+    exchange.providers[OVERLOAD_TOPIC] = state.overload.provide
+    exchange.receivers[OVERLOAD_TOPIC] = state.overload.receive
+    return [control, leaving, OverloadPart(state.overload)]
--- a/zinniaturn/entry/process.py
+++ b/zinniaturn/entry/process.py
@@ -15,11 +15,11 @@
 from zinniaturn.entry.parts import build_parts
 from zinniaturn.entry.protocol import CallerServer
 from zinniaturn.entry.state import EntryState
+from zinniaturn.entry.stopping import drain_connections, serve_until_forgotten
 from zinniaturn.events import LogEvent, log_event
 from zinniaturn.settings import EntrySettings
 from zinniaturn.store import HttpStore
 
-_POLL_SECONDS = 0.02
 _HEADER_BYTES = 32_768
 
 
@@ -34,7 +34,7 @@
         self.store = HttpStore(settings.store_url, caller=settings.name)
         self.frontend = Frontend(self.state, self.store)
         self.parts = build_parts(self.state, self.store)
-        self.server: web.Server | None = None
+        self.server: CallerServer | None = None
         self.listener: asyncio.Server | None = None
         self.admin_runner: web.AppRunner | None = None
 
@@ -79,14 +79,24 @@
     async def stop(self) -> None:
         """Serve what is in flight to its end, then close everything."""
         self.state.lifecycle.drain()
-        await asyncio.sleep(self.settings.address_lifetime_seconds)
+        await serve_until_forgotten(self.state)
         if self.listener is not None:
             self.listener.close()
-        while self.state.requests_in_flight:
-            await asyncio.sleep(_POLL_SECONDS)
+        if self.server is not None:
+            await drain_connections(self.state, self.server)
         await self._close()
         self.state.lifecycle.finish()
 
+    def cut(self) -> None:
+        """Cut every connection at once; for an operator who asks for it."""
+        log_event(
+            LogEvent.ENTRY_FORCED,
+            requests=self.state.requests_in_flight,
+        )
+        if self.server is not None:
+            for connection in self.server.callers():
+                connection.force_close()
+
     async def _start_admin(self) -> None:
         self.admin_runner = web.AppRunner(
             make_admin(self.state),
@@ -111,13 +121,36 @@
         await self.store.close()
 
 
-async def run_entry(settings: EntrySettings) -> None:
-    """Run an entry until a signal asks it to stop."""
+async def run_entry(settings: EntrySettings) -> bool:
+    """
+    Run an entry until a signal asks it to stop.
+
+    SIGTERM and SIGINT stop it gracefully, also when they come twice. SIGQUIT
+    cuts the requests in flight. Returns whether the stop was graceful.
+    """
     entry = Entry(settings)
     stopping = asyncio.Event()
+    cutting = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGQUIT, cutting.set)
     await entry.start()
-    await stopping.wait()
-    await entry.stop()
+    await _first(stopping, cutting)
+    stop = asyncio.create_task(entry.stop())
+    cut = asyncio.create_task(cutting.wait())
+    await asyncio.wait((stop, cut), return_when=asyncio.FIRST_COMPLETED)
+    if stop.done():
+        cut.cancel()
+        await stop
+        return True
+    entry.cut()
+    stop.cancel()
+    return False
+
+
+async def _first(*events: asyncio.Event) -> None:
+    tasks = [asyncio.create_task(event.wait()) for event in events]
+    await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    for task in tasks:
+        task.cancel()
--- a/zinniaturn/entry/protocol.py
+++ b/zinniaturn/entry/protocol.py
@@ -5,7 +5,7 @@
 document with a code, as any other refusal.
 """
 
-__all__ = ('CallerServer',)
+__all__ = ('CallerProtocol', 'CallerServer')
 
 from collections.abc import Callable
 from http import HTTPStatus
@@ -39,15 +39,36 @@
 
     on_failure: Observer
 
+    def callers(self) -> list['CallerProtocol']:
+        """Return the open connections."""
+        return [
+            connection
+            for connection in self.connections
+            if isinstance(connection, CallerProtocol)
+        ]
+
     def __call__(self) -> RequestHandler:
         """Return the protocol of a new connection."""
-        return _CallerProtocol(self, loop=self._loop, **self._kwargs)
+        return CallerProtocol(self, loop=self._loop, **self._kwargs)
+
+
+class CallerProtocol(RequestHandler):
+    """One caller's connection."""
+
+    is_head_begun = False
 
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is on it, or a part of one."""
+        is_waiting = self._waiter is not None and not self._waiter.done()
+        if is_waiting and not self._messages and not self.is_head_begun:
+            self.force_close()
 
-class _CallerProtocol(RequestHandler):
     def data_received(self, data: bytes) -> None:
         """Parse bytes; a malformed body is made known to its reader."""
+        count = self._request_count
         super().data_received(data)
+        if self._waiter is not None:
+            self.is_head_begun = count == self._request_count
         if self._messages:
             message, _ = self._messages[-1]
             if not isinstance(message, RawRequestMessage):
--- a/zinniaturn/entry/state.py
+++ b/zinniaturn/entry/state.py
@@ -11,6 +11,7 @@
 from zinniaturn.entry.control import Control
 from zinniaturn.entry.lifecycle import Lifecycle
 from zinniaturn.entry.metrics import EntryMetrics
+from zinniaturn.entry.overload import OverloadNotes
 from zinniaturn.explain import DecisionLog
 from zinniaturn.forwarding import ConnectionPool
 from zinniaturn.settings import EntrySettings
@@ -32,9 +33,15 @@
     matcher: RouteMatcher = field(default_factory=RouteMatcher)
     recorder: DecisionLog = field(default_factory=DecisionLog)
     requests_in_flight: int = 0
+    is_closing: bool = False
     port: int = 0
     admin_port: int = 0
     control: Control | None = None
+    overload: OverloadNotes = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Begin with an entry that is not overloaded."""
+        self.overload = OverloadNotes(self.settings.name, self.clock)
 
     def install_pools(self, tables: Tables) -> None:
         """Bring the routes and pools in line with newly installed tables."""
--- a/zinniaturn/events/catalogue.py
+++ b/zinniaturn/events/catalogue.py
@@ -20,6 +20,7 @@
     ENTRY_READY = 101
     ENTRY_DRAINING = 102
     ENTRY_STOPPED = 103
+    ENTRY_FORCED = 104
     VARIABLE_UNKNOWN = 104
     REQUEST_FAILED = 110
     REVISION_INSTALLED = 200
@@ -51,6 +52,10 @@
             _WARNING,
             'an environment variable is unknown',
         ),
+        LogEvent.ENTRY_FORCED: (
+            _WARNING,
+            'the entry was told to cut its requests off',
+        ),
         LogEvent.REQUEST_FAILED: (
             logging.ERROR,
             'a request ended in a fault of the entry',
--- /dev/null
+++ b/zinniaturn/experiments/outcomes/servers.py
@@ -0,0 +1,97 @@
+"""Backend servers that count executions and answer with tokens."""
+
+__all__ = ('TokenServer', 'token_text')
+
+import asyncio
+import random
+from collections import Counter
+from http import HTTPStatus
+
+from aiohttp import web
+
+from zinniaturn.standins.listening import Listening
+
+LINES_HEADER = 'Token-Lines'
+SECONDS_HEADER = 'Token-Seconds'
+
+_MEDIAN_SECONDS = 0.004
+_SIGMA = 0.6
+_MAX_BODY_BYTES = 16_777_216
+
+
+def token_text(request_id: str, lines: int) -> bytes:
+    """Return the body that proves whose answer it is and that it is whole."""
+    return b''.join(
+        b'%b %d\n' % (request_id.encode(), line) for line in range(lines)
+    )
+
+
+class TokenServer:
+    """
+    Runs requests and counts them by request id.
+
+    An answer has as many lines as the request asks for and takes as many
+    seconds, if it asks for any.
+    """
+
+    def __init__(self, executions: Counter[str], seed: str) -> None:
+        self.executions = executions
+        self.source = random.Random(seed)
+        self.is_shedding = False
+        self.shed = 0
+        application = web.Application(client_max_size=_MAX_BODY_BYTES)
+        application.router.add_route('*', '/{path:.*}', self.answer)
+        self.listening = Listening(application)
+
+    @property
+    def port(self) -> int:
+        """Return the port."""
+        return self.listening.port
+
+    async def start(self) -> None:
+        """Listen."""
+        await self.listening.start()
+
+    async def stop(self) -> None:
+        """Stop at once."""
+        await self.listening.stop()
+
+    async def answer(self, request: web.Request) -> web.StreamResponse:
+        """Run a request, unless the server sheds."""
+        if self.is_shedding:
+            self.shed += 1
+            return web.Response(
+                status=HTTPStatus.SERVICE_UNAVAILABLE,
+                headers={'Server-Shed': 'not-run'},
+            )
+        await request.read()
+        request_id = request.headers['X-Request-Id']
+        self.executions[request_id] += 1
+        lines = int(request.headers.get(LINES_HEADER, '1'))
+        seconds = float(request.headers.get(SECONDS_HEADER, '0'))
+        text = token_text(request_id, lines)
+        if seconds:
+            return await self._stream(request, text, seconds)
+        pause = _MEDIAN_SECONDS * self.source.lognormvariate(0, _SIGMA)
+        await asyncio.sleep(pause)
+        return web.Response(body=text, headers=_echo(request))
+
+    async def _stream(
+        self,
+        request: web.Request,
+        text: bytes,
+        seconds: float,
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(headers=_echo(request))
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        lines = text.splitlines(keepends=True)
+        for line in lines:
+            await response.write(line)
+            await asyncio.sleep(seconds / len(lines))
+        await response.write_eof()
+        return response
+
+
+def _echo(request: web.Request) -> dict[str, str]:
+    return {'X-Request-Id': request.headers['X-Request-Id']}
--- a/zinniaturn/experiments/registry.py
+++ b/zinniaturn/experiments/registry.py
@@ -57,6 +57,16 @@
         'all policies on steady load, within 45 s',
         'zinniaturn.experiments.choosing.smoke:run_smoke',
     ),
+    Experiment(
+        'outcomes',
+        'soak of 13 entries and 100,000 non-idempotent requests',
+        'zinniaturn.experiments.outcomes.run:run_soak',
+    ),
+    Experiment(
+        'outcomes-smoke',
+        'the same with 4 entries, within 45 s',
+        'zinniaturn.experiments.outcomes.run:run_smoke',
+    ),
     Experiment(
         'speed',
         'latency that an entry adds, and requests per core, at four loads',
--- a/zinniaturn/settings/models.py
+++ b/zinniaturn/settings/models.py
@@ -123,6 +123,16 @@
         allow_inf_nan=False,
         description='How long callers keep the addresses, in seconds.',
     )
+    address_lag_seconds: float = Field(
+        default=2,
+        ge=0,
+        le=600,
+        allow_inf_nan=False,
+        description=(
+            'How long other entries may name this one after it was told to '
+            'stop, in seconds.'
+        ),
+    )
     key_secret: SecretStr = Field(
         default=SecretStr(''),
         description=(
--- a/zinniaturn/standins/fault_proxy.py
+++ b/zinniaturn/standins/fault_proxy.py
@@ -29,6 +29,7 @@
     HalfClose,
     LoseAnswer,
     NoFault,
+    RepeatAnswer,
 )
 
 Address = tuple[str, int]
@@ -207,6 +208,10 @@
                     loop.call_later(seconds, self.send_to_caller, payload)
                 else:
                     self.caller.write(payload)
+            case RepeatAnswer(seconds) if not sent:
+                self.count()
+                self.caller.write(chunk)
+                loop.call_later(seconds, self.send_to_caller, chunk)
             case _:
                 self.caller.write(chunk)
 
--- a/zinniaturn/standins/faults.py
+++ b/zinniaturn/standins/faults.py
@@ -11,6 +11,7 @@
     'HalfClose',
     'LoseAnswer',
     'NoFault',
+    'RepeatAnswer',
 )
 
 from dataclasses import dataclass
@@ -77,6 +78,13 @@
     seconds: float = 0
 
 
+@dataclass(frozen=True, slots=True)
+class RepeatAnswer:
+    """The answer's first bytes come once more, ``seconds`` later."""
+
+    seconds: float
+
+
 Fault = (
     NoFault
     | CutRequest
@@ -87,4 +95,5 @@
     | BlackHole
     | DelayAnswer
     | ExtraBytes
+    | RepeatAnswer
 )
