Estimate the waits of a pool's servers in one pass

Cause: a choice took the pool's own terms of the estimate again for each server, listed the available servers twice, and built frozen records. The formula is unchanged.

--- a/zinniaturn/choosing/estimates.py
+++ b/zinniaturn/choosing/estimates.py
@@ -6,9 +6,15 @@
 with its age: the estimate moves from the report to the pool's mean.
 """
 
-__all__ = ('PoolAverages', 'estimated_load', 'estimated_wait')
+__all__ = (
+    'PoolAverages',
+    'estimated_load',
+    'estimated_wait',
+    'estimated_waits',
+)
 
 import math
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from zinniaturn.choosing.server_state import Completion, ServerState
@@ -74,23 +80,49 @@
     now: float,
 ) -> float:
     """Return the seconds until a request sent now would be answered."""
-    slots = state.slots
-    load = estimated_load(state, averages, now)
-    ahead = max(0, load + 1 - slots) / slots
-    service = _service_now(state, averages, now)
-    crowding = load / slots / slots
-    penalty = 1 + state.consecutive_failures * _FAILURE_PENALTY
-    return service * (1 + ahead + crowding) * penalty
+    return estimated_waits((state,), averages, now)[0]
 
 
-def _service_now(
-    state: ServerState,
+def estimated_waits(
+    states: Sequence[ServerState],
     averages: PoolAverages,
     now: float,
-) -> float:
-    usual = max(averages.service_seconds, _LATENCY_FLOOR_SECONDS)
-    if state.service_seconds < usual * _SLOWER_RATIO:
-        return usual
+) -> list[float]:
+    """
+    Return the wait at each server, in seconds.
+
+    What the servers share is worked out once, since this runs for every
+    server of the pool on every request.
+    """
+    horizon = max(_LATENCY_FLOOR_SECONDS, averages.service_seconds * _AGE_SHARE)
+    usual_service = max(averages.service_seconds, _LATENCY_FLOOR_SECONDS)
+    slow = usual_service * _SLOWER_RATIO
+    waits: list[float] = []
+    for state in states:
+        report = state.report
+        if report is None:
+            slots = state.server.slots
+            load = averages.load_per_slot * slots
+        else:
+            slots = report.slots
+            load = averages.load_per_slot * slots
+            known = report.busy + report.queued + state.sent_since_report
+            trust = math.exp((state.reported_at - now) / horizon)
+            load += (known - load) * trust
+        load = max(load, state.in_flight)
+        service = usual_service
+        if state.service_seconds >= slow:
+            service = _service_now(state, usual_service, now)
+        wait = service * (1 + load / slots / slots)
+        if load + 1 > slots:
+            wait += service * (load + 1 - slots) / slots
+        if state.consecutive_failures:
+            wait *= 1 + state.consecutive_failures * _FAILURE_PENALTY
+        waits.append(wait)
+    return waits
+
+
+def _service_now(state: ServerState, usual: float, now: float) -> float:
     age = now - state.served_at
     trust = math.exp(-age / _FORGET_SERVICE_SECONDS)
     return usual + (state.service_seconds - usual) * trust
--- a/zinniaturn/choosing/policies.py
+++ b/zinniaturn/choosing/policies.py
@@ -26,7 +26,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from zinniaturn.choosing.estimates import PoolAverages, estimated_wait
+from zinniaturn.choosing.estimates import PoolAverages, estimated_waits
 from zinniaturn.choosing.server_state import ServerState
 
 _BEARABLE_RATIO = 2.5
@@ -143,16 +143,13 @@
         now: float,
     ) -> ServerState:
         """Return a candidate with a short estimated wait."""
-        ranked = [
-            _Ranked(
-                state,
-                estimated_wait(state, averages, now),
-                self.source.random(),
-            )
-            for state in candidates
+        waits = estimated_waits(candidates, averages, now)
+        bearable = min(waits) * _BEARABLE_RATIO
+        sound = [
+            _Ranked(state, wait, self.source.random())
+            for state, wait in zip(candidates, waits, strict=True)
+            if wait <= bearable
         ]
-        bearable = min(each.wait for each in ranked) * _BEARABLE_RATIO
-        sound = [each for each in ranked if each.wait <= bearable]
         sound.sort(key=_last_used)
         fewest = min(len(sound), _FEWEST_COMPARED)
         compared = max(fewest, math.ceil(len(sound) * _COMPARED_SHARE))
@@ -188,7 +185,7 @@
         )
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _Ranked:
     """A candidate with its estimated wait and a random rank for ties."""
 
--- a/zinniaturn/choosing/pool_state.py
+++ b/zinniaturn/choosing/pool_state.py
@@ -3,6 +3,7 @@
 __all__ = ('PoolState',)
 
 import random
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from zinniaturn.choosing.ejection import note_failure, note_success
@@ -80,13 +81,14 @@
         now = self.clock.monotonic()
         if ticket.deadline <= now:
             raise RefusedError('the deadline has passed', 'deadline-not-run')
-        if not self._available(now):
+        available = self._available(now)
+        if not available:
             raise RefusedError(
                 f'pool "{self.pool.name}" has no available server',
                 'no-server',
                 self.retry_after(),
             )
-        if not self.waiting.first(now) and self._grant(ticket, now):
+        if not self.waiting.first(now) and self._grant(ticket, available, now):
             return
         self._check_queue(ticket, now)
         self.waiting.join(ticket, now)
@@ -94,7 +96,11 @@
     def try_acquire(self, ticket: Ticket) -> bool:
         """Give a ticket a server without waiting; return whether it has."""
         now = self.clock.monotonic()
-        return ticket.deadline > now and self._grant(ticket, now)
+        return ticket.deadline > now and self._grant(
+            ticket,
+            self._available(now),
+            now,
+        )
 
     def abandon(self, ticket: Ticket) -> None:
         """Take back a ticket that waits or was granted a server unused."""
@@ -172,16 +178,21 @@
                 state.leaving = False
                 state.warming_since = now
 
-    def _grant(self, ticket: Ticket, now: float) -> bool:
-        with_room = [
-            state for state in self._available(now) if state.has_room(now)
-        ]
-        preferred = [
-            state
-            for state in with_room
-            if state.server.name not in ticket.exclude
-        ]
-        candidates = preferred or with_room
+    def _grant(
+        self,
+        ticket: Ticket,
+        available: Sequence[ServerState],
+        now: float,
+    ) -> bool:
+        with_room = [state for state in available if state.has_room(now)]
+        candidates = with_room
+        if ticket.exclude:
+            preferred = [
+                state
+                for state in with_room
+                if state.server.name not in ticket.exclude
+            ]
+            candidates = preferred or with_room
         if not candidates:
             return False
         state = self.policy.choose(candidates, self.averages, now)
@@ -194,7 +205,11 @@
     def _grant_waiting(self) -> None:
         now = self.clock.monotonic()
         ticket = self.waiting.first(now)
-        while ticket is not None and self._grant(ticket, now):
+        while ticket is not None and self._grant(
+            ticket,
+            self._available(now),
+            now,
+        ):
             self.waiting.leave(ticket)
             if ticket.on_granted is not None:
                 ticket.on_granted()
