--- a/features/support/small_fleet.py
+++ b/features/support/small_fleet.py
@@ -33,6 +33,7 @@
         self.faults = []
         self.entry_count = entries
         self.settings = more
+        self.first_settings = {}
 
     def next_fault(self):
         return self.faults.pop(0) if self.faults else NoFault()
@@ -59,17 +60,26 @@
             'address_lag_seconds': 0,
             'seed': number,
         }
-        entry = Entry(EntrySettings(**fields | self.settings))
+        fields |= self.settings
+        if not number:
+            fields |= self.first_settings
+        entry = Entry(EntrySettings(**fields))
         await entry.start()
         self.entries.append(entry)
         while not entry.state.holder.tables.revision:
             await asyncio.sleep(0.01)
         return entry
 
-    async def commit(self, ports):
+    async def commit(self, ports, leaving=()):
         base = await read_tables(self.store)
         servers = tuple(
-            Server(f'ledger-{number}', '127.0.0.1', port, 4)
+            Server(
+                f'ledger-{number}',
+                '127.0.0.1',
+                port,
+                4,
+                leaving=number in leaving,
+            )
             for number, port in enumerate(ports)
         )
         tables = apply_pools(base.tables, [Pool('ledger', servers)])
--- a/zinniaturn/entry/addresses.py
+++ b/zinniaturn/entry/addresses.py
@@ -6,7 +6,7 @@
 it says that an entry is leaving.
 """
 
-__all__ = ('AddressesAnswer', 'answer_addresses', 'spread')
+__all__ = ('AddressesAnswer', 'answer_addresses', 'spread', 'steer')
 
 import random
 from collections.abc import Iterable
@@ -15,6 +15,7 @@
 import msgspec
 from aiohttp import web
 
+from zinniaturn.entry.overload import OverloadNotes
 from zinniaturn.entry.state import EntryState
 from zinniaturn.membership.domain import Member
 from zinniaturn.membership.evidence import MemberState
@@ -72,24 +73,28 @@
     return list(filter(None, turns))[:MAX_ENTRIES]
 
 
+def steer(
+    live: Iterable[tuple[str, EntryAddress]],
+    notes: OverloadNotes,
+) -> list[EntryAddress]:
+    """Return the addresses without the overloaded ones, unless most are."""
+    known = list(live)
+    calm = [address for name, address in known if not notes.is_overloaded(name)]
+    if len(calm) * 2 >= len(known):
+        return calm
+    return [address for _, address in known]
+
+
 def _usable(state: EntryState) -> list[EntryAddress]:
     """
     Return the best entries there are.
 
-    Where more than half of them are overloaded there is nothing to steer to,
-    so that all are named. Where no other is known this one is named, whatever
-    its state: it serves what it gets.
+    Where no other is known this one is named, whatever its state: it serves
+    what it gets.
     """
     live = [*_others(state, MemberState.LIVE), *_own(state)]
-    calm = [
-        address
-        for name, address in live
-        if not state.overload.is_overloaded(name)
-    ]
-    if len(calm) * 2 >= len(live) and calm:
-        return calm
     if live:
-        return [address for _, address in live]
+        return steer(live, state.overload)
     last = _others(state, MemberState.SUSPECT)
     return [address for _, address in last] or [_own_address(state)]
 
--- a/zinniaturn/entry/process.py
+++ b/zinniaturn/entry/process.py
@@ -12,6 +12,7 @@
 from zinniaturn.entry.admin import make_admin
 from zinniaturn.entry.exceptions import ListenError
 from zinniaturn.entry.frontend import Frontend
+from zinniaturn.entry.garbage import settle_heap, tune_collector
 from zinniaturn.entry.parts import build_parts
 from zinniaturn.entry.protocol import CallerServer
 from zinniaturn.entry.state import EntryState
@@ -136,6 +137,8 @@
         loop.add_signal_handler(number, stopping.set)
     loop.add_signal_handler(signal.SIGQUIT, cutting.set)
     await entry.start()
+    tune_collector()
+    entry.state.holder.observers.append(lambda _: settle_heap())
     await _first(stopping, cutting)
     stop = asyncio.create_task(entry.stop())
     cut = asyncio.create_task(cutting.wait())
