Run the entry on asyncio's loop: uvloop 0.23 opens an io_uring

The binary's feature found anon_inode:[io_uring] among the entry's open files once the entry ran on uvloop. UV_USE_IO_URING=0 does not prevent it: with the variable unset, 0 and 1 the loop opened one each time (trial).

--- a/zinniaturn/entry/loops.py
+++ b/zinniaturn/entry/loops.py
@@ -24,7 +24,8 @@
     """
     Return the factory of the loops ``uvloop`` and ``asyncio``.
 
-    libuv is told to stay with epoll, whatever its default is.
+    libuv is told to stay with epoll, but newer ones (uvloop 0.23) still open
+    an io_uring for their calls of epoll, so ``asyncio`` is the default.
     """
     os.environ[_IO_URING_VARIABLE] = '0'
     return _FACTORIES[name]
--- a/zinniaturn/settings/models.py
+++ b/zinniaturn/settings/models.py
@@ -127,8 +127,8 @@
         description='Least severe level that is logged.',
     )
     event_loop: Literal['uvloop', 'asyncio'] = Field(
-        default='uvloop',
-        description='Event loop of the process.',
+        default='asyncio',
+        description='Event loop; uvloop may open an io_uring.',
     )
     seed: int | None = Field(
         default=None,
