--- /dev/null
+++ b/features/known_red.py
@@ -0,0 +1,25 @@
+"""Scenarios that are known to fail, from ``KNOWN-RED.txt``."""
+
+from pathlib import Path
+
+FILE_NAME = 'KNOWN-RED.txt'
+
+_MARK = 'scenario: '
+
+
+def read_known_red(path):
+    """
+    Return the names of the scenarios that the file lists.
+
+    An entry has a line ``scenario: features/x.feature: the scenario's name``;
+    the other lines of an entry are for people.
+    """
+    file = Path(path)
+    if not file.exists():
+        return frozenset()
+    lines = file.read_text('utf-8').splitlines()
+    return frozenset(
+        line.removeprefix(_MARK).strip()
+        for line in lines
+        if line.startswith(_MARK)
+    )
