Measure servers within the agreed budget by leased seats

A share of the budget for each entry doesn't hold in a sliding second, since shares coincide and views of who is there differ. Now only the holder of one of floor(budget) leased seats measures, keeps more than a second between two requests to a server counted from the end of the last one, checks its lease on the monotonic clock in the step that writes the request, and after taking a seat waits a whole term, so that no one need trust the store's memory. A busy server is not measured at all, as its replies say more.

--- a/zinniaturn/choosing/hot_cold.py
+++ b/zinniaturn/choosing/hot_cold.py
@@ -31,6 +31,8 @@
     in flight are above the 0.8 quantile of the pool's.
     """
 
+    report_lifetime_seconds: float = 0
+
     def __init__(self, source: random.Random) -> None:
         self.source = source
 
--- a/zinniaturn/choosing/policies.py
+++ b/zinniaturn/choosing/policies.py
@@ -35,7 +35,14 @@
 
 
 class Policy(Protocol):
-    """Chooses one of the available servers."""
+    """
+    Chooses one of the available servers.
+
+    A server is measured, within the budget, once its last report is older
+    than ``report_lifetime_seconds``.
+    """
+
+    report_lifetime_seconds: float
 
     def choose(
         self,
@@ -49,6 +56,8 @@
 class RandomChoice:
     """Takes any server with the same chance."""
 
+    report_lifetime_seconds: float = math.inf
+
     def __init__(self, source: random.Random) -> None:
         self.source = source
 
@@ -65,6 +74,8 @@
 class RoundRobin:
     """Takes the servers in turn, from a random start."""
 
+    report_lifetime_seconds: float = math.inf
+
     def __init__(self, source: random.Random) -> None:
         self.last = source.random()
         self.names: list[str] = []
@@ -90,6 +101,8 @@
 class LeastInFlight:
     """Takes the server with the fewest of this entry's own requests."""
 
+    report_lifetime_seconds: float = math.inf
+
     def __init__(self, source: random.Random) -> None:
         self.source = source
 
@@ -108,6 +121,8 @@
 class PowerOfTwo:
     """Takes the one with fewer own requests of two random servers [1]_."""
 
+    report_lifetime_seconds: float = math.inf
+
     def __init__(self, source: random.Random) -> None:
         self.source = source
 
@@ -133,6 +148,8 @@
     that are much slower than the best one are left out first.
     """
 
+    report_lifetime_seconds: float = 1
+
     def __init__(self, source: random.Random) -> None:
         self.source = source
 
@@ -167,6 +184,8 @@
     can; it is the limit in tests and benches.
     """
 
+    report_lifetime_seconds: float = math.inf
+
     def __init__(
         self,
         true_wait: Callable[[ServerState], float],
--- a/zinniaturn/choosing/pool_state.py
+++ b/zinniaturn/choosing/pool_state.py
@@ -130,6 +130,28 @@
             state.note_report(report, now)
             self._grant_waiting()
 
+    def note_unmeasured(self, server: str) -> None:
+        """Count a measuring request that brought nothing as a failure."""
+        state = self.servers.get(server)
+        if state is not None:
+            now = self.clock.monotonic()
+            note_failure(state, self.servers.values(), now)
+
+    def needing_measurement(self, now: float) -> list[ServerState]:
+        """
+        Return the servers whose last report is too old for the policy.
+
+        A busy server reports on its replies, which cost nothing; measuring is
+        left to those that gave none for a while.
+        """
+        oldest = now - self.policy.report_lifetime_seconds
+        return [
+            state
+            for state in self.servers.values()
+            if state.reported_at <= oldest
+            and not (state.leaving or state.server.leaving)
+        ]
+
     def hedge_after(self) -> float | None:
         """Return the seconds after which a second attempt is worth it."""
         return self.latencies.threshold
--- a/zinniaturn/entry/attempts.py
+++ b/zinniaturn/entry/attempts.py
@@ -19,10 +19,10 @@
 
 from zinniaturn.choosing import Completion, PoolState, RefusedError, Ticket
 from zinniaturn.choosing.server_state import ServerState
-from zinniaturn.entry.load_reports import is_leaving, is_shed, read_load
 from zinniaturn.entry.requests import CallerRequest
 from zinniaturn.entry.state import EntryState
 from zinniaturn.forwarding import Answer, ExchangeError, exchange
+from zinniaturn.forwarding.load_reports import is_leaving, is_shed, read_load
 from zinniaturn.outcomes import Event, Phase
 
 _ERROR_STATUS = 500
--- a/zinniaturn/entry/metrics.py
+++ b/zinniaturn/entry/metrics.py
@@ -22,6 +22,21 @@
             registry=self.registry,
         )
 
+        self.measuring = Counter(
+            'zinniaturn_measuring_requests_total',
+            'Measuring requests sent, by pool, over all its servers.',
+            registry=self.registry,
+        )
+        self.measuring_budget = Gauge(
+            'zinniaturn_measuring_budget',
+            'Agreed measuring requests per second per server, by pool.',
+            registry=self.registry,
+        )
+
+    def count_measuring(self, pool: str) -> None:
+        """Count a measuring request to a server of ``pool``."""
+        self.measuring.inc({'pool': pool})
+
     def count(self, pool: str, told: str) -> None:
         """Count a request of ``pool`` that ended as ``told``."""
         self.requests.inc({'pool': pool, 'told': told})
--- a/zinniaturn/entry/parts.py
+++ b/zinniaturn/entry/parts.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 from zinniaturn.entry.control_part import ControlPart
+from zinniaturn.entry.probes_part import ProbesPart
 from zinniaturn.entry.state import EntryState
 from zinniaturn.peers import PeerSecurity
 from zinniaturn.store import ConfigurationStore
@@ -27,4 +28,7 @@
 
 def build_parts(state: EntryState, store: ConfigurationStore) -> list[Part]:
     """Return the parts of an entry."""
-    return [ControlPart(state, store, PeerSecurity())]
+    return [
+        ControlPart(state, store, PeerSecurity()),
+        ProbesPart(state, store),
+    ]
--- /dev/null
+++ b/zinniaturn/entry/probes_part.py
@@ -0,0 +1,127 @@
+"""The part of an entry that measures servers within the budget."""
+
+__all__ = ('ProbesPart',)
+
+import asyncio
+import uuid
+from dataclasses import dataclass, field
+
+from zinniaturn.choosing import PoolState
+from zinniaturn.entry.state import EntryState
+from zinniaturn.probes import (
+    ProbeError,
+    Prober,
+    SeatHolder,
+    Spacing,
+    spacing_of,
+)
+from zinniaturn.store import ConfigurationStore
+from zinniaturn.tables import Server
+
+_REFRESHES_PER_TERM = 4
+_POLL_SECONDS = 0.1
+
+
+@dataclass(slots=True)
+class Target:
+    """One server of one pool that this entry may measure."""
+
+    server: Server
+    prober: Prober
+    spacing: Spacing = field(default_factory=Spacing)
+    task: asyncio.Task[None] | None = None
+
+
+class ProbesPart:
+    """Holds seats and measures the pools of those that it holds."""
+
+    def __init__(self, state: EntryState, store: ConfigurationStore) -> None:
+        self.state = state
+        settings = state.settings
+        self.holder = SeatHolder(
+            store,
+            state.clock,
+            state.source,
+            f'{settings.name}/{uuid.uuid4().hex}',
+            settings.measuring_lease_seconds,
+        )
+        self.targets: dict[tuple[str, str], Target] = {}
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Begin to ask for seats and to measure."""
+        self.tasks = [
+            asyncio.create_task(self._hold_seats()),
+            asyncio.create_task(self._measure_pools()),
+        ]
+
+    async def stop(self) -> None:
+        """End measuring and give the seats up."""
+        targets = self.targets.values()
+        measuring = [target.task for target in targets if target.task]
+        tasks = self.tasks + measuring
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for target in self.targets.values():
+            target.prober.close()
+        await self.holder.release()
+
+    async def _hold_seats(self) -> None:
+        pause = self.holder.ttl_seconds / _REFRESHES_PER_TERM
+        while True:
+            wanted = {
+                name: pool.pool.measuring_budget
+                for name, pool in self.state.pools.items()
+            }
+            await self.holder.refresh(wanted)
+            await asyncio.sleep(pause * self.state.source.uniform(0.5, 1))
+
+    async def _measure_pools(self) -> None:
+        while True:
+            for pool in list(self.state.pools.values()):
+                if self.holder.may_measure(pool.pool.name):
+                    self._measure_due(pool)
+            await asyncio.sleep(_POLL_SECONDS)
+
+    def _measure_due(self, pool: PoolState) -> None:
+        now = self.state.clock.monotonic()
+        for state in pool.needing_measurement(now):
+            target = self._target(pool, state.server)
+            if target.spacing.is_due(now):
+                target.spacing.begin()
+                target.task = asyncio.create_task(self._measure(pool, target))
+
+    def _target(self, pool: PoolState, server: Server) -> Target:
+        key = pool.pool.name, f'{server.host}:{server.port}'
+        if key not in self.targets:
+            self.targets[key] = Target(
+                server,
+                Prober(self.state.connections),
+            )
+        return self.targets[key]
+
+    async def _measure(self, pool: PoolState, target: Target) -> None:
+        name = pool.pool.name
+        clock = self.state.clock
+        sent_at = clock.monotonic()
+        try:
+            report = await target.prober.measure(
+                target.server,
+                lambda: self._may_send(name),
+            )
+        except ProbeError:
+            pool.note_unmeasured(target.server.name)
+        else:
+            if report is not None:
+                pool.note_measurement(target.server.name, report, sent_at)
+        finally:
+            budget = pool.pool.measuring_budget
+            now = clock.monotonic()
+            target.spacing.end(now, spacing_of(budget) if budget else 1)
+
+    def _may_send(self, pool: str) -> bool:
+        allowed = self.holder.may_measure(pool)
+        if allowed:
+            self.state.metrics.count_measuring(pool)
+        return allowed
--- a/zinniaturn/entry/state.py
+++ b/zinniaturn/entry/state.py
@@ -56,4 +56,8 @@
                 )
             else:
                 known.update(pool)
+            self.metrics.measuring_budget.set(
+                {'pool': name},
+                pool.measuring_budget,
+            )
         self.lifecycle.tables_installed()
--- a/zinniaturn/experiments/choosing/fleet.py
+++ b/zinniaturn/experiments/choosing/fleet.py
@@ -74,7 +74,7 @@
             await _wait_until_ready(port)
 
     async def start_entry(self, number: int) -> None:
-        """Start one entry."""
+        """Start one entry, or start it anew after its end."""
         await self.group.start(
             f'entry-{number}',
             'entry',
@@ -150,6 +150,7 @@
                 '--admin-port': self.admin_ports[number],
                 '--store-url': f'http://127.0.0.1:{self.store_port}',
                 '--policy': ','.join(('random', *overrides)),
+                '--measuring-lease-seconds': plan.measuring_lease_seconds,
                 '--seed': plan.seed * _MILLISECONDS + number,
                 '--log-level': 'WARNING',
             },
--- a/zinniaturn/experiments/choosing/plan.py
+++ b/zinniaturn/experiments/choosing/plan.py
@@ -122,6 +122,7 @@
     rounds: int = 2
     faults: tuple[FaultAt, ...] = ()
     measuring_budget: float = 4
+    measuring_lease_seconds: float = 5
     deadline_seconds: float = 5
     budget_policies: tuple[str, ...] = ('hot-cold',)
 
--- a/zinniaturn/settings/models.py
+++ b/zinniaturn/settings/models.py
@@ -122,6 +122,13 @@
         allow_inf_nan=False,
         description='How long callers keep the addresses, in seconds.',
     )
+    measuring_lease_seconds: float = Field(
+        default=5,
+        ge=1,
+        le=300,
+        allow_inf_nan=False,
+        description='Term of the lease on the right to measure, in seconds.',
+    )
     log_level: Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = Field(
         default='INFO',
         description='Least severe level that is logged.',
