--- a/zinniaturn/commands/entry.py
+++ b/zinniaturn/commands/entry.py
@@ -10,6 +10,7 @@
 
 from zinniaturn.commands.options import AUTHOR_VARIABLE
 from zinniaturn.entry import run_entry
+from zinniaturn.entry.loops import loop_factory
 from zinniaturn.events import LogEvent, configure_logging, log_event
 from zinniaturn.settings import EntrySettings, check_settings
 from zinniaturn.settings.checking import (
@@ -65,7 +66,10 @@
     settings = check_settings(EntrySettings, stated)
     configure_logging(settings.log_level, settings.name)
     _warn_of_unknown_variables()
-    asyncio.run(run_entry(settings))
+    with asyncio.Runner(
+        loop_factory=loop_factory(settings.event_loop),
+    ) as runner:
+        runner.run(run_entry(settings))
 
 
 def _warn_of_unknown_variables() -> None:
