--- a/zinniaturn/entry/parts.py
+++ b/zinniaturn/entry/parts.py
@@ -12,6 +12,7 @@
 from zinniaturn.entry.control_part import ControlPart
 from zinniaturn.entry.leaving_part import LEAVING_TOPIC, LeavingPart
 from zinniaturn.entry.overload import OVERLOAD_TOPIC, OverloadPart
+from zinniaturn.entry.probes_part import ProbesPart
 from zinniaturn.entry.state import EntryState
 from zinniaturn.peers import PeerSecurity
 from zinniaturn.store import ConfigurationStore
@@ -36,4 +37,9 @@
     exchange.receivers[LEAVING_TOPIC] = leaving.receive
     exchange.providers[OVERLOAD_TOPIC] = state.overload.provide
     exchange.receivers[OVERLOAD_TOPIC] = state.overload.receive
-    return [control, leaving, OverloadPart(state.overload)]
+    return [
+        control,
+        leaving,
+        OverloadPart(state.overload),
+        ProbesPart(state, store),
+    ]
--- a/zinniaturn/entry/process.py
+++ b/zinniaturn/entry/process.py
@@ -3,6 +3,7 @@
 __all__ = ('Entry', 'run_entry')
 
 import asyncio
+import contextlib
 import random
 import signal
 
@@ -22,6 +23,7 @@
 from zinniaturn.store import HttpStore
 
 _HEADER_BYTES = 32_768
+_CUT_SECONDS = 3.0
 
 
 class Entry:
@@ -88,7 +90,7 @@
         await self._close()
         self.state.lifecycle.finish()
 
-    def cut(self) -> None:
+    async def cut(self) -> None:
         """Cut every connection at once; for an operator who asks for it."""
         log_event(
             LogEvent.ENTRY_FORCED,
@@ -97,6 +99,9 @@
         if self.server is not None:
             for connection in self.server.callers():
                 connection.force_close()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_CUT_SECONDS):
+                await self._close()
 
     async def _start_admin(self) -> None:
         self.admin_runner = web.AppRunner(
@@ -147,8 +152,9 @@
         cut.cancel()
         await stop
         return True
-    entry.cut()
     stop.cancel()
+    await asyncio.gather(stop, return_exceptions=True)
+    await entry.cut()
     return False
 
 
--- a/zinniaturn/experiments/outcomes/servers.py
+++ b/zinniaturn/experiments/outcomes/servers.py
@@ -34,7 +34,13 @@
     seconds, if it asks for any.
     """
 
-    def __init__(self, executions: Counter[str], seed: str) -> None:
+    def __init__(
+        self,
+        executions: Counter[str],
+        seed: str,
+        median_seconds: float = _MEDIAN_SECONDS,
+    ) -> None:
+        self.median_seconds = median_seconds
         self.executions = executions
         self.source = random.Random(seed)
         self.is_shedding = False
@@ -72,7 +78,7 @@
         text = token_text(request_id, lines)
         if seconds:
             return await self._stream(request, text, seconds)
-        pause = _MEDIAN_SECONDS * self.source.lognormvariate(0, _SIGMA)
+        pause = self.median_seconds * self.source.lognormvariate(0, _SIGMA)
         await asyncio.sleep(pause)
         return web.Response(body=text, headers=_echo(request))
 
--- a/zinniaturn/experiments/registry.py
+++ b/zinniaturn/experiments/registry.py
@@ -57,6 +57,11 @@
         'all policies on steady load, within 45 s',
         'zinniaturn.experiments.choosing.smoke:run_smoke',
     ),
+    Experiment(
+        'keys',
+        'what at-most-once costs, by way of doing it',
+        'zinniaturn.experiments.outcomes.keys:run_keys',
+    ),
     Experiment(
         'outcomes',
         'soak of 13 entries and 100,000 non-idempotent requests',
--- a/zinniaturn/settings/models.py
+++ b/zinniaturn/settings/models.py
@@ -123,6 +123,13 @@
         allow_inf_nan=False,
         description='How long callers keep the addresses, in seconds.',
     )
+    measuring_lease_seconds: float = Field(
+        default=5,
+        ge=1,
+        le=300,
+        allow_inf_nan=False,
+        description='Term of the lease on the right to measure, in seconds.',
+    )
     address_lag_seconds: float = Field(
         default=2,
         ge=0,
@@ -162,8 +169,8 @@
         description='Least severe level that is logged.',
     )
     event_loop: Literal['uvloop', 'asyncio'] = Field(
-        default='uvloop',
-        description='Event loop of the process.',
+        default='asyncio',
+        description='Event loop; uvloop may open an io_uring.',
     )
     seed: int | None = Field(
         default=None,
