--- /dev/null
+++ b/features/choosing.feature
@@ -0,0 +1,116 @@
+Feature: choosing the backend server
+  The decisions are driven by a manual clock and a seeded source, as the entry
+  drives them by its own.
+
+  Scenario: a fresh report of a queue sends requests elsewhere
+    Given a pool of 2 servers with 4 slots under "estimated-wait"
+    When server 1 replies with 2 busy and 0 queued
+    And server 0 replies with 4 busy and 6 queued
+    And 3 requests are admitted
+    Then server 0 got 0 of them
+
+  Scenario: a report fades and the server is used again
+    Given a pool of 2 servers with 4 slots under "estimated-wait"
+    When server 1 replies with 2 busy and 0 queued
+    And server 0 replies with 4 busy and 6 queued
+    And 20 seconds pass in the pool
+    And 4 requests are admitted and end
+    Then server 0 got 2 of them
+
+  Scenario: what was sent since a report counts
+    Given a pool of 2 servers with 4 slots under "estimated-wait"
+    When server 0 replies with 0 busy and 0 queued
+    And server 1 replies with 0 busy and 0 queued
+    And 6 requests are admitted
+    Then server 0 got 3 of them
+
+  Scenario: a straggler gets hardly any request
+    Given a pool of 4 servers with 4 slots under "estimated-wait"
+    When server 0 takes 10 times as long as the others
+    And 40 requests are admitted and end
+    Then server 0 got 0 of them
+
+  Scenario: round robin takes the servers in turn
+    Given a pool of 4 servers with 4 slots under "round-robin"
+    When 8 requests are admitted
+    Then every server got 2 of them
+
+  Scenario: least in flight fills the servers evenly
+    Given a pool of 4 servers with 4 slots under "least-in-flight"
+    When 12 requests are admitted
+    Then every server got 3 of them
+
+  Scenario: the oracle takes the server that is best at this instant
+    Given a pool of 4 servers with 4 slots under an oracle that knows server 2 to be best
+    When 3 requests are admitted
+    Then server 2 got 3 of them
+
+  Scenario: a request waits for room and is woken by a completion
+    Given a pool of 1 servers with 4 slots under "estimated-wait"
+    When 5 requests are admitted
+    Then 1 request waits
+    When one of them ends
+    Then 0 request waits
+
+  Scenario: a full queue refuses at once and says when to return
+    Given a pool of 1 servers with 4 slots under "estimated-wait"
+    And its queue limit is 2
+    When 6 requests are admitted
+    Then one more is refused with "queue-full" and a time to return
+    And 40 refusals name at least 20 different times
+
+  Scenario: a wait beyond the deadline is refused at once
+    Given a pool of 1 servers with 4 slots under "estimated-wait"
+    When server 0 takes 8 seconds for each request
+    And 4 requests are admitted
+    Then one more with 1 seconds left is refused with "deadline-unreachable" and a time to return
+
+  Scenario: a request whose deadline has passed gets no server
+    Given a pool of 1 servers with 4 slots under "estimated-wait"
+    Then one more with 0 seconds left is refused with "deadline-not-run" and a time to return
+
+  Scenario: late requests leave the queue
+    Given a pool of 1 servers with 4 slots under "estimated-wait"
+    When 5 requests are admitted
+    And 60 seconds pass in the pool
+    And one of them ends
+    Then no late request got a server
+
+  Scenario: ejection leaves half of the pool
+    Given a pool of 5 servers with 4 slots under "random"
+    When every server fails 20 times
+    Then 3 servers are available
+
+  Scenario: an ejected server returns slowly
+    Given a pool of 2 servers with 4 slots under "random"
+    When server 0 fails 3 times
+    Then 1 servers are available
+    When 1.1 seconds pass in the pool
+    Then 2 servers are available
+    And server 0 may have 1 requests in flight
+    When 60 seconds pass in the pool
+    Then server 0 may have 4 requests in flight
+
+  Scenario: a server that says it leaves gets no new request
+    Given a pool of 2 servers with 4 slots under "random"
+    When server 0 says that it leaves
+    And 4 requests are admitted
+    Then server 0 got 0 of them
+
+  Scenario: retries stay within a share of the successes
+    Given a pool of 2 servers with 4 slots under "random"
+    When 105 requests are admitted and end
+    Then 13 more attempts are allowed and no other
+
+  Scenario: the limit of a server shrinks with its queue and grows without
+    Given a pool of 1 servers with 4 slots under "random"
+    When server 0 replies 20 times with 4 busy and 9 queued
+    Then server 0 may have 1 requests in flight
+    When server 0 replies 24 times with 1 busy and 0 queued
+    Then server 0 may have 4 requests in flight
+
+  Scenario: an unknown policy is refused by name
+    Then the policy "best" is unknown
+
+  Scenario: a request in flight is never lost count of
+    Then any order of admissions, ends and failures leaves the counts right
--- a/zinniaturn/commands/experiment.py
+++ b/zinniaturn/commands/experiment.py
@@ -9,6 +9,9 @@
 
 from zinniaturn.experiments import experiments
 from zinniaturn.experiments.choosing.generator import run_generator
+from zinniaturn.experiments.choosing.plots import plot_results
+from zinniaturn.experiments.choosing.results import read_results
+from zinniaturn.experiments.choosing.tables import comparison_of
 from zinniaturn.experiments.registry import ExperimentOptions
 
 
@@ -74,3 +77,19 @@
 def generate(order: Path, rows: Path) -> None:
     """Send the load of one generator process of an experiment."""
     run_generator(order, rows)
+
+
+@experiment.command()
+@click.argument('results', type=click.Path(exists=True, path_type=Path))
+@click.argument('image', type=click.Path(path_type=Path))
+def plot(results: Path, image: Path) -> None:
+    """Draw a results file of an experiment on choosing as a PNG."""
+    plot_results(read_results(results), image)
+
+
+@experiment.command()
+@click.argument('before', type=click.Path(exists=True, path_type=Path))
+@click.argument('after', type=click.Path(exists=True, path_type=Path))
+def compare(before: Path, after: Path) -> None:
+    """Print what changed between two results files, policy by policy."""
+    click.echo(comparison_of(read_results(before), read_results(after)))
--- a/zinniaturn/experiments/choosing/plan.py
+++ b/zinniaturn/experiments/choosing/plan.py
@@ -124,6 +124,7 @@
     measuring_budget: float = 4
     measuring_lease_seconds: float = 5
     deadline_seconds: float = 5
+    patience_seconds: float = 10
     budget_policies: tuple[str, ...] = ('hot-cold',)
 
     @property
--- a/zinniaturn/experiments/choosing/results.py
+++ b/zinniaturn/experiments/choosing/results.py
@@ -8,25 +8,50 @@
 
 """
 
-__all__ = ('PolicyFigures', 'Results', 'summarize')
+__all__ = (
+    'Moment',
+    'PolicyFigures',
+    'Results',
+    'chosen_over',
+    'histogram_of',
+    'read_results',
+    'summarize',
+)
 
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
+from pathlib import Path
 
 import msgspec
 from hdrh.histogram import HdrHistogram
 
 from zinniaturn.experiments.choosing.load_order import LoadRow
 from zinniaturn.experiments.choosing.plan import ORACLE, Plan, Slice
+from zinniaturn.experiments.exceptions import ExperimentError
 from zinniaturn.standins.backend_group import GroupCounts
 
 _MICROSECONDS = 1_000_000
 _MILLISECONDS = 1000
 _LONGEST_MICROSECONDS = 600_000_000
 _DIGITS = 3
+_FAILED_STATUS = 500
 _QUANTILES = (50.0, 90.0, 99.0, 99.9)
 
 
+class Moment(msgspec.Struct, array_like=True):
+    """
+    One second of a slice, over all rounds.
+
+    ``p99_ms`` is of the requests due then and ``answered`` counts the answers
+    that came then.
+    """
+
+    second: int
+    due: int
+    p99_ms: float
+    answered: int
+
+
 class PolicyFigures(msgspec.Struct):
     """
     One policy's figures for one service; latencies in milliseconds.
@@ -47,6 +72,7 @@
     p999_ms: float
     rounds_p99_ms: list[float]
     histogram: str
+    timeline: list[Moment]
 
 
 class Results(msgspec.Struct):
@@ -115,6 +141,14 @@
     )
 
 
+def read_results(path: Path) -> Results:
+    """Return the results in a file; raises `ExperimentError`."""
+    try:
+        return msgspec.json.decode(path.read_bytes(), type=Results)
+    except (OSError, msgspec.MsgspecError) as error:
+        raise ExperimentError(f'{path}: {error}') from error
+
+
 def chosen_over(results: Results, chosen: str) -> dict[str, object]:
     """Return the ratios of the chosen policy over the others."""
     p99 = {
@@ -172,7 +206,7 @@
     column: list[LoadRow],
 ) -> PolicyFigures:
     histogram = histogram_of(row.latency_seconds for row in column)
-    answered = [each for each in column if each.told == 'answered']
+    answered = [each for each in column if _is_answered(each)]
     seconds = plan.rounds * (plan.slice_seconds - plan.warm_seconds)
     p50, p90, p99, p999 = (
         histogram.get_value_at_percentile(quantile) / _MILLISECONDS
@@ -194,9 +228,28 @@
             _quantile(latencies) for latencies in _rounds(turns, column)
         ],
         histogram=histogram.encode().decode(),
+        timeline=_timeline(column),
     )
 
 
+def _timeline(column: list[LoadRow]) -> list[Moment]:
+    due: dict[int, list[float]] = defaultdict(list)
+    answered: dict[int, int] = defaultdict(int)
+    for row in column:
+        due[int(row.due_seconds)].append(row.latency_seconds)
+        answered[int(row.due_seconds + row.latency_seconds)] += _is_answered(
+            row,
+        )
+    return [
+        Moment(second, len(latencies), _quantile(latencies), answered[second])
+        for second, latencies in sorted(due.items())
+    ]
+
+
+def _is_answered(row: LoadRow) -> bool:
+    return row.told == 'answered' and row.status < _FAILED_STATUS
+
+
 def histogram_of(latencies: Iterable[float]) -> HdrHistogram:
     """Return a histogram of seconds, kept in microseconds [1]_."""
     histogram = HdrHistogram(1, _LONGEST_MICROSECONDS, _DIGITS)
--- /dev/null
+++ b/zinniaturn/experiments/choosing/runners.py
@@ -0,0 +1,73 @@
+"""The experiments on choosing, as the registry names them."""
+
+__all__ = (
+    'run_drain',
+    'run_fail_fast',
+    'run_half_lost',
+    'run_mixed',
+    'run_noisy',
+    'run_overload',
+    'run_scenario',
+    'run_services',
+    'run_smoke',
+    'run_steady',
+    'run_straggler',
+)
+
+import asyncio
+import json
+from dataclasses import replace
+from functools import partial
+
+import msgspec
+
+from zinniaturn.choosing import PRODUCT_POLICY
+from zinniaturn.experiments.choosing.results import (
+    Results,
+    chosen_over,
+    summarize,
+)
+from zinniaturn.experiments.choosing.running import run_plan
+from zinniaturn.experiments.choosing.scenarios import plan_of
+from zinniaturn.experiments.choosing.tables import recovery_of, table_of
+from zinniaturn.experiments.registry import ExperimentOptions
+
+_SMOKE_SLICE_SECONDS = 1.9
+
+
+def run_scenario(name: str, options: ExperimentOptions) -> int:
+    """Run a scenario, write its results and return the exit status."""
+    plan = plan_of(name, options)
+    run = asyncio.run(run_plan(plan))
+    results = summarize(plan, options.load, run.turns, run.rows, run.counts)
+    file_name = '-'.join(
+        (plan.name, plan.city.name, str(options.load), str(plan.seed)),
+    )
+    path = options.out / f'{file_name}.json'
+    path.write_bytes(msgspec.json.encode(results))
+    _print(results, options)
+    return 0
+
+
+def run_smoke(options: ExperimentOptions) -> int:
+    """Run steady load on the main service within 45 s."""
+    seconds = options.seconds or _SMOKE_SLICE_SECONDS
+    return run_scenario('smoke', replace(options, seconds=seconds))
+
+
+run_steady = partial(run_scenario, 'steady')
+run_services = partial(run_scenario, 'services')
+run_noisy = partial(run_scenario, 'noisy')
+run_straggler = partial(run_scenario, 'straggler')
+run_fail_fast = partial(run_scenario, 'fail-fast')
+run_drain = partial(run_scenario, 'drain')
+run_half_lost = partial(run_scenario, 'half-lost')
+run_mixed = partial(run_scenario, 'mixed')
+run_overload = partial(run_scenario, 'overload')
+
+
+def _print(results: Results, options: ExperimentOptions) -> None:
+    if not options.as_json:
+        print(table_of(results))
+        print(recovery_of(results))
+    print(json.dumps(chosen_over(results, PRODUCT_POLICY)))
--- a/zinniaturn/experiments/choosing/running.py
+++ b/zinniaturn/experiments/choosing/running.py
@@ -43,11 +43,11 @@
     counts: dict[str, GroupCounts]
 
 
-async def run_plan(plan: Plan, patience_seconds: float = 10) -> Run:
+async def run_plan(plan: Plan) -> Run:
     """Run a plan on a fleet of its own; raises `ExperimentError`."""
     folder = Path(tempfile.mkdtemp(prefix='zinniaturn-'))
     fleet = ChoosingFleet(plan, folder)
-    runner = _Runner(plan, fleet, folder, patience_seconds)
+    runner = _Runner(plan, fleet, folder)
     try:
         await fleet.start()
         return await runner.run()
@@ -62,12 +62,10 @@
         plan: Plan,
         fleet: ChoosingFleet,
         folder: Path,
-        patience_seconds: float,
     ) -> None:
         self.plan = plan
         self.fleet = fleet
         self.folder = folder
-        self.patience_seconds = patience_seconds
         self.turns = interleaved(plan.policies, plan.rounds, plan.seed)
 
     async def run(self) -> Run:
@@ -136,7 +134,7 @@
             long_share=workload.long_share,
             long_factor=workload.long_factor,
             deadline_seconds=plan.deadline_seconds,
-            patience_seconds=self.patience_seconds,
+            patience_seconds=plan.patience_seconds,
         )
 
     async def _take_turn(self, turn: Slice, starts_at: float) -> None:
--- a/zinniaturn/experiments/choosing/tables.py
+++ b/zinniaturn/experiments/choosing/tables.py
@@ -1,9 +1,10 @@
 """Tables of results for terminals and pages."""
 
-__all__ = ('table_of',)
+__all__ = ('comparison_of', 'recovery_of', 'table_of')
 
-from zinniaturn.experiments.choosing.results import Results
+from zinniaturn.experiments.choosing.results import PolicyFigures, Results
 
+_COMPARISON_HEAD = ('service', 'policy', 'before ms', 'after ms', 'ratio')
 _HEAD = (
     'service',
     'policy',
@@ -45,5 +46,50 @@
     return '\n'.join(lines)
 
 
+def comparison_of(before: Results, after: Results) -> str:
+    """
+    Return a Markdown table of the p99 in two runs and their ratio.
+
+    Where both runs have the oracle, compare its rows first: they say how far
+    the machine itself differed.
+    """
+    known = {
+        (figures.service, figures.policy): figures for figures in before.figures
+    }
+    lines = [_row(_COMPARISON_HEAD), _row(['---' for _ in _COMPARISON_HEAD])]
+    for figures in after.figures:
+        earlier = known.get((figures.service, figures.policy))
+        if earlier is not None:
+            lines.append(_row(_compared(earlier, figures)))
+    return '\n'.join(lines)
+
+
+def recovery_of(results: Results) -> str:
+    """Return the p99 and the answers of each second, by policy."""
+    lines = ['p99 ms (answers/s) by second of the slice:']
+    lines.extend(
+        f'{figures.policy}: {_timeline(figures)}'
+        for figures in results.figures
+        if figures.service == results.main_service
+    )
+    return '\n'.join(lines)
+
+
+def _compared(before: PolicyFigures, after: PolicyFigures) -> list[str]:
+    return [
+        after.service,
+        after.policy,
+        f'{before.p99_ms:.1f}',
+        f'{after.p99_ms:.1f}',
+        f'{after.p99_ms / before.p99_ms:.3f}',
+    ]
+
+
+def _timeline(figures: PolicyFigures) -> str:
+    return ' '.join(
+        f'{moment.p99_ms:.0f}({moment.answered})' for moment in figures.timeline
+    )
+
+
 def _row(cells: tuple[str, ...] | list[str]) -> str:
     return f'| {" | ".join(cells)} |'
--- a/zinniaturn/experiments/registry.py
+++ b/zinniaturn/experiments/registry.py
@@ -52,10 +52,55 @@
 
 
 _ALL: tuple[Experiment, ...] = (
+    Experiment(
+        'choosing-steady',
+        'all policies on steady load of the main service',
+        'zinniaturn.experiments.choosing.runners:run_steady',
+    ),
+    Experiment(
+        'choosing-services',
+        'steady load on all four services of a city',
+        'zinniaturn.experiments.choosing.runners:run_services',
+    ),
+    Experiment(
+        'choosing-noisy',
+        'neighbours halve servers for 5 to 50 ms, 30 % of the time',
+        'zinniaturn.experiments.choosing.runners:run_noisy',
+    ),
+    Experiment(
+        'choosing-straggler',
+        'one server takes ten times as long',
+        'zinniaturn.experiments.choosing.runners:run_straggler',
+    ),
+    Experiment(
+        'choosing-fail-fast',
+        'one server fails at once with errors',
+        'zinniaturn.experiments.choosing.runners:run_fail_fast',
+    ),
+    Experiment(
+        'choosing-drain',
+        'one server drains, then comes back cold',
+        'zinniaturn.experiments.choosing.runners:run_drain',
+    ),
+    Experiment(
+        'choosing-half-lost',
+        'half of a pool is lost and comes back',
+        'zinniaturn.experiments.choosing.runners:run_half_lost',
+    ),
+    Experiment(
+        'choosing-mixed',
+        '3 in 100 requests take ten times as long',
+        'zinniaturn.experiments.choosing.runners:run_mixed',
+    ),
+    Experiment(
+        'choosing-overload',
+        '1.3 times capacity for a minute',
+        'zinniaturn.experiments.choosing.runners:run_overload',
+    ),
     Experiment(
         'choosing-smoke',
         'all policies on steady load, within 45 s',
-        'zinniaturn.experiments.choosing.smoke:run_smoke',
+        'zinniaturn.experiments.choosing.runners:run_smoke',
     ),
     Experiment(
         'speed',
