Explain requests, servers, entries and revisions from a bounded record

Cause: an operator could not learn why a request went where it went. The parts record typed decisions; numbered events are recorded as they are logged; the admin address answers by subject, and zinniaturn explain asks all entries that it finds and prints sentences or JSON.

The cost on and off is not measured yet.

--- /dev/null
+++ b/features/steps/explain_steps.py
@@ -0,0 +1,92 @@
+"""Steps of the explanations."""
+
+import asyncio
+
+from behave import given, then, when
+
+from zinniaturn.explain.exceptions import ExplainError
+from zinniaturn.explain.queries import Subject, SubjectKind
+from zinniaturn.explain.reading import read_explanations
+
+
+def _sentences(context, kind, name):
+    admins = [
+        f'127.0.0.1:{entry.admin_port}' for entry in context.fleet.entries
+    ]
+    answers = context.loop.run_until_complete(
+        read_explanations(admins, Subject(SubjectKind(kind), name)),
+    )
+    return [line.sentence for answer in answers for line in answer.lines]
+
+
+def _cards(context):
+    return context.fleet.backends['card']
+
+
+@given('card servers that shed every request')
+def shed(context):
+    for backend in _cards(context):
+        backend.faults.shed = True
+
+
+@given('every card server fails fast')
+def fail_fast(context):
+    for backend in _cards(context):
+        backend.faults.fail_fast = True
+
+
+@given('the entries are stopped')
+def stop_entries(context):
+    entries = context.fleet.entries
+    context.admins = [f'127.0.0.1:{entry.admin_port}' for entry in entries]
+
+    async def stop():
+        await asyncio.gather(*(entry.stop() for entry in entries))
+
+    context.loop.run_until_complete(stop())
+    entries.clear()
+
+
+@when('a caller reads card 7 as request "{request_id}"')
+def read_as(context, request_id):
+    context.loop.run_until_complete(
+        context.caller.call(
+            'GET',
+            '/cards/7',
+            {'X-Request-Id': request_id, 'Zinniaturn-Deadline-Ms': '500'},
+        ),
+    )
+
+
+@then('explaining {kind:w} "{name}" says "{text}"')
+def check_sentence(context, kind, name, text):
+    sentences = _sentences(context, kind, name)
+    assert any(text in sentence for sentence in sentences), sentences
+
+
+@then('explaining the card servers says that a server was left out')
+def check_ejection(context):
+    sentences = [
+        sentence
+        for backend in _cards(context)
+        for sentence in _sentences(context, 'server', backend.name)
+    ]
+    assert any('was left out for' in one for one in sentences), sentences[-5:]
+
+
+@then('explaining {kind:w} "{name}" says nothing')
+def check_silence(context, kind, name):
+    assert not _sentences(context, kind, name)
+
+
+@then('explaining fails with code "{code}"')
+def check_failure(context, code):
+    subject = Subject(SubjectKind.REQUEST, 'r')
+    try:
+        context.loop.run_until_complete(
+            read_explanations(context.admins, subject),
+        )
+    except ExplainError as error:
+        assert error.code == code
+    else:
+        raise AssertionError('no error')
--- a/zinniaturn/choosing/pool_state.py
+++ b/zinniaturn/choosing/pool_state.py
@@ -19,6 +19,12 @@
 )
 from zinniaturn.choosing.waiting import Ticket, WaitingQueue
 from zinniaturn.clock import Clock
+from zinniaturn.explain.decisions import (
+    ServerEjected,
+    ServerLeaving,
+    ServerReadmitted,
+)
+from zinniaturn.explain.recorder import NullRecorder, Recorder
 from zinniaturn.tables.domain import Pool
 
 _HEDGE_QUANTILE = 0.95
@@ -41,6 +47,7 @@
     clock: Clock
     source: random.Random
     servers: dict[str, ServerState] = field(default_factory=dict)
+    recorder: Recorder = field(default_factory=NullRecorder)
     averages: PoolAverages = field(default_factory=PoolAverages)
     waiting: WaitingQueue = field(default_factory=WaitingQueue)
     retries: RetryBudget = field(default_factory=RetryBudget)
@@ -67,6 +74,8 @@
             if state is None:
                 state = ServerState(server)
                 state.warming_since = now if known else None
+            if state.server.leaving != server.leaving:
+                self._record_leaving(server.name, 'table', server.leaving)
             state.server = server
             self.servers[server.name] = state
         self._grant_waiting()
@@ -118,6 +127,8 @@
         if completion.report is not None:
             state.note_report(completion.report, now)
         if completion.leaving:
+            if not state.leaving:
+                self._record_leaving(state.server.name, 'reply', True)
             state.leaving = True
             state.left_at = now
         if not completion.cancelled:
@@ -158,13 +169,33 @@
             state.limit.learn(state.slots * 2, state.slots)
             return
         if completion.succeeded:
-            note_success(state)
+            self._note_success(state)
             state.served_at = now
             self.averages.learn(state, completion)
             self.latencies.add(completion.latency_seconds)
             self.retries.earn(self.pool.retry_share)
             return
-        note_failure(state, self.servers.values(), now)
+        if note_failure(state, self.servers.values(), now):
+            self.recorder.record(
+                ServerEjected(
+                    self.pool.name,
+                    state.server.name,
+                    state.ejected_until - now,
+                    f'{state.consecutive_failures + 1} failures in a row',
+                ),
+            )
+
+    def _note_success(self, state: ServerState) -> None:
+        if state.ejections:
+            self.recorder.record(
+                ServerReadmitted(self.pool.name, state.server.name),
+            )
+        note_success(state)
+
+    def _record_leaving(self, server: str, witness: str, leaving: bool) -> None:
+        self.recorder.record(
+            ServerLeaving(self.pool.name, server, witness, leaving),
+        )
 
     def _available(self, now: float) -> list[ServerState]:
         self._try_left_again(now)
@@ -177,6 +208,7 @@
             if state.leaving and now - state.left_at >= _LEAVING_SECONDS:
                 state.leaving = False
                 state.warming_since = now
+                self._record_leaving(state.server.name, 'reply', False)
 
     def _grant(
         self,
--- /dev/null
+++ b/zinniaturn/commands/explain.py
@@ -0,0 +1,97 @@
+"""``zinniaturn explain``."""
+
+__all__ = ('explain',)
+
+import asyncio
+import sys
+from collections.abc import Sequence
+from datetime import UTC, datetime
+
+import click
+import msgspec
+
+from zinniaturn.commands.exit_status import ExitStatus
+from zinniaturn.commands.options import (
+    entries_option,
+    json_option,
+    optional_store_option,
+)
+from zinniaturn.commands.output import print_json
+from zinniaturn.commands.stores import opened_optional
+from zinniaturn.explain.messages import Explanation, ExplanationLine
+from zinniaturn.explain.queries import Subject, SubjectKind
+from zinniaturn.explain.reading import read_explanations
+from zinniaturn.status import find_admins
+
+
+class ExplainAnswer(msgspec.Struct):
+    """What all entries that answered know on a subject."""
+
+    kind: str
+    name: str
+    entries: list[str]
+    lines: list[ExplanationLine]
+
+
+@click.command()
+@click.argument('kind', type=click.Choice([one.value for one in SubjectKind]))
+@click.argument('name')
+@optional_store_option
+@entries_option
+@json_option
+def explain(
+    kind: str,
+    name: str,
+    store_url: str,
+    entries: Sequence[str],
+    as_json: bool,
+) -> None:
+    """
+    Say why a request, server, entry or revision was treated as it was.
+
+    KIND is request, server, entry or revision and NAME its id, name or
+    number. The entries keep their latest decisions in memory only. The exit
+    status is 1 if none of them knows of the subject.
+    """
+    subject = Subject(SubjectKind(kind), name)
+    answers = asyncio.run(_read(store_url, entries, subject))
+    answer = ExplainAnswer(
+        kind,
+        name,
+        [one.entry for one in answers],
+        _ordered(answers),
+    )
+    if as_json:
+        print_json(answer)
+    else:
+        _print(answer)
+    if not answer.lines:
+        sys.exit(ExitStatus.CHECK_FAILED)
+
+
+async def _read(
+    store_url: str,
+    entries: Sequence[str],
+    subject: Subject,
+) -> list[Explanation]:
+    async with opened_optional(store_url) as store:
+        admins = await find_admins(store, entries)
+    return await read_explanations(admins, subject)
+
+
+def _ordered(answers: Sequence[Explanation]) -> list[ExplanationLine]:
+    lines = [line for answer in answers for line in answer.lines]
+    return sorted(lines, key=lambda line: line.at)
+
+
+def _print(answer: ExplainAnswer) -> None:
+    for line in answer.lines:
+        moment = datetime.fromtimestamp(line.at, UTC)
+        text = moment.isoformat(timespec='milliseconds')
+        click.echo(f'{text} {line.entry}: {line.sentence}')
+    if not answer.lines:
+        asked = ', '.join(answer.entries)
+        click.echo(
+            f'nothing is known of {answer.kind} {answer.name} at {asked}; '
+            'the entries keep only their latest decisions',
+        )
--- a/zinniaturn/commands/main.py
+++ b/zinniaturn/commands/main.py
@@ -26,6 +26,7 @@
         'demo': 'zinniaturn.commands.demo:demo',
         'entry': 'zinniaturn.commands.entry:entry',
         'experiment': 'zinniaturn.commands.experiment:experiment',
+        'explain': 'zinniaturn.commands.explain:explain',
         'pools': 'zinniaturn.commands.pools:pools',
         'routes': 'zinniaturn.commands.routes:routes',
         'schema': 'zinniaturn.commands.schema:schema',
--- a/zinniaturn/entry/admin.py
+++ b/zinniaturn/entry/admin.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from zinniaturn.entry.explaining import add_explain_routes
 from zinniaturn.entry.state import EntryState
 from zinniaturn.entry.status import add_status_routes, readiness_reason
 
@@ -18,6 +19,7 @@
     application.router.add_get('/ready', admin.answer_readiness)
     application.router.add_get('/metrics', admin.answer_metrics)
     add_status_routes(application.router, state)
+    add_explain_routes(application.router, state)
     return application
 
 
--- a/zinniaturn/entry/attempts.py
+++ b/zinniaturn/entry/attempts.py
@@ -22,6 +22,7 @@
 from zinniaturn.entry.load_reports import is_leaving, is_shed, read_load
 from zinniaturn.entry.requests import CallerRequest
 from zinniaturn.entry.state import EntryState
+from zinniaturn.explain.decisions import RequestHedged, ServerChosen
 from zinniaturn.forwarding import Answer, ExchangeError, exchange
 from zinniaturn.outcomes import Event, Phase
 
@@ -83,8 +84,21 @@
             await self._wait(ticket, granted)
         assert ticket.server is not None
         self.tried.add(ticket.server.server.name)
+        self._record_choice(ticket.server)
         return ticket
 
+    def _record_choice(self, server: ServerState) -> None:
+        self.state.recorder.record(
+            ServerChosen(
+                self.parsed.request_id,
+                self.pool.pool.name,
+                server.server.name,
+                len(self.tried),
+                server.in_flight,
+                type(self.pool.policy).__name__,
+            ),
+        )
+
     async def _wait(self, ticket: Ticket, granted: asyncio.Event) -> None:
         remaining = ticket.deadline - self.state.clock.monotonic()
         try:
@@ -110,10 +124,22 @@
         ticket = Ticket(self.parsed.deadline, exclude=self.tried)
         if not self._take_hedge(ticket):
             return await first
+        self._record_hedge(ticket, delay)
         return await self._race(
             first, asyncio.ensure_future(self._send(ticket))
         )
 
+    def _record_hedge(self, ticket: Ticket, delay: float) -> None:
+        assert ticket.server is not None
+        self.state.recorder.record(
+            RequestHedged(
+                self.parsed.request_id,
+                self.pool.pool.name,
+                ticket.server.server.name,
+                delay,
+            ),
+        )
+
     def _may_hedge(self) -> bool:
         return self.parsed.idempotent and self.parsed.can_repeat
 
--- a/zinniaturn/entry/dispatch.py
+++ b/zinniaturn/entry/dispatch.py
@@ -9,6 +9,7 @@
 from zinniaturn.entry.attempts import Attempts
 from zinniaturn.entry.requests import CallerRequest
 from zinniaturn.entry.state import EntryState
+from zinniaturn.explain.decisions import RequestEnded, RequestRefused
 from zinniaturn.forwarding import ExchangeError
 from zinniaturn.outcomes import Event, Outcome, Phase, Verdict, combine, decide
 
@@ -37,6 +38,7 @@
                 return self._refuse(parsed, error, known)
             except ExchangeError as error:
                 known = combine(known, _verdict(error))
+                self._record_end(attempts, error, known)
                 if not _may_retry(known, attempts):
                     return self._give_up(attempts, known, error)
 
@@ -53,6 +55,40 @@
         self.state.metrics.count(attempts.pool.pool.name, 'answered')
         return response
 
+    def _record_end(
+        self,
+        attempts: Attempts,
+        error: ExchangeError,
+        known: Verdict,
+    ) -> None:
+        self.state.recorder.record(
+            RequestEnded(
+                attempts.parsed.request_id,
+                attempts.pool.pool.name,
+                error.phase.name.lower(),
+                error.event.value,
+                known.outcome.value,
+                error.message,
+            ),
+        )
+
+    def _record_refusal(
+        self,
+        parsed: CallerRequest,
+        code: str,
+        outcome: Outcome,
+        detail: str,
+    ) -> None:
+        self.state.recorder.record(
+            RequestRefused(
+                parsed.request_id,
+                parsed.route.pool,
+                code,
+                outcome.value,
+                detail,
+            ),
+        )
+
     def _give_up(
         self,
         attempts: Attempts,
@@ -61,6 +97,12 @@
     ) -> web.Response:
         pool = attempts.pool
         self.state.metrics.count(pool.pool.name, known.outcome.value)
+        self._record_refusal(
+            attempts.parsed,
+            known.code,
+            known.outcome,
+            error.message,
+        )
         refusal = make_refusal(
             known.code,
             known.outcome,
@@ -83,6 +125,7 @@
         if known is not None and known.outcome is not Outcome.NOT_RUN:
             outcome, code = known.outcome, known.code
         self.state.metrics.count(parsed.route.pool, outcome.value)
+        self._record_refusal(parsed, code, outcome, error.message)
         return make_refusal(
             code,
             outcome,
--- a/zinniaturn/entry/process.py
+++ b/zinniaturn/entry/process.py
@@ -16,7 +16,9 @@
 from zinniaturn.entry.parts import build_parts
 from zinniaturn.entry.protocol import CallerServer
 from zinniaturn.entry.state import EntryState
-from zinniaturn.events import LogEvent, log_event
+from zinniaturn.events import LogEvent, log_event, record_events
+from zinniaturn.explain import DecisionLog
+from zinniaturn.explain.events import EventRecorder
 from zinniaturn.settings import EntrySettings
 from zinniaturn.store import HttpStore
 
@@ -30,7 +32,12 @@
     def __init__(self, settings: EntrySettings) -> None:
         source = random.Random(settings.seed)
         self.settings = settings
-        self.state = EntryState(settings, SystemClock(), source)
+        self.state = EntryState(
+            settings,
+            SystemClock(),
+            source,
+            recorder=DecisionLog(settings.decision_records),
+        )
         self.state.holder.observers.append(self.state.install_pools)
         self.store = HttpStore(settings.store_url, caller=settings.name)
         self.parts = build_parts(self.state, self.store)
@@ -119,6 +126,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
+    record_events(EventRecorder(entry.state.recorder))
     await entry.start()
     tune_collector()
     entry.state.holder.observers.append(lambda _: settle_heap())
--- a/zinniaturn/entry/state.py
+++ b/zinniaturn/entry/state.py
@@ -12,6 +12,7 @@
 from zinniaturn.entry.lifecycle import Lifecycle
 from zinniaturn.entry.metrics import EntryMetrics
 from zinniaturn.explain import DecisionLog
+from zinniaturn.explain.decisions import RevisionInstalled
 from zinniaturn.forwarding import ConnectionPool
 from zinniaturn.settings import EntrySettings
 from zinniaturn.tables import RouteMatcher, Tables
@@ -55,7 +56,9 @@
                     policy,
                     self.clock,
                     self.source,
+                    recorder=self.recorder,
                 )
             else:
                 known.update(pool)
+        self.recorder.record(RevisionInstalled(tables.revision))
         self.lifecycle.tables_installed()
--- a/zinniaturn/events/logging.py
+++ b/zinniaturn/events/logging.py
@@ -1,6 +1,6 @@
 """Structured logs, one JSON object a line."""
 
-__all__ = ('configure_logging', 'log_event')
+__all__ = ('configure_logging', 'log_event', 'record_events')
 
 import logging
 import sys
@@ -36,3 +36,8 @@
     level, text = EVENTS[event]
     if _LOGGER.isEnabledFor(level):
         _LOGGER.log(level, text, extra={'event': int(event), **fields})
+
+
+def record_events(handler: logging.Handler) -> None:
+    """Give every event that is logged to one more handler."""
+    _LOGGER.addHandler(handler)
--- a/zinniaturn/explain/decisions.py
+++ b/zinniaturn/explain/decisions.py
@@ -9,6 +9,7 @@
 __all__ = (
     'Decision',
     'EntryStateChanged',
+    'EventLogged',
     'RequestEnded',
     'RequestHedged',
     'RequestRefused',
@@ -84,10 +85,10 @@
     of_request: ClassVar[bool] = True
     request_id: str
     pool: str
-    server: str
     phase: str
     event: str
     outcome: str
+    detail: str
 
 
 @dataclass(slots=True)
@@ -147,3 +148,12 @@
     entry: str
     state: str
     grounds: str
+
+
+@dataclass(slots=True)
+class EventLogged(Decision):
+    """A numbered event; ``fields`` is its fields as ``name=value``."""
+
+    event: int
+    text: str
+    fields: str
--- /dev/null
+++ b/zinniaturn/explain/events.py
@@ -0,0 +1,34 @@
+"""Numbered log events as decisions."""
+
+__all__ = ('EventRecorder',)
+
+import logging
+
+from zinniaturn.explain.decisions import EventLogged
+from zinniaturn.explain.recorder import Recorder
+
+_STANDARD = frozenset(
+    logging.LogRecord('', 0, '', 0, '', None, None).__dict__,
+) | {'message', 'asctime', 'event', 'taskName'}
+
+
+class EventRecorder(logging.Handler):
+    """A log handler that records every numbered event."""
+
+    def __init__(self, recorder: Recorder) -> None:
+        super().__init__()
+        self.recorder = recorder
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Record an event of the catalogue."""
+        event = getattr(record, 'event', None)
+        if event is None:
+            return
+        fields = ', '.join(
+            f'{name}={value}'
+            for name, value in record.__dict__.items()
+            if name not in _STANDARD
+        )
+        self.recorder.record(
+            EventLogged(int(event), record.getMessage(), fields),
+        )
--- /dev/null
+++ b/zinniaturn/explain/exceptions.py
@@ -0,0 +1,11 @@
+"""Errors of explanations."""
+
+__all__ = ('ExplainError',)
+
+from zinniaturn.errors import CodedError
+
+
+class ExplainError(CodedError):
+    """No entry could be asked."""
+
+    code = 'explain-unavailable'
--- a/zinniaturn/explain/recorder.py
+++ b/zinniaturn/explain/recorder.py
@@ -58,6 +58,8 @@
 
     def record(self, decision: Decision) -> None:
         """Keep a decision; the oldest of its kind is forgotten."""
+        if decision.of_request and not self.of_requests.maxlen:
+            return
         decision.at = self.now()
         if decision.of_request:
             self.of_requests.append(decision)
--- /dev/null
+++ b/zinniaturn/explain/sentences.py
@@ -0,0 +1,102 @@
+"""
+Decisions as plain sentences.
+
+>>> sentence(ServerLeaving('card', 'card-0', 'reply'))
+'card-0 in pool card is leaving, says its reply'
+"""
+
+__all__ = ('sentence',)
+
+from zinniaturn.explain.decisions import (
+    Decision,
+    EntryStateChanged,
+    EventLogged,
+    RequestEnded,
+    RequestHedged,
+    RequestRefused,
+    RevisionInstalled,
+    RevisionRefused,
+    ServerChosen,
+    ServerEjected,
+    ServerLeaving,
+    ServerReadmitted,
+)
+
+
+def sentence(decision: Decision) -> str:
+    """Return what was decided and why, in one sentence."""
+    if decision.of_request:
+        return _of_request(decision)
+    match decision:
+        case EventLogged(event=event, text=text, fields=fields):
+            return f'event {event}: {text}{fields and f" ({fields})"}'
+        case RevisionInstalled():
+            return (
+                f'revision {decision.revision} came into force here, '
+                f'learnt from: {decision.witness}'
+            )
+        case RevisionRefused():
+            return (
+                f'revision {decision.revision} from {decision.witness} was '
+                f'not obeyed: {decision.grounds}'
+            )
+        case EntryStateChanged():
+            return (
+                f'entry {decision.entry} became {decision.state}: '
+                f'{decision.grounds}'
+            )
+    return _of_server(decision)
+
+
+def _of_server(decision: Decision) -> str:
+    match decision:
+        case ServerEjected():
+            return (
+                f'{decision.server} in pool {decision.pool} was left out for '
+                f'{decision.seconds:.1f} s: {decision.grounds}'
+            )
+        case ServerReadmitted():
+            return (
+                f'{decision.server} in pool {decision.pool} answers again '
+                'and its failures were forgotten'
+            )
+        case ServerLeaving(leaving=True):
+            return (
+                f'{decision.server} in pool {decision.pool} is leaving, '
+                f'says its {decision.witness}'
+            )
+        case ServerLeaving():
+            return (
+                f'{decision.server} in pool {decision.pool} gets requests '
+                f'again: its {decision.witness} no longer says that it leaves'
+            )
+    return repr(decision)
+
+
+def _of_request(decision: Decision) -> str:
+    match decision:
+        case ServerChosen():
+            return (
+                f'request {decision.request_id}: attempt {decision.attempt} '
+                f'went to {decision.server} of pool {decision.pool}, chosen '
+                f'by {decision.grounds}; this entry then had '
+                f'{decision.in_flight} in flight there'
+            )
+        case RequestHedged():
+            return (
+                f'request {decision.request_id}: no answer after '
+                f'{decision.after_seconds * 1000:.1f} ms, so a second attempt '
+                f'went to {decision.server}'
+            )
+        case RequestEnded():
+            return (
+                f'request {decision.request_id}: the attempt ended at phase '
+                f'{decision.phase} by {decision.event} ({decision.detail}); '
+                f'what is known: {decision.outcome}'
+            )
+        case RequestRefused():
+            return (
+                f'request {decision.request_id}: refused with code '
+                f'{decision.code}, told {decision.outcome}: {decision.detail}'
+            )
+    return repr(decision)
--- a/zinniaturn/settings/models.py
+++ b/zinniaturn/settings/models.py
@@ -130,6 +130,12 @@
         default='uvloop',
         description='Event loop of the process.',
     )
+    decision_records: int = Field(
+        default=20_000,
+        ge=0,
+        le=1_000_000,
+        description='Latest decisions on requests kept; 0 keeps none.',
+    )
     seed: int | None = Field(
         default=None,
         description='Seed of random choices; unset draws one.',
