--- a/zinniaturn/entry/state.py
+++ b/zinniaturn/entry/state.py
@@ -60,5 +60,9 @@
                 )
             else:
                 known.update(pool)
+            self.metrics.measuring_budget.set(
+                {'pool': name},
+                pool.measuring_budget,
+            )
         self.recorder.record(RevisionInstalled(tables.revision))
         self.lifecycle.tables_installed()
