--- a/zinniaturn/entry/admin.py
+++ b/zinniaturn/entry/admin.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from zinniaturn.entry.explaining import add_explain_routes
+from zinniaturn.entry.scraping import update_gauges
 from zinniaturn.entry.state import EntryState
 from zinniaturn.entry.status import add_status_routes, readiness_reason
 
@@ -43,7 +44,7 @@
         )
 
     async def answer_metrics(self, request: web.Request) -> web.Response:
-        self.state.metrics.revision.set({}, self.state.holder.tables.revision)
+        update_gauges(self.state)
         content, headers = self.state.metrics.render(
             request.headers.getall('Accept', []),
         )
--- a/zinniaturn/entry/attempts.py
+++ b/zinniaturn/entry/attempts.py
@@ -52,6 +52,7 @@
         self.pool = pool
         self.tried: set[str] = set()
         self.sent = 0
+        self.started = state.clock.monotonic()
 
     async def run(self) -> Attempt:
         """
@@ -88,6 +89,9 @@
         return ticket
 
     def _record_choice(self, server: ServerState) -> None:
+        if server.leaving or server.server.leaving:
+            name = self.pool.pool.name
+            self.state.metrics.sent_leaving.inc({'pool': name})
         self.state.recorder.record(
             ServerChosen(
                 self.parsed.request_id,
--- a/zinniaturn/entry/dispatch.py
+++ b/zinniaturn/entry/dispatch.py
@@ -50,11 +50,24 @@
         attempt = await attempts.run()
         try:
             response = await relay_answer(request, attempt.answer)
+        except ExchangeError:
+            self._count_cut(attempts.pool.pool.name)
+            raise
         finally:
             attempts.finish(attempt)
-        self.state.metrics.count(attempts.pool.pool.name, 'answered')
+        name = attempts.pool.pool.name
+        self.state.metrics.count(name, 'answered')
+        self.state.metrics.observe(
+            name,
+            self.state.clock.monotonic() - attempts.started,
+        )
         return response
 
+    def _count_cut(self, pool: str) -> None:
+        self.state.metrics.cut.inc({'pool': pool})
+        if self.state.lifecycle.is_leaving():
+            self.state.metrics.cut_stopping.inc({'pool': pool})
+
     def _record_end(
         self,
         attempts: Attempts,
--- a/zinniaturn/entry/exceptions.py
+++ b/zinniaturn/entry/exceptions.py
@@ -1,6 +1,7 @@
 """Errors of the entry layer."""
 
 __all__ = (
+    'AdminInsecureError',
     'BadRequestError',
     'BrokenBodyError',
     'EntryError',
@@ -22,6 +23,12 @@
     code = 'listen-failed'
 
 
+class AdminInsecureError(EntryError):
+    """The admin address would be open to the network without keys."""
+
+    code = 'admin-insecure'
+
+
 class BadRequestError(EntryError):
     """A request cannot be understood; it was not run."""
 
--- a/zinniaturn/entry/parts.py
+++ b/zinniaturn/entry/parts.py
@@ -26,9 +26,13 @@
         """End the work and wait for it."""
 
 
-def build_parts(state: EntryState, store: ConfigurationStore) -> list[Part]:
+def build_parts(
+    state: EntryState,
+    store: ConfigurationStore,
+    security: PeerSecurity,
+) -> list[Part]:
     """Return the parts of an entry."""
     return [
-        ControlPart(state, store, PeerSecurity()),
+        ControlPart(state, store, security),
         ProbesPart(state, store),
     ]
--- a/zinniaturn/entry/process.py
+++ b/zinniaturn/entry/process.py
@@ -10,15 +10,19 @@
 
 from zinniaturn.clock import SystemClock
 from zinniaturn.entry.admin import make_admin
+from zinniaturn.entry.callers import CallerConnections
 from zinniaturn.entry.exceptions import ListenError
 from zinniaturn.entry.frontend import Frontend
 from zinniaturn.entry.garbage import settle_heap, tune_collector
-from zinniaturn.entry.parts import build_parts
+from zinniaturn.entry.keys import EntryKeys
+from zinniaturn.entry.parts import Part, build_parts
 from zinniaturn.entry.protocol import CallerServer
 from zinniaturn.entry.state import EntryState
 from zinniaturn.events import LogEvent, log_event, record_events
 from zinniaturn.explain import DecisionLog
 from zinniaturn.explain.events import EventRecorder
+from zinniaturn.limits import Admission, ProgressLimits
+from zinniaturn.limits.descriptors import raise_descriptor_limit
 from zinniaturn.settings import EntrySettings
 from zinniaturn.store import HttpStore
 
@@ -40,7 +44,29 @@
         )
         self.state.holder.observers.append(self.state.install_pools)
         self.store = HttpStore(settings.store_url, caller=settings.name)
-        self.parts = build_parts(self.state, self.store)
+        self.keys = EntryKeys(settings)
+        self.state.connections.tls = self.keys.backends
+        self.callers = CallerConnections(
+            Admission(
+                settings.max_connections,
+                settings.max_connections_per_caller,
+            ),
+            ProgressLimits(
+                settings.head_seconds,
+                settings.body_seconds,
+                settings.reader_seconds,
+            ),
+        )
+        self.state.callers = self.callers
+        self.parts: list[Part] = [
+            *build_parts(self.state, self.store, self.keys.peer_security()),
+            self.callers,
+            self.keys.reloader(settings.tls_reload_seconds),
+        ]
+        control = self.state.control
+        if control is not None:
+            client = control.exchange.client
+            self.keys.renew_peers = client.renew
         self.server: web.Server | None = None
         self.listener: asyncio.Server | None = None
         self.admin_runner: web.AppRunner | None = None
@@ -57,11 +83,13 @@
             max_field_size=_HEADER_BYTES,
         )
         self.server.on_failure = frontend.count_failure
+        self.server.callers = self.callers
         try:
             self.listener = await asyncio.get_running_loop().create_server(
                 self.server,
                 self.settings.host,
                 self.settings.port,
+                ssl=self.keys.callers,
             )
             await self._start_admin()
         except OSError as error:
@@ -105,6 +133,7 @@
             self.admin_runner,
             self.settings.admin_host,
             self.settings.admin_port,
+            ssl_context=self.keys.admin,
         )
         await site.start()
 
@@ -126,9 +155,25 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    record_events(EventRecorder(entry.state.recorder))
+    record_events(
+        EventRecorder(entry.state.recorder, entry.state.metrics.count_event),
+    )
+    _fit_descriptors(entry.callers.admission)
     await entry.start()
     tune_collector()
     entry.state.holder.observers.append(lambda _: settle_heap())
     await stopping.wait()
     await entry.stop()
+
+
+def _fit_descriptors(admission: Admission) -> None:
+    wanted = admission.total
+    budget = raise_descriptor_limit()
+    admission.total = budget.connections(wanted)
+    if admission.total < wanted:
+        log_event(
+            LogEvent.DESCRIPTORS_FEW,
+            wanted=wanted,
+            allowed=admission.total,
+            open_files=budget.limit,
+        )
--- a/zinniaturn/entry/protocol.py
+++ b/zinniaturn/entry/protocol.py
@@ -7,8 +7,10 @@
 
 __all__ = ('CallerServer',)
 
+import asyncio
 from collections.abc import Callable
 from http import HTTPStatus
+from typing import Any, cast
 
 from aiohttp.http_exceptions import HttpProcessingError, LineTooLong
 from aiohttp.http_parser import RawRequestMessage
@@ -21,10 +23,20 @@
 )
 
 from zinniaturn.entry.answers import make_refusal
+from zinniaturn.entry.callers import CallerConnections
 from zinniaturn.events import LogEvent, log_event
+from zinniaturn.limits import Progress, Step
 from zinniaturn.outcomes import Outcome
 
 _TOO_MANY = 'Too many headers'
+_TOO_MANY_CONNECTIONS = (
+    b'HTTP/1.1 503 Service Unavailable\r\n'
+    b'Content-Length: 0\r\n'
+    b'Retry-After: 1\r\n'
+    b'Zinniaturn-Outcome: not-run\r\n'
+    b'Zinniaturn-Code: too-many-connections\r\n'
+    b'Connection: close\r\n\r\n'
+)
 
 Observer = Callable[[Outcome], None]
 
@@ -38,6 +50,7 @@
     """
 
     on_failure: Observer
+    callers: CallerConnections
 
     def __call__(self) -> RequestHandler:
         """Return the protocol of a new connection."""
@@ -45,9 +58,67 @@
 
 
 class _CallerProtocol(RequestHandler):
+    def __init__(self, *args: Any, **fields: Any) -> None:
+        super().__init__(*args, **fields)
+        self.progress = Progress()
+        self.caller: str | None = None
+        self.received = 0
+        self.has_part_of_head = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take a connection, or refuse it at once and close it."""
+        peer = transport.get_extra_info('peername')
+        caller = str(peer[0]) if peer else ''
+        if self._callers().admit(self, caller):
+            self.caller = caller
+            super().connection_made(transport)
+            return
+        endpoint = cast(asyncio.Transport, transport)
+        endpoint.write(_TOO_MANY_CONNECTIONS)
+        endpoint.close()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Forget an admitted connection."""
+        if self.caller is not None:
+            self._callers().release(self, self.caller)
+            super().connection_lost(exc)
+
+    def eof_received(self) -> None:
+        """Pass the end of the caller's bytes on."""
+        if self.caller is not None:
+            super().eof_received()
+
+    def abort(self) -> None:
+        """Close at once."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    def waits_for(self) -> tuple[Step, int]:
+        """Return what is waited for and the bytes that passed in it."""
+        request = self._current_request
+        transport = self.transport
+        if request is None or transport is None:
+            step = Step.HEAD if self.has_part_of_head else Step.NOTHING
+            return step, 0
+        unsent = transport.get_write_buffer_size()
+        if unsent:
+            return Step.READER, request.writer.output_size - unsent
+        if not request.content.is_eof() and not self._reading_paused:
+            return Step.BODY, self.received
+        return Step.NOTHING, 0
+
+    def _callers(self) -> CallerConnections:
+        manager = self._manager
+        assert manager is not None
+        return manager.callers  # type: ignore[attr-defined,no-any-return]
+
     def data_received(self, data: bytes) -> None:
         """Parse bytes; a malformed body is made known to its reader."""
+        if self.caller is None:
+            return
+        self.received += len(data)
         super().data_received(data)
+        self.has_part_of_head = not (self._messages or self._current_request)
         if self._messages:
             message, _ = self._messages[-1]
             if not isinstance(message, RawRequestMessage):
--- /dev/null
+++ b/zinniaturn/entry/scraping.py
@@ -0,0 +1,49 @@
+"""Gauges that are worked out when the metrics are read."""
+
+__all__ = ('update_gauges',)
+
+from collections import Counter
+
+from zinniaturn.choosing import PoolState
+from zinniaturn.entry.metrics import EntryMetrics
+from zinniaturn.entry.state import EntryState
+from zinniaturn.membership.evidence import MemberState
+
+_SERVER_STATES = ('available', 'ejected', 'leaving')
+
+
+def update_gauges(state: EntryState) -> None:
+    """Bring the gauges in line with the entry's state."""
+    metrics = state.metrics
+    metrics.revision.set({}, state.holder.tables.revision)
+    metrics.ready.set({}, int(state.lifecycle.state == 'ready'))
+    metrics.in_flight.set({}, state.requests_in_flight)
+    if state.callers is not None:
+        metrics.connections.set({}, len(state.callers.open))
+        for limit, count in state.callers.closed.items():
+            metrics.refused.set({'limit': limit.value}, count)
+    now = state.clock.monotonic()
+    for pool in state.pools.values():
+        _update_pool(metrics, pool, now)
+    if state.control is not None:
+        age = state.control.confirmed_age()
+        if age is not None:
+            metrics.confirmed_age.set({}, age)
+        for kind in MemberState:
+            members = state.control.table.members_in(kind)
+            metrics.peers.set({'state': kind.value}, len(members))
+
+
+def _update_pool(metrics: EntryMetrics, pool: PoolState, now: float) -> None:
+    name = pool.pool.name
+    metrics.waiting.set({'pool': name}, len(pool.waiting))
+    found = Counter(_state_of(pool, server, now) for server in pool.servers)
+    for kind in _SERVER_STATES:
+        metrics.servers.set({'pool': name, 'state': kind}, found[kind])
+
+
+def _state_of(pool: PoolState, server: str, now: float) -> str:
+    known = pool.servers[server]
+    if known.leaving or known.server.leaving:
+        return 'leaving'
+    return 'ejected' if known.ejected_until > now else 'available'
--- a/zinniaturn/entry/state.py
+++ b/zinniaturn/entry/state.py
@@ -8,6 +8,7 @@
 from zinniaturn.choosing import PoolState, policy_for_pool
 from zinniaturn.clock import Clock
 from zinniaturn.configuration import TablesHolder
+from zinniaturn.entry.callers import CallerConnections
 from zinniaturn.entry.control import Control
 from zinniaturn.entry.lifecycle import Lifecycle
 from zinniaturn.entry.metrics import EntryMetrics
@@ -36,6 +37,7 @@
     port: int = 0
     admin_port: int = 0
     control: Control | None = None
+    callers: CallerConnections | None = None
 
     def install_pools(self, tables: Tables) -> None:
         """Bring the routes and pools in line with newly installed tables."""
--- a/zinniaturn/events/catalogue.py
+++ b/zinniaturn/events/catalogue.py
@@ -33,6 +33,11 @@
     VM_LIST_UNAVAILABLE = 302
     VM_LIST_DOUBTED = 303
     PEER_REFUSED = 304
+    KEYS_RELOADED = 600
+    KEYS_REFUSED = 601
+    KEYS_EXPIRE_SOON = 602
+    CONNECTION_CLOSED = 610
+    DESCRIPTORS_FEW = 611
 
 
 _INFO = logging.INFO
@@ -93,5 +98,22 @@
             _WARNING,
             'a peer sent something that cannot be read',
         ),
+        LogEvent.KEYS_RELOADED: (_INFO, 'changed key files are in use'),
+        LogEvent.KEYS_REFUSED: (
+            _WARNING,
+            'changed key files cannot be used; the old keys stay in use',
+        ),
+        LogEvent.KEYS_EXPIRE_SOON: (
+            _WARNING,
+            'a certificate expires within a week',
+        ),
+        LogEvent.CONNECTION_CLOSED: (
+            _WARNING,
+            "a limit closed a caller's connection",
+        ),
+        LogEvent.DESCRIPTORS_FEW: (
+            _WARNING,
+            'the limit on open files allows fewer connections than wanted',
+        ),
     }
 )
--- a/zinniaturn/explain/events.py
+++ b/zinniaturn/explain/events.py
@@ -3,6 +3,7 @@
 __all__ = ('EventRecorder',)
 
 import logging
+from collections.abc import Callable
 
 from zinniaturn.explain.decisions import EventLogged
 from zinniaturn.explain.recorder import Recorder
@@ -13,11 +14,16 @@
 
 
 class EventRecorder(logging.Handler):
-    """A log handler that records every numbered event."""
+    """A log handler that records and counts every numbered event."""
 
-    def __init__(self, recorder: Recorder) -> None:
+    def __init__(
+        self,
+        recorder: Recorder,
+        count: Callable[[int], None],
+    ) -> None:
         super().__init__()
         self.recorder = recorder
+        self.count = count
 
     def emit(self, record: logging.LogRecord) -> None:
         """Record an event of the catalogue."""
@@ -29,6 +35,7 @@
             for name, value in record.__dict__.items()
             if name not in _STANDARD
         )
+        self.count(int(event))
         self.recorder.record(
             EventLogged(int(event), record.getMessage(), fields),
         )
--- a/zinniaturn/explain/reading.py
+++ b/zinniaturn/explain/reading.py
@@ -12,6 +12,7 @@
 from zinniaturn.explain.exceptions import ExplainError
 from zinniaturn.explain.messages import Explanation
 from zinniaturn.explain.queries import Subject
+from zinniaturn.tls.operators import get_from_admin
 
 _TIMEOUT = aiohttp.ClientTimeout(5)
 
@@ -41,9 +42,9 @@
     subject: Subject,
 ) -> Explanation | None:
     name = quote(subject.name, safe='')
-    url = f'http://{admin}/explain/{subject.kind.value}/{name}'
+    path = f'/explain/{subject.kind.value}/{name}'
     try:
-        async with session.get(url) as answer:
+        async with get_from_admin(session, admin, path) as answer:
             if answer.status >= 400:
                 return None
             return msgspec.json.decode(await answer.read(), type=Explanation)
--- a/zinniaturn/forwarding/connections.py
+++ b/zinniaturn/forwarding/connections.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import select
+import ssl
 from collections import deque
 
 from aiohttp.client_proto import ResponseHandler
@@ -106,6 +107,7 @@
 
     def __init__(self) -> None:
         self.idle: dict[Address, deque[BackendConnection]] = {}
+        self.tls: ssl.SSLContext | None = None
 
     def take_idle(
         self,
@@ -139,6 +141,7 @@
         _, protocol = await loop.create_connection(
             lambda: BackendProtocol(loop),
             *address,
+            ssl=self.tls,
         )
         return BackendConnection(address, protocol)
 
--- a/zinniaturn/outcomes/refusals.py
+++ b/zinniaturn/outcomes/refusals.py
@@ -89,6 +89,11 @@
         HTTPStatus.BAD_REQUEST,
         "The request's body broke off or is malformed",
     ),
+    Refusal(
+        'too-many-connections',
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'The entry takes no further connection',
+    ),
     Refusal(
         'internal',
         HTTPStatus.INTERNAL_SERVER_ERROR,
--- a/zinniaturn/peers/client.py
+++ b/zinniaturn/peers/client.py
@@ -84,6 +84,14 @@
         except grpc.aio.AioRpcError as error:
             raise _unavailable(address, error) from error
 
+    async def renew(self, security: PeerSecurity) -> None:
+        """Use other credentials; calls under way may end on the old ones."""
+        self.security = security
+        old = list(self.channels.values())
+        self.channels.clear()
+        for channel in old:
+            await channel.close(EXCHANGE_SECONDS)
+
     async def close(self) -> None:
         """Close the channels."""
         while self.channels:
--- a/zinniaturn/peers/credentials.py
+++ b/zinniaturn/peers/credentials.py
@@ -5,7 +5,7 @@
 loopback.
 """
 
-__all__ = ('PeerSecurity', 'check_security')
+__all__ = ('PeerSecurity', 'check_security', 'is_loopback')
 
 import ipaddress
 from dataclasses import dataclass
@@ -37,13 +37,14 @@
     """
     if security.server is not None and security.channel is not None:
         return
-    if not _is_loopback(host):
+    if not is_loopback(host):
         raise PeersInsecureError(
             f'entries do not listen on {host} for each other without keys',
         )
 
 
-def _is_loopback(host: str) -> bool:
+def is_loopback(host: str) -> bool:
+    """Return whether only this VM can reach an address."""
     try:
         return ipaddress.ip_address(host).is_loopback
     except ValueError:
--- a/zinniaturn/settings/models.py
+++ b/zinniaturn/settings/models.py
@@ -133,6 +133,86 @@
         default='INFO',
         description='Least severe level that is logged.',
     )
+    tls_certificate: str = Field(
+        default='',
+        description='PEM file shown to other entries and to operators.',
+    )
+    tls_key: str = Field(
+        default='',
+        description='PEM file of the key of the certificate.',
+    )
+    tls_authority: str = Field(
+        default='',
+        description='PEM file that other entries and operators are checked by.',
+    )
+    tls_peer_name: str = Field(
+        default='',
+        description="Name in other entries' certificates; unset: their IP.",
+    )
+    caller_tls_certificate: str = Field(
+        default='',
+        description='PEM file shown to callers; unset for plain HTTP.',
+    )
+    caller_tls_key: str = Field(
+        default='',
+        description='PEM file of the key of the certificate for callers.',
+    )
+    caller_tls_authority: str = Field(
+        default='',
+        description='PEM file that callers are checked by; unset: unchecked.',
+    )
+    backend_tls_authority: str = Field(
+        default='',
+        description='PEM file backend servers are checked by; unset: plain.',
+    )
+    backend_tls_certificate: str = Field(
+        default='',
+        description='PEM file shown to backend servers.',
+    )
+    backend_tls_key: str = Field(
+        default='',
+        description='PEM file of the key of that certificate.',
+    )
+    tls_reload_seconds: float = Field(
+        default=10,
+        gt=0,
+        le=3600,
+        allow_inf_nan=False,
+        description='Seconds between looks at the PEM files.',
+    )
+    max_connections: int = Field(
+        default=10_000,
+        ge=1,
+        le=1_000_000,
+        description="Callers' connections in all; fewer if files run out.",
+    )
+    max_connections_per_caller: int = Field(
+        default=2000,
+        ge=1,
+        le=1_000_000,
+        description='Connections from one IP address.',
+    )
+    head_seconds: float = Field(
+        default=10,
+        gt=0,
+        le=3600,
+        allow_inf_nan=False,
+        description="Seconds for a request's whole head.",
+    )
+    body_seconds: float = Field(
+        default=30,
+        gt=0,
+        le=3600,
+        allow_inf_nan=False,
+        description='Seconds without progress of a body that a caller sends.',
+    )
+    reader_seconds: float = Field(
+        default=30,
+        gt=0,
+        le=3600,
+        allow_inf_nan=False,
+        description='Seconds without progress of a caller that reads.',
+    )
     event_loop: Literal['uvloop', 'asyncio'] = Field(
         default='asyncio',
         description='Event loop; uvloop may open an io_uring.',
@@ -154,6 +234,23 @@
             Address(host, int(port)) for host, port in _PEER.findall(self.peers)
         )
 
+    @model_validator(mode='after')
+    def check_keys(self) -> Self:
+        """Refuse a certificate without its key, and so on."""
+        internal = (self.tls_certificate, self.tls_key, self.tls_authority)
+        if any(internal) and not all(internal):
+            raise ValueError(
+                '--tls-certificate, --tls-key and --tls-authority go together',
+            )
+        for kind in ('caller', 'backend'):
+            certificate = getattr(self, f'{kind}_tls_certificate')
+            if bool(certificate) != bool(getattr(self, f'{kind}_tls_key')):
+                raise ValueError(
+                    f'--{kind}-tls-certificate and --{kind}-tls-key go '
+                    'together',
+                )
+        return self
+
     @model_validator(mode='after')
     def check_ports(self) -> Self:
         """Refuse one port for callers and for the admin address."""
--- a/zinniaturn/status/reading.py
+++ b/zinniaturn/status/reading.py
@@ -13,6 +13,7 @@
 from zinniaturn.configuration.snapshot import EMPTY, assemble
 from zinniaturn.status.exceptions import StatusError
 from zinniaturn.status.models import EntryStatus, TablesAnswer
+from zinniaturn.tls.operators import get_from_admin
 
 Model = TypeVar('Model', bound=msgspec.Struct)
 
@@ -22,7 +23,7 @@
     admin: str,
 ) -> EntryStatus:
     """Return the status of the entry at ``host:port``; `StatusError`."""
-    status = await _read(session, f'http://{admin}/status', EntryStatus)
+    status = await _read(session, admin, '/status', EntryStatus)
     status.admin = admin
     return status
 
@@ -32,7 +33,7 @@
     admin: str,
 ) -> Snapshot:
     """Return the tables that an entry holds; raises `StatusError`."""
-    answer = await _read(session, f'http://{admin}/tables', TablesAnswer)
+    answer = await _read(session, admin, '/tables', TablesAnswer)
     texts = {
         bucket: answer.texts[ref.digest]
         for bucket, ref in answer.head.segments.items()
@@ -46,18 +47,19 @@
 
 async def _read(
     session: aiohttp.ClientSession,
-    url: str,
+    admin: str,
+    path: str,
     model: type[Model],
 ) -> Model:
     try:
-        async with session.get(url) as reply:
+        async with get_from_admin(session, admin, path) as reply:
             status = reply.status
             body = await reply.read()
     except (TimeoutError, aiohttp.ClientError) as error:
-        raise StatusError(f'{url}: {type(error).__name__}') from error
+        raise StatusError(f'{admin}{path}: {type(error).__name__}') from error
     if status != HTTPStatus.OK:
-        raise StatusError(f'{url}: status {status}')
+        raise StatusError(f'{admin}{path}: status {status}')
     try:
         return msgspec.json.decode(body, type=model)
     except msgspec.DecodeError as error:
-        raise StatusError(f'{url}: {error}') from error
+        raise StatusError(f'{admin}{path}: {error}') from error
