--- a/zinniaturn/entry/parts.py
+++ b/zinniaturn/entry/parts.py
@@ -28,9 +28,13 @@
         """End the work and wait for it."""
 
 
-def build_parts(state: EntryState, store: ConfigurationStore) -> list[Part]:
+def build_parts(
+    state: EntryState,
+    store: ConfigurationStore,
+    security: PeerSecurity,
+) -> list[Part]:
     """Return the parts of an entry."""
-    control = ControlPart(state, store, PeerSecurity())
+    control = ControlPart(state, store, security)
     leaving = LeavingPart(state)
     exchange = control.control.exchange
     exchange.providers[LEAVING_TOPIC] = leaving.provide
--- a/zinniaturn/entry/state.py
+++ b/zinniaturn/entry/state.py
@@ -8,6 +8,7 @@
 from zinniaturn.choosing import PoolState, policy_for_pool
 from zinniaturn.clock import Clock
 from zinniaturn.configuration import TablesHolder
+from zinniaturn.entry.callers import CallerConnections
 from zinniaturn.entry.control import Control
 from zinniaturn.entry.lifecycle import Lifecycle
 from zinniaturn.entry.metrics import EntryMetrics
@@ -38,6 +39,7 @@
     port: int = 0
     admin_port: int = 0
     control: Control | None = None
+    callers: CallerConnections | None = None
     overload: OverloadNotes = field(init=False)
 
     def __post_init__(self) -> None:
--- a/zinniaturn/entry/stopping.py
+++ b/zinniaturn/entry/stopping.py
@@ -39,6 +39,6 @@
     """
     state.is_closing = True
     while server.connections or state.requests_in_flight:
-        for connection in server.callers():
+        for connection in server.protocols():
             connection.close_if_idle()
         await asyncio.sleep(_POLL_SECONDS)
