Tell the demo's course plainly and show a real one in the README

The demo said little while it ran: now it reports every second, a ledger server drains by its own word, the edit is shown field by field with the time until it is in force everywhere, and an answer with another request's id counts as lost. Its number of requests follows from the seed alone.

--- a/zinniaturn/commands/demo.py
+++ b/zinniaturn/commands/demo.py
@@ -1,6 +1,6 @@
 """``zinniaturn demo``."""
 
-__all__ = ('demo',)
+__all__ = ('demo', 'exit_status')
 
 import asyncio
 import sys
@@ -8,7 +8,8 @@
 import click
 import msgspec
 
-from zinniaturn.demo import run_demo
+from zinniaturn.commands.exit_status import ExitStatus
+from zinniaturn.demo import DemoSummary, run_demo
 from zinniaturn.demo.summary import format_summary
 from zinniaturn.events import configure_logging
 
@@ -21,7 +22,13 @@
     show_default=True,
     help='How long the load lasts, in seconds.',
 )
-@click.option('--seed', type=int, default=1, show_default=True)
+@click.option(
+    '--seed',
+    type=int,
+    default=1,
+    show_default=True,
+    help='Seed of the load.',
+)
 @click.option('--json', 'as_json', is_flag=True, help='Print one JSON object.')
 def demo(seconds: float, seed: int, as_json: bool) -> None:
     """
@@ -35,8 +42,14 @@
         click.echo(msgspec.json.encode(summary).decode())
     else:
         click.echo(format_summary(summary))
-    if not summary.is_clean():
-        sys.exit(1)
+    sys.exit(exit_status(summary))
+
+
+def exit_status(summary: DemoSummary) -> ExitStatus:
+    """Return the status of a demo with this summary."""
+    if summary.is_clean():
+        return ExitStatus.DONE
+    return ExitStatus.CHECK_FAILED
 
 
 def _print_progress(text: str) -> None:
--- a/zinniaturn/demo/fleet.py
+++ b/zinniaturn/demo/fleet.py
@@ -14,7 +14,7 @@
 from zinniaturn.settings import EntrySettings
 from zinniaturn.standins import BackendStandIn, ServiceTime, StoreStandIn
 from zinniaturn.store import HttpStore
-from zinniaturn.tables import Pool, Route, Server
+from zinniaturn.tables import Pool, Route, Server, Tables
 
 _ENTRIES = 3
 _SERVERS = 4
@@ -58,8 +58,21 @@
         await self.store.close()
         await self.store_stand_in.stop()
 
-    async def mark_leaving(self, service: str, number: int) -> None:
-        """Commit an edit that takes a server out."""
+    def describe(self) -> str:
+        """Return what runs, for a reader."""
+        servers = [
+            f'{len(backends)} backend servers of {service}'
+            for service, backends in self.backends.items()
+        ]
+        return f'{len(self.entries)} entries before {" and ".join(servers)}'
+
+    def tables(self) -> Tables:
+        """Return the tables in force on the first entry."""
+        state = self.entries[0].state
+        return state.holder.tables
+
+    async def mark_leaving(self, service: str, number: int) -> int:
+        """Take a server out by an edit; return the revision in force."""
         base = await read_tables(self.store)
         pool = base.tables.pools[service]
         servers = tuple(
@@ -75,6 +88,7 @@
         edited = apply_pools(base.tables, [Pool(service, servers)])
         accepted = await commit(self.store, base, edited)
         await self.wait_for_revision(accepted.revision)
+        return accepted.revision
 
     async def wait_for_revision(self, revision: int) -> None:
         """Wait until every entry has the revision in force."""
--- a/zinniaturn/demo/load.py
+++ b/zinniaturn/demo/load.py
@@ -8,9 +8,10 @@
 from collections import Counter
 from http import HTTPStatus
 
+import msgspec
 from hdrh.histogram import HdrHistogram
 
-from zinniaturn.caller import Caller, CallerError
+from zinniaturn.caller import Caller, CallerAnswer, CallerError
 
 _MAX_MICROSECONDS = 60_000_000
 _MICROSECONDS = 1_000_000
@@ -26,6 +27,7 @@
     def __init__(self, caller: Caller, seed: int) -> None:
         self.caller = caller
         self.source = random.Random(seed)
+        self.pauses = random.Random(f'{seed}/pauses')
         self.histogram = HdrHistogram(1, _MAX_MICROSECONDS, _DIGITS)
         self.requests = 0
         self.answered = 0
@@ -39,16 +41,18 @@
         due = started
         while due < started + seconds:
             await asyncio.sleep(max(0, due - time.monotonic()))
-            task = asyncio.create_task(self._request(self.requests, due))
+            is_read = self.source.random() < _READ_SHARE
+            task = asyncio.create_task(
+                self._request(self.requests, is_read, due),
+            )
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
             self.requests += 1
             due += self.source.expovariate(rate)
         await asyncio.gather(*self.tasks)
 
-    async def _request(self, number: int, due: float) -> None:
+    async def _request(self, number: int, is_read: bool, due: float) -> None:
         request_id = f'demo-{number}'
-        is_read = self.source.random() < _READ_SHARE
         if is_read:
             self.read_ids.add(request_id)
         for _ in range(_TRIES):
@@ -57,7 +61,7 @@
                 self.histogram.record_value(int(elapsed * _MICROSECONDS))
                 self.answered += 1
                 return
-            await asyncio.sleep(_PAUSE_SECONDS * self.source.random())
+            await asyncio.sleep(_PAUSE_SECONDS * self.pauses.random())
 
     async def _try(self, request_id: str, is_read: bool) -> bool:
         headers = {'X-Request-Id': request_id, 'Idempotency-Key': request_id}
@@ -70,4 +74,11 @@
             return False
         if answer.outcome:
             self.told[answer.outcome] += 1
-        return answer.status == HTTPStatus.OK
+        return _is_own_answer(answer, request_id)
+
+
+def _is_own_answer(answer: CallerAnswer, request_id: str) -> bool:
+    if answer.status != HTTPStatus.OK:
+        return False
+    reply = msgspec.json.decode(answer.body)
+    return bool(reply['request_id'] == request_id)
--- a/zinniaturn/demo/run.py
+++ b/zinniaturn/demo/run.py
@@ -4,18 +4,15 @@
 
 import asyncio
 import random
-from collections.abc import Callable
 
 from zinniaturn.caller import Caller
+from zinniaturn.demo.course import Progress, follow_course
 from zinniaturn.demo.fleet import DemoFleet
 from zinniaturn.demo.load import DemoLoad
 from zinniaturn.demo.summary import DemoSummary
 
 _RATE_PER_SECOND = 300.0
 _MILLISECONDS_DIVISOR = 1000
-_DRAIN_AT_SHARE = 0.5
-
-Progress = Callable[[str], None]
 
 
 async def run_demo(
@@ -26,33 +23,28 @@
     """Run the whole path for ``seconds`` and return what happened."""
     fleet = DemoFleet(seed)
     await fleet.start()
-    progress('3 entries and 8 backend servers are ready')
+    progress(fleet.describe())
     seeds = [('127.0.0.1', entry.port) for entry in fleet.entries]
     caller = Caller(seeds, random.Random(seed))
     load = DemoLoad(caller, seed)
-    edit = asyncio.create_task(
-        _edit(fleet, seconds * _DRAIN_AT_SHARE, progress)
+    course = asyncio.create_task(
+        follow_course(fleet, load, seconds, progress),
     )
     try:
         await load.run(seconds, _RATE_PER_SECOND)
-        await edit
+        await course
         revisions = {
             entry.settings.name: entry.state.holder.tables.revision
             for entry in fleet.entries
         }
     finally:
-        edit.cancel()
+        course.cancel()
         await caller.close()
+        progress('* the entries stop gracefully')
         await fleet.stop()
     return _summarize(load, fleet, revisions)
 
 
-async def _edit(fleet: DemoFleet, after: float, progress: Progress) -> None:
-    await asyncio.sleep(after)
-    await fleet.mark_leaving('card', 0)
-    progress('card-0 is leaving; revision 2 is in force on every entry')
-
-
 def _summarize(
     load: DemoLoad,
     fleet: DemoFleet,
