--- a/features/stopping.feature
+++ b/features/stopping.feature
@@ -42,7 +42,7 @@
       | signals          | ending   | status |
       | SIGTERM          | is whole | 0      |
       | SIGTERM, SIGTERM | is whole | 0      |
-      | SIGTERM, SIGQUIT | is cut   | 4      |
+      | SIGTERM, SIGQUIT | is cut   | 6      |
 
   Scenario Outline: a backend server's leaving becomes known from <source>
     Given 2 entries that stop gracefully
--- a/zinniaturn/commands/entry.py
+++ b/zinniaturn/commands/entry.py
@@ -9,6 +9,7 @@
 import click
 from click.types import OptionHelpExtra
 
+from zinniaturn.commands.exit_status import ExitStatus
 from zinniaturn.commands.options import AUTHOR_VARIABLE
 from zinniaturn.entry import run_entry
 from zinniaturn.entry.loops import loop_factory
@@ -22,8 +23,6 @@
     variable_of,
 )
 
-EXIT_FORCED = 4
-
 
 class _Setting(click.Option):
     """The flag of a settings field; its value is checked by the model."""
@@ -75,7 +74,7 @@
     ) as runner:
         is_graceful = runner.run(run_entry(settings))
     if not is_graceful:
-        sys.exit(EXIT_FORCED)
+        sys.exit(ExitStatus.CUT_OFF)
 
 
 def _warn_of_unknown_variables() -> None:
--- a/zinniaturn/commands/exit_status.py
+++ b/zinniaturn/commands/exit_status.py
@@ -21,6 +21,7 @@
     REFUSED = 3
     UNKNOWN = 4
     UNAVAILABLE = 5
+    CUT_OFF = 6
     INTERNAL = 70
 
 
