Let the backend server's stand-in take bodies of any size

curl -T of 5 MB through an entry got 413 from the stand-in: aiohttp's application refuses bodies over 1 MB, and the stand-in read them whole. It now counts the bytes and keeps none.

--- a/features/steps/whole_path_steps.py
+++ b/features/steps/whole_path_steps.py
@@ -3,6 +3,7 @@
 import json
 import random
 
+import aiohttp
 from behave import given, then, when
 
 from zinniaturn.caller import Caller
@@ -11,6 +12,8 @@
 from zinniaturn.settings import EntrySettings
 from zinniaturn.standins import StoreStandIn
 
+_BLOCK_BYTES = 65_536
+
 
 def _open_caller(context, entries):
     seeds = [('127.0.0.1', entry.port) for entry in entries]
@@ -109,3 +112,28 @@
     assert answer.status == status, answer
     assert answer.outcome == outcome, answer
     assert answer.headers['Zinniaturn-Code'] == code, answer
+
+
+@when('an aiohttp client uploads {count:d} bytes in chunks')
+def upload(context, count):
+    async def chunks():
+        sent = 0
+        while sent < count:
+            block = bytes(min(_BLOCK_BYTES, count - sent))
+            sent += len(block)
+            yield block
+
+    async def send():
+        port = context.fleet.entries[0].port
+        url = f'http://127.0.0.1:{port}/cards/7'
+        async with aiohttp.ClientSession() as session:
+            async with session.put(url, data=chunks()) as reply:
+                assert reply.status == 200, await reply.text()
+                context.reply = await reply.json()
+
+    context.loop.run_until_complete(send())
+
+
+@then('the backend server counted {count:d} bytes')
+def check_upload(context, count):
+    assert context.reply['body_bytes'] == count, context.reply
--- a/features/whole_path.feature
+++ b/features/whole_path.feature
@@ -20,3 +20,8 @@
     Given an entry before an empty store
     When a caller reads "/cards/1"
     Then the answer has status 503, outcome "not-run" and code "not-ready"
+
+  Scenario: a large chunked upload reaches a backend server whole
+    Given the demo's fleet
+    When an aiohttp client uploads 5000000 bytes in chunks
+    Then the backend server counted 5000000 bytes
--- a/zinniaturn/standins/backend.py
+++ b/zinniaturn/standins/backend.py
@@ -145,8 +145,8 @@
         await self._travel(request)
         if self.faults.shed or self.queued >= self.queue_limit:
             return self._shed()
-        body = await request.read()
-        response = await self.run_queued(request, body)
+        body_bytes = await _count_body(request)
+        response = await self.run_queued(request, body_bytes)
         if self.delay_seconds:
             await asyncio.sleep(self.delay_seconds)
         return response
@@ -154,7 +154,7 @@
     async def run_queued(
         self,
         request: web.Request,
-        body: bytes,
+        body_bytes: int,
     ) -> web.Response:
         """Wait for a slot and run the request there."""
         due_at = time.monotonic() + _deadline_seconds(request)
@@ -167,7 +167,7 @@
         try:
             if time.monotonic() >= due_at:
                 return self._shed()
-            return await self._run(request, body)
+            return await self._run(request, body_bytes)
         finally:
             self.free.release()
 
@@ -194,7 +194,11 @@
         if seconds:
             await asyncio.sleep(seconds)
 
-    async def _run(self, request: web.Request, body: bytes) -> web.Response:
+    async def _run(
+        self,
+        request: web.Request,
+        body_bytes: int,
+    ) -> web.Response:
         request_id = request.headers.get('X-Request-Id', '')
         self.busy += 1
         self._note()
@@ -211,7 +215,7 @@
             {
                 'server': self.name,
                 'request_id': request_id,
-                'body_bytes': len(body),
+                'body_bytes': body_bytes,
             },
             headers=self.load_header(),
         )
@@ -241,3 +245,9 @@
 def _deadline_seconds(request: web.Request) -> float:
     text = request.headers.get(_DEADLINE_HEADER, '')
     return int(text) / _MILLISECONDS if text.isdecimal() else float('inf')
+
+
+async def _count_body(request: web.Request) -> int:
+    """Read a body of any size, keeping none of it."""
+    sizes = [len(chunk) async for chunk in request.content.iter_any()]
+    return sum(sizes)
--- a/zinniaturn/standins/backend_group.py
+++ b/zinniaturn/standins/backend_group.py
@@ -51,12 +51,12 @@
     async def run_queued(
         self,
         request: web.Request,
-        body: bytes,
+        body_bytes: int,
     ) -> web.Response:
         """Run the request at the server that the group names."""
         group = self.group
         server = self if group is None else group.best(self)
-        return await BackendStandIn.run_queued(server, request, body)
+        return await BackendStandIn.run_queued(server, request, body_bytes)
 
 
 class BackendGroup:
