--- a/zinniaturn/choosing/policies.py
+++ b/zinniaturn/choosing/policies.py
@@ -139,13 +139,14 @@
 
 class EstimatedWait:
     """
-    Takes the shortest estimated wait among the servers not used for longest.
+    Takes the shortest estimated wait among the servers least used of late.
 
     A fresh report of a free slot is remembered and used [2]_; a server of
     which nothing fresh is known counts as an average one. Keeping to the
-    quarter that was not used for longest spreads the requests evenly, and
-    keeps entries from meeting at the server that looks best to all. Servers
-    that are much slower than the best one are left out first.
+    quarter with the fewest own requests in flight, and of those to the ones
+    not used for longest, spreads the requests evenly, and keeps entries from
+    meeting at the server that looks best to all. Servers that are much slower
+    than the best one are left out first.
     """
 
     report_lifetime_seconds: float = 1
@@ -167,7 +168,7 @@
             for state, wait in zip(candidates, waits, strict=True)
             if wait <= bearable
         ]
-        sound.sort(key=_last_used)
+        sound.sort(key=_recent_use)
         fewest = min(len(sound), _FEWEST_COMPARED)
         compared = max(fewest, math.ceil(len(sound) * _COMPARED_SHARE))
         return min(sound[:compared], key=_wait).state
@@ -213,8 +214,8 @@
     rank: float
 
 
-def _last_used(ranked: _Ranked) -> tuple[float, float]:
-    return ranked.state.sent_at, ranked.rank
+def _recent_use(ranked: _Ranked) -> tuple[int, float, float]:
+    return ranked.state.in_flight, ranked.state.sent_at, ranked.rank
 
 
 def _wait(ranked: _Ranked) -> float:
