Learn from hedged-away requests; never go back to a tried server early

A straggler whose requests were hedged away taught nothing, as only answers counted: a cancelled request now counts as at least as long as it took. An attempt cancelled before its first step left its server counted as busy; a done callback frees it now. A hedge took a unit of the budget where it then found no server.

--- a/features/choosing.feature
+++ b/features/choosing.feature
@@ -114,3 +114,15 @@
 
   Scenario: a request in flight is never lost count of
     Then any order of admissions, ends and failures leaves the counts right
+
+  Scenario: a hedge goes to another server or nowhere
+    Given a pool of 1 servers with 4 slots under "random"
+    When 1 requests are admitted
+    Then a hedge of it finds no server and spends nothing
+
+  Scenario: a server whose requests are hedged away counts as slow
+    Given a pool of 3 servers with 4 slots under "estimated-wait"
+    When server 0 takes 1 times as long as the others
+    And 9 requests to server 0 are cancelled after 2 seconds
+    And 12 requests are admitted and end
+    Then server 0 got 0 of them
--- a/features/steps/choosing_steps.py
+++ b/features/steps/choosing_steps.py
@@ -310,3 +310,27 @@
         driven.pool.abandon(ticket)
     else:
         driven.end(ticket, succeeded=action == 'end')
+
+
+@then('a hedge of it finds no server and spends nothing')
+def check_no_hedge(context):
+    driven = context.driven
+    spent = driven.pool.retries.spent
+    ticket = Ticket(driven.clock.monotonic() + 1, exclude={'card-0'})
+    assert not driven.pool.hedge(ticket)
+    assert driven.pool.retries.spent == spent
+
+
+@when(
+    '{count:d} requests to server {number:d} are cancelled '
+    'after {seconds:d} seconds',
+)
+def cancel(context, count, number, seconds):
+    driven = context.driven
+    state = driven.server(number)
+    for _ in range(count):
+        state.in_flight += 1
+        driven.pool.release(
+            state,
+            Completion(False, seconds, cancelled=True),
+        )
--- a/zinniaturn/choosing/estimates.py
+++ b/zinniaturn/choosing/estimates.py
@@ -53,6 +53,27 @@
             load = completion.report.total / completion.report.slots
             self.load_per_slot = _blend(self.load_per_slot, load, _SMOOTHING)
 
+    def learn_cancelled(
+        self,
+        state: ServerState,
+        completion: Completion,
+        now: float,
+    ) -> None:
+        """
+        Take into account how long a cancelled request went without an answer.
+
+        A hedge that wins hides how slow the first server is; that it took at
+        least so long is still known.
+        """
+        seconds = completion.latency_seconds
+        if self.service_seconds and seconds > state.service_seconds:
+            state.service_seconds = _blend(
+                state.service_seconds or self.service_seconds,
+                seconds,
+                _SERVICE_SMOOTHING,
+            )
+            state.served_at = now
+
 
 def estimated_load(
     state: ServerState,
--- a/zinniaturn/choosing/pool_state.py
+++ b/zinniaturn/choosing/pool_state.py
@@ -101,15 +101,23 @@
             return
         self._check_queue(ticket, now)
         self.waiting.join(ticket, now)
+        self._grant_waiting()
+
+    def hedge(self, ticket: Ticket) -> bool:
+        """
+        Give a ticket a second server without waiting, within the budget.
 
-    def try_acquire(self, ticket: Ticket) -> bool:
-        """Give a ticket a server without waiting; return whether it has."""
+        Return whether it has one; it is none of those in ``exclude``.
+        """
         now = self.clock.monotonic()
-        return ticket.deadline > now and self._grant(
-            ticket,
-            self._available(now),
-            now,
-        )
+        others = [
+            state
+            for state in self._available(now)
+            if state.server.name not in ticket.exclude and state.has_room(now)
+        ]
+        if ticket.deadline <= now or not others or not self.retries.spend():
+            return False
+        return self._grant(ticket, others, now)
 
     def abandon(self, ticket: Ticket) -> None:
         """Take back a ticket that waits or was granted a server unused."""
@@ -131,7 +139,9 @@
                 self._record_leaving(state.server.name, 'reply', True)
             state.leaving = True
             state.left_at = now
-        if not completion.cancelled:
+        if completion.cancelled:
+            self.averages.learn_cancelled(state, completion, now)
+        else:
             self._learn(state, completion, now)
         self._grant_waiting()
 
@@ -238,15 +248,15 @@
         available: Sequence[ServerState],
         now: float,
     ) -> bool:
-        with_room = [state for state in available if state.has_room(now)]
-        candidates = with_room
+        candidates = available
         if ticket.exclude:
-            preferred = [
+            untried = [
                 state
-                for state in with_room
+                for state in available
                 if state.server.name not in ticket.exclude
             ]
-            candidates = preferred or with_room
+            candidates = untried or available
+        candidates = [state for state in candidates if state.has_room(now)]
         if not candidates:
             return False
         state = self.policy.choose(candidates, self.averages, now)
@@ -257,17 +267,21 @@
         return True
 
     def _grant_waiting(self) -> None:
+        """
+        Grant waiting tickets servers in their order.
+
+        One that waits for a server that it hasn't tried holds up none behind
+        it.
+        """
         now = self.clock.monotonic()
-        ticket = self.waiting.first(now)
-        while ticket is not None and self._grant(
-            ticket,
-            self._available(now),
-            now,
-        ):
-            self.waiting.leave(ticket)
-            if ticket.on_granted is not None:
-                ticket.on_granted()
-            ticket = self.waiting.first(now)
+        available = self._available(now) if self.waiting.first(now) else []
+        for ticket in self.waiting.live(now):
+            if self._grant(ticket, available, now):
+                self.waiting.leave(ticket)
+                if ticket.on_granted is not None:
+                    ticket.on_granted()
+            elif not ticket.exclude:
+                return
 
     def _check_queue(self, ticket: Ticket, now: float) -> None:
         if len(self.waiting) >= self.pool.queue_limit:
--- a/zinniaturn/choosing/waiting.py
+++ b/zinniaturn/choosing/waiting.py
@@ -22,7 +22,7 @@
 
     ``deadline`` is in monotonic seconds. ``on_granted`` is called once a
     server was found for a request that had to wait. Servers in ``exclude``
-    are used only where there is no other.
+    are used only where no other is available.
     """
 
     deadline: float
@@ -59,3 +59,7 @@
                 return self.tickets[0]
             self.tickets.popleft()
         return None
+
+    def live(self, now: float) -> list[Ticket]:
+        """Return the tickets that are not late, in their order."""
+        return [ticket for ticket in self.tickets if ticket.deadline > now]
--- a/zinniaturn/entry/attempts.py
+++ b/zinniaturn/entry/attempts.py
@@ -61,7 +61,7 @@
         `ExchangeError` where the attempt ended early.
         """
         ticket = await self._wait_for_server()
-        first = asyncio.ensure_future(self._send(ticket))
+        first = self._start(ticket)
         try:
             return await self._first_answer(first)
         except asyncio.CancelledError:
@@ -125,9 +125,7 @@
         if not self._take_hedge(ticket):
             return await first
         self._record_hedge(ticket, delay)
-        return await self._race(
-            first, asyncio.ensure_future(self._send(ticket))
-        )
+        return await self._race(first, self._start(ticket))
 
     def _record_hedge(self, ticket: Ticket, delay: float) -> None:
         assert ticket.server is not None
@@ -144,9 +142,7 @@
         return self.parsed.idempotent and self.parsed.can_repeat
 
     def _take_hedge(self, ticket: Ticket) -> bool:
-        if len(self.pool.waiting) or not self.pool.retries.spend():
-            return False
-        if not self.pool.try_acquire(ticket):
+        if len(self.pool.waiting) or not self.pool.hedge(ticket):
             return False
         assert ticket.server is not None
         self.tried.add(ticket.server.server.name)
@@ -181,30 +177,43 @@
             attempt.result().answer.abandon()
             self.finish(attempt.result())
 
+    def _start(self, ticket: Ticket) -> asyncio.Future[Attempt]:
+        attempt = asyncio.ensure_future(self._send(ticket))
+        started = self.state.clock.monotonic()
+        attempt.add_done_callback(
+            lambda ended: self._release_failed(ticket, ended, started),
+        )
+        return attempt
+
+    def _release_failed(
+        self,
+        ticket: Ticket,
+        attempt: asyncio.Future[Attempt],
+        started: float,
+    ) -> None:
+        """Free the server of an attempt that has brought no answer."""
+        error = None if attempt.cancelled() else attempt.exception()
+        if error is None and not attempt.cancelled():
+            return
+        assert ticket.server is not None
+        event = error.event if isinstance(error, ExchangeError) else None
+        completion = Completion(
+            succeeded=False,
+            latency_seconds=self.state.clock.monotonic() - started,
+            shed=event is Event.SERVER_SHED,
+            cancelled=event in {None, Event.DEADLINE_PASSED},
+        )
+        self.pool.release(ticket.server, completion)
+
     async def _send(self, ticket: Ticket) -> Attempt:
         server = ticket.server
         assert server is not None
         self.sent += 1
         started = self.state.clock.monotonic()
-        completion = Completion(False, 0, cancelled=True)
-        answer: Answer | None = None
-        try:
-            answer = await self._exchange(server)
-            completion = self._completion(answer, started)
-            if completion.shed:
-                raise _shed(server, answer)
-        except ExchangeError as error:
-            if not completion.shed:
-                completion = Completion(
-                    succeeded=False,
-                    latency_seconds=self.state.clock.monotonic() - started,
-                    cancelled=error.event is Event.DEADLINE_PASSED,
-                )
-            self.pool.release(server, completion)
-            raise
-        except BaseException:
-            self.pool.release(server, completion)
-            raise
+        answer = await self._exchange(server)
+        completion = self._completion(answer, started)
+        if completion.shed:
+            raise _shed(server, answer)
         return Attempt(server, answer, completion)
 
     async def _exchange(self, server: ServerState) -> Answer:
