--- a/features/binary.feature
+++ b/features/binary.feature
@@ -23,6 +23,10 @@
     When the binary runs "demo --seconds 1 --json"
     Then it ends with the status 0
     And the demo's JSON says that nothing was lost
+    When the binary runs "--help"
+    Then it ends with the status 0
+    When the binary runs "experiment list"
+    Then it ends with the status 0
     When the binary runs "schema pools"
     Then it ends with the status 0
     When the binary runs "completion bash"
--- a/zinniaturn/commands/experiment.py
+++ b/zinniaturn/commands/experiment.py
@@ -2,16 +2,18 @@
 
 __all__ = ('experiment',)
 
+import importlib
 import sys
 from pathlib import Path
+from types import ModuleType
 
 import click
 
 from zinniaturn.experiments import experiments
 from zinniaturn.experiments.choosing.generator import run_generator
-from zinniaturn.experiments.choosing.plots import plot_results
 from zinniaturn.experiments.choosing.results import read_results
 from zinniaturn.experiments.choosing.tables import comparison_of
+from zinniaturn.experiments.exceptions import PlotsUnavailableError
 from zinniaturn.experiments.registry import ExperimentOptions
 
 
@@ -84,7 +86,7 @@
 @click.argument('image', type=click.Path(path_type=Path))
 def plot(results: Path, image: Path) -> None:
     """Draw a results file of an experiment on choosing as a PNG."""
-    plot_results(read_results(results), image)
+    _load_plots().plot_results(read_results(results), image)
 
 
 @experiment.command()
@@ -93,3 +95,13 @@
 def compare(before: Path, after: Path) -> None:
     """Print what changed between two results files, policy by policy."""
     click.echo(comparison_of(read_results(before), read_results(after)))
+
+
+def _load_plots() -> ModuleType:
+    """Return the module that draws; the one-file binary has no matplotlib."""
+    try:
+        return importlib.import_module('zinniaturn.experiments.choosing.plots')
+    except ModuleNotFoundError as error:
+        raise PlotsUnavailableError(
+            f'{error.name} is not installed; draw with the installed package',
+        ) from error
--- a/zinniaturn/experiments/exceptions.py
+++ b/zinniaturn/experiments/exceptions.py
@@ -1,6 +1,6 @@
 """Errors of the experiments."""
 
-__all__ = ('ExperimentError',)
+__all__ = ('ExperimentError', 'PlotsUnavailableError')
 
 from zinniaturn.errors import CodedError
 
@@ -9,3 +9,9 @@
     """An experiment could not be run."""
 
     code = 'experiment-failed'
+
+
+class PlotsUnavailableError(ExperimentError):
+    """Plots cannot be drawn by this build of the program."""
+
+    code = 'plots-unavailable'
