--- a/zinniaturn/configuration/segments.py
+++ b/zinniaturn/configuration/segments.py
@@ -18,7 +18,6 @@
 )
 
 import base64
-import binascii
 import hashlib
 import zlib
 from collections.abc import Mapping
@@ -86,7 +85,9 @@
 
 def digest_of(text: str) -> str:
     """Return the digest of a segment's text."""
-    return hashlib.sha256(text.encode()).hexdigest()[:_DIGEST_CHARS]
+    return hashlib.sha256(
+        text.encode('utf-8', 'surrogatepass'),
+    ).hexdigest()[:_DIGEST_CHARS]
 
 
 def pack(text: str) -> str:
@@ -108,5 +109,5 @@
             _MAX_UNPACKED_BYTES,
         )
         return raw.decode()
-    except (binascii.Error, zlib.error, UnicodeDecodeError) as error:
+    except (ValueError, zlib.error) as error:
         raise StoredStateError(f'a value is damaged: {error}') from error
--- a/zinniaturn/experiments/registry.py
+++ b/zinniaturn/experiments/registry.py
@@ -102,6 +102,16 @@
         'all policies on steady load, within 45 s',
         'zinniaturn.experiments.choosing.runners:run_smoke',
     ),
+    Experiment(
+        'explain-cost',
+        'requests per core with and without the record of decisions',
+        'zinniaturn.experiments.speed.run:run_explain_cost',
+    ),
+    Experiment(
+        'capacity-slopes',
+        'memory and processor time of an entry by what it holds',
+        'zinniaturn.experiments.speed.slopes:run_slopes',
+    ),
     Experiment(
         'speed',
         'latency that an entry adds, and requests per core, at four loads',
--- a/zinniaturn/experiments/speed/answering.py
+++ b/zinniaturn/experiments/speed/answering.py
@@ -1,5 +1,5 @@
 """
-A backend server that answers at once with 2 kB.
+A backend server that answers at once with 2 kB, or never under ``/hold``.
 
 Run it as ``python -m zinniaturn.experiments.speed.answering PORT...``. It is
 a bare protocol, so that it is never the bottleneck.
@@ -21,6 +21,7 @@
     b'Content-Length: 2048\r\n\r\n'
 ) + _BODY
 _HEAD_END = b'\r\n\r\n'
+_HELD = b'/hold '
 
 
 class _Answering(asyncio.Protocol):
@@ -36,7 +37,7 @@
         self.received += data
         heads = self.received.split(_HEAD_END)
         self.received = heads.pop()
-        if heads:
+        if heads and _HELD not in heads[0]:
             self.transport.write(_ANSWER * len(heads))
 
 
--- a/zinniaturn/experiments/speed/client.py
+++ b/zinniaturn/experiments/speed/client.py
@@ -9,7 +9,7 @@
 from zinniaturn.experiments.exceptions import ExperimentError
 
 _REQUEST = (
-    b'GET /cards/7 HTTP/1.1\r\n'
+    b'GET %b HTTP/1.1\r\n'
     b'Host: bench.example\r\n'
     b'User-Agent: bench\r\n'
     b'Accept: */*\r\n\r\n'
@@ -28,8 +28,9 @@
     answer that is not a whole 200.
     """
 
-    def __init__(self, port: int) -> None:
+    def __init__(self, port: int, path: str = '/cards/7') -> None:
         self.port = port
+        self.request = _REQUEST % path.encode()
         self.idle: deque[_Connection] = deque()
 
     async def open(self, connections: int) -> None:
@@ -40,7 +41,7 @@
     async def call(self) -> None:
         """Send one request and wait for its whole answer."""
         connection = self.idle.pop() if self.idle else await self._connect()
-        await connection.call()
+        await connection.call(self.request)
         self.idle.append(connection)
 
     def close(self) -> None:
@@ -66,10 +67,10 @@
         self.received = b''
         self.waiter: asyncio.Future[None] | None = None
 
-    async def call(self) -> None:
+    async def call(self, request: bytes) -> None:
         self.waiter = asyncio.get_running_loop().create_future()
         self.received = b''
-        self.transport.write(_REQUEST)
+        self.transport.write(request)
         await self.waiter
 
     def data_received(self, data: bytes) -> None:
--- a/zinniaturn/experiments/speed/figures.py
+++ b/zinniaturn/experiments/speed/figures.py
@@ -4,6 +4,7 @@
 
 import math
 import statistics
+from collections import defaultdict
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
@@ -22,7 +23,7 @@
 
     rate: float
     latencies: dict[str, list[list[float]]] = field(
-        default_factory=lambda: {'direct': [], 'relay': [], 'entry': []},
+        default_factory=lambda: defaultdict(list),
     )
 
     def added(self, target: str, share: float) -> float:
--- a/zinniaturn/experiments/speed/fleet.py
+++ b/zinniaturn/experiments/speed/fleet.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Mapping
 from pathlib import Path
+from types import MappingProxyType
 
 import psutil
 
@@ -27,6 +28,9 @@
 _PAUSE_SECONDS = 0.05
 _START_ATTEMPTS = 300
 _SPEED = 'zinniaturn.experiments.speed'
+_ONE_ENTRY: Mapping[str, Mapping[str, str]] = MappingProxyType(
+    {'entry': MappingProxyType({})},
+)
 
 
 class SpeedFleet:
@@ -40,19 +44,23 @@
     def __init__(
         self,
         out: Path,
-        environment: Mapping[str, str] | None = None,
+        entries: Mapping[str, Mapping[str, str]] = _ONE_ENTRY,
         routes: int = 0,
+        servers: int = _SERVERS,
     ) -> None:
         self.group = ProcessGroup(out)
-        self.environment = environment
+        self.entries = entries
         self.routes = routes
+        self.servers = servers
         self.server_ports = [free_port() for _ in range(_SERVERS)]
         self.store_port = free_port()
         self.ports = {
             'direct': self.server_ports[0],
             'relay': free_port(),
-            'entry': free_port(),
         }
+        for name in entries:
+            self.ports[name] = free_port()
+            self.ports[f'{name}-admin'] = free_port()
 
     async def start(self) -> None:
         """Start everything and wait until all answer."""
@@ -71,9 +79,10 @@
             'store', 'standin', 'store', '--port', str(self.store_port)
         )
         await self._commit_tables()
-        await self._start_entry()
-        for port in self.ports.values():
-            await _wait_until_answering(port)
+        for name in self.entries:
+            await self._start_entry(name)
+        for target in ('direct', 'relay', *self.entries):
+            await _wait_until_answering(self.ports[target])
 
     async def stop(self) -> None:
         """Stop everything."""
@@ -89,19 +98,27 @@
         process = psutil.Process(self.group.processes[name].pid)
         return int(process.memory_info().rss)
 
-    async def _start_entry(self) -> None:
+    async def _start_entry(self, name: str) -> None:
         await self.group.start(
-            'entry',
+            name,
             'entry',
             '--name',
-            'entry-0',
+            name,
             '--port',
-            str(self.ports['entry']),
+            str(self.ports[name]),
             '--admin-port',
+            str(self.ports[f'{name}-admin']),
+            '--peer-port',
             '0',
             '--store-url',
             f'http://127.0.0.1:{self.store_port}',
-            environment=self.environment,
+            environment=self.entries[name],
+        )
+
+    def _servers_of(self, pool: str) -> tuple[Server, ...]:
+        return tuple(
+            Server(f'{pool}-{number}', '127.0.0.1', self.server_ports[0], 4)
+            for number in range(self.servers)
         )
 
     async def _commit_tables(self) -> None:
@@ -111,7 +128,8 @@
             for number, port in enumerate(self.server_ports)
         )
         names = [f'service-{number}' for number in range(self.routes)]
-        pools = [Pool(name, servers) for name in ('card', *names)]
+        pools = [Pool('card', servers)]
+        pools.extend(Pool(name, self._servers_of(name)) for name in names)
         routes = [Route('cards', 'card', path_prefix='/cards')]
         routes.extend(
             Route(name, name, path_prefix=f'/{name}') for name in names
--- /dev/null
+++ b/zinniaturn/experiments/speed/messages.py
@@ -0,0 +1,81 @@
+"""
+Sizes of the messages and values at a fleet's size, without any process.
+
+Run it as ``python -m zinniaturn.experiments.speed.messages``.
+"""
+
+__all__ = ('main',)
+
+import json
+
+from zinniaturn.configuration.head import Ancestor
+from zinniaturn.configuration.segments import encode_segment, split_tables
+from zinniaturn.membership.domain import Address, Heartbeat, Member
+from zinniaturn.peers import Bulletin
+from zinniaturn.peers import messages_pb2 as wire
+from zinniaturn.peers.bulletin import Beat, encode_bulletin
+from zinniaturn.peers.exchange import BEATS
+from zinniaturn.tables import Pool, Route, Server, Tables
+
+_POOLS = 1800
+_SERVERS_PER_POOL = 14
+_CHAIN = '0' * 64
+
+
+def main() -> None:
+    """Print the sizes in bytes as one JSON object."""
+    texts = [encode_segment(rows) for rows in split_tables(_tables()).values()]
+    sizes = [len(text) for text in texts]
+    print(
+        json.dumps(
+            {
+                'bulletin_bytes': len(_bulletin().SerializeToString()),
+                'segments': len(sizes),
+                'segments_bytes': sum(sizes),
+                'largest_segment_bytes': max(sizes),
+            },
+        ),
+    )
+
+
+def _bulletin() -> wire.Bulletin:
+    address = Address('10.200.200.200', 65_000)
+    beat = Heartbeat(1_790_000_000_000, count=1_000_000)
+    name = 'entry-region-1-dc-2-vm-117'
+    member = Member(
+        name=name,
+        callers=address,
+        peers=address,
+        admin=address,
+        data_center='region-1-dc-2',
+        vm=name,
+        heartbeat=beat,
+    )
+    return encode_bulletin(
+        Bulletin(
+            member,
+            Ancestor(1_000_000, _CHAIN),
+            1,
+            tuple(Beat(f'{name}{number}', beat) for number in range(BEATS)),
+        ),
+    )
+
+
+def _tables() -> Tables:
+    names = [f'service-{number}' for number in range(_POOLS)]
+    pools = {
+        name: Pool(
+            name,
+            tuple(
+                Server(f'{name}-{number}', f'10.1.2.{number}', 8080, 4, 'dc-2')
+                for number in range(_SERVERS_PER_POOL)
+            ),
+        )
+        for name in names
+    }
+    routes = {name: Route(name, name, path_prefix=f'/{name}') for name in names}
+    return Tables(1, routes, pools)
+
+
+if __name__ == '__main__':
+    main()
--- a/zinniaturn/experiments/speed/run.py
+++ b/zinniaturn/experiments/speed/run.py
@@ -1,6 +1,6 @@
 """The experiments ``speed`` and ``speed-smoke``."""
 
-__all__ = ('run_speed', 'run_speed_smoke')
+__all__ = ('run_explain_cost', 'run_speed', 'run_speed_smoke')
 
 import asyncio
 import json
@@ -17,7 +17,6 @@
 from zinniaturn.experiments.speed.fleet import SpeedFleet
 from zinniaturn.experiments.speed.load import measure_latencies, saturate
 
-_TARGETS = ('direct', 'relay', 'entry')
 _CONNECTIONS = 64
 _WORKERS = 32
 _MEDIAN = 0.5
@@ -38,7 +37,13 @@
     turn_seconds: float
     saturation_seconds: float
     routes: int = 0
-    environment: Mapping[str, str] = field(default_factory=dict)
+    entries: Mapping[str, Mapping[str, str]] = field(
+        default_factory=lambda: {'entry': {}},
+    )
+
+    def targets(self) -> tuple[str, ...]:
+        """Return what is measured in each turn."""
+        return ('direct', 'relay', *self.entries)
 
 
 @dataclass(slots=True)
@@ -101,9 +106,38 @@
     return 0
 
 
+def run_explain_cost(options: ExperimentOptions) -> int:
+    """Measure an entry with and one without the record of decisions."""
+    plan = SpeedPlan(
+        (600,),
+        turns=25,
+        turn_seconds=0.2,
+        saturation_seconds=0.5,
+        entries={
+            'entry': {},
+            'without': {'ZINNIATURN_DECISION_RECORDS': '0'},
+        },
+    )
+    figures = _run(plan, options)
+    rates = {
+        name: saturation.per_core_second
+        for name, saturation in figures.saturations.items()
+    }
+    share = 1 - rates['entry'] / rates['without']
+    _print(
+        {
+            'requests_per_core_s': rates['entry'],
+            'without_requests_per_core_s': rates['without'],
+            'cost_share': round(share, 4),
+        },
+        options,
+    )
+    return 0
+
+
 async def measure(plan: SpeedPlan, out: Path, seed: int) -> SpeedFigures:
     """Run the processes and the loads of a plan."""
-    fleet = SpeedFleet(out, plan.environment, plan.routes)
+    fleet = SpeedFleet(out, plan.entries, plan.routes)
     try:
         await fleet.start()
         return await _measure(plan, fleet, random.Random(seed))
@@ -116,17 +150,17 @@
     fleet: SpeedFleet,
     source: random.Random,
 ) -> SpeedFigures:
-    clients = {name: LoadClient(fleet.ports[name]) for name in _TARGETS}
+    clients = {name: LoadClient(fleet.ports[name]) for name in plan.targets()}
     for client in clients.values():
         await client.open(_CONNECTIONS)
         await saturate(client, _WORKERS, plan.turn_seconds)
     figures = SpeedFigures(
         [LoadFigures(rate) for rate in plan.rates],
-        {name: Saturation() for name in ('relay', 'entry')},
+        {name: Saturation() for name in ('relay', *plan.entries)},
     )
     for _ in range(plan.turns):
         for load in figures.loads:
-            for name in _TARGETS:
+            for name in plan.targets():
                 latencies = await measure_latencies(
                     clients[name], load.rate, plan.turn_seconds, source
                 )
