--- a/zinniaturn/experiments/registry.py
+++ b/zinniaturn/experiments/registry.py
@@ -116,6 +116,14 @@
         'outcomes-smoke',
         'the same with 4 entries, within 45 s',
         'zinniaturn.experiments.outcomes.run:run_smoke',
+        'explain-cost',
+        'requests per core with and without the record of decisions',
+        'zinniaturn.experiments.speed.run:run_explain_cost',
+    ),
+    Experiment(
+        'capacity-slopes',
+        'memory and processor time of an entry by what it holds',
+        'zinniaturn.experiments.speed.slopes:run_slopes',
     ),
     Experiment(
         'speed',
