--- a/zinniaturn/experiments/registry.py
+++ b/zinniaturn/experiments/registry.py
@@ -116,6 +116,8 @@
         'outcomes-smoke',
         'the same with 4 entries, within 45 s',
         'zinniaturn.experiments.outcomes.run:run_smoke',
+    ),
+    Experiment(
         'explain-cost',
         'requests per core with and without the record of decisions',
         'zinniaturn.experiments.speed.run:run_explain_cost',
