Shrink limits on time-outs; leave room for the server in the expected wait

A time-out halves the limit now, a request is refused where queue and server together would pass its deadline, and callers are asked to return after at least half a second. Not measured yet.

--- a/features/choosing.feature
+++ b/features/choosing.feature
@@ -126,3 +126,8 @@
     And 9 requests to server 0 are cancelled after 2 seconds
     And 12 requests are admitted and end
     Then server 0 got 0 of them
+
+  Scenario: requests that time out shrink the limit without any reply
+    Given a pool of 1 servers with 4 slots under "random"
+    When 5 requests to server 0 time out
+    Then server 0 may have 1 requests in flight
--- a/features/steps/attempts_steps.py
+++ b/features/steps/attempts_steps.py
@@ -51,6 +51,7 @@
             port=0,
             admin_port=0,
             store_url=store.url,
+            policy='round-robin',
             address_lifetime_seconds=0.1,
             seed=1,
         ),
--- a/features/steps/choosing_steps.py
+++ b/features/steps/choosing_steps.py
@@ -334,3 +334,9 @@
             state,
             Completion(False, seconds, cancelled=True),
         )
+
+
+@when('{count:d} requests to server {number:d} time out')
+def time_out(context, count, number):
+    for _ in range(count):
+        context.driven.fail(number, cancelled=True, timed_out=True)
--- a/zinniaturn/choosing/estimates.py
+++ b/zinniaturn/choosing/estimates.py
@@ -20,7 +20,7 @@
 from zinniaturn.choosing.server_state import Completion, ServerState
 
 _SMOOTHING = 0.02
-_SERVICE_SMOOTHING = 0.15
+_SERVICE_SMOOTHING = 0.25
 _FORGET_SERVICE_SECONDS = 3.0
 _AGE_SHARE = 0.7
 _SLOWER_RATIO = 1.5
@@ -40,6 +40,11 @@
     load_per_slot: float = 0
     service_seconds: float = 0
 
+    @property
+    def latency_seconds(self) -> float:
+        """Return how long a server takes with its usual queue."""
+        return self.service_seconds * max(1, self.load_per_slot)
+
     def learn(self, state: ServerState, completion: Completion) -> None:
         """Take a successful reply of a server into account."""
         service = _service_of(completion)
--- a/zinniaturn/choosing/limits.py
+++ b/zinniaturn/choosing/limits.py
@@ -15,6 +15,7 @@
 
 _INCREASE = 0.5
 _DECREASE = 0.8
+_DECREASE_TIMED_OUT = 0.5
 _LEAST = 1.0
 _MOST_PER_SLOT = 2.0
 _SLOW_START_SECONDS = 4.0
@@ -45,6 +46,10 @@
             step = _INCREASE / slots / slots
             self.share = min(_MOST_PER_SLOT, self.share + step)
 
+    def timed_out(self, slots: int) -> None:
+        """Adjust to a request that got no answer by its deadline."""
+        self.share = max(_LEAST / slots, self.share * _DECREASE_TIMED_OUT)
+
     def allowed(
         self,
         slots: int,
--- a/zinniaturn/choosing/pool_state.py
+++ b/zinniaturn/choosing/pool_state.py
@@ -29,7 +29,8 @@
 
 _HEDGE_QUANTILE = 0.95
 _LEAVING_SECONDS = 10.0
-_SHORTEST_RETRY_SECONDS = 0.2
+_RETRY_WAITS = 4
+_SHORTEST_RETRY_SECONDS = 0.5
 _LONGEST_RETRY_SECONDS = 5.0
 
 
@@ -139,6 +140,8 @@
                 self._record_leaving(state.server.name, 'reply', True)
             state.leaving = True
             state.left_at = now
+        if completion.timed_out:
+            state.limit.timed_out(state.slots)
         if completion.cancelled:
             self.averages.learn_cancelled(state, completion, now)
         else:
@@ -187,7 +190,7 @@
         """Return the jittered seconds after which a caller should return."""
         usual = min(
             _LONGEST_RETRY_SECONDS,
-            max(_SHORTEST_RETRY_SECONDS, self._expected_wait() * 2),
+            max(_SHORTEST_RETRY_SECONDS, self._expected_wait() * _RETRY_WAITS),
         )
         return usual * self.source.uniform(0.5, 1.5)
 
@@ -290,7 +293,7 @@
                 'queue-full',
                 self.retry_after(),
             )
-        expected = self._expected_wait()
+        expected = self._expected_wait() + self.averages.latency_seconds
         if now + expected > ticket.deadline:
             raise RefusedError(
                 f'the wait of {expected:.1f} s would pass the deadline',
@@ -301,8 +304,4 @@
     def _expected_wait(self) -> float:
         in_flight = sum(state.in_flight for state in self.servers.values())
         ahead = (len(self.waiting) + 1) / max(1, in_flight)
-        latency = self.averages.service_seconds * max(
-            1,
-            self.averages.load_per_slot,
-        )
-        return latency * ahead
+        return self.averages.latency_seconds * ahead
--- a/zinniaturn/choosing/server_state.py
+++ b/zinniaturn/choosing/server_state.py
@@ -29,7 +29,7 @@
 
     ``report`` is the load figure on the reply, if it had one. ``cancelled``
     is an exchange that the entry itself ended, which says nothing of the
-    server.
+    server but that it took so long; ``timed_out`` is one whose deadline passed.
     """
 
     succeeded: bool
@@ -37,6 +37,7 @@
     report: LoadReport | None = None
     shed: bool = False
     cancelled: bool = False
+    timed_out: bool = False
     leaving: bool = False
 
 
--- a/zinniaturn/entry/attempts.py
+++ b/zinniaturn/entry/attempts.py
@@ -206,6 +206,7 @@
             latency_seconds=self.state.clock.monotonic() - started,
             shed=event is Event.SERVER_SHED,
             cancelled=event in {None, Event.DEADLINE_PASSED},
+            timed_out=event is Event.DEADLINE_PASSED,
         )
         self.pool.release(ticket.server, completion)
 
--- a/zinniaturn/experiments/choosing/generator.py
+++ b/zinniaturn/experiments/choosing/generator.py
@@ -33,6 +33,7 @@
 _DEFAULT_RETRY_SECONDS = 0.1
 _ANSWERED = 'answered'
 _NOTHING = 'nothing'
+_NOT_RUN = 'not-run'
 _SUCCESS_BELOW = 500
 
 
@@ -119,10 +120,12 @@
             f'{kind}-{generator}-{slice_number}-{stream.service}-{due.number}'
         )
         tries = 0
+        always_not_run = True
         while True:
             tries += 1
             reply = await self._try(stream, due, entry, request_id)
             elapsed = time.monotonic() - due_at
+            always_not_run = always_not_run and reply.told == _NOT_RUN
             if not _comes_back(reply, due):
                 break
             if elapsed + reply.retry_seconds > stream.patience_seconds:
@@ -139,6 +142,7 @@
                 told=reply.told,
                 status=reply.status,
                 tries=tries,
+                always_not_run=always_not_run,
             ),
         )
 
@@ -222,4 +226,4 @@
 def _comes_back(reply: Reply, due: DueRequest) -> bool:
     if reply.told == _ANSWERED and reply.status < _SUCCESS_BELOW:
         return False
-    return reply.told == 'not-run' or not due.is_post
+    return reply.told == _NOT_RUN or not due.is_post
--- a/zinniaturn/experiments/choosing/load_order.py
+++ b/zinniaturn/experiments/choosing/load_order.py
@@ -45,7 +45,7 @@
     ``due_seconds`` is the offset in the slice and ``latency_seconds`` counts
     from then to the last answer. ``told`` is the outcome that the last answer
     stated, ``answered`` where it was a backend server's, and ``nothing``
-    where there was none.
+    where there was none. ``always_not_run`` holds where every answer said so.
     """
 
     slice_number: int
@@ -57,3 +57,4 @@
     told: str
     status: int
     tries: int
+    always_not_run: bool
