Take a server back only once its health says that it is

A server that had said that it leaves got a request every 10 s from each entry to find out whether it is back, which is new work for a leaving server.

--- a/features/attempts.feature
+++ b/features/attempts.feature
@@ -22,3 +22,12 @@
     And 20 non-idempotent requests are sent
     Then all were answered by server 1
     And each ran once
+
+  Scenario: a draining server is left alone and found again
+    Given an entry before 2 backend servers that has served 200 requests
+    When server 0 drains
+    And 4 idempotent requests are sent
+    And 20 idempotent requests are sent
+    Then all were answered by server 1
+    When server 0 takes 1 times as long
+    Then server 0 gets requests again
--- a/features/choosing.feature
+++ b/features/choosing.feature
@@ -131,3 +131,13 @@
     Given a pool of 1 servers with 4 slots under "random"
     When 5 requests to server 0 time out
     Then server 0 may have 1 requests in flight
+
+  Scenario: a server that left gets nothing until it is known to be back
+    Given a pool of 2 servers with 4 slots under "random"
+    When server 0 says that it leaves
+    And 600 seconds pass in the pool
+    And 4 requests are admitted
+    Then server 0 got 0 of them
+    When server 0 is known to be back
+    And 1 requests are admitted
+    Then server 0 got 1 of them
--- a/features/steps/attempts_steps.py
+++ b/features/steps/attempts_steps.py
@@ -159,3 +159,21 @@
     )
     assert ran.total() == len(context.answers)
     assert set(ran.values()) == {1}
+
+
+@when('server {number:d} drains')
+def drain(context, number):
+    context.backends[number].apply(BackendFaults(draining=True))
+
+
+@then('server {number:d} gets requests again')
+def check_back(context, number):
+    backend = context.backends[number]
+    backend.executions.clear()
+
+    async def wait():
+        while not backend.executions:
+            await _send(context, 2, 'GET')
+            await asyncio.sleep(0.1)
+
+    context.loop.run_until_complete(asyncio.wait_for(wait(), 60))
--- a/features/steps/choosing_steps.py
+++ b/features/steps/choosing_steps.py
@@ -340,3 +340,8 @@
 def time_out(context, count, number):
     for _ in range(count):
         context.driven.fail(number, cancelled=True, timed_out=True)
+
+
+@when('server {number:d} is known to be back')
+def note_back(context, number):
+    context.driven.pool.note_back(f'card-{number}')
--- a/zinniaturn/choosing/pool_state.py
+++ b/zinniaturn/choosing/pool_state.py
@@ -28,7 +28,6 @@
 from zinniaturn.tables.domain import Pool
 
 _HEDGE_QUANTILE = 0.95
-_LEAVING_SECONDS = 10.0
 _RETRY_WAITS = 4
 _SHORTEST_RETRY_SECONDS = 0.5
 _LONGEST_RETRY_SECONDS = 5.0
@@ -139,7 +138,6 @@
             if not state.leaving:
                 self._record_leaving(state.server.name, 'reply', True)
             state.leaving = True
-            state.left_at = now
         if completion.timed_out:
             state.limit.timed_out(state.slots)
         if completion.cancelled:
@@ -182,6 +180,15 @@
             and not (state.leaving or state.server.leaving)
         ]
 
+    def note_back(self, server: str) -> None:
+        """Take a server that had said that it leaves back, slowly."""
+        state = self.servers.get(server)
+        if state is not None and state.leaving:
+            state.leaving = False
+            state.warming_since = self.clock.monotonic()
+            self._record_leaving(server, 'health', leaving=False)
+            self._grant_waiting()
+
     def hedge_after(self) -> float | None:
         """Return the seconds after which a second attempt is worth it."""
         return self.latencies.threshold
@@ -233,18 +240,10 @@
         )
 
     def _available(self, now: float) -> list[ServerState]:
-        self._try_left_again(now)
         return [
             state for state in self.servers.values() if state.is_available(now)
         ]
 
-    def _try_left_again(self, now: float) -> None:
-        for state in self.servers.values():
-            if state.leaving and now - state.left_at >= _LEAVING_SECONDS:
-                state.leaving = False
-                state.warming_since = now
-                self._record_leaving(state.server.name, 'reply', False)
-
     def _grant(
         self,
         ticket: Ticket,
--- a/zinniaturn/choosing/server_state.py
+++ b/zinniaturn/choosing/server_state.py
@@ -66,7 +66,6 @@
     ejected_until: float = 0
     warming_since: float | None = None
     leaving: bool = False
-    left_at: float = 0
     limit: ConcurrencyLimit = field(default_factory=ConcurrencyLimit)
 
     @property
--- a/zinniaturn/entry/parts.py
+++ b/zinniaturn/entry/parts.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 from zinniaturn.entry.control_part import ControlPart
+from zinniaturn.entry.health_part import HealthPart
 from zinniaturn.entry.probes_part import ProbesPart
 from zinniaturn.entry.state import EntryState
 from zinniaturn.peers import PeerSecurity
@@ -35,4 +36,5 @@
     return [
         ControlPart(state, store, security),
         ProbesPart(state, store),
+        HealthPart(state),
     ]
--- a/zinniaturn/probes/__init__.py
+++ b/zinniaturn/probes/__init__.py
@@ -6,9 +6,17 @@
 requests to one server.
 """
 
-__all__ = ('ProbeError', 'Prober', 'SeatHolder', 'Spacing', 'spacing_of')
+__all__ = (
+    'ProbeError',
+    'Prober',
+    'SeatHolder',
+    'Spacing',
+    'is_back',
+    'spacing_of',
+)
 
 from zinniaturn.probes.exceptions import ProbeError
+from zinniaturn.probes.health import is_back
 from zinniaturn.probes.pacing import Spacing, spacing_of
 from zinniaturn.probes.probe import Prober
 from zinniaturn.probes.seats import SeatHolder
