--- a/zinniaturn/entry/parts.py
+++ b/zinniaturn/entry/parts.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 from zinniaturn.entry.control_part import ControlPart
+from zinniaturn.entry.health_part import HealthPart
 from zinniaturn.entry.leaving_part import LEAVING_TOPIC, LeavingPart
 from zinniaturn.entry.overload import OVERLOAD_TOPIC, OverloadPart
 from zinniaturn.entry.probes_part import ProbesPart
@@ -46,4 +47,5 @@
         leaving,
         OverloadPart(state.overload),
         ProbesPart(state, store),
+        HealthPart(state),
     ]
