Say what the entries take each other for; walk through the operators' work

Cause, found on the walk-through: explaining another entry's name listed this entry's own events, and every attempt at one server was numbered 1. Peers' states are recorded with what the witnesses said.

--- a/features/explain.feature
+++ b/features/explain.feature
@@ -31,3 +31,12 @@
   Scenario: no entry answers
     Given the entries are stopped
     Then explaining fails with code "explain-unavailable"
+
+  Scenario: attempts are numbered in the order in which they were sent
+    Given card servers that shed every request
+    When a caller reads card 7 as request "r-3"
+    Then explaining request "r-3" says "attempt 1 went to"
+    And explaining request "r-3" says "attempt 2 went to"
+
+  Scenario: what the entries take each other for
+    Then in the end explaining entry "entry-1" says "entry entry-1 became live: last heartbeat"
--- a/features/steps/explain_recorder_steps.py
+++ b/features/steps/explain_recorder_steps.py
@@ -1,9 +1,14 @@
 """Steps of the record of decisions."""
 
+import logging
+
 from behave import given, then, when
 
+from zinniaturn.events import LogEvent
 from zinniaturn.explain import DecisionLog
 from zinniaturn.explain.decisions import ServerChosen, ServerEjected
+from zinniaturn.explain.events import EventRecorder
+from zinniaturn.explain.queries import Subject, SubjectKind, select
 
 
 @given('a record of {requests:d} decisions on requests and {others:d} others')
@@ -33,3 +38,23 @@
 @then('its first decision is on server "{name}"')
 def check_first(context, name):
     assert next(context.record.decisions()).server == name
+
+
+@when('entry "{name}" logs that the store does not answer')
+def log_outage(context, name):
+    context.counted = []
+    handler = EventRecorder(name, context.record, context.counted.append)
+    number = int(LogEvent.STORE_UNAVAILABLE)
+    record = logging.makeLogRecord({'msg': 'the store', 'event': number})
+    handler.handle(record)
+
+
+@then('the record has {count:d} decisions on entry "{name}"')
+def check_entry(context, count, name):
+    subject = Subject(SubjectKind.ENTRY, name)
+    assert len(select(context.record, subject)) == count
+
+
+@then('event {number:d} was counted once')
+def check_counted(context, number):
+    assert context.counted == [number]
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -1,6 +1,7 @@
 """Steps of the explanations."""
 
 import asyncio
+import time
 
 from behave import given, then, when
 
@@ -8,6 +9,8 @@
 from zinniaturn.explain.queries import Subject, SubjectKind
 from zinniaturn.explain.reading import read_explanations
 
+_WAIT_SECONDS = 60
+
 
 def _sentences(context, kind, name):
     admins = [
@@ -90,3 +93,13 @@
         assert error.code == code
     else:
         raise AssertionError('no error')
+
+
+@then('in the end explaining {kind:w} "{name}" says "{text}"')
+def check_sentence_soon(context, kind, name, text):
+    sentences = []
+    deadline = time.monotonic() + _WAIT_SECONDS
+    while not any(text in sentence for sentence in sentences):
+        assert time.monotonic() < deadline, sentences
+        context.loop.run_until_complete(asyncio.sleep(0.1))
+        sentences = _sentences(context, kind, name)
--- a/zinniaturn/entry/attempts.py
+++ b/zinniaturn/entry/attempts.py
@@ -97,7 +97,7 @@
                 self.parsed.request_id,
                 self.pool.pool.name,
                 server.server.name,
-                len(self.tried),
+                self.sent + 1,
                 server.in_flight,
                 type(self.pool.policy).__name__,
             ),
--- /dev/null
+++ b/zinniaturn/entry/peer_record.py
@@ -0,0 +1,72 @@
+"""Recording what this entry takes the other entries for, and why."""
+
+__all__ = ('PeerRecord',)
+
+import asyncio
+
+from zinniaturn.explain.decisions import EntryStateChanged
+from zinniaturn.explain.recorder import Recorder
+from zinniaturn.membership.evidence import Evidence, MemberState
+from zinniaturn.membership.table import MemberTable
+
+_ROUND_SECONDS = 1.0
+
+
+class PeerRecord:
+    """A part that records each change of a peer's state."""
+
+    def __init__(self, table: MemberTable, recorder: Recorder) -> None:
+        self.table = table
+        self.recorder = recorder
+        self.states: dict[str, MemberState] = {}
+        self.task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begin to look."""
+        self.task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """End looking."""
+        if self.task is not None:
+            self.task.cancel()
+            await asyncio.gather(self.task, return_exceptions=True)
+
+    def look(self) -> None:
+        """Record what has changed since the last look."""
+        states = dict(self.table.states())
+        for name, state in states.items():
+            if self.states.get(name) is not state:
+                grounds = grounds_of(self.table.evidence_of(name))
+                self.recorder.record(
+                    EntryStateChanged(name, state.value, grounds),
+                )
+        for name in self.states.keys() - states.keys():
+            self.recorder.record(
+                EntryStateChanged(name, 'forgotten', 'it stayed silent'),
+            )
+        self.states = states
+
+    async def _run(self) -> None:
+        while True:
+            self.look()
+            await asyncio.sleep(_ROUND_SECONDS)
+
+
+def grounds_of(evidence: Evidence) -> str:
+    """
+    Return what the witnesses say, in words.
+
+    >>> grounds_of(Evidence(0.5, is_leased=True))
+    'last heartbeat 0.5 s ago; named by the lease directory'
+    """
+    words = [f'last heartbeat {evidence.heartbeat_age:.1f} s ago']
+    if evidence.says_leaving:
+        words.append('it says that it is leaving')
+    if evidence.is_leased is not None:
+        named = 'named' if evidence.is_leased else 'not named'
+        words.append(f'{named} by the lease directory')
+    if evidence.listed is not None:
+        words.append(f'the VM list says {evidence.listed.value}')
+    if evidence.is_isolated:
+        words.append('this entry hears nobody')
+    return '; '.join(words)
--- a/zinniaturn/entry/process.py
+++ b/zinniaturn/entry/process.py
@@ -16,6 +16,7 @@
 from zinniaturn.entry.garbage import settle_heap, tune_collector
 from zinniaturn.entry.keys import EntryKeys
 from zinniaturn.entry.parts import Part, build_parts
+from zinniaturn.entry.peer_record import PeerRecord
 from zinniaturn.entry.protocol import CallerServer
 from zinniaturn.entry.state import EntryState
 from zinniaturn.events import LogEvent, log_event, record_events
@@ -67,6 +68,7 @@
         if control is not None:
             client = control.exchange.client
             self.keys.renew_peers = client.renew
+            self.parts.append(PeerRecord(control.table, self.state.recorder))
         self.server: web.Server | None = None
         self.listener: asyncio.Server | None = None
         self.admin_runner: web.AppRunner | None = None
@@ -156,7 +158,11 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     record_events(
-        EventRecorder(entry.state.recorder, entry.state.metrics.count_event),
+        EventRecorder(
+            settings.name,
+            entry.state.recorder,
+            entry.state.metrics.count_event,
+        ),
     )
     _fit_descriptors(entry.callers.admission)
     await entry.start()
--- a/zinniaturn/explain/decisions.py
+++ b/zinniaturn/explain/decisions.py
@@ -152,8 +152,13 @@
 
 @dataclass(slots=True)
 class EventLogged(Decision):
-    """A numbered event; ``fields`` is its fields as ``name=value``."""
+    """
+    A numbered event of the entry ``node``.
+
+    ``fields`` is its fields as ``name=value``.
+    """
 
+    node: str
     event: int
     text: str
     fields: str
--- a/zinniaturn/explain/events.py
+++ b/zinniaturn/explain/events.py
@@ -18,10 +18,12 @@
 
     def __init__(
         self,
+        node: str,
         recorder: Recorder,
         count: Callable[[int], None],
     ) -> None:
         super().__init__()
+        self.node = node
         self.recorder = recorder
         self.count = count
 
@@ -37,5 +39,10 @@
         )
         self.count(int(event))
         self.recorder.record(
-            EventLogged(int(event), record.getMessage(), fields),
+            EventLogged(
+                self.node,
+                int(event),
+                record.getMessage(),
+                fields,
+            ),
         )
--- a/zinniaturn/explain/queries.py
+++ b/zinniaturn/explain/queries.py
@@ -74,7 +74,7 @@
         case EntryStateChanged():
             return decision.entry == name
         case EventLogged():
-            return True
+            return decision.node == name or f'={name},' in f'{decision.fields},'
     return False
 
 
--- a/zinniaturn/membership/table.py
+++ b/zinniaturn/membership/table.py
@@ -127,6 +127,10 @@
         is_isolated = self.is_isolated()
         return judge_member(self._evidence(known, is_isolated))
 
+    def evidence_of(self, name: str) -> Evidence:
+        """Return what the witnesses say of a known member."""
+        return self._evidence(self.known[name], self.is_isolated())
+
     def states(self) -> Mapping[str, MemberState]:
         """Return what every known member is taken for."""
         is_isolated = self.is_isolated()
