--- a/zinniaturn/settings/checking.py
+++ b/zinniaturn/settings/checking.py
@@ -10,6 +10,7 @@
 
 import difflib
 from collections.abc import Iterable, Mapping
+from functools import lru_cache
 from types import MappingProxyType
 from typing import Any, TypeVar
 
@@ -64,7 +65,7 @@
 
 def allowed_text(model: type[BaseModel], field: str) -> str:
     """Return which values a settings field takes, as operators read it."""
-    return _describe(model.model_json_schema()['properties'][field])
+    return _describe(_properties_of(model)[field])
 
 
 def check_settings(model: type[Model], given: Mapping[str, object]) -> Model:
@@ -125,6 +126,12 @@
     )
 
 
+@lru_cache(maxsize=8)
+def _properties_of(model: type[BaseModel]) -> Mapping[str, Any]:
+    properties: Mapping[str, Any] = model.model_json_schema()['properties']
+    return properties
+
+
 def _describe(schema: Mapping[str, Any]) -> str:
     match schema:
         case {'allowed': allowed}:
