--- a/zinniaturn/entry/leaving_part.py
+++ b/zinniaturn/entry/leaving_part.py
@@ -26,7 +26,7 @@
 
 
 class LeavingPart:
-    """Marks servers as leaving; a mark is renewed while its source stands."""
+    """Marks servers as leaving, again and again while their source says so."""
 
     def __init__(self, state: EntryState) -> None:
         self.state = state
@@ -81,8 +81,8 @@
             self._mark(server)
 
     def _mark(self, server: ServerState) -> None:
+        """Mark a server until its health says that it is back."""
         server.leaving = True
-        server.left_at = self.state.clock.monotonic()
 
     def _servers(self) -> Iterator[tuple[Key, ServerState]]:
         for pool in self.state.pools.values():
--- a/zinniaturn/entry/process.py
+++ b/zinniaturn/entry/process.py
@@ -17,6 +17,7 @@
 from zinniaturn.entry.garbage import settle_heap, tune_collector
 from zinniaturn.entry.keys import EntryKeys
 from zinniaturn.entry.parts import Part, build_parts
+from zinniaturn.entry.peer_record import PeerRecord
 from zinniaturn.entry.protocol import CallerServer
 from zinniaturn.entry.state import EntryState
 from zinniaturn.entry.stopping import drain_connections, serve_until_forgotten
@@ -70,6 +71,7 @@
         if control is not None:
             client = control.exchange.client
             self.keys.renew_peers = client.renew
+            self.parts.append(PeerRecord(control.table, self.state.recorder))
         self.server: CallerServer | None = None
         self.listener: asyncio.Server | None = None
         self.admin_runner: web.AppRunner | None = None
@@ -178,7 +180,11 @@
         loop.add_signal_handler(number, stopping.set)
     loop.add_signal_handler(signal.SIGQUIT, cutting.set)
     record_events(
-        EventRecorder(entry.state.recorder, entry.state.metrics.count_event),
+        EventRecorder(
+            settings.name,
+            entry.state.recorder,
+            entry.state.metrics.count_event,
+        ),
     )
     _fit_descriptors(entry.callers.admission)
     await entry.start()
