--- a/zinniaturn/choosing/estimates.py
+++ b/zinniaturn/choosing/estimates.py
@@ -6,12 +6,7 @@
 with its age: the estimate moves from the report to the pool's mean.
 """
 
-__all__ = (
-    'PoolAverages',
-    'estimated_load',
-    'estimated_wait',
-    'estimated_waits',
-)
+__all__ = ('PoolAverages', 'estimated_waits')
 
 import math
 from collections.abc import Sequence
@@ -80,42 +75,16 @@
             state.served_at = now
 
 
-def estimated_load(
-    state: ServerState,
-    averages: PoolAverages,
-    now: float,
-) -> float:
-    """
-    Return the requests that are likely to run or wait at the server now.
-
-    The report is corrected by what this entry sent since, and moves to the
-    pool's mean within about one execution's length.
-    """
-    usual = averages.load_per_slot * state.slots
-    if state.report is None:
-        return max(usual, state.in_flight)
-    known = state.report.total + state.sent_since_report
-    horizon = max(_LATENCY_FLOOR_SECONDS, averages.service_seconds * _AGE_SHARE)
-    trust = math.exp((state.reported_at - now) / horizon)
-    return max(usual + (known - usual) * trust, state.in_flight)
-
-
-def estimated_wait(
-    state: ServerState,
-    averages: PoolAverages,
-    now: float,
-) -> float:
-    """Return the seconds until a request sent now would be answered."""
-    return estimated_waits((state,), averages, now)[0]
-
-
 def estimated_waits(
     states: Sequence[ServerState],
     averages: PoolAverages,
     now: float,
 ) -> list[float]:
     """
-    Return the wait at each server, in seconds.
+    Return the seconds until a request sent now would be answered, by server.
+
+    A report is corrected by what this entry sent since, and moves to the
+    pool's mean within about one execution's length.
 
     What the servers share is worked out once, since this runs for every
     server of the pool on every request.
