--- a/zinniaturn/experiments/outcomes/events.py
+++ b/zinniaturn/experiments/outcomes/events.py
@@ -14,6 +14,7 @@
 _OUTAGE_SECONDS = 2.0
 _REFUSAL_SECONDS = 0.7
 _SHED_SECONDS = 0.5
+_SHED_TRIES = 6
 
 Event = Callable[[], Coroutine[None, None, None]]
 
@@ -91,11 +92,14 @@
         await proxy.accept_connections()
 
     async def shed(self) -> None:
-        """Let a backend server turn everything away for a while."""
-        server = self.source.choice(self.fleet.servers)
-        server.is_shedding = True
-        await asyncio.sleep(_SHED_SECONDS)
-        server.is_shedding = False
+        """Let servers turn work away, one after another until one has."""
+        for server in self.source.sample(self.fleet.servers, _SHED_TRIES):
+            before = server.shed
+            server.is_shedding = True
+            await asyncio.sleep(_SHED_SECONDS)
+            server.is_shedding = False
+            if server.shed > before:
+                break
         self.counts['server-shed'] = sum(
             each.shed for each in self.fleet.servers
         )
