--- a/zinniaturn/caller/__init__.py
+++ b/zinniaturn/caller/__init__.py
@@ -1,6 +1,20 @@
 """A caller that follows the caller guide."""
 
-__all__ = ('Caller', 'CallerAnswer', 'CallerError')
+__all__ = (
+    'CallOptions',
+    'Caller',
+    'CallerAnswer',
+    'CallerError',
+    'call_idempotent',
+    'call_once',
+    'call_with_key',
+)
 
 from zinniaturn.caller.client import Caller, CallerAnswer
 from zinniaturn.caller.exceptions import CallerError
+from zinniaturn.caller.retrying import (
+    CallOptions,
+    call_idempotent,
+    call_once,
+    call_with_key,
+)
--- a/zinniaturn/entry/parts.py
+++ b/zinniaturn/entry/parts.py
@@ -11,6 +11,8 @@
 
 from zinniaturn.entry.control_part import ControlPart
 from zinniaturn.entry.health_part import HealthPart
+from zinniaturn.entry.leaving_part import LEAVING_TOPIC, LeavingPart
+from zinniaturn.entry.overload import OVERLOAD_TOPIC, OverloadPart
 from zinniaturn.entry.probes_part import ProbesPart
 from zinniaturn.entry.state import EntryState
 from zinniaturn.peers import PeerSecurity
@@ -33,8 +35,17 @@
     security: PeerSecurity,
 ) -> list[Part]:
     """Return the parts of an entry."""
+    control = ControlPart(state, store, security)
+    leaving = LeavingPart(state)
+    exchange = control.control.exchange
+    exchange.providers[LEAVING_TOPIC] = leaving.provide
+    exchange.receivers[LEAVING_TOPIC] = leaving.receive
+    exchange.providers[OVERLOAD_TOPIC] = state.overload.provide
+    exchange.receivers[OVERLOAD_TOPIC] = state.overload.receive
     return [
-        ControlPart(state, store, security),
+        control,
+        leaving,
+        OverloadPart(state.overload),
         ProbesPart(state, store),
         HealthPart(state),
     ]
--- a/zinniaturn/entry/protocol.py
+++ b/zinniaturn/entry/protocol.py
@@ -5,7 +5,7 @@
 document with a code, as any other refusal.
 """
 
-__all__ = ('CallerServer',)
+__all__ = ('CallerProtocol', 'CallerServer')
 
 import asyncio
 from collections.abc import Callable
@@ -52,12 +52,22 @@
     on_failure: Observer
     callers: CallerConnections
 
+    def protocols(self) -> list['CallerProtocol']:
+        """Return the open connections."""
+        return [
+            connection
+            for connection in self.connections
+            if isinstance(connection, CallerProtocol)
+        ]
+
     def __call__(self) -> RequestHandler:
         """Return the protocol of a new connection."""
-        return _CallerProtocol(self, loop=self._loop, **self._kwargs)
+        return CallerProtocol(self, loop=self._loop, **self._kwargs)
+
 
+class CallerProtocol(RequestHandler):
+    """One caller's connection."""
 
-class _CallerProtocol(RequestHandler):
     def __init__(self, *args: Any, **fields: Any) -> None:
         super().__init__(*args, **fields)
         self.progress = Progress()
@@ -88,6 +98,12 @@
         if self.caller is not None:
             super().eof_received()
 
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is on it, or a part of one."""
+        is_waiting = self._waiter is not None and not self._waiter.done()
+        if is_waiting and not self._messages and not self.has_part_of_head:
+            self.force_close()
+
     def abort(self) -> None:
         """Close at once."""
         if self.transport is not None:
@@ -118,7 +134,9 @@
             return
         self.received += len(data)
         super().data_received(data)
-        self.has_part_of_head = not (self._messages or self._current_request)
+        if data:
+            is_head = not (self._messages or self._current_request)
+            self.has_part_of_head = is_head
         if self._messages:
             message, _ = self._messages[-1]
             if not isinstance(message, RawRequestMessage):
--- a/zinniaturn/experiments/registry.py
+++ b/zinniaturn/experiments/registry.py
@@ -102,6 +102,21 @@
         'all policies on steady load, within 45 s',
         'zinniaturn.experiments.choosing.runners:run_smoke',
     ),
+    Experiment(
+        'keys',
+        'what at-most-once costs, by way of doing it',
+        'zinniaturn.experiments.outcomes.keys:run_keys',
+    ),
+    Experiment(
+        'outcomes',
+        'soak of 13 entries and 100,000 non-idempotent requests',
+        'zinniaturn.experiments.outcomes.run:run_soak',
+    ),
+    Experiment(
+        'outcomes-smoke',
+        'the same with 4 entries, within 45 s',
+        'zinniaturn.experiments.outcomes.run:run_smoke',
+    ),
     Experiment(
         'explain-cost',
         'requests per core with and without the record of decisions',
--- a/zinniaturn/forwarding/answer.py
+++ b/zinniaturn/forwarding/answer.py
@@ -45,9 +45,13 @@
         self.sent = Phase.SENT_WHOLE
         self.upload: Upload | None = None
         self.has_certain_end = True
+        self.begun: list[bytes] = []
 
     async def read_chunks(self) -> AsyncIterator[bytes]:
         """Yield the body; raises `ExchangeError` where it is cut short."""
+        for begun in self.begun:
+            yield begun
+        self.begun = []
         while not self.payload.at_eof():
             chunk = await self._read()
             if chunk:
@@ -58,10 +62,15 @@
         self._end_upload()
         self.pool.give_back(self.connection)
 
+    def put_back(self, chunks: list[bytes]) -> None:
+        """Have `read_chunks` begin with chunks that were read already."""
+        self.begun = chunks
+
     @property
     def is_received(self) -> bool:
         """Return whether the whole body is here, so that no read waits."""
-        return self.payload.is_eof() and self.payload.exception() is None
+        is_whole = self.payload.is_eof() and self.payload.exception() is None
+        return is_whole and not self.begun
 
     def take_body(self) -> bytes:
         """Return the body that `is_received` and free the connection."""
--- a/zinniaturn/settings/models.py
+++ b/zinniaturn/settings/models.py
@@ -16,6 +16,7 @@
     BaseModel,
     ConfigDict,
     Field,
+    SecretStr,
     model_validator,
 )
 
@@ -129,6 +130,40 @@
         allow_inf_nan=False,
         description='Term of the lease on the right to measure, in seconds.',
     )
+    address_lag_seconds: float = Field(
+        default=2,
+        ge=0,
+        le=600,
+        allow_inf_nan=False,
+        description=(
+            'How long other entries may name this one after it was told to '
+            'stop, in seconds.'
+        ),
+    )
+    key_secret: SecretStr = Field(
+        default=SecretStr(''),
+        description=(
+            'Secret that all entries share to read the idempotency keys that '
+            'they issue; unset, an entry reads its own keys only.'
+        ),
+    )
+    key_window_seconds: float = Field(
+        default=600,
+        ge=1,
+        le=86_400,
+        description='How long an idempotency key is kept, in seconds.',
+    )
+    key_limit: int = Field(
+        default=100_000,
+        ge=1,
+        le=10_000_000,
+        description='Idempotency keys kept at most; new ones are refused.',
+    )
+    key_answer_bytes: int = Field(
+        default=33_554_432,
+        ge=0,
+        description='Bytes of answers kept for repeated keys at most.',
+    )
     log_level: Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = Field(
         default='INFO',
         description='Least severe level that is logged.',
