Hand an accepted revision to entries, and report the entries that have a change

Cause: where the store went out right after the swap and before an entry had seen it, the accepted revision was in force nowhere until the store came back.

--- a/features/spread.feature
+++ b/features/spread.feature
@@ -15,6 +15,12 @@
     And the store goes out
     Then all entries have revision 2 in force
 
+  Scenario: the store goes out before any entry saw the commit
+    Given 3 entries with tables at revision 1
+    When the store is cut off from all entries but "nobody"
+    And a change is accepted and handed over by the operator's command
+    Then all entries have revision 2 in force
+
   Scenario: a fresh entry takes its tables from peers while the store is out
     Given 3 entries with tables at revision 1
     When the store goes out
--- a/features/steps/spread_steps.py
+++ b/features/steps/spread_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import random
 import time
 
 from behave import given, then, when
@@ -10,6 +11,7 @@
 from zinniaturn.configuration import apply_routes
 from zinniaturn.configuration.commit import (
     commit,
+    commit_snapshot,
     new_change_id,
     read_tables,
 )
@@ -20,8 +22,10 @@
 from zinniaturn.entry.status import readiness_reason
 from zinniaturn.errors import CodedError
 from zinniaturn.membership.evidence import MemberState
+from zinniaturn.peers import PeerClient
 from zinniaturn.settings import EntrySettings
 from zinniaturn.standins import StoreStandIn, VmListStandIn
+from zinniaturn.status import find_members, hand_over
 from zinniaturn.store import HttpStore
 from zinniaturn.vmlist import ListedVm, VmState
 
@@ -198,6 +202,23 @@
     _run(context, _start_entry(context, name))
 
 
+@when("a change is accepted and handed over by the operator's command")
+def accept_and_hand_over(context):
+    async def accept():
+        client = PeerClient()
+        members = await find_members(context.store)
+        base = await read_tables(context.store)
+        edited = apply_routes(base.tables, [build_route('second')])
+        accepted = await commit_snapshot(context.store, base, edited)
+        context.stand_in.faults.is_out = True
+        source = random.Random(1)
+        taken = await hand_over(client, members, accepted.snapshot, source)
+        await client.close()
+        assert taken > 0
+
+    _run(context, accept())
+
+
 @when('a copy of the store is taken')
 def take_copy(context):
     context.kept = dict(context.stand_in.values)
--- a/zinniaturn/commands/edits.py
+++ b/zinniaturn/commands/edits.py
@@ -3,6 +3,7 @@
 __all__ = ('Edit', 'EditOptions', 'accept_edit', 'load_tables')
 
 import asyncio
+import random
 import sys
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -13,9 +14,12 @@
 
 from zinniaturn.commands.output import print_json
 from zinniaturn.commands.stores import opened
-from zinniaturn.configuration import StoredTables, commit, read_tables
+from zinniaturn.configuration import Snapshot, StoredTables, read_tables
+from zinniaturn.configuration.commit import commit_snapshot
 from zinniaturn.configuration.edits import check_references
-from zinniaturn.status import find_admins, wait_in_force
+from zinniaturn.membership import Member
+from zinniaturn.peers import PeerClient
+from zinniaturn.status import find_members, hand_over, wait_in_force
 from zinniaturn.store import HttpStore
 from zinniaturn.tables import Tables
 from zinniaturn.tables.differences import (
@@ -119,7 +123,8 @@
     if options.dry_run:
         check_references(edited)
         return EditOutput('dry-run', revision, revision, changes)
-    accepted = await commit(
+    members = await find_members(store)
+    accepted = await commit_snapshot(
         store,
         base,
         edited,
@@ -128,20 +133,37 @@
         change_id=options.change_id,
         may_initialize=options.may_initialize,
     )
-    output = EditOutput('accepted', accepted.revision, revision, changes)
+    await _hand_over(members, accepted.snapshot)
+    output = EditOutput(
+        'accepted',
+        accepted.snapshot.tables.revision,
+        revision,
+        changes,
+    )
     if options.wait_seconds:
-        await _wait(store, output, options.wait_seconds)
+        await _wait(members, output, accepted.change_id, options.wait_seconds)
     return output
 
 
-async def _wait(store: HttpStore, output: EditOutput, seconds: float) -> None:
-    admins = await find_admins(store, ())
-    fleet = await wait_in_force(admins, output.revision, seconds)
-    output.lagging = fleet.lagging(output.revision)
+async def _hand_over(members: tuple[Member, ...], snapshot: Snapshot) -> None:
+    client = PeerClient()
+    try:
+        await hand_over(client, members, snapshot, random.Random())
+    finally:
+        await client.close()
+
+
+async def _wait(
+    members: tuple[Member, ...],
+    output: EditOutput,
+    change_id: str,
+    seconds: float,
+) -> None:
+    admins = [str(member.admin) for member in members]
+    fleet = await wait_in_force(admins, change_id, seconds)
+    output.lagging = fleet.without_change()
     output.in_force = [
-        entry.name
-        for entry in fleet.entries
-        if entry.revision >= output.revision
+        entry.name for entry in fleet.entries if entry.has_change
     ]
 
 
--- a/zinniaturn/configuration/commit.py
+++ b/zinniaturn/configuration/commit.py
@@ -7,9 +7,11 @@
 """
 
 __all__ = (
+    'Accepted',
     'Settlement',
     'StoredTables',
     'commit',
+    'commit_snapshot',
     'new_change_id',
     'read_tables',
     'settle',
@@ -33,7 +35,7 @@
     ConfigurationUnavailableError,
     NotInitializedError,
 )
-from zinniaturn.configuration.head import Ancestor, encode_head
+from zinniaturn.configuration.head import Ancestor, Head, encode_head
 from zinniaturn.configuration.layout import (
     HEAD_KEY,
     create_all,
@@ -50,7 +52,7 @@
     plan_commit,
 )
 from zinniaturn.configuration.records import ChangeKind
-from zinniaturn.configuration.snapshot import EMPTY, Snapshot
+from zinniaturn.configuration.snapshot import EMPTY, Snapshot, assemble
 from zinniaturn.store import (
     ConfigurationStore,
     StoreBusyError,
@@ -81,6 +83,15 @@
     revision: int | None
 
 
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """An accepted change: its identity and the snapshot that it led to."""
+
+    change_id: str
+    snapshot: Snapshot
+    base_revision: int
+
+
 @dataclass(slots=True)
 class Proposal:
     """A change on its way: it stays the same over all attempts."""
@@ -123,13 +134,38 @@
     may_initialize: bool = True,
     kind: ChangeKind = ChangeKind.EDIT,
 ) -> Tables:
+    """Do what `commit_snapshot` does and return the accepted tables."""
+    accepted = await commit_snapshot(
+        store,
+        base,
+        edited,
+        author=author,
+        reason=reason,
+        change_id=change_id,
+        may_initialize=may_initialize,
+        kind=kind,
+    )
+    return accepted.snapshot.tables
+
+
+async def commit_snapshot(
+    store: ConfigurationStore,
+    base: StoredTables,
+    edited: Tables,
+    *,
+    author: str = '',
+    reason: str = '',
+    change_id: str = '',
+    may_initialize: bool = True,
+    kind: ChangeKind = ChangeKind.EDIT,
+) -> Accepted:
     """
     Make the change from ``base`` to ``edited`` the next revision.
 
     A ``change_id`` given again is not accepted again: the revision it was
     accepted as is returned.
 
-    Returns the accepted tables; an empty change makes no revision. A change
+    Returns the accepted change; an empty change makes no revision. A change
     accepted meanwhile that touches other rows is kept. Raises `OverlapError`
     where it touches the same ones, `PoolInUseError` and `DanglingRouteError`
     for broken references, `NotInitializedError` for an empty store unless
@@ -140,7 +176,8 @@
     _check_change_id(change_id)
     earlier = base.snapshot.head.revision_of(change_id)
     if earlier is not None:
-        return replace(base.tables, revision=earlier)
+        tables = replace(base.tables, revision=earlier)
+        return _unchanged(base, tables, change_id)
     check_fence(base.snapshot.head)
     check_references(edited)
     if not base.tables.revision and not may_initialize:
@@ -150,7 +187,7 @@
         )
     change = diff_tables(base.tables, edited)
     if change.is_empty():
-        return base.tables
+        return _unchanged(base, base.tables, change_id)
     proposal = Proposal(
         change=change,
         change_id=change_id or new_change_id(),
@@ -169,7 +206,7 @@
     store: ConfigurationStore,
     base: StoredTables,
     proposal: Proposal,
-) -> Tables:
+) -> Accepted:
     """Try a proposal until it is accepted or refused."""
     while proposal.attempt < _ATTEMPTS:
         accepted = await _attempt(store, base, proposal)
@@ -207,7 +244,7 @@
     store: ConfigurationStore,
     base: StoredTables,
     proposal: Proposal,
-) -> Tables | None:
+) -> Accepted | None:
     plan = plan_commit(
         base.snapshot,
         proposal.change,
@@ -217,18 +254,28 @@
         proposal.attempt,
         proposal.merged,
     )
-    text = await _prepare(store, plan)
+    head = await _prepare(store, plan)
     try:
-        await store.compare_and_swap(HEAD_KEY, base.version, text)
+        await store.compare_and_swap(
+            HEAD_KEY,
+            base.version,
+            encode_head(head),
+        )
     except (StoreConflictError, StoreBusyError):
         return None
     except StoreUnavailableError:
         settlement = await settle(store, proposal.change_id)
-        return None if settlement.revision is None else plan.tables
-    return plan.tables
+        if settlement.revision is None:
+            return None
+    texts = {bucket: write.text for bucket, write in plan.segments.items()}
+    return Accepted(
+        proposal.change_id,
+        assemble(head, texts, base.snapshot),
+        proposal.base_revision,
+    )
 
 
-async def _prepare(store: ConfigurationStore, plan: CommitPlan) -> str:
+async def _prepare(store: ConfigurationStore, plan: CommitPlan) -> Head:
     try:
         await keep_page(store, plan.base.head)
         await declare_intent(store, plan)
@@ -238,7 +285,7 @@
         raise ConfigurationUnavailableError(
             f'nothing was accepted: {error}',
         ) from error
-    return encode_head(plan.head(versions))
+    return plan.head(versions)
 
 
 async def _read_again(
@@ -274,6 +321,15 @@
     return Settlement(change_id, None)
 
 
+def _unchanged(
+    base: StoredTables,
+    tables: Tables,
+    change_id: str,
+) -> Accepted:
+    snapshot = replace(base.snapshot, tables=tables)
+    return Accepted(change_id, snapshot, base.tables.revision)
+
+
 def _check_change_id(change_id: str) -> None:
     if change_id and not _CHANGE_ID.fullmatch(change_id):
         raise ChangeIdError(
--- a/zinniaturn/configuration/holder.py
+++ b/zinniaturn/configuration/holder.py
@@ -6,7 +6,12 @@
 
 from zinniaturn.configuration.head import Head
 from zinniaturn.configuration.judgement import Judgement, judge
-from zinniaturn.configuration.snapshot import EMPTY, Snapshot
+from zinniaturn.configuration.snapshot import (
+    EMPTY,
+    Snapshot,
+    assemble,
+    missing_segments,
+)
 from zinniaturn.events import LogEvent, log_event
 from zinniaturn.tables import Tables
 
@@ -44,6 +49,25 @@
                 follower(snapshot)
         return judgement
 
+    def take(self, head: Head, texts: Mapping[str, str]) -> bool:
+        """
+        Put a head in force, given segments' texts by digest.
+
+        Returns whether its revision is in force then. Raises
+        `StoredStateError` where a segment is absent or damaged.
+        """
+        judgement = self.judge(head)
+        if judgement is Judgement.INSTALL:
+            missing = missing_segments(head, self.snapshot)
+            found = {
+                bucket: texts[ref.digest]
+                for bucket, ref in missing.items()
+                if ref.digest in texts
+            }
+            judgement = self.offer(assemble(head, found, self.snapshot))
+            return judgement is Judgement.INSTALL
+        return judgement in {Judgement.SAME, Judgement.OLDER}
+
     def install(self, tables: Tables) -> bool:
         """
         Put tables in force if their revision is higher.
--- a/zinniaturn/entry/status.py
+++ b/zinniaturn/entry/status.py
@@ -37,7 +37,7 @@
     """Add the handlers to the admin application."""
 
     async def answer_status(request: web.Request) -> web.Response:
-        return _json(_status(state))
+        return _json(_status(state, request.query.get('change', '')))
 
     async def answer_tables(request: web.Request) -> web.Response:
         if not state.holder.head.revision:
@@ -49,7 +49,7 @@
     router.add_get('/tables', answer_tables)
 
 
-def _status(state: EntryState) -> EntryStatus:
+def _status(state: EntryState, change_id: str) -> EntryStatus:
     control = state.control
     reason = readiness_reason(state)
     status = EntryStatus(
@@ -65,6 +65,7 @@
         watches_store=False,
         lease=LeaseStatus(is_held=False, fencing=0),
         peers=[],
+        has_change=state.holder.head.revision_of(change_id) is not None,
     )
     if control is not None:
         keeper = control.reporter.keeper
--- a/zinniaturn/peers/client.py
+++ b/zinniaturn/peers/client.py
@@ -8,7 +8,8 @@
 import grpc
 
 from zinniaturn.configuration.exceptions import StoredStateError
-from zinniaturn.configuration.head import Head, decode_head
+from zinniaturn.configuration.head import Head, decode_head, encode_head
+from zinniaturn.configuration.snapshot import Snapshot
 from zinniaturn.membership.domain import Address
 from zinniaturn.peers import messages_pb2 as wire
 from zinniaturn.peers import messages_pb2_grpc as service
@@ -84,6 +85,24 @@
         except grpc.aio.AioRpcError as error:
             raise _unavailable(address, error) from error
 
+    async def offer(self, address: Address, snapshot: Snapshot) -> bool:
+        """Hand a snapshot to a peer; return whether it has it in force."""
+        request = wire.OfferRequest(
+            head=encode_head(snapshot.head),
+            segments=[
+                wire.SegmentReply(digest=part.digest, text=part.text)
+                for part in snapshot.segments.values()
+            ],
+        )
+        try:
+            reply = await (await self._stub(address)).Offer(
+                request,
+                timeout=CONTENT_SECONDS,
+            )
+        except grpc.aio.AioRpcError as error:
+            raise _unavailable(address, error) from error
+        return bool(reply.in_force)
+
     async def close(self) -> None:
         """Close the channels."""
         while self.channels:
--- a/zinniaturn/peers/exchange.py
+++ b/zinniaturn/peers/exchange.py
@@ -16,7 +16,7 @@
 from zinniaturn.configuration import Judgement, Snapshot, TablesHolder
 from zinniaturn.configuration.exceptions import StoredStateError
 from zinniaturn.configuration.head import Ancestor
-from zinniaturn.configuration.snapshot import assemble, missing_segments
+from zinniaturn.configuration.snapshot import missing_segments
 from zinniaturn.events import LogEvent, log_event
 from zinniaturn.membership.domain import Address, Member
 from zinniaturn.membership.table import MemberTable
@@ -228,18 +228,12 @@
             self._report_fork(head.position, address)
         if judgement is not Judgement.INSTALL:
             return
-        known = self.holder.snapshot
-        missing = missing_segments(head, known)
+        missing = missing_segments(head, self.holder.snapshot)
         found = await self.client.read_segments(
             address,
             [ref.digest for ref in missing.values()],
         )
-        texts = {
-            bucket: found[ref.digest]
-            for bucket, ref in missing.items()
-            if ref.digest in found
-        }
-        self.holder.offer(assemble(head, texts, known))
+        self.holder.take(head, found)
 
     def _report_fork(self, position: Ancestor, address: Address) -> None:
         if position in self.forks:
--- a/zinniaturn/peers/server.py
+++ b/zinniaturn/peers/server.py
@@ -8,7 +8,8 @@
 import grpc
 
 from zinniaturn.configuration import TablesHolder
-from zinniaturn.configuration.head import encode_head
+from zinniaturn.configuration.exceptions import StoredStateError
+from zinniaturn.configuration.head import decode_head, encode_head
 from zinniaturn.events import LogEvent, log_event
 from zinniaturn.membership.domain import Address
 from zinniaturn.peers import messages_pb2 as wire
@@ -102,3 +103,16 @@
             text = texts.get(digest)
             if text is not None:
                 yield wire.SegmentReply(digest=digest, text=text)
+
+    async def Offer(
+        self,
+        request: wire.OfferRequest,
+        context: grpc.aio.ServicerContext,
+    ) -> wire.OfferReply:
+        texts = {part.digest: part.text for part in request.segments}
+        try:
+            is_in_force = self.holder.take(decode_head(request.head), texts)
+        except StoredStateError as error:
+            log_event(LogEvent.PEER_REFUSED, reason=str(error))
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
+        return wire.OfferReply(in_force=is_in_force)
--- a/zinniaturn/status/__init__.py
+++ b/zinniaturn/status/__init__.py
@@ -5,6 +5,8 @@
     'FleetStatus',
     'StatusError',
     'find_admins',
+    'find_members',
+    'hand_over',
     'read_fleet',
     'read_tables_of',
     'wait_in_force',
@@ -17,5 +19,6 @@
     read_fleet,
     wait_in_force,
 )
+from zinniaturn.status.handing import find_members, hand_over
 from zinniaturn.status.models import EntryStatus
 from zinniaturn.status.reading import read_tables_of
--- a/zinniaturn/status/fleet.py
+++ b/zinniaturn/status/fleet.py
@@ -39,6 +39,11 @@
         ]
         return [*behind, *(entry.admin for entry in self.unreachable)]
 
+    def without_change(self) -> list[str]:
+        """Return the entries without the change that was asked for."""
+        behind = [entry.name for entry in self.entries if not entry.has_change]
+        return [*behind, *(entry.admin for entry in self.unreachable)]
+
 
 async def find_admins(
     store: ConfigurationStore | None,
@@ -63,8 +68,15 @@
     return tuple(found)
 
 
-async def read_fleet(admins: Iterable[str]) -> FleetStatus:
-    """Return the status of these entries and of the peers they know."""
+async def read_fleet(
+    admins: Iterable[str],
+    change_id: str = '',
+) -> FleetStatus:
+    """
+    Return the status of these entries and of the peers they know.
+
+    With ``change_id`` they say whether they have that change in force.
+    """
     fleet = FleetStatus([], [])
     async with aiohttp.ClientSession(timeout=_TIMEOUT) as session:
         asked: set[str] = set()
@@ -72,7 +84,7 @@
         while wanted - asked:
             batch = sorted(wanted - asked)
             asked.update(batch)
-            await _read_batch(session, batch, fleet)
+            await _read_batch(session, batch, fleet, change_id)
             wanted.update(_peers_of(fleet))
     fleet.entries.sort(key=lambda entry: entry.name)
     return fleet
@@ -80,15 +92,15 @@
 
 async def wait_in_force(
     admins: Iterable[str],
-    revision: int,
+    change_id: str,
     seconds: float,
 ) -> FleetStatus:
-    """Return the status once all entries have ``revision``, or in time."""
+    """Return the status once all entries have the change, or in time."""
     until = time.monotonic() + seconds
     known = tuple(admins)
     while True:
-        fleet = await read_fleet(known)
-        if not fleet.lagging(revision) or time.monotonic() >= until:
+        fleet = await read_fleet(known, change_id)
+        if not fleet.without_change() or time.monotonic() >= until:
             return fleet
         await asyncio.sleep(_POLL_SECONDS)
 
@@ -97,15 +109,19 @@
     session: aiohttp.ClientSession,
     admins: list[str],
     fleet: FleetStatus,
+    change_id: str,
 ) -> None:
     limit = asyncio.Semaphore(_AT_ONCE)
 
     async def read(admin: str) -> None:
         async with limit:
             try:
-                fleet.entries.append(await read_status(session, admin))
+                status = await read_status(session, admin, change_id)
             except StatusError as error:
-                fleet.unreachable.append(UnreachableEntry(admin, error.message))
+                missing = UnreachableEntry(admin, error.message)
+                fleet.unreachable.append(missing)
+            else:
+                fleet.entries.append(status)
 
     await asyncio.gather(*(read(admin) for admin in admins))
 
--- a/zinniaturn/status/models.py
+++ b/zinniaturn/status/models.py
@@ -35,7 +35,8 @@
     What an entry says of itself.
 
     ``knowledge_age`` is in seconds since the store confirmed the revision,
-    ``None`` where it never did since the start.
+    ``None`` where it never did since the start. ``has_change`` answers whether
+    the change that was asked for is part of what is in force.
     """
 
     name: str
@@ -51,6 +52,7 @@
     lease: LeaseStatus
     peers: list[PeerStatus]
     admin: str = ''
+    has_change: bool = False
 
 
 class UnreachableEntry(msgspec.Struct):
--- a/zinniaturn/status/reading.py
+++ b/zinniaturn/status/reading.py
@@ -20,9 +20,15 @@
 async def read_status(
     session: aiohttp.ClientSession,
     admin: str,
+    change_id: str = '',
 ) -> EntryStatus:
-    """Return the status of the entry at ``host:port``; `StatusError`."""
-    status = await _read(session, f'http://{admin}/status', EntryStatus)
+    """
+    Return the status of the entry at ``host:port``; raises `StatusError`.
+
+    With ``change_id`` the entry says whether it has that change in force.
+    """
+    url = f'http://{admin}/status?change={change_id}'
+    status = await _read(session, url, EntryStatus)
     status.admin = admin
     return status
 
