--- a/zinniaturn/configuration/holder.py
+++ b/zinniaturn/configuration/holder.py
@@ -77,7 +77,11 @@
         if tables.revision <= self.tables.revision:
             return False
         self.tables = tables
-        log_event(LogEvent.REVISION_INSTALLED, revision=tables.revision)
+        log_event(
+            LogEvent.REVISION_INSTALLED,
+            revision=tables.revision,
+            chain=self.head.chain,
+        )
         for observer in self.observers:
             observer(tables)
         return True
--- a/zinniaturn/entry/control_part.py
+++ b/zinniaturn/entry/control_part.py
@@ -14,6 +14,7 @@
 from zinniaturn.configuration import StoreFollower
 from zinniaturn.entry.control import Control
 from zinniaturn.entry.state import EntryState
+from zinniaturn.events import LogEvent, log_event
 from zinniaturn.membership import LeaseKeeper, MemberTable, VmWatch
 from zinniaturn.membership.domain import Address, Heartbeat, Member
 from zinniaturn.membership.exceptions import MembershipError
@@ -59,6 +60,7 @@
             Address(settings.peer_host, settings.peer_port),
         )
         self.control.table.me = self._me(port)
+        log_event(LogEvent.PEERS_LISTEN, port=port)
         with contextlib.suppress(StoreError, MembershipError, TimeoutError):
             async with asyncio.timeout(_FIRST_READ_SECONDS):
                 await self.control.reporter.read_all()
--- a/zinniaturn/events/catalogue.py
+++ b/zinniaturn/events/catalogue.py
@@ -29,6 +29,7 @@
     STORE_RESET = 204
     REVISION_FORKED = 205
     REPORTER_STARTED = 300
+    PEERS_LISTEN = 305
     REPORTER_ENDED = 301
     VM_LIST_UNAVAILABLE = 302
     VM_LIST_DOUBTED = 303
@@ -73,6 +74,7 @@
             _WARNING,
             'a peer holds another history of the tables',
         ),
+        LogEvent.PEERS_LISTEN: (_INFO, 'the entry listens for its peers'),
         LogEvent.REPORTER_STARTED: (
             _INFO,
             'the entry reports its data centre to the store',
--- /dev/null
+++ b/zinniaturn/experiments/configuration/fleet.py
@@ -0,0 +1,180 @@
+"""Real processes of a store and entries, and what can be done to them."""
+
+__all__ = ('ConfigurationFleet', 'EntryProcess')
+
+import asyncio
+import signal
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import aiohttp
+import psutil
+
+from zinniaturn.experiments.exceptions import ExperimentError
+from zinniaturn.experiments.processes import ProcessGroup, free_port
+
+DATA_CENTERS = 3
+SEEDS = 3
+
+_READY_SECONDS = 60.0
+_POLL_SECONDS = 0.05
+
+
+@dataclass(slots=True)
+class EntryProcess:
+    """An entry: its ports and whether it runs now."""
+
+    name: str
+    admin_port: int
+    peer_port: int
+    data_center: str
+    starts: int = 0
+    is_running: bool = False
+
+    @property
+    def admin(self) -> str:
+        """Return the admin address."""
+        return f'127.0.0.1:{self.admin_port}'
+
+
+@dataclass
+class ConfigurationFleet:
+    """The store's stand-in and the entries as processes."""
+
+    logs: Path
+    count: int
+    entries: dict[str, EntryProcess] = field(default_factory=dict)
+    store_port: int = field(default_factory=free_port)
+
+    def __post_init__(self) -> None:
+        """Prepare the processes."""
+        self.group = ProcessGroup(self.logs)
+        self.session: aiohttp.ClientSession | None = None
+        for number in range(self.count):
+            self.add_entry(f'entry-{number}')
+
+    @property
+    def store_url(self) -> str:
+        """Return the store's address."""
+        return f'http://127.0.0.1:{self.store_port}'
+
+    def add_entry(self, name: str) -> EntryProcess:
+        """Name an entry that is to be started."""
+        number = len(self.entries)
+        entry = EntryProcess(
+            name,
+            free_port(),
+            free_port(),
+            f'dc-{number % DATA_CENTERS}',
+        )
+        self.entries[name] = entry
+        return entry
+
+    async def start_store(self) -> None:
+        """Start the store and wait for it."""
+        self.session = aiohttp.ClientSession()
+        await self.group.start(
+            'store',
+            'standin',
+            'store',
+            '--port',
+            str(self.store_port),
+        )
+        await self._wait_for(f'{self.store_url}/control/counters')
+
+    async def start_entry(self, entry: EntryProcess) -> None:
+        """Start an entry's process."""
+        entry.starts += 1
+        entry.is_running = True
+        seeds = [
+            f'127.0.0.1:{other.peer_port}'
+            for other in list(self.entries.values())[:SEEDS]
+            if other is not entry
+        ]
+        await self.group.start(
+            entry.name,
+            'entry',
+            f'--name={entry.name}',
+            f'--data-center={entry.data_center}',
+            '--port=0',
+            f'--admin-port={entry.admin_port}',
+            f'--peer-port={entry.peer_port}',
+            f'--peers={",".join(seeds)}',
+            f'--store-url={self.store_url}',
+            '--address-lifetime-seconds=0.1',
+        )
+
+    async def wait_ready(self, entry: EntryProcess) -> None:
+        """Wait until an entry is ready."""
+        await self._wait_for(f'http://{entry.admin}/ready')
+
+    async def kill(self, entry: EntryProcess) -> None:
+        """Kill an entry's process."""
+        entry.is_running = False
+        self.group.send_signal(entry.name, signal.SIGKILL)
+        await self.group.wait(entry.name, _READY_SECONDS)
+
+    def pause(self, entry: EntryProcess) -> None:
+        """Stop an entry's process where it stands."""
+        self.group.send_signal(entry.name, signal.SIGSTOP)
+
+    def resume(self, entry: EntryProcess) -> None:
+        """Let a paused process go on."""
+        self.group.send_signal(entry.name, signal.SIGCONT)
+
+    async def set_faults(self, **faults: object) -> None:
+        """Change the store's faults."""
+        await self._control('PUT', 'faults', faults)
+
+    async def keep_copy(self) -> None:
+        """Have the store keep a copy of its state."""
+        await self._control('POST', 'copy', {})
+
+    async def reset_to_copy(self) -> None:
+        """Have the store go back to the copy."""
+        await self._control('POST', 'reset', {'to': 'copy'})
+
+    async def counters(self) -> dict[str, int]:
+        """Return the store's counters."""
+        assert self.session is not None
+        url = f'{self.store_url}/control/counters'
+        async with self.session.get(url) as reply:
+            counters: dict[str, int] = await reply.json()
+            return counters
+
+    def process_of(self, entry: EntryProcess) -> psutil.Process:
+        """Return an entry's process as the system sees it."""
+        return psutil.Process(self.group.processes[entry.name].pid)
+
+    async def stop(self) -> None:
+        """Kill everything."""
+        for entry in self.entries.values():
+            if entry.is_running:
+                self.resume(entry)
+        await self.group.stop_all()
+        if self.session is not None:
+            await self.session.close()
+
+    async def _control(self, method: str, what: str, body: object) -> None:
+        assert self.session is not None
+        url = f'{self.store_url}/control/{what}'
+        async with self.session.request(method, url, json=body) as reply:
+            if not reply.ok:
+                raise ExperimentError(f'{what}: {await reply.text()}')
+
+    async def _wait_for(self, url: str) -> None:
+        assert self.session is not None
+        try:
+            async with asyncio.timeout(_READY_SECONDS):
+                while not await self._answers(url):
+                    await asyncio.sleep(_POLL_SECONDS)
+        except TimeoutError as error:
+            raise ExperimentError(f'{url} does not answer well') from error
+
+    async def _answers(self, url: str) -> bool:
+        assert self.session is not None
+        try:
+            async with self.session.get(url) as reply:
+                return reply.ok
+        except aiohttp.ClientError:
+            return False
--- /dev/null
+++ b/zinniaturn/experiments/configuration/operators.py
@@ -0,0 +1,199 @@
+"""Operators that edit the tables at random."""
+
+__all__ = ('Operator', 'initial_tables', 'rows_of')
+
+import asyncio
+import contextlib
+import random
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from zinniaturn.configuration import settle
+from zinniaturn.configuration.changes import Change, diff_tables
+from zinniaturn.configuration.commit import (
+    StoredTables,
+    commit_snapshot,
+    new_change_id,
+    read_tables,
+)
+from zinniaturn.configuration.edits import (
+    apply_pools,
+    apply_routes,
+    delete_pools,
+    delete_routes,
+)
+from zinniaturn.configuration.exceptions import (
+    CommitUnknownError,
+    ConfigurationUnavailableError,
+)
+from zinniaturn.errors import CodedError
+from zinniaturn.experiments.configuration.history import (
+    Commit,
+    History,
+    Outcome,
+    RowEdit,
+)
+from zinniaturn.peers import PeerClient
+from zinniaturn.status import find_members, hand_over
+from zinniaturn.store import HttpStore, StoreError
+from zinniaturn.tables.codec import models_of
+from zinniaturn.tables.domain import Pool, Route, Server, Tables
+
+ROUTES = 40
+POOLS = 6
+
+_THINK_SECONDS = 0.3
+_SETTLE_PAUSE_SECONDS = 0.3
+
+
+def initial_tables() -> Tables:
+    """Return the tables that every run starts from."""
+    pools = [_pool(f'pool-{number}', 1) for number in range(POOLS)]
+    routes = [
+        Route(f'route-{number}', 'pool-0', path_prefix=f'/start/{number}')
+        for number in range(ROUTES // 2)
+    ]
+    return apply_routes(apply_pools(Tables(), pools), routes)
+
+
+def rows_of(tables: Tables) -> Mapping[str, str]:
+    """Return every row as text by its table and name."""
+    routes, pools = models_of(tables)
+    return {
+        **{f'route {row.name}': row.model_dump_json() for row in routes},
+        **{f'pool {row.name}': row.model_dump_json() for row in pools},
+    }
+
+
+@dataclass
+class Operator:
+    """One operator, who proposes changes until told to stop."""
+
+    name: str
+    store: HttpStore
+    source: random.Random
+    history: History
+    is_stopping: bool = False
+    client: PeerClient = field(default_factory=PeerClient)
+
+    async def run(self) -> None:
+        """Edit until stopped, then settle what is unknown."""
+        while not self.is_stopping:
+            await asyncio.sleep(_THINK_SECONDS * self.source.random())
+            try:
+                base = await read_tables(self.store)
+            except (CodedError, StoreError):
+                continue
+            await asyncio.sleep(_THINK_SECONDS * self.source.random())
+            await self._propose(base)
+        await self.client.close()
+
+    async def _propose(self, base: StoredTables) -> None:
+        edited = self._edit(base.tables)
+        change = diff_tables(base.tables, edited)
+        if change.is_empty():
+            return
+        commit = Commit(
+            new_change_id(),
+            _edits(change),
+            Outcome.REFUSED,
+            0,
+        )
+        self.history.commits.append(commit)
+        try:
+            await self._commit(base, edited, commit)
+        except CommitUnknownError:
+            commit.was_unknown = True
+            await self._settle(commit)
+        except (ConfigurationUnavailableError, StoreError):
+            commit.outcome = Outcome.UNAVAILABLE
+        except CodedError:
+            commit.outcome = Outcome.REFUSED
+        commit.ended_at = commit.ended_at or time.time()
+
+    async def _commit(
+        self,
+        base: StoredTables,
+        edited: Tables,
+        commit: Commit,
+    ) -> None:
+        members = await find_members(self.store)
+        accepted = await commit_snapshot(
+            self.store,
+            base,
+            edited,
+            author=self.name,
+            reason='experiment',
+            change_id=commit.change_id,
+        )
+        commit.outcome = Outcome.ACCEPTED
+        commit.ended_at = time.time()
+        with contextlib.suppress(CodedError):
+            await hand_over(
+                self.client,
+                members,
+                accepted.snapshot,
+                self.source,
+            )
+
+    async def _settle(self, commit: Commit) -> None:
+        commit.outcome = Outcome.UNKNOWN
+        while commit.outcome is Outcome.UNKNOWN:
+            await asyncio.sleep(_SETTLE_PAUSE_SECONDS)
+            try:
+                settlement = await settle(self.store, commit.change_id)
+            except (CodedError, StoreError):
+                continue
+            is_accepted = settlement.revision is not None
+            commit.outcome = (
+                Outcome.ACCEPTED if is_accepted else Outcome.REFUSED
+            )
+
+    def _edit(self, tables: Tables) -> Tables:
+        kind = self.source.choices(
+            ('route', 'delete-route', 'pool', 'delete-pool'),
+            (8, 2, 2, 1),
+        )[0]
+        match kind:
+            case 'route':
+                return apply_routes(tables, [self._route(tables)])
+            case 'delete-route' if tables.routes:
+                return delete_routes(tables, [self._pick(tables.routes)])
+            case 'pool':
+                name = f'pool-{self.source.randrange(POOLS * 2)}'
+                return apply_pools(tables, [_pool(name, self._token())])
+            case 'delete-pool' if tables.pools:
+                return self._delete_pool(tables)
+        return tables
+
+    def _route(self, tables: Tables) -> Route:
+        name = f'route-{self.source.randrange(ROUTES)}'
+        pool = self._pick(tables.pools)
+        return Route(name, pool, path_prefix=f'/{self.name}/{self._token()}')
+
+    def _delete_pool(self, tables: Tables) -> Tables:
+        used = {route.pool for route in tables.routes.values()}
+        free = {name: 0 for name in tables.pools if name not in used}
+        if not free:
+            return tables
+        return delete_pools(tables, [self._pick(free)])
+
+    def _pick(self, rows: Mapping[str, object]) -> str:
+        return self.source.choice(sorted(rows))
+
+    def _token(self) -> int:
+        return self.source.randrange(1, 10_000)
+
+
+def _pool(name: str, slots: int) -> Pool:
+    return Pool(name, (Server(f'{name}-0', '127.0.0.1', 9, slots),))
+
+
+def _edits(change: Change) -> tuple[RowEdit, ...]:
+    before = rows_of(change.before)
+    after = rows_of(change.after)
+    return tuple(
+        RowEdit(row, before.get(row), after.get(row))
+        for row in sorted(before.keys() | after.keys())
+    )
--- /dev/null
+++ b/zinniaturn/experiments/configuration/run.py
@@ -0,0 +1,301 @@
+"""The runs: a quick form for every change, and the whole one."""
+
+__all__ = ('run_full', 'run_smoke')
+
+import asyncio
+import contextlib
+import random
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import aiohttp
+import click
+import msgspec
+
+from zinniaturn.configuration import Snapshot
+from zinniaturn.configuration.commit import (
+    commit,
+    new_change_id,
+    read_tables,
+)
+from zinniaturn.configuration.layout import read_head
+from zinniaturn.configuration.pages import find_revision
+from zinniaturn.configuration.planning import Authorship
+from zinniaturn.configuration.restoring import restore
+from zinniaturn.errors import CodedError
+from zinniaturn.experiments.configuration.checking import (
+    Findings,
+    check_history,
+)
+from zinniaturn.experiments.configuration.cost import Cost, CostMeter
+from zinniaturn.experiments.configuration.faults import FaultKind, FaultPlan
+from zinniaturn.experiments.configuration.fleet import ConfigurationFleet
+from zinniaturn.experiments.configuration.history import (
+    History,
+    Installed,
+    Interval,
+    Outcome,
+    read_installed,
+)
+from zinniaturn.experiments.configuration.operators import (
+    Operator,
+    initial_tables,
+    rows_of,
+)
+from zinniaturn.experiments.exceptions import ExperimentError
+from zinniaturn.experiments.registry import ExperimentOptions
+from zinniaturn.status import read_tables_of
+from zinniaturn.store import HttpStore, StoreError
+
+ENTRIES = 13
+FULL_SECONDS = 300.0
+IN_FORCE_SECONDS = 4.0
+
+_SETTLED_SECONDS = 20.0
+_POLL_SECONDS = 0.1
+
+
+class Report(msgspec.Struct):
+    """What a run prints; costs are per entry."""
+
+    commits: int
+    accepted: int
+    refused: int
+    unavailable: int
+    unknown_settled: int
+    accepted_lost: int
+    reversions: int
+    in_force_max_s: float
+    faults: dict[str, int]
+    control_bytes_per_s: float
+    control_core_share: float
+    control_rss_mb: float
+    notes: list[str]
+
+    def is_clean(self) -> bool:
+        """Return whether nothing was lost, reverted or late."""
+        is_late = self.in_force_max_s > IN_FORCE_SECONDS
+        is_missed = not all(self.faults.values())
+        return not (
+            self.accepted_lost or self.reversions or is_late or is_missed
+        )
+
+
+@dataclass
+class Run:
+    """One run of the experiment."""
+
+    options: ExperimentOptions
+    seconds: float
+    history: History = field(default_factory=History)
+    left_out: int = 0
+
+    def __post_init__(self) -> None:
+        """Prepare the fleet."""
+        logs = self.options.out / f'configuration-{self.options.seed}'
+        logs.mkdir(parents=True, exist_ok=True)
+        for old in logs.glob('*.log'):
+            old.unlink()
+        self.logs = logs
+        self.fleet = ConfigurationFleet(logs, ENTRIES)
+        self.store = HttpStore(self.fleet.store_url, caller='operator')
+        self.history.faults = {kind.value: 0 for kind in FaultKind}
+
+    async def execute(self) -> Report:
+        """Run everything and return the report."""
+        try:
+            return await self._execute()
+        finally:
+            await self.store.close()
+            await self.fleet.stop()
+
+    async def _execute(self) -> Report:
+        await self._start()
+        meter = CostMeter(self.fleet)
+        metering = asyncio.create_task(meter.run())
+        operators = self._operators()
+        working = [asyncio.create_task(one.run()) for one in operators]
+        plan = FaultPlan(
+            self.fleet,
+            self.history,
+            random.Random(self.options.seed),
+            self._restore,
+        )
+        until = time.monotonic() + self.seconds
+        await plan.run_cycle()
+        while time.monotonic() < until:
+            await plan.run_cycle()
+        for operator in operators:
+            operator.is_stopping = True
+        await asyncio.gather(*working)
+        await self._wait_settled()
+        cost = meter.cost()
+        metering.cancel()
+        await asyncio.gather(metering, return_exceptions=True)
+        for operator in operators:
+            await operator.store.close()
+        return await self._report(cost)
+
+    async def _start(self) -> None:
+        await self.fleet.start_store()
+        tables = initial_tables()
+        await commit(self.store, await read_tables(self.store), tables)
+        self.history.initial = rows_of(tables)
+        entries = list(self.fleet.entries.values())
+        for starting in entries:
+            await self.fleet.start_entry(starting)
+        await asyncio.gather(*map(self.fleet.wait_ready, entries))
+        now = time.time()
+        self.history.reachable = [
+            Interval(entry.name, now) for entry in entries
+        ]
+
+    def _operators(self) -> list[Operator]:
+        return [
+            Operator(
+                name,
+                HttpStore(self.fleet.store_url, caller=name),
+                random.Random(f'{name} {self.options.seed}'),
+                self.history,
+            )
+            for name in ('anna', 'bolor')
+        ]
+
+    async def _restore(self) -> None:
+        if not await self._is_fenced():
+            return
+        plan = await restore(
+            self.store,
+            await self._best_held(),
+            Authorship('experiment', 'the store was reset', time.time()),
+            new_change_id(),
+            prefers_entries=True,
+        )
+        self.left_out += len(plan.left_out)
+
+    async def _is_fenced(self) -> bool:
+        deadline = time.monotonic() + _SETTLED_SECONDS
+        while time.monotonic() < deadline:
+            if (await read_head(self.store)).head.fence is not None:
+                return True
+            if await self._is_level():
+                return False
+            await asyncio.sleep(_POLL_SECONDS)
+        raise ExperimentError('nobody fenced the store')
+
+    async def _is_level(self) -> bool:
+        head = (await read_head(self.store)).head
+        held = (await self._best_held()).head
+        return head.position == held.position
+
+    async def _best_held(self) -> Snapshot:
+        held = [snapshot for snapshot in await self._held() if snapshot]
+        return max(held, key=lambda one: one.head.revision)
+
+    async def _held(self) -> list[Snapshot | None]:
+        timeout = aiohttp.ClientTimeout(3)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+
+            async def read(admin: str) -> Snapshot | None:
+                try:
+                    return await read_tables_of(session, admin)
+                except CodedError:
+                    return None
+
+            return await asyncio.gather(
+                *(
+                    read(entry.admin)
+                    for entry in self.fleet.entries.values()
+                    if entry.is_running
+                ),
+            )
+
+    async def _wait_settled(self) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_SETTLED_SECONDS):
+                while not await self._is_settled():
+                    await asyncio.sleep(_POLL_SECONDS)
+
+    async def _is_settled(self) -> bool:
+        try:
+            head = (await read_head(self.store)).head
+        except StoreError:
+            return False
+        held = await self._held()
+        return all(
+            one is not None and one.head.position == head.position
+            for one in held
+        )
+
+    async def _report(self, cost: Cost) -> Report:
+        head = (await read_head(self.store)).head
+        for one in self.history.commits:
+            found = await find_revision(self.store, head, one.change_id)
+            one.revision = found or 0
+        final = await self._final_rows()
+        findings = check_history(self.history, self._installed(), final)
+        self._note_differences(findings, await self._held())
+        return self._make_report(findings, cost)
+
+    async def _final_rows(self) -> dict[str, str]:
+        return dict(rows_of((await self._best_held()).tables))
+
+    def _installed(self) -> list[Installed]:
+        found: list[Installed] = []
+        for path in sorted(self.logs.glob('entry-*.log')):
+            found.extend(read_installed(path, path.stem))
+        return found
+
+    def _note_differences(
+        self,
+        findings: Findings,
+        held: list[Snapshot | None],
+    ) -> None:
+        positions = {one.head.position if one else None for one in held}
+        if len(positions) > 1:
+            findings.reversions += 1
+            findings.notes.append(f'entries ended at {positions}')
+
+    def _make_report(self, findings: Findings, cost: Cost) -> Report:
+        commits = self.history.commits
+        return Report(
+            commits=len(commits),
+            accepted=self._count(Outcome.ACCEPTED),
+            refused=self._count(Outcome.REFUSED),
+            unavailable=self._count(Outcome.UNAVAILABLE),
+            unknown_settled=sum(one.was_unknown for one in commits),
+            accepted_lost=findings.accepted_lost,
+            reversions=findings.reversions,
+            in_force_max_s=round(findings.in_force_max_s, 3),
+            faults=self.history.faults,
+            control_bytes_per_s=round(cost.bytes_per_s, 1),
+            control_core_share=round(cost.core_share, 5),
+            control_rss_mb=round(cost.rss_mb, 1),
+            notes=findings.notes,
+        )
+
+    def _count(self, outcome: Outcome) -> int:
+        return sum(one.outcome is outcome for one in self.history.commits)
+
+
+def run_smoke(options: ExperimentOptions) -> int:
+    """Inject every fault once; ends within 45 s."""
+    return _run(options, options.seconds or 1)
+
+
+def run_full(options: ExperimentOptions) -> int:
+    """Inject every fault again and again for ``--seconds``."""
+    return _run(options, options.seconds or FULL_SECONDS)
+
+
+def _run(options: ExperimentOptions, seconds: float) -> int:
+    report = asyncio.run(Run(options, seconds).execute())
+    path = Path(options.out) / f'configuration-{options.seed}.json'
+    path.write_bytes(msgspec.json.encode(report))
+    if options.as_json:
+        click.echo(msgspec.json.encode(report).decode())
+    else:
+        for name in report.__struct_fields__:
+            click.echo(f'{name:<22}{getattr(report, name)}')
+    return 0 if report.is_clean() else 1
--- a/zinniaturn/experiments/registry.py
+++ b/zinniaturn/experiments/registry.py
@@ -52,6 +52,21 @@
 
 
 _ALL: tuple[Experiment, ...] = (
+    Experiment(
+        'configuration-smoke',
+        'operators, entries and a failing store, within 45 s',
+        'zinniaturn.experiments.configuration:run_smoke',
+    ),
+    Experiment(
+        'configuration-scaling',
+        'what control costs an entry in fleets of 13 to 104',
+        'zinniaturn.experiments.configuration.scaling:run_scaling',
+    ),
+    Experiment(
+        'configuration',
+        'the same for as long as --seconds says',
+        'zinniaturn.experiments.configuration:run_full',
+    ),
     Experiment(
         'choosing-smoke',
         'all policies on steady load, within 45 s',
--- a/zinniaturn/membership/evidence.py
+++ b/zinniaturn/membership/evidence.py
@@ -22,7 +22,7 @@
 
 from zinniaturn.vmlist import VmState
 
-SUSPECT_AFTER_SECONDS = 5.0
+SUSPECT_AFTER_SECONDS = 6.0
 DEAD_AFTER_SECONDS = 15.0
 
 
--- a/zinniaturn/membership/reporter.py
+++ b/zinniaturn/membership/reporter.py
@@ -40,6 +40,7 @@
 
 _RENEW_SECONDS = 4.0
 _ROUND_SECONDS = 1.0
+_TRY_SECONDS = 3.0
 _READ_SECONDS = 10.0
 _LONELY_ROUNDS = 20
 _DUTY = 'report'
@@ -62,6 +63,7 @@
     version: int = 0
     renew_at: float = 0
     read_at: float = 0
+    try_at: float = 0
     lonely_rounds: int = 0
 
     async def run(self) -> None:
@@ -80,7 +82,8 @@
             await self.read_all()
         if self.keeper.is_held():
             await self._report(now)
-        elif self._is_candidate():
+        elif now >= self.try_at and self._is_candidate():
+            self.try_at = now + _TRY_SECONDS * (0.5 + self.source.random())
             await self._take_over(now)
 
     async def read_all(self) -> None:
--- a/zinniaturn/membership/table.py
+++ b/zinniaturn/membership/table.py
@@ -8,7 +8,7 @@
 __all__ = ('CONTACTS', 'KnownMember', 'MemberTable')
 
 import random
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 
 from zinniaturn.clock import Clock
@@ -153,32 +153,37 @@
             MemberState.SUSPECT,
         )
 
-    def sample_heartbeats(
+    def latest(
         self,
+        members: Sequence[Member],
         count: int,
         source: random.Random,
     ) -> list[Member]:
         """Return up to ``count`` members: the latest heard and some others."""
         heard = sorted(
-            self.reachable(),
+            members,
             key=lambda member: -self.known[member.name].heard_at,
         )
-        latest = heard[: count // 2]
+        first = heard[: count // 2]
         rest = heard[count // 2 :]
-        return latest + source.sample(rest, min(len(rest), count - len(latest)))
+        return first + source.sample(rest, min(len(rest), count - len(first)))
 
-    def news(self, count: int, source: random.Random) -> list[Member]:
+    def news(
+        self,
+        members: Sequence[Member],
+        count: int,
+        source: random.Random,
+    ) -> list[Member]:
         """Return recently learnt members, and one of the others."""
         now = self.clock.monotonic()
-        reachable = self.reachable()
         recent = [
             member
-            for member in reachable
+            for member in members
             if now - self.known[member.name].learnt_at < NEWS_SECONDS
         ]
         picked = source.sample(recent, min(len(recent), count))
-        if reachable:
-            picked.append(source.choice(reachable))
+        if members:
+            picked.append(source.choice(members))
         return picked
 
     def _evidence(self, known: KnownMember, is_isolated: bool) -> Evidence:
--- a/zinniaturn/peers/exchange.py
+++ b/zinniaturn/peers/exchange.py
@@ -25,7 +25,7 @@
 from zinniaturn.peers.exceptions import PeerError
 from zinniaturn.peers.spread import choose_targets, is_behind
 
-ROUND_SECONDS = 1.0
+ROUND_SECONDS = 1.5
 ROUND_TARGETS = 2
 PUSH_TARGETS = 3
 BEATS = 24
@@ -180,13 +180,15 @@
         is_full: bool,
         wants_members: bool = False,
     ) -> Bulletin:
-        beats = self.table.sample_heartbeats(BEATS, self.source)
+        reachable = self.table.reachable()
+        beats = self.table.latest(reachable, BEATS, self.source)
+        members = reachable if is_full else self._news(reachable)
         return Bulletin(
             sender=self.table.me,
             position=self.holder.head.position,
             confirmed_age=self.confirmed_age(),
             beats=tuple(Beat(one.name, one.heartbeat) for one in beats),
-            members=self._members(is_full),
+            members=tuple(members),
             notes=tuple(
                 Note(topic, provide())
                 for topic, provide in self.providers.items()
@@ -194,10 +196,8 @@
             wants_members=wants_members,
         )
 
-    def _members(self, is_full: bool) -> tuple[Member, ...]:
-        if is_full:
-            return tuple(self.table.reachable())
-        return tuple(self.table.news(NEWS, self.source))
+    def _news(self, reachable: list[Member]) -> list[Member]:
+        return self.table.news(reachable, NEWS, self.source)
 
     def _beat(self) -> None:
         self.table.beat(self.is_stopping or self.is_leaving())
