--- a/zinniaturn/choosing/policies.py
+++ b/zinniaturn/choosing/policies.py
@@ -26,7 +26,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from zinniaturn.choosing.estimates import PoolAverages, estimated_wait
+from zinniaturn.choosing.estimates import PoolAverages, estimated_waits
 from zinniaturn.choosing.server_state import ServerState
 
 _BEARABLE_RATIO = 2.5
@@ -35,7 +35,14 @@
 
 
 class Policy(Protocol):
-    """Chooses one of the available servers."""
+    """
+    Chooses one of the available servers.
+
+    A server is measured, within the budget, once its last report is older
+    than ``report_lifetime_seconds``.
+    """
+
+    report_lifetime_seconds: float
 
     def choose(
         self,
@@ -49,6 +56,8 @@
 class RandomChoice:
     """Takes any server with the same chance."""
 
+    report_lifetime_seconds: float = math.inf
+
     def __init__(self, source: random.Random) -> None:
         self.source = source
 
@@ -65,6 +74,8 @@
 class RoundRobin:
     """Takes the servers in turn, from a random start."""
 
+    report_lifetime_seconds: float = math.inf
+
     def __init__(self, source: random.Random) -> None:
         self.last = source.random()
         self.names: list[str] = []
@@ -90,6 +101,8 @@
 class LeastInFlight:
     """Takes the server with the fewest of this entry's own requests."""
 
+    report_lifetime_seconds: float = math.inf
+
     def __init__(self, source: random.Random) -> None:
         self.source = source
 
@@ -108,6 +121,8 @@
 class PowerOfTwo:
     """Takes the one with fewer own requests of two random servers [1]_."""
 
+    report_lifetime_seconds: float = math.inf
+
     def __init__(self, source: random.Random) -> None:
         self.source = source
 
@@ -133,6 +148,8 @@
     that are much slower than the best one are left out first.
     """
 
+    report_lifetime_seconds: float = 1
+
     def __init__(self, source: random.Random) -> None:
         self.source = source
 
@@ -143,16 +160,13 @@
         now: float,
     ) -> ServerState:
         """Return a candidate with a short estimated wait."""
-        ranked = [
-            _Ranked(
-                state,
-                estimated_wait(state, averages, now),
-                self.source.random(),
-            )
-            for state in candidates
+        waits = estimated_waits(candidates, averages, now)
+        bearable = min(waits) * _BEARABLE_RATIO
+        sound = [
+            _Ranked(state, wait, self.source.random())
+            for state, wait in zip(candidates, waits, strict=True)
+            if wait <= bearable
         ]
-        bearable = min(each.wait for each in ranked) * _BEARABLE_RATIO
-        sound = [each for each in ranked if each.wait <= bearable]
         sound.sort(key=_last_used)
         fewest = min(len(sound), _FEWEST_COMPARED)
         compared = max(fewest, math.ceil(len(sound) * _COMPARED_SHARE))
@@ -167,6 +181,8 @@
     can; it is the limit in tests and benches.
     """
 
+    report_lifetime_seconds: float = math.inf
+
     def __init__(
         self,
         true_wait: Callable[[ServerState], float],
@@ -188,7 +204,7 @@
         )
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _Ranked:
     """A candidate with its estimated wait and a random rank for ties."""
 
--- a/zinniaturn/choosing/pool_state.py
+++ b/zinniaturn/choosing/pool_state.py
@@ -3,6 +3,7 @@
 __all__ = ('PoolState',)
 
 import random
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from zinniaturn.choosing.ejection import note_failure, note_success
@@ -18,6 +19,12 @@
 )
 from zinniaturn.choosing.waiting import Ticket, WaitingQueue
 from zinniaturn.clock import Clock
+from zinniaturn.explain.decisions import (
+    ServerEjected,
+    ServerLeaving,
+    ServerReadmitted,
+)
+from zinniaturn.explain.recorder import NullRecorder, Recorder
 from zinniaturn.tables.domain import Pool
 
 _HEDGE_QUANTILE = 0.95
@@ -40,6 +47,7 @@
     clock: Clock
     source: random.Random
     servers: dict[str, ServerState] = field(default_factory=dict)
+    recorder: Recorder = field(default_factory=NullRecorder)
     averages: PoolAverages = field(default_factory=PoolAverages)
     waiting: WaitingQueue = field(default_factory=WaitingQueue)
     retries: RetryBudget = field(default_factory=RetryBudget)
@@ -66,6 +74,8 @@
             if state is None:
                 state = ServerState(server)
                 state.warming_since = now if known else None
+            if state.server.leaving != server.leaving:
+                self._record_leaving(server.name, 'table', server.leaving)
             state.server = server
             self.servers[server.name] = state
         self._grant_waiting()
@@ -80,13 +90,14 @@
         now = self.clock.monotonic()
         if ticket.deadline <= now:
             raise RefusedError('the deadline has passed', 'deadline-not-run')
-        if not self._available(now):
+        available = self._available(now)
+        if not available:
             raise RefusedError(
                 f'pool "{self.pool.name}" has no available server',
                 'no-server',
                 self.retry_after(),
             )
-        if not self.waiting.first(now) and self._grant(ticket, now):
+        if not self.waiting.first(now) and self._grant(ticket, available, now):
             return
         self._check_queue(ticket, now)
         self.waiting.join(ticket, now)
@@ -94,7 +105,11 @@
     def try_acquire(self, ticket: Ticket) -> bool:
         """Give a ticket a server without waiting; return whether it has."""
         now = self.clock.monotonic()
-        return ticket.deadline > now and self._grant(ticket, now)
+        return ticket.deadline > now and self._grant(
+            ticket,
+            self._available(now),
+            now,
+        )
 
     def abandon(self, ticket: Ticket) -> None:
         """Take back a ticket that waits or was granted a server unused."""
@@ -112,6 +127,8 @@
         if completion.report is not None:
             state.note_report(completion.report, now)
         if completion.leaving:
+            if not state.leaving:
+                self._record_leaving(state.server.name, 'reply', True)
             state.leaving = True
             state.left_at = now
         if not completion.cancelled:
@@ -130,6 +147,28 @@
             state.note_report(report, now)
             self._grant_waiting()
 
+    def note_unmeasured(self, server: str) -> None:
+        """Count a measuring request that brought nothing as a failure."""
+        state = self.servers.get(server)
+        if state is not None:
+            now = self.clock.monotonic()
+            note_failure(state, self.servers.values(), now)
+
+    def needing_measurement(self, now: float) -> list[ServerState]:
+        """
+        Return the servers whose last report is too old for the policy.
+
+        A busy server reports on its replies, which cost nothing; measuring is
+        left to those that gave none for a while.
+        """
+        oldest = now - self.policy.report_lifetime_seconds
+        return [
+            state
+            for state in self.servers.values()
+            if state.reported_at <= oldest
+            and not (state.leaving or state.server.leaving)
+        ]
+
     def hedge_after(self) -> float | None:
         """Return the seconds after which a second attempt is worth it."""
         return self.latencies.threshold
@@ -152,13 +191,33 @@
             state.limit.learn(state.slots * 2, state.slots)
             return
         if completion.succeeded:
-            note_success(state)
+            self._note_success(state)
             state.served_at = now
             self.averages.learn(state, completion)
             self.latencies.add(completion.latency_seconds)
             self.retries.earn(self.pool.retry_share)
             return
-        note_failure(state, self.servers.values(), now)
+        if note_failure(state, self.servers.values(), now):
+            self.recorder.record(
+                ServerEjected(
+                    self.pool.name,
+                    state.server.name,
+                    state.ejected_until - now,
+                    f'{state.consecutive_failures + 1} failures in a row',
+                ),
+            )
+
+    def _note_success(self, state: ServerState) -> None:
+        if state.ejections:
+            self.recorder.record(
+                ServerReadmitted(self.pool.name, state.server.name),
+            )
+        note_success(state)
+
+    def _record_leaving(self, server: str, witness: str, leaving: bool) -> None:
+        self.recorder.record(
+            ServerLeaving(self.pool.name, server, witness, leaving),
+        )
 
     def _available(self, now: float) -> list[ServerState]:
         self._try_left_again(now)
@@ -171,17 +230,23 @@
             if state.leaving and now - state.left_at >= _LEAVING_SECONDS:
                 state.leaving = False
                 state.warming_since = now
+                self._record_leaving(state.server.name, 'reply', False)
 
-    def _grant(self, ticket: Ticket, now: float) -> bool:
-        with_room = [
-            state for state in self._available(now) if state.has_room(now)
-        ]
-        preferred = [
-            state
-            for state in with_room
-            if state.server.name not in ticket.exclude
-        ]
-        candidates = preferred or with_room
+    def _grant(
+        self,
+        ticket: Ticket,
+        available: Sequence[ServerState],
+        now: float,
+    ) -> bool:
+        with_room = [state for state in available if state.has_room(now)]
+        candidates = with_room
+        if ticket.exclude:
+            preferred = [
+                state
+                for state in with_room
+                if state.server.name not in ticket.exclude
+            ]
+            candidates = preferred or with_room
         if not candidates:
             return False
         state = self.policy.choose(candidates, self.averages, now)
@@ -194,7 +259,11 @@
     def _grant_waiting(self) -> None:
         now = self.clock.monotonic()
         ticket = self.waiting.first(now)
-        while ticket is not None and self._grant(ticket, now):
+        while ticket is not None and self._grant(
+            ticket,
+            self._available(now),
+            now,
+        ):
             self.waiting.leave(ticket)
             if ticket.on_granted is not None:
                 ticket.on_granted()
--- a/zinniaturn/settings/models.py
+++ b/zinniaturn/settings/models.py
@@ -122,13 +122,26 @@
         allow_inf_nan=False,
         description='How long callers keep the addresses, in seconds.',
     )
+    measuring_lease_seconds: float = Field(
+        default=5,
+        ge=1,
+        le=300,
+        allow_inf_nan=False,
+        description='Term of the lease on the right to measure, in seconds.',
+    )
     log_level: Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = Field(
         default='INFO',
         description='Least severe level that is logged.',
     )
     event_loop: Literal['uvloop', 'asyncio'] = Field(
-        default='uvloop',
-        description='Event loop of the process.',
+        default='asyncio',
+        description='Event loop; uvloop may open an io_uring.',
+    )
+    decision_records: int = Field(
+        default=20_000,
+        ge=0,
+        le=1_000_000,
+        description='Latest decisions on requests kept; 0 keeps none.',
     )
     seed: int | None = Field(
         default=None,
