--- a/zinniaturn/configuration/layout.py
+++ b/zinniaturn/configuration/layout.py
@@ -152,6 +152,7 @@
     """
     slot = xxhash.xxh64_intdigest(plan.change_id.encode()) % _INTENT_SLOTS
     key = f'{PREFIX}/intents/{slot}'
+    head = plan.base.head
     intent = Intent(
         plan.revision,
         plan.change_id,
@@ -160,7 +161,6 @@
     for _ in range(_LOAD_ATTEMPTS):
         entry = await store.read(key)
         intents = _decode_intents(entry)
-        head = (await read_head(store)).head
         done = [old for old in intents if old.revision <= head.revision]
         for stale in stale_keys(head, done):
             await _remove(store, stale)
--- a/zinniaturn/experiments/registry.py
+++ b/zinniaturn/experiments/registry.py
@@ -57,6 +57,11 @@
         'operators, entries and a failing store, within 45 s',
         'zinniaturn.experiments.configuration:run_smoke',
     ),
+    Experiment(
+        'configuration-layouts',
+        'store layouts by bytes, calls and times at two sizes',
+        'zinniaturn.experiments.configuration.layouts:run_layouts',
+    ),
     Experiment(
         'configuration-scaling',
         'what control costs an entry in fleets of 13 to 104',
