--- a/zinniaturn/peers/client.py
+++ b/zinniaturn/peers/client.py
@@ -103,6 +103,14 @@
             raise _unavailable(address, error) from error
         return bool(reply.in_force)
 
+    async def renew(self, security: PeerSecurity) -> None:
+        """Use other credentials; calls under way may end on the old ones."""
+        self.security = security
+        old = list(self.channels.values())
+        self.channels.clear()
+        for channel in old:
+            await channel.close(EXCHANGE_SECONDS)
+
     async def close(self) -> None:
         """Close the channels."""
         while self.channels:
