Give the bench's processes ports that no outgoing connection takes

Cause: free_port asks for an ephemeral port, which an outgoing connection of another process can take before the entry listens. With 52 entries one died so, and in a full test run 'all entries are restarted at once' failed the same way. Ports now come from below the ephemeral range. The stop of a fleet with a dead process kills the others too; before, it left 40 of them behind.

--- a/zinniaturn/experiments/configuration/fleet.py
+++ b/zinniaturn/experiments/configuration/fleet.py
@@ -3,7 +3,12 @@
 __all__ = ('ConfigurationFleet', 'EntryProcess')
 
 import asyncio
+import contextlib
+import itertools
+import os
 import signal
+import socket
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -11,13 +16,16 @@
 import psutil
 
 from zinniaturn.experiments.exceptions import ExperimentError
-from zinniaturn.experiments.processes import ProcessGroup, free_port
+from zinniaturn.experiments.processes import ProcessGroup
 
 DATA_CENTERS = 3
 SEEDS = 3
 
 _READY_SECONDS = 60.0
 _POLL_SECONDS = 0.05
+_FIRST_PORT = 18_000
+_PORT_COUNT = 14_000
+_PORT_STEP = 300
 
 
 @dataclass(slots=True)
@@ -37,6 +45,18 @@
         return f'127.0.0.1:{self.admin_port}'
 
 
+def _listening_ports() -> Iterator[int]:
+    """Yield free ports that no outgoing connection gets by chance."""
+    first = _FIRST_PORT + os.getpid() * _PORT_STEP % _PORT_COUNT
+    for port in itertools.chain(
+        range(first, _FIRST_PORT + _PORT_COUNT),
+        range(_FIRST_PORT, first),
+    ):
+        with contextlib.suppress(OSError), socket.socket() as probe:
+            probe.bind(('127.0.0.1', port))
+            yield port
+
+
 @dataclass
 class ConfigurationFleet:
     """The store's stand-in and the entries as processes."""
@@ -44,11 +64,12 @@
     logs: Path
     count: int
     entries: dict[str, EntryProcess] = field(default_factory=dict)
-    store_port: int = field(default_factory=free_port)
+    ports: Iterator[int] = field(default_factory=_listening_ports)
 
     def __post_init__(self) -> None:
         """Prepare the processes."""
         self.group = ProcessGroup(self.logs)
+        self.store_port = next(self.ports)
         self.session: aiohttp.ClientSession | None = None
         for number in range(self.count):
             self.add_entry(f'entry-{number}')
@@ -63,8 +84,8 @@
         number = len(self.entries)
         entry = EntryProcess(
             name,
-            free_port(),
-            free_port(),
+            next(self.ports),
+            next(self.ports),
             f'dc-{number % DATA_CENTERS}',
         )
         self.entries[name] = entry
@@ -150,7 +171,8 @@
         """Kill everything."""
         for entry in self.entries.values():
             if entry.is_running:
-                self.resume(entry)
+                with contextlib.suppress(ProcessLookupError):
+                    self.resume(entry)
         await self.group.stop_all()
         if self.session is not None:
             await self.session.close()
