--- a/features/steps/choosing_steps.py
+++ b/features/steps/choosing_steps.py
@@ -334,3 +334,14 @@
             state,
             Completion(False, seconds, cancelled=True),
         )
+
+
+@when('{count:d} requests to server {number:d} time out')
+def time_out(context, count, number):
+    for _ in range(count):
+        context.driven.fail(number, cancelled=True, timed_out=True)
+
+
+@when('server {number:d} is known to be back')
+def note_back(context, number):
+    context.driven.pool.note_back(f'card-{number}')
--- a/zinniaturn/choosing/pool_state.py
+++ b/zinniaturn/choosing/pool_state.py
@@ -28,8 +28,8 @@
 from zinniaturn.tables.domain import Pool
 
 _HEDGE_QUANTILE = 0.95
-_LEAVING_SECONDS = 10.0
-_SHORTEST_RETRY_SECONDS = 0.2
+_RETRY_WAITS = 4
+_SHORTEST_RETRY_SECONDS = 0.5
 _LONGEST_RETRY_SECONDS = 5.0
 
 
@@ -138,7 +138,8 @@
             if not state.leaving:
                 self._record_leaving(state.server.name, 'reply', True)
             state.leaving = True
-            state.left_at = now
+        if completion.timed_out:
+            state.limit.timed_out(state.slots)
         if completion.cancelled:
             self.averages.learn_cancelled(state, completion, now)
         else:
@@ -179,6 +180,15 @@
             and not (state.leaving or state.server.leaving)
         ]
 
+    def note_back(self, server: str) -> None:
+        """Take a server that had said that it leaves back, slowly."""
+        state = self.servers.get(server)
+        if state is not None and state.leaving:
+            state.leaving = False
+            state.warming_since = self.clock.monotonic()
+            self._record_leaving(server, 'health', leaving=False)
+            self._grant_waiting()
+
     def hedge_after(self) -> float | None:
         """Return the seconds after which a second attempt is worth it."""
         return self.latencies.threshold
@@ -187,7 +197,7 @@
         """Return the jittered seconds after which a caller should return."""
         usual = min(
             _LONGEST_RETRY_SECONDS,
-            max(_SHORTEST_RETRY_SECONDS, self._expected_wait() * 2),
+            max(_SHORTEST_RETRY_SECONDS, self._expected_wait() * _RETRY_WAITS),
         )
         return usual * self.source.uniform(0.5, 1.5)
 
@@ -230,18 +240,10 @@
         )
 
     def _available(self, now: float) -> list[ServerState]:
-        self._try_left_again(now)
         return [
             state for state in self.servers.values() if state.is_available(now)
         ]
 
-    def _try_left_again(self, now: float) -> None:
-        for state in self.servers.values():
-            if state.leaving and now - state.left_at >= _LEAVING_SECONDS:
-                state.leaving = False
-                state.warming_since = now
-                self._record_leaving(state.server.name, 'reply', False)
-
     def _grant(
         self,
         ticket: Ticket,
@@ -290,7 +292,7 @@
                 'queue-full',
                 self.retry_after(),
             )
-        expected = self._expected_wait()
+        expected = self._expected_wait() + self.averages.latency_seconds
         if now + expected > ticket.deadline:
             raise RefusedError(
                 f'the wait of {expected:.1f} s would pass the deadline',
@@ -301,8 +303,4 @@
     def _expected_wait(self) -> float:
         in_flight = sum(state.in_flight for state in self.servers.values())
         ahead = (len(self.waiting) + 1) / max(1, in_flight)
-        latency = self.averages.service_seconds * max(
-            1,
-            self.averages.load_per_slot,
-        )
-        return latency * ahead
+        return self.averages.latency_seconds * ahead
