--- a/zinniaturn/experiments/configuration/fleet.py
+++ b/zinniaturn/experiments/configuration/fleet.py
@@ -52,11 +52,19 @@
         range(first, _FIRST_PORT + _PORT_COUNT),
         range(_FIRST_PORT, first),
     ):
-        with contextlib.suppress(OSError), socket.socket() as probe:
-            probe.bind(('127.0.0.1', port))
+        if _is_free(port):
             yield port
 
 
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind(('127.0.0.1', port))
+        except OSError:
+            return False
+    return True
+
+
 @dataclass
 class ConfigurationFleet:
     """The store's stand-in and the entries as processes."""
