--- /dev/null
+++ b/features/steps/stopping_steps.py
@@ -0,0 +1,409 @@
+"""Steps of stopping and leaving."""
+
+import asyncio
+import contextlib
+import json
+import random
+import signal
+import tempfile
+from pathlib import Path
+from types import MappingProxyType
+
+from behave import given, then, when
+
+from features.support.byte_caller import ByteCaller
+from features.support.requests import head, receive
+from features.support.small_fleet import SmallFleet
+from features.support.stepped_server import (
+    Pause,
+    ReadBody,
+    Send,
+    answer_with_token,
+    whole_answer,
+)
+from zinniaturn.clock import ManualClock
+from zinniaturn.entry.addresses import EntryAddress, spread, steer
+from zinniaturn.entry.overload import OverloadNotes
+from zinniaturn.experiments.processes import ProcessGroup, free_port
+from zinniaturn.standins.vm_list import VmListStandIn
+from zinniaturn.vmlist import ListedVm, VmState
+
+_PART = b'x' * 20
+_LARGE_BYTES = 8_000_000
+
+
+def _extract(request):
+    """Answer /cards/long in parts while the gate of the test is shut."""
+    if request.target != '/cards/long':
+        return answer_with_token(request)
+    start = b'HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n'
+    parts = [step for _ in range(5) for step in (Send(_PART), Pause(0.1))]
+    return [ReadBody(), Send(start), *parts]
+
+
+@given('{count:d} entries that stop gracefully')
+@given('{count:d} entry that stops gracefully')
+def start_entries(context, count):
+    fleet = SmallFleet(servers=2, entries=count, script=_extract)
+    context.fleet = fleet
+    context.vm_list = VmListStandIn(lag_seconds=0)
+    context.loop.run_until_complete(context.vm_list.start())
+    context.closers.append(context.vm_list.stop)
+    fleet.first_settings = {'vm_list_url': context.vm_list.url}
+    context.loop.run_until_complete(fleet.start())
+    context.closers.append(fleet.stop)
+    context.loop.run_until_complete(_meet_peers(fleet))
+
+
+async def _meet_peers(fleet):
+    async with asyncio.timeout(10):
+        while any(
+            _known(entry) < len(fleet.entries) - 1 for entry in fleet.entries
+        ):
+            for entry in fleet.entries:
+                await entry.state.control.exchange.round()
+                await entry.state.control.reporter.read_all()
+                for other in fleet.entries:
+                    entry.state.control.table.learn(
+                        other.state.control.table.me
+                    )
+
+
+def _known(entry):
+    return len(entry.state.control.live_members())
+
+
+async def _open(context, number=0):
+    caller = ByteCaller()
+    await caller.open(context.fleet.entries[number].port)
+    context.closers.append(caller.close)
+    return caller
+
+
+async def _begin_extract(context):
+    caller = await _open(context)
+    caller.send(head('GET', '/cards/long', 'long'))
+    context.extract = caller
+    while not context.fleet.executions('long'):
+        await asyncio.sleep(0.01)
+
+
+@given('a long extract, an upload and a half-sent head at entry {number:d}')
+def begin_requests(context, number):
+    async def begin():
+        await _begin_extract(context)
+        context.upload = await _open(context)
+        fields = {'Transfer_Encoding': 'chunked'}
+        context.upload.send(head('POST', '/postings', 'upload', **fields))
+        context.upload.send(b'5\r\nhello\r\n')
+        context.half = await _open(context)
+        context.half.send(b'GET /cards/1 HTTP/1.1\r\nX-Request-Id: half\r\n')
+        await asyncio.sleep(0.05)
+
+    context.loop.run_until_complete(begin())
+
+
+@given('a long extract at entry {number:d} and an idle connection besides')
+def begin_extract(context, number):
+    async def begin():
+        await _begin_extract(context)
+        context.idle = await _open(context)
+        context.idle.send(head('GET', '/cards/1', 'short'))
+        assert (await receive(context.idle)).status == 200
+
+    context.loop.run_until_complete(begin())
+
+
+@when('entry {number:d} is told to stop')
+def tell_to_stop(context, number):
+    entry = context.fleet.entries[number]
+
+    async def begin():
+        context.stopping = asyncio.ensure_future(entry.stop())
+        await asyncio.sleep(0)
+
+    context.fleet.entries = [
+        other for other in context.fleet.entries if other is not entry
+    ]
+    context.stopping_entry = entry
+    context.loop.run_until_complete(begin())
+
+    async def finish():
+        await context.stopping
+
+    context.closers.append(finish)
+
+
+@when('the extract, the upload and the head go on')
+def go_on(context):
+    async def run():
+        await asyncio.sleep(0.3)
+        context.upload.send(b'5\r\nworld\r\n0\r\n\r\n')
+        context.half.send(b'Host: entry\r\n\r\n')
+        context.ends = await asyncio.gather(
+            receive(context.extract),
+            receive(context.upload),
+            receive(context.half),
+        )
+
+    context.loop.run_until_complete(run())
+
+
+@then('all three are answered whole')
+def check_ends(context):
+    bodies = [(end.status, end.body) for end in context.ends]
+    whole = (200, _PART * 5)
+    assert bodies == [whole, (200, b'upload'), (200, b'half')], bodies
+
+
+@then('the idle connection ends')
+def check_idle(context):
+    async def run():
+        async with asyncio.timeout(5):
+            assert await context.idle.read_to_end() == b''
+
+    context.loop.run_until_complete(run())
+
+
+@then('the extract is answered whole')
+def check_extract(context):
+    end = context.loop.run_until_complete(receive(context.extract))
+    assert (end.status, end.body) == (200, _PART * 5), end
+
+
+@then('entry {number:d} has stopped')
+def check_stopped(context, number):
+    async def run():
+        async with asyncio.timeout(10):
+            await context.stopping
+
+    context.loop.run_until_complete(run())
+    assert context.stopping_entry.state.lifecycle.state == 'stopped'
+
+
+async def _ask(entry, method, path, request_id='ask'):
+    caller = ByteCaller()
+    await caller.open(entry.port)
+    caller.send(head(method, path, request_id))
+    answer = await receive(caller)
+    await caller.close()
+    return answer
+
+
+@then('a caller with an old address answer is served by entry {number:d}')
+def check_old_answer(context, number):
+    entry = context.stopping_entry
+    answer = context.loop.run_until_complete(_ask(entry, 'GET', '/cards/1'))
+    assert answer.status == 200, answer
+
+
+@then('entry {number:d} issues no more keys')
+def check_no_keys(context, number):
+    entry = context.stopping_entry
+    answer = context.loop.run_until_complete(_ask(entry, 'GET', '/v1/keys'))
+    assert (answer.outcome, answer.code) == ('not-run', 'draining'), answer
+
+
+@then('entry {number:d} names other entries only')
+def check_named(context, number):
+    entry = context.stopping_entry
+    answer = context.loop.run_until_complete(_ask(entry, 'GET', '/v1/entries'))
+    ports = [named['port'] for named in json.loads(answer.body)['entries']]
+    assert ports == [other.port for other in context.fleet.entries], ports
+
+
+@given('a caller of entry {number:d} that does not read its large answer yet')
+def hold_answer_up(context, number):
+    answer = whole_answer(b'y' * _LARGE_BYTES)
+
+    def script(request):
+        return [ReadBody(), Send(answer)]
+
+    async def begin():
+        for backend in context.fleet.backends:
+            backend.script = script
+        context.slow = await _open(context)
+        context.slow.send(head('GET', '/cards/1', 'large'))
+        while not context.fleet.executions('large'):
+            await asyncio.sleep(0.01)
+
+    context.loop.run_until_complete(begin())
+
+
+@when('the caller reads on')
+def read_on(context):
+    async def run():
+        await asyncio.sleep(0.3)
+        context.answer = await receive(context.slow)
+
+    context.loop.run_until_complete(run())
+
+
+@then('it reads the large answer whole')
+def check_large(context):
+    assert len(context.answer.body) == _LARGE_BYTES, context.answer.status
+
+
+@given('a process of an entry with a request in flight')
+def start_process(context):
+    fleet = SmallFleet(servers=1, entries=0, script=_extract)
+    context.fleet = fleet
+    logs = contextlib.ExitStack()
+    directory = logs.enter_context(tempfile.TemporaryDirectory())
+    context.group = ProcessGroup(Path(directory))
+
+    async def close():
+        await context.group.stop_all()
+        logs.close()
+
+    async def start():
+        await fleet.start()
+        port = free_port()
+        await context.group.start(
+            'entry',
+            'entry',
+            '--name=entry',
+            f'--port={port}',
+            f'--admin-port={free_port()}',
+            f'--store-url={fleet.store_stand_in.url}',
+            '--address-lifetime-seconds=0.1',
+            '--address-lag-seconds=0',
+        )
+        await context.group.wait_for_port('entry', port)
+        caller = ByteCaller()
+        await caller.open(port)
+        context.closers.append(caller.close)
+        context.extract = caller
+        async with asyncio.timeout(10):
+            while not fleet.executions('ready'):
+                caller.send(head('GET', '/cards/1', 'ready'))
+                await receive(caller)
+        caller.send(head('GET', '/cards/long', 'long'))
+        while not fleet.executions('long'):
+            await asyncio.sleep(0.01)
+
+    context.loop.run_until_complete(start())
+    context.closers.append(fleet.stop)
+    context.closers.append(close)
+
+
+@when('the process gets {signals}')
+def send_signals(context, signals):
+    async def run():
+        for name in signals.split(', '):
+            context.group.send_signal('entry', signal.Signals[name])
+            await asyncio.sleep(0.1)
+
+    context.loop.run_until_complete(run())
+
+
+@then('the request {ending} and the process ends with status {status:d}')
+def check_process(context, ending, status):
+    end = context.loop.run_until_complete(receive(context.extract))
+    is_whole = (end.status, end.body) == (200, _PART * 5)
+    assert is_whole == (ending == 'is whole'), end
+    found = context.loop.run_until_complete(context.group.wait('entry', 10))
+    assert found == status, found
+
+
+async def _say_in_table(context):
+    fleet = context.fleet
+    await fleet.commit([proxy.port for proxy in fleet.proxies], leaving=(0,))
+
+
+async def _say_in_vm_list(context):
+    context.vm_list.put(ListedVm('ledger-0', '127.0.0.1', VmState.LEAVING))
+
+
+async def _say_in_reply(context):
+    extra = 'Server-Leaving: true\r\n'
+
+    def script(request):
+        return [ReadBody(), Send(whole_answer(b'bye', extra=extra))]
+
+    fleet = context.fleet
+    fleet.backends[0].script = script
+    while not fleet.backends[0].executions:
+        await _ask(fleet.entries[0], 'GET', '/cards/1')
+
+
+async def _refuse(context):
+    await context.fleet.proxies[0].refuse_connections()
+
+
+_SAYING = MappingProxyType(
+    {
+        'the table': _say_in_table,
+        'the VM list': _say_in_vm_list,
+        'a reply header': _say_in_reply,
+        'a refusal': _refuse,
+    }
+)
+
+
+@when('{source} says at entry 0 that ledger-0 is leaving')
+def say_leaving(context, source):
+    context.loop.run_until_complete(_SAYING[source](context))
+
+
+@then('ledger-0 gets no new work from entry {number:d}')
+def check_no_work(context, number):
+    fleet = context.fleet
+
+    async def run():
+        async with asyncio.timeout(20):
+            while await _works(fleet, number):
+                await asyncio.sleep(0.05)
+
+    context.loop.run_until_complete(run())
+
+
+async def _works(fleet, number):
+    """Return whether any of some requests reached ledger-0."""
+    before = len(fleet.backends[0].requests)
+    for _ in range(12):
+        answer = await _ask(fleet.entries[number], 'GET', '/cards/1')
+        assert answer.status == 200, answer
+    return len(fleet.backends[0].requests) > before
+
+
+@then('40 entries in 3 data centres are named in turn, 16 at a time')
+def check_spread(context):
+    entries = [EntryAddress('', port, f'dc-{port % 3}') for port in range(40)]
+    picked = spread(entries, random.Random(1))
+    counts = sorted(
+        sum(entry.data_center == f'dc-{center}' for entry in picked)
+        for center in range(3)
+    )
+    assert counts == [5, 5, 6], counts
+
+
+def _steered(overloaded):
+    notes = OverloadNotes('entry-0', ManualClock())
+    for name in overloaded:
+        notes.receive(name, b'1')
+    live = [(f'entry-{port}', EntryAddress('', port, '')) for port in range(4)]
+    return [address.port for address in steer(live, notes)]
+
+
+@then('an overloaded entry is not named while others are calm')
+def check_steered(context):
+    assert _steered(['entry-2']) == [0, 1, 3]
+
+
+@then('every entry is named when most are overloaded')
+def check_all_named(context):
+    assert _steered(['entry-1', 'entry-2', 'entry-3']) == [0, 1, 2, 3]
+
+
+@when('the store is taken out')
+def take_store_out(context):
+    context.fleet.store_stand_in.faults.is_out = True
+
+
+@then('entry {number:d} names itself')
+def check_names_itself(context, number):
+    entry = context.fleet.entries[number]
+    answer = context.loop.run_until_complete(_ask(entry, 'GET', '/v1/entries'))
+    ports = [named['port'] for named in json.loads(answer.body)['entries']]
+    assert ports == [entry.port], ports
--- a/zinniaturn/entry/dispatch.py
+++ b/zinniaturn/entry/dispatch.py
@@ -2,6 +2,8 @@
 
 __all__ = ('Dispatcher',)
 
+from collections.abc import Awaitable, Callable
+
 from aiohttp import web
 
 from zinniaturn.choosing import PoolState, RefusedError
@@ -10,11 +12,13 @@
 from zinniaturn.entry.requests import CallerRequest
 from zinniaturn.entry.state import EntryState
 from zinniaturn.explain.decisions import RequestEnded, RequestRefused
-from zinniaturn.forwarding import ExchangeError
+from zinniaturn.forwarding import Answer, ExchangeError
 from zinniaturn.outcomes import Event, Outcome, Phase, Verdict, combine, decide
 
 _MAX_ATTEMPTS = 3
 
+Relay = Callable[[web.BaseRequest, Answer], Awaitable[web.StreamResponse]]
+
 
 class Dispatcher:
     """Runs requests against the pools of an entry."""
@@ -27,13 +31,18 @@
         request: web.BaseRequest,
         parsed: CallerRequest,
         pool: PoolState,
+        relay: Relay = relay_answer,
     ) -> web.StreamResponse:
-        """Return the answer to the caller; raises where it was cut short."""
+        """
+        Return the answer to the caller, as ``relay`` passes it on.
+
+        Raises `ExchangeError` where it was cut short.
+        """
         attempts = Attempts(self.state, parsed, pool)
         known: Verdict | None = None
         while True:
             try:
-                return await self._attempt(request, attempts)
+                return await self._attempt(request, attempts, relay)
             except RefusedError as error:
                 return self._refuse(parsed, error, known)
             except ExchangeError as error:
@@ -46,10 +55,11 @@
         self,
         request: web.BaseRequest,
         attempts: Attempts,
+        relay: Relay,
     ) -> web.StreamResponse:
         attempt = await attempts.run()
         try:
-            response = await relay_answer(request, attempt.answer)
+            response = await relay(request, attempt.answer)
         except ExchangeError:
             self._count_cut(attempts.pool.pool.name)
             raise
--- a/zinniaturn/entry/process.py
+++ b/zinniaturn/entry/process.py
@@ -3,6 +3,7 @@
 __all__ = ('Entry', 'run_entry')
 
 import asyncio
+import contextlib
 import random
 import signal
 
@@ -19,6 +20,7 @@
 from zinniaturn.entry.peer_record import PeerRecord
 from zinniaturn.entry.protocol import CallerServer
 from zinniaturn.entry.state import EntryState
+from zinniaturn.entry.stopping import drain_connections, serve_until_forgotten
 from zinniaturn.events import LogEvent, log_event, record_events
 from zinniaturn.explain import DecisionLog
 from zinniaturn.explain.events import EventRecorder
@@ -27,8 +29,8 @@
 from zinniaturn.settings import EntrySettings
 from zinniaturn.store import HttpStore
 
-_POLL_SECONDS = 0.02
 _HEADER_BYTES = 32_768
+_CUT_SECONDS = 3.0
 
 
 class Entry:
@@ -45,6 +47,7 @@
         )
         self.state.holder.observers.append(self.state.install_pools)
         self.store = HttpStore(settings.store_url, caller=settings.name)
+        self.frontend = Frontend(self.state, self.store)
         self.keys = EntryKeys(settings)
         self.state.connections.tls = self.keys.backends
         self.callers = CallerConnections(
@@ -69,22 +72,21 @@
             client = control.exchange.client
             self.keys.renew_peers = client.renew
             self.parts.append(PeerRecord(control.table, self.state.recorder))
-        self.server: web.Server | None = None
+        self.server: CallerServer | None = None
         self.listener: asyncio.Server | None = None
         self.admin_runner: web.AppRunner | None = None
 
     async def start(self) -> None:
         """Listen and begin to follow the store; raises `ListenError`."""
-        frontend = Frontend(self.state)
         self.server = CallerServer(
-            frontend.handle,
+            self.frontend.handle,
             handler_cancellation=True,
             access_log=None,
             auto_decompress=False,
             max_line_size=_HEADER_BYTES,
             max_field_size=_HEADER_BYTES,
         )
-        self.server.on_failure = frontend.count_failure
+        self.server.on_failure = self.frontend.count_failure
         self.server.callers = self.callers
         try:
             self.listener = await asyncio.get_running_loop().create_server(
@@ -117,14 +119,27 @@
     async def stop(self) -> None:
         """Serve what is in flight to its end, then close everything."""
         self.state.lifecycle.drain()
-        await asyncio.sleep(self.settings.address_lifetime_seconds)
+        await serve_until_forgotten(self.state)
         if self.listener is not None:
             self.listener.close()
-        while self.state.requests_in_flight:
-            await asyncio.sleep(_POLL_SECONDS)
+        if self.server is not None:
+            await drain_connections(self.state, self.server)
         await self._close()
         self.state.lifecycle.finish()
 
+    async def cut(self) -> None:
+        """Cut every connection at once; for an operator who asks for it."""
+        log_event(
+            LogEvent.ENTRY_FORCED,
+            requests=self.state.requests_in_flight,
+        )
+        if self.server is not None:
+            for connection in self.server.protocols():
+                connection.force_close()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_CUT_SECONDS):
+                await self._close()
+
     async def _start_admin(self) -> None:
         self.admin_runner = web.AppRunner(
             make_admin(self.state),
@@ -150,13 +165,20 @@
         await self.store.close()
 
 
-async def run_entry(settings: EntrySettings) -> None:
-    """Run an entry until a signal asks it to stop."""
+async def run_entry(settings: EntrySettings) -> bool:
+    """
+    Run an entry until a signal asks it to stop.
+
+    SIGTERM and SIGINT stop it gracefully, also when they come twice. SIGQUIT
+    cuts the requests in flight. Returns whether the stop was graceful.
+    """
     entry = Entry(settings)
     stopping = asyncio.Event()
+    cutting = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGQUIT, cutting.set)
     record_events(
         EventRecorder(
             settings.name,
@@ -168,8 +190,25 @@
     await entry.start()
     tune_collector()
     entry.state.holder.observers.append(lambda _: settle_heap())
-    await stopping.wait()
-    await entry.stop()
+    await _first(stopping, cutting)
+    stop = asyncio.create_task(entry.stop())
+    cut = asyncio.create_task(cutting.wait())
+    await asyncio.wait((stop, cut), return_when=asyncio.FIRST_COMPLETED)
+    if stop.done():
+        cut.cancel()
+        await stop
+        return True
+    stop.cancel()
+    await asyncio.gather(stop, return_exceptions=True)
+    await entry.cut()
+    return False
+
+
+async def _first(*events: asyncio.Event) -> None:
+    tasks = [asyncio.create_task(event.wait()) for event in events]
+    await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    for task in tasks:
+        task.cancel()
 
 
 def _fit_descriptors(admission: Admission) -> None:
--- /dev/null
+++ b/zinniaturn/experiments/outcomes/keys.py
@@ -0,0 +1,207 @@
+"""
+What at-most-once costs, by way of doing it.
+
+The ways are sent in turn through one entry, so that their latencies compare
+within one run.
+"""
+
+__all__ = ('run_keys',)
+
+import asyncio
+import random
+import statistics
+import sys
+import time
+import tracemalloc
+import uuid
+from collections import Counter
+
+import msgspec
+
+from zinniaturn.caller import Caller
+from zinniaturn.caller.client import Address
+from zinniaturn.clock import SystemClock
+from zinniaturn.configuration import (
+    apply_pools,
+    apply_routes,
+    commit,
+    read_tables,
+)
+from zinniaturn.entry import Entry
+from zinniaturn.experiments.outcomes.servers import TokenServer
+from zinniaturn.experiments.registry import ExperimentOptions
+from zinniaturn.idempotency import KeyIssuer, KeyState, KeyTable, StoredAnswer
+from zinniaturn.idempotency.records import KeyLimits
+from zinniaturn.settings import EntrySettings
+from zinniaturn.standins import StoreStandIn
+from zinniaturn.store import HttpStore
+from zinniaturn.tables import Pool, Route, Server
+
+_RECORDS = 50_000
+_ANSWER_BYTES = 200
+_REQUESTS = 1500
+_WARM_UP = 200
+_MICROSECONDS = 1_000_000
+_PERCENTILES = 100
+_POLL_SECONDS = 0.01
+
+
+class WayCost(msgspec.Struct):
+    """A way's latency in microseconds and its store writes per request."""
+
+    median_us: float
+    p99_us: float
+    store_writes: float
+
+
+class KeyCosts(msgspec.Struct):
+    """What a key costs in time (microseconds) and memory (bytes)."""
+
+    issue_us: float
+    read_us: float
+    begin_and_settle_us: float
+    record_bytes: float
+    ways: dict[str, WayCost]
+
+
+def run_keys(options: ExperimentOptions) -> int:
+    """Measure, print one JSON line and return the exit status."""
+    costs = _measure_keys()
+    costs.ways = asyncio.run(_measure_ways(options.seed))
+    text = msgspec.json.encode(costs).decode()
+    (options.out / 'keys.json').write_text(text)
+    sys.stdout.write(f'{text}\n')
+    return 0
+
+
+def _measure_keys() -> KeyCosts:
+    clock = SystemClock()
+    issuer = KeyIssuer(b'secret', clock)
+    started = time.perf_counter()
+    keys = [issuer.issue('10.0.0.1', 8080) for _ in range(_RECORDS)]
+    issued = time.perf_counter()
+    for key in keys:
+        issuer.read(key)
+    was_read = time.perf_counter()
+    tracemalloc.start()
+    table = KeyTable(KeyLimits(600, _RECORDS, _RECORDS * 1000), clock)
+    before = tracemalloc.get_traced_memory()[0]
+    _fill(table, keys)
+    grown = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    table = KeyTable(KeyLimits(600, _RECORDS, _RECORDS * 1000), clock)
+    began = time.perf_counter()
+    _fill(table, keys)
+    filled = time.perf_counter()
+    return KeyCosts(
+        issue_us=_each(started, issued),
+        read_us=_each(issued, was_read),
+        begin_and_settle_us=_each(began, filled),
+        record_bytes=round(grown / _RECORDS, 1),
+        ways={},
+    )
+
+
+def _fill(table: KeyTable, keys: list[str]) -> None:
+    for key in keys:
+        record = table.begin(key, bytes(bytearray(16)))
+        headers = (('Content-Type', 'application/json'),)
+        body = bytes(bytearray(_ANSWER_BYTES))
+        answer = StoredAnswer(200, 'OK', headers, body)
+        table.settle(record, KeyState.ANSWERED, answer)
+
+
+def _each(started: float, ended: float) -> float:
+    return round((ended - started) / _RECORDS * _MICROSECONDS, 2)
+
+
+async def _measure_ways(seed: int) -> dict[str, WayCost]:
+    store = StoreStandIn()
+    server = TokenServer(Counter(), str(seed), median_seconds=0)
+    await store.start()
+    await server.start()
+    await _commit(store.url, server.port)
+    entry = Entry(
+        EntrySettings(
+            name='entry-0',
+            port=0,
+            admin_port=0,
+            store_url=store.url,
+            address_lifetime_seconds=2,
+            address_lag_seconds=0,
+        ),
+    )
+    await entry.start()
+    while not entry.state.holder.tables.revision:
+        await asyncio.sleep(_POLL_SECONDS)
+    caller = Caller([('127.0.0.1', entry.port)], random.Random(seed))
+    try:
+        return await _run_ways(caller, store)
+    finally:
+        await caller.close()
+        await entry.stop()
+        await server.stop()
+        await store.stop()
+
+
+async def _run_ways(
+    caller: Caller,
+    store: StoreStandIn,
+) -> dict[str, WayCost]:
+    address = await caller.choose_address()
+    samples: dict[str, list[float]] = {way: [] for way in _WAYS}
+    writes: Counter[str] = Counter()
+    for number in range(_REQUESTS + _WARM_UP):
+        for way in _WAYS:
+            headers = await _headers(caller, address, way)
+            before = store.calls.writes
+            elapsed = await _timed_post(caller, address, headers)
+            if number >= _WARM_UP:
+                samples[way].append(elapsed * _MICROSECONDS)
+                writes[way] += store.calls.writes - before
+    return {name: _cost(samples[name], writes[name]) for name in _WAYS}
+
+
+async def _timed_post(
+    caller: Caller,
+    address: Address,
+    headers: dict[str, str],
+) -> float:
+    started = time.perf_counter()
+    answer = await caller.send(address, 'POST', '/postings', headers, b'x')
+    elapsed = time.perf_counter() - started
+    assert not answer.outcome, answer
+    return elapsed
+
+
+async def _headers(
+    caller: Caller, address: Address, way: str
+) -> dict[str, str]:
+    headers = {'X-Request-Id': uuid.uuid4().hex}
+    if way == 'issued-key':
+        headers['Idempotency-Key'] = await caller.take_key(address)
+    elif way == 'own-key':
+        headers['Idempotency-Key'] = uuid.uuid4().hex
+    return headers
+
+
+def _cost(samples: list[float], writes: int) -> WayCost:
+    cuts = statistics.quantiles(samples, n=_PERCENTILES)
+    return WayCost(
+        median_us=round(statistics.median(samples), 1),
+        p99_us=round(cuts[-1], 1),
+        store_writes=round(writes / len(samples), 3),
+    )
+
+
+async def _commit(url: str, port: int) -> None:
+    store = HttpStore(url)
+    base = await read_tables(store)
+    pool = Pool('ledger', (Server('ledger-0', '127.0.0.1', port, 64),))
+    route = Route('postings', 'ledger')
+    tables = apply_routes(apply_pools(base.tables, [pool]), [route])
+    await commit(store, base, tables)
+    await store.close()
+
+
+_WAYS = ('no-key', 'issued-key', 'own-key')
