--- a/zinniaturn/experiments/registry.py
+++ b/zinniaturn/experiments/registry.py
@@ -52,6 +52,26 @@
 
 
 _ALL: tuple[Experiment, ...] = (
+    Experiment(
+        'configuration-smoke',
+        'operators, entries and a failing store, within 45 s',
+        'zinniaturn.experiments.configuration:run_smoke',
+    ),
+    Experiment(
+        'configuration-layouts',
+        'store layouts by bytes, calls and times at two sizes',
+        'zinniaturn.experiments.configuration.layouts:run_layouts',
+    ),
+    Experiment(
+        'configuration-scaling',
+        'what control costs an entry in fleets of 13 to 104',
+        'zinniaturn.experiments.configuration.scaling:run_scaling',
+    ),
+    Experiment(
+        'configuration',
+        'the same for as long as --seconds says',
+        'zinniaturn.experiments.configuration:run_full',
+    ),
     Experiment(
         'choosing-steady',
         'all policies on steady load of the main service',
