--- a/zinniaturn/entry/loops.py
+++ b/zinniaturn/entry/loops.py
@@ -24,8 +24,8 @@
     """
     Return the factory of the loops ``uvloop`` and ``asyncio``.
 
-    libuv is told to stay with epoll, but newer ones (uvloop 0.23) still open
-    an io_uring for their calls of epoll, so ``asyncio`` is the default.
+    uvloop is kept below 0.18: the libuv of later ones opens an io_uring, which
+    the brief forbids, whatever ``UV_USE_IO_URING`` says.
     """
     os.environ[_IO_URING_VARIABLE] = '0'
     return _FACTORIES[name]
--- a/zinniaturn/settings/models.py
+++ b/zinniaturn/settings/models.py
@@ -250,7 +250,7 @@
     )
     event_loop: Literal['uvloop', 'asyncio'] = Field(
         default='asyncio',
-        description='Event loop; uvloop may open an io_uring.',
+        description='Event loop of the entry.',
     )
     decision_records: int = Field(
         default=20_000,
