--- a/zinniaturn/commands/standin.py
+++ b/zinniaturn/commands/standin.py
@@ -96,7 +96,8 @@
         )
         for number in range(count)
     ]
-    uvloop.run(_run_until_signal(BackendGroup(servers, seed), port))
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(_run_until_signal(BackendGroup(servers, seed), port))
 
 
 async def _run_until_signal(
--- a/zinniaturn/experiments/choosing/generator.py
+++ b/zinniaturn/experiments/choosing/generator.py
@@ -66,7 +66,8 @@
     order = msgspec.json.decode(order_path.read_bytes(), type=LoadOrder)
     order_path.with_suffix('.ready').touch()
     started_at = _wait_for_start(order_path.with_name(START_FILE))
-    rows = uvloop.run(Generator(order, started_at).run())
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        rows = runner.run(Generator(order, started_at).run())
     rows_path.write_bytes(msgspec.json.encode(rows))
 
 
