Collect a dependency whose version is bounded

Cause: the build script took the whole requirement, 'uvloop<0.18', for the package's name, did not find it and left the package out without a word; the binary then ended with status 70. The binary feature found it: 0 of 2 passed with the bound, 2 of 2 after. A direct dependency that is not installed now ends the build. Conclusion: the name is cut out in one place for direct and transitive requirements.

--- a/packaging/collect.py
+++ b/packaging/collect.py
@@ -125,7 +125,9 @@
 def _distributions(root: Path) -> Iterator[metadata.Distribution]:
     seen = set(LEFT_OUT)
     project = tomllib.loads((root / 'pyproject.toml').read_text('utf-8'))
-    waiting = list(project['project']['dependencies'])
+    stated = project['project']['dependencies']
+    direct = [name for text in stated for name in _required_name(text)]
+    waiting = list(direct)
     while waiting:
         current = waiting.pop()
         normal = re.sub('[-_.]+', '-', current).lower()
@@ -134,12 +136,19 @@
         seen.add(normal)
         try:
             distribution = metadata.distribution(current)
-        except metadata.PackageNotFoundError:
+        except metadata.PackageNotFoundError as error:
+            if current in direct:
+                raise BuildError(f'{current} is not installed') from error
             continue
         yield distribution
         for requirement in distribution.requires or ():
             if 'extra ==' not in requirement:
-                waiting.extend(_REQUIREMENT.findall(requirement)[:1])
+                waiting.extend(_required_name(requirement))
+
+
+def _required_name(requirement: str) -> list[str]:
+    """Return the package's name without its versions, in a list."""
+    return _REQUIREMENT.findall(requirement)[:1]
 
 
 def _distribution_members(
