--- a/packaging/collect.py
+++ b/packaging/collect.py
@@ -123,27 +123,46 @@
 
 
 def _distributions(root: Path) -> Iterator[metadata.Distribution]:
-    seen = set(LEFT_OUT)
-    project = tomllib.loads((root / 'pyproject.toml').read_text('utf-8'))
-    stated = project['project']['dependencies']
-    direct = [name for text in stated for name in _required_name(text)]
+    direct = _direct_names(root)
     waiting = list(direct)
+    seen = set(LEFT_OUT)
     while waiting:
         current = waiting.pop()
         normal = re.sub('[-_.]+', '-', current).lower()
         if normal in seen:
             continue
         seen.add(normal)
-        try:
-            distribution = metadata.distribution(current)
-        except metadata.PackageNotFoundError as error:
-            if current in direct:
-                raise BuildError(f'{current} is not installed') from error
-            continue
-        yield distribution
-        for requirement in distribution.requires or ():
-            if 'extra ==' not in requirement:
-                waiting.extend(_required_name(requirement))
+        distribution = _find_distribution(current, is_direct=current in direct)
+        if distribution is not None:
+            yield distribution
+            waiting.extend(_transitive_names(distribution))
+
+
+def _direct_names(root: Path) -> list[str]:
+    project = tomllib.loads((root / 'pyproject.toml').read_text('utf-8'))
+    stated = project['project']['dependencies']
+    return [name for text in stated for name in _required_name(text)]
+
+
+def _transitive_names(distribution: metadata.Distribution) -> list[str]:
+    return [
+        name
+        for requirement in distribution.requires or ()
+        if 'extra ==' not in requirement
+        for name in _required_name(requirement)
+    ]
+
+
+def _find_distribution(
+    name: str,
+    is_direct: bool,
+) -> metadata.Distribution | None:
+    try:
+        return metadata.distribution(name)
+    except metadata.PackageNotFoundError as error:
+        if is_direct:
+            raise BuildError(f'{name} is not installed') from error
+        return None
 
 
 def _required_name(requirement: str) -> list[str]:
