Check every answer of a step, not the last one

Cause, found in review: the step kept the last answer only, so 19 of 20 answers went unchecked. Before: 1 answer checked of each step's 20. A first try that kept the answers of earlier steps too failed the draining scenario, whose first requests are the ones that learn of the drain; each step counts for itself.

--- a/features/steps/attempts_steps.py
+++ b/features/steps/attempts_steps.py
@@ -67,7 +67,7 @@
 
 
 async def _send(context, count, method):
-    context.answers = await asyncio.gather(
+    context.answers += await asyncio.gather(
         *(
             context.caller.call(
                 method,
@@ -87,6 +87,7 @@
 def open_entry(context, servers, count):
     async def prepare():
         await _open(context, servers)
+        context.answers = []
         for _ in range(count // 4):
             await _send(context, 4, 'GET')
         for backend in context.backends:
@@ -108,6 +109,8 @@
 
 @when('{count:d} idempotent requests are sent')
 def send_idempotent(context, count):
+    context.answers.clear()
+
     async def send():
         for _ in range(count):
             await _send(context, 1, 'GET')
@@ -117,6 +120,7 @@
 
 @when('{count:d} non-idempotent requests are sent')
 def send_posts(context, count):
+    context.answers.clear()
     context.loop.run_until_complete(_send(context, count, 'POST'))
 
 
