Share the start and stop of parts with one endless task

Cause: the last read found the same start and stop, line for line, in the health part, the overload part and the callers' connections. They now come from one base class; behaviour is unchanged. Left as they are: the peers' record and the leaving part, whose starts differ, and the upload's task, which ends by itself.

--- a/zinniaturn/entry/callers.py
+++ b/zinniaturn/entry/callers.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 from typing import Protocol
 
+from zinniaturn.entry.background import BackgroundPart
 from zinniaturn.events import LogEvent, log_event
 from zinniaturn.limits import (
     Admission,
@@ -31,7 +32,7 @@
         """Close at once."""
 
 
-class CallerConnections:
+class CallerConnections(BackgroundPart):
     """
     The open connections from callers.
 
@@ -44,17 +45,6 @@
         self.limits = limits
         self.open: set[CallerConnection] = set()
         self.closed: dict[LimitName, int] = dict.fromkeys(LimitName, 0)
-        self.task: asyncio.Task[None] | None = None
-
-    async def start(self) -> None:
-        """Begin to look for connections that stand still."""
-        self.task = asyncio.create_task(self._run())
-
-    async def stop(self) -> None:
-        """End looking."""
-        if self.task is not None:
-            self.task.cancel()
-            await asyncio.gather(self.task, return_exceptions=True)
 
     def admit(self, connection: CallerConnection, caller: str) -> bool:
         """Return whether a new connection may stay."""
--- a/zinniaturn/entry/health_part.py
+++ b/zinniaturn/entry/health_part.py
@@ -5,28 +5,18 @@
 import asyncio
 
 from zinniaturn.choosing import PoolState
+from zinniaturn.entry.background import BackgroundPart
 from zinniaturn.entry.state import EntryState
 from zinniaturn.probes import is_back
 
 _PAUSE_SECONDS = 5.0
 
 
-class HealthPart:
+class HealthPart(BackgroundPart):
     """Asks the health of servers that said that they leave."""
 
     def __init__(self, state: EntryState) -> None:
         self.state = state
-        self.task: asyncio.Task[None] | None = None
-
-    async def start(self) -> None:
-        """Begin to ask."""
-        self.task = asyncio.create_task(self._run())
-
-    async def stop(self) -> None:
-        """End asking."""
-        if self.task is not None:
-            self.task.cancel()
-            await asyncio.gather(self.task, return_exceptions=True)
 
     async def _run(self) -> None:
         while True:
--- a/zinniaturn/entry/overload.py
+++ b/zinniaturn/entry/overload.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 
 from zinniaturn.clock import Clock
+from zinniaturn.entry.background import BackgroundPart
 
 OVERLOAD_TOPIC = 'overload'
 
@@ -66,22 +67,11 @@
             self.heard.pop(sender, None)
 
 
-class OverloadPart:
+class OverloadPart(BackgroundPart):
     """Measures the loop for ever."""
 
     def __init__(self, notes: OverloadNotes) -> None:
         self.notes = notes
-        self.task: asyncio.Task[None] | None = None
-
-    async def start(self) -> None:
-        """Begin to measure."""
-        self.task = asyncio.create_task(self._run())
-
-    async def stop(self) -> None:
-        """End the measuring."""
-        if self.task is not None:
-            self.task.cancel()
-            await asyncio.gather(self.task, return_exceptions=True)
 
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
