--- a/features/steps/binary_steps.py
+++ b/features/steps/binary_steps.py
@@ -26,7 +26,7 @@
 _SYSTEM = re.compile(
     r'/(ld-linux|lib(c|m|rt|dl|pthread|util)\.so)[^/]*$',
 )
-_SHARED = re.compile('io_uring|^/dev/shm|^/SYSV')
+_SHARED = re.compile('io_uring|^/dev/(?:shm)|^/SYSV')
 _STARTED = 100
 _READY = 101
 
--- a/zinniaturn/choosing/__init__.py
+++ b/zinniaturn/choosing/__init__.py
@@ -2,7 +2,8 @@
 Choosing the backend server: decisions without input or output.
 
 The clock and the random source are passed in; the entry, tests and benches
-drive the same code.
+drive the same code. The policies are loaded on their first use; the gateway
+process has its own way of choosing, in `zinniaturn.placing`.
 """
 
 __all__ = (
@@ -17,16 +18,39 @@
     'policy_named',
 )
 
+import importlib
+from types import MappingProxyType
+from typing import TYPE_CHECKING
+
 from zinniaturn.choosing.exceptions import RefusedError
-from zinniaturn.choosing.pool_state import PoolState
-from zinniaturn.choosing.registry import (
-    PRODUCT_POLICY,
-    policy_for_pool,
-    policy_named,
-)
-from zinniaturn.choosing.server_state import (
-    Completion,
-    LoadReport,
-    ServerState,
+from zinniaturn.choosing.reports import LoadReport
+
+if TYPE_CHECKING:
+    from zinniaturn.choosing.pool_state import PoolState
+    from zinniaturn.choosing.registry import (
+        PRODUCT_POLICY,
+        policy_for_pool,
+        policy_named,
+    )
+    from zinniaturn.choosing.server_state import Completion, ServerState
+    from zinniaturn.choosing.waiting import Ticket
+
+_LOADED_ON_USE = MappingProxyType(
+    {
+        'PRODUCT_POLICY': 'zinniaturn.choosing.registry',
+        'policy_for_pool': 'zinniaturn.choosing.registry',
+        'policy_named': 'zinniaturn.choosing.registry',
+        'Completion': 'zinniaturn.choosing.server_state',
+        'PoolState': 'zinniaturn.choosing.pool_state',
+        'ServerState': 'zinniaturn.choosing.server_state',
+        'Ticket': 'zinniaturn.choosing.waiting',
+    }
 )
-from zinniaturn.choosing.waiting import Ticket
+
+
+def __getattr__(name: str) -> object:
+    """Load what the policies need when it is first asked for."""
+    module = _LOADED_ON_USE.get(name)
+    if module is None:
+        raise AttributeError(f'module {__name__!r} has no attribute {name!r}')
+    return getattr(importlib.import_module(module), name)
--- a/zinniaturn/choosing/server_state.py
+++ b/zinniaturn/choosing/server_state.py
@@ -5,23 +5,10 @@
 from dataclasses import dataclass, field
 
 from zinniaturn.choosing.limits import ConcurrencyLimit
+from zinniaturn.choosing.reports import LoadReport
 from zinniaturn.tables.domain import Server
 
 
-@dataclass(frozen=True, slots=True)
-class LoadReport:
-    """A backend server's word on its own load, already stale on arrival."""
-
-    busy: int
-    queued: int
-    slots: int
-
-    @property
-    def total(self) -> int:
-        """Return the requests that run or wait at the server."""
-        return self.busy + self.queued
-
-
 @dataclass(frozen=True, slots=True)
 class Completion:
     """
--- a/zinniaturn/clock.py
+++ b/zinniaturn/clock.py
@@ -5,7 +5,7 @@
 a bench and the entry drive the same code.
 """
 
-__all__ = ('Clock', 'ManualClock', 'SystemClock')
+__all__ = ('BootClock', 'Clock', 'ManualClock', 'SystemClock')
 
 import time
 from typing import Protocol
@@ -33,6 +33,14 @@
         return time.time()
 
 
+class BootClock(SystemClock):
+    """The VM's clocks; the monotonic one counts on while it is suspended."""
+
+    def monotonic(self) -> float:
+        """Return the seconds since the VM was booted."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class ManualClock:
     """
     A clock that moves only when told to.
--- a/zinniaturn/events/catalogue.py
+++ b/zinniaturn/events/catalogue.py
@@ -40,6 +40,23 @@
     KEYS_EXPIRE_SOON = 602
     CONNECTION_CLOSED = 610
     DESCRIPTORS_FEW = 611
+    GATEWAY_STARTED = 700
+    GATEWAY_READY = 701
+    GATEWAY_STOPPING = 702
+    GATEWAY_STOPPED = 703
+    SETTINGS_RELOADED = 704
+    SETTINGS_REFUSED = 705
+    REQUEST_ENDED = 710
+    TABLES_IN_FORCE = 720
+    TABLES_REFUSED = 721
+    SERVERS_CHANGED = 722
+    SERVERS_UNREADABLE = 723
+    FLEET_STORE_LOST = 724
+    FLEET_STORE_BACK = 725
+    SERVER_OUT = 730
+    VM_ALIVE = 740
+    VM_SILENT = 741
+    VM_MESSAGE_REFUSED = 742
 
 
 _INFO = logging.INFO
@@ -122,5 +139,52 @@
             _WARNING,
             'the limit on open files allows fewer connections than wanted',
         ),
+        LogEvent.GATEWAY_STARTED: (_INFO, 'the gateway process listens'),
+        LogEvent.GATEWAY_READY: (
+            _INFO,
+            'the gateway process has tables and takes requests',
+        ),
+        LogEvent.GATEWAY_STOPPING: (
+            _INFO,
+            'the gateway process was told to stop',
+        ),
+        LogEvent.GATEWAY_STOPPED: (_INFO, 'the gateway process has stopped'),
+        LogEvent.SETTINGS_RELOADED: (_INFO, 'changed settings are in use'),
+        LogEvent.SETTINGS_REFUSED: (
+            _WARNING,
+            'changed settings cannot be used; the old ones stay in use',
+        ),
+        LogEvent.REQUEST_ENDED: (_INFO, 'a request of a caller has ended'),
+        LogEvent.TABLES_IN_FORCE: (_INFO, 'newer tables are in force'),
+        LogEvent.TABLES_REFUSED: (
+            _WARNING,
+            'the tables in the store cannot be used; the old ones stay',
+        ),
+        LogEvent.SERVERS_CHANGED: (
+            _INFO,
+            'backend servers have joined, are leaving or are gone',
+        ),
+        LogEvent.SERVERS_UNREADABLE: (
+            _WARNING,
+            'entries of backend servers cannot be read',
+        ),
+        LogEvent.FLEET_STORE_LOST: (
+            _WARNING,
+            'the store gives this VM no usable reply',
+        ),
+        LogEvent.FLEET_STORE_BACK: (
+            _INFO,
+            'the store answers this VM again',
+        ),
+        LogEvent.SERVER_OUT: (
+            _WARNING,
+            'a failing backend server is left out for a while',
+        ),
+        LogEvent.VM_ALIVE: (_INFO, 'another VM is heard'),
+        LogEvent.VM_SILENT: (_WARNING, 'another VM is not heard any more'),
+        LogEvent.VM_MESSAGE_REFUSED: (
+            _WARNING,
+            'a message of another VM cannot be used',
+        ),
     }
 )
--- a/zinniaturn/events/logging.py
+++ b/zinniaturn/events/logging.py
@@ -5,8 +5,6 @@
 import logging
 import sys
 
-from pythonjsonlogger.json import JsonFormatter
-
 from zinniaturn.events.catalogue import EVENTS, LogEvent
 
 _LOGGER = logging.getLogger('zinniaturn')
@@ -18,6 +16,9 @@
 
     ``level`` is a name such as ``INFO``; ``node`` stands in every line.
     """
+    # Only processes that log through this library pay for loading it.
+    from pythonjsonlogger.json import JsonFormatter  # noqa: PLC0415
+
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(
         JsonFormatter(
--- /dev/null
+++ b/zinniaturn/fleet/domain.py
@@ -0,0 +1,80 @@
+"""What a VM knows of backend servers, of the tables and of other VMs."""
+
+__all__ = (
+    'FleetReading',
+    'RegisteredServer',
+    'TablesDocument',
+    'VmRecord',
+    'VmStage',
+)
+
+import enum
+from dataclasses import dataclass, field
+
+from zinniaturn.http1.connections import Address
+from zinniaturn.tables.domain import Server
+
+
+@dataclass(frozen=True, slots=True)
+class RegisteredServer:
+    """
+    A backend server as it registered itself.
+
+    ``born_ms`` is the Unix time of its start: with another one it is another
+    server, of which nothing is known. ``warm_up_seconds`` is how much longer
+    it said to stay slow; it takes no part in comparisons, as it shrinks with
+    every heartbeat.
+    """
+
+    server: Server
+    pool: str
+    born_ms: int
+    warm_up_seconds: float = field(default=0, compare=False)
+
+
+@dataclass(frozen=True, slots=True)
+class TablesDocument:
+    """The operator's document as it lies in the store, not yet decoded."""
+
+    revision: int
+    raw: bytes
+
+
+class VmStage(enum.Enum):
+    """How far a VM's process has come."""
+
+    STARTING = 'starting'
+    READY = 'ready'
+    STOPPING = 'stopping'
+
+
+@dataclass(frozen=True, slots=True)
+class VmRecord:
+    """
+    One process of the system on a VM.
+
+    ``started_ms`` tells two processes of one VM apart. Callers connect to
+    ``front``; ``exchange`` takes datagrams, and the port above it connections,
+    of the other VMs.
+    """
+
+    name: str
+    started_ms: int
+    data_center: str
+    front: str
+    exchange: Address
+
+
+@dataclass(frozen=True, slots=True)
+class FleetReading:
+    """
+    All that the store holds for the system, as of one revision.
+
+    ``unreadable`` counts entries of servers that name none to use.
+    """
+
+    revision: int
+    document: TablesDocument | None
+    servers: tuple[RegisteredServer, ...]
+    vms: tuple[VmRecord, ...] = ()
+    unreadable: int = 0
--- /dev/null
+++ b/zinniaturn/fleet/exceptions.py
@@ -0,0 +1,34 @@
+"""Errors of what a VM knows of the fleet."""
+
+__all__ = (
+    'BadDocumentError',
+    'FleetStoreError',
+    'LeaseEndedError',
+    'PeerMessageError',
+)
+
+from zinniaturn.errors import CodedError
+
+
+class FleetStoreError(CodedError):
+    """The store gave no usable reply."""
+
+    code = 'fleet-store-unavailable'
+
+
+class LeaseEndedError(FleetStoreError):
+    """The store knows no such lease any more."""
+
+    code = 'fleet-lease-ended'
+
+
+class BadDocumentError(CodedError):
+    """What lies in the store cannot be read."""
+
+    code = 'fleet-document-invalid'
+
+
+class PeerMessageError(CodedError):
+    """Another VM sent something that cannot be read."""
+
+    code = 'fleet-message-invalid'
--- /dev/null
+++ b/zinniaturn/fleet/knowledge.py
@@ -0,0 +1,213 @@
+"""
+What this VM holds of the tables and the backend servers, and since when.
+
+It moves forward only: a reading of an older revision changes nothing, and a
+server that was seen leaving stays so until another start of it is seen.
+"""
+
+__all__ = ('Change', 'Knowledge')
+
+import zlib
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from zinniaturn.clock import Clock
+from zinniaturn.fleet.domain import (
+    FleetReading,
+    RegisteredServer,
+    TablesDocument,
+)
+from zinniaturn.fleet.exceptions import BadDocumentError
+from zinniaturn.tables.domain import Tables
+
+_OUTAGE_SECONDS = 3.0
+_RETURN_SECONDS = 2.0
+
+Decoder = Callable[[TablesDocument], Tables]
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """What a reading has changed, for the log."""
+
+    revision: int
+    tables_revision: int | None = None
+    joined: tuple[str, ...] = ()
+    leaving: tuple[str, ...] = ()
+    gone: tuple[str, ...] = ()
+    refused: str = ''
+
+    def __bool__(self) -> bool:
+        """Return whether anything has changed."""
+        changed = self.joined or self.leaving or self.gone or self.refused
+        return bool(changed) or self.tables_revision is not None
+
+
+@dataclass(slots=True)
+class Knowledge:
+    """
+    The newest state that is known.
+
+    ``confirmed_at`` is the latest moment at which the state was surely the
+    store's; nothing later is known.
+    """
+
+    clock: Clock
+    decode: Decoder
+    revision: int = 0
+    confirmed_at: float = float('-inf')
+    document: TablesDocument | None = None
+    tables: Tables | None = None
+    servers: dict[str, RegisteredServer] = field(default_factory=dict)
+    lapsed: dict[str, float] = field(default_factory=dict)
+    digest: int = 0
+    observers: list[Callable[[Change], None]] = field(default_factory=list)
+
+    @property
+    def age_seconds(self) -> float:
+        """Return for how long the state has not been confirmed."""
+        return self.clock.monotonic() - self.confirmed_at
+
+    def install(self, reading: FleetReading, asked_at: float) -> Change:
+        """
+        Take over a reading that was asked for at ``asked_at``.
+
+        Observers are told what has changed.
+        """
+        if reading.revision < self.revision:
+            return self._tell(
+                Change(
+                    self.revision,
+                    refused=f'revision {reading.revision} is older',
+                ),
+            )
+        was_away = asked_at - self.confirmed_at > _OUTAGE_SECONDS
+        now = self.clock.monotonic()
+        self.revision = reading.revision
+        self.confirmed_at = max(self.confirmed_at, asked_at)
+        tables_revision, refused = self._take_document(reading.document)
+        known = self.servers
+        self.servers = self._merge(reading.servers, was_away, now)
+        self._renew_digest()
+        return self._tell(
+            Change(
+                reading.revision,
+                tables_revision,
+                joined=_joined(known, self.servers),
+                leaving=_turned_leaving(known, self.servers),
+                gone=tuple(name for name in known if name not in self.servers),
+                refused=refused,
+            ),
+        )
+
+    def confirm(self, revision: int, asked_at: float) -> None:
+        """Note that the state held is also the store's at a later revision."""
+        self.revision = max(self.revision, revision)
+        self.confirmed_at = max(self.confirmed_at, asked_at)
+
+    def drop_lapsed(self) -> None:
+        """Take out servers that have not returned after an outage."""
+        now = self.clock.monotonic()
+        gone = [name for name, until in self.lapsed.items() if now >= until]
+        for name in gone:
+            self.lapsed.pop(name)
+            self.servers.pop(name, None)
+        if gone:
+            self._renew_digest()
+            self._tell(Change(self.revision, gone=tuple(gone)))
+
+    def _take_document(
+        self,
+        document: TablesDocument | None,
+    ) -> tuple[int | None, str]:
+        """Return the revision of tables newly in force, and a complaint."""
+        held = self.document.revision if self.document else 0
+        if document is None or document.revision <= held:
+            return None, ''
+        self.document = document
+        try:
+            self.tables = self.decode(document)
+        except BadDocumentError as error:
+            return None, error.message
+        return document.revision, ''
+
+    def _merge(
+        self,
+        servers: Iterable[RegisteredServer],
+        was_away: bool,
+        now: float,
+    ) -> dict[str, RegisteredServer]:
+        merged = {}
+        for registered in servers:
+            name = registered.server.name
+            merged[name] = _keep_leaving(self.servers.get(name), registered)
+            self.lapsed.pop(name, None)
+        for name, known in self.servers.items():
+            if name in merged:
+                continue
+            if was_away and name not in self.lapsed:
+                self.lapsed[name] = now + _RETURN_SECONDS
+            if now < self.lapsed.get(name, 0):
+                merged[name] = known
+            else:
+                self.lapsed.pop(name, None)
+        return merged
+
+    def _renew_digest(self) -> None:
+        rows = sorted(
+            (
+                name,
+                registered.pool,
+                registered.born_ms,
+                registered.server.leaving,
+                registered.server.host,
+                registered.server.port,
+                registered.server.slots,
+            )
+            for name, registered in self.servers.items()
+            if name not in self.lapsed
+        )
+        held = self.document.revision if self.document else 0
+        self.digest = zlib.crc32(msgspec.msgpack.encode((held, rows)))
+
+    def _tell(self, change: Change) -> Change:
+        if change:
+            for observer in self.observers:
+                observer(change)
+        return change
+
+
+def _keep_leaving(
+    known: RegisteredServer | None,
+    registered: RegisteredServer,
+) -> RegisteredServer:
+    if known is None or known.born_ms != registered.born_ms:
+        return registered
+    if known.server.leaving and not registered.server.leaving:
+        return known
+    return registered
+
+
+def _joined(
+    known: dict[str, RegisteredServer],
+    servers: dict[str, RegisteredServer],
+) -> tuple[str, ...]:
+    return tuple(
+        name
+        for name, registered in servers.items()
+        if name not in known or known[name].born_ms != registered.born_ms
+    )
+
+
+def _turned_leaving(
+    known: dict[str, RegisteredServer],
+    servers: dict[str, RegisteredServer],
+) -> tuple[str, ...]:
+    return tuple(
+        name
+        for name, registered in servers.items()
+        if registered.server.leaving
+        and not (name in known and known[name].server.leaving)
+    )
--- /dev/null
+++ b/zinniaturn/gateway/asker.py
@@ -0,0 +1,207 @@
+"""Asking servers for their load over kept connections."""
+
+__all__ = ('Asked', 'Asker')
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from zinniaturn.choosing.reports import LoadReport
+from zinniaturn.gateway.dialect import Dialect
+from zinniaturn.http1.backend import BackendConnection, Exchange
+from zinniaturn.http1.connections import (
+    Address,
+    Connections,
+    note_keep_alive,
+)
+from zinniaturn.http1.exceptions import ConnectFailedError, ExchangeBrokenError
+from zinniaturn.http1.messages import Response
+from zinniaturn.placing.asking import Candidate
+
+_USUAL_WAIT_SECONDS = 0.012
+_LONGEST_WAIT_SECONDS = 0.06
+_ABANDON_SECONDS = 0.3
+_HEALTHY = 200
+
+
+@dataclass(slots=True)
+class Asked:
+    """A server's answer and the connection that brought it."""
+
+    candidate: Candidate
+    report: LoadReport
+    connection: BackendConnection
+    is_healthy: bool = True
+
+
+@dataclass(slots=True, eq=False)
+class _Round:
+    """The questions asked at once; `done` is set once enough are answered."""
+
+    open_questions: int
+    done: asyncio.Future[None]
+    answers: list[Asked] = field(default_factory=list)
+    is_over: bool = False
+
+    def close_one(self) -> None:
+        self.open_questions -= 1
+        if not self.open_questions:
+            self.wake()
+
+    def wake(self) -> None:
+        if not self.done.done():
+            self.done.set_result(None)
+
+    def wake_if_answered(self) -> None:
+        if self.answers:
+            self.wake()
+
+
+@dataclass(slots=True)
+class Asker:
+    """
+    Asks servers and hands over those that answered soon.
+
+    ``asked`` counts the questions.
+    """
+
+    connections: Connections
+    dialect: Dialect
+    asked: int = 0
+
+    async def ask(
+        self,
+        candidates: Sequence[Candidate],
+        health_path: str,
+    ) -> list[Asked]:
+        """
+        Return the answers that came in time.
+
+        Whoever gets them gives back their connections. A question that is
+        answered later only refreshes what is remembered of the server.
+        """
+        loop = asyncio.get_running_loop()
+        if not candidates:
+            return []
+        current = _Round(len(candidates), loop.create_future())
+        for candidate in candidates:
+            self._ask_one(current, candidate, health_path, loop)
+        timers = (
+            loop.call_later(_USUAL_WAIT_SECONDS, current.wake_if_answered),
+            loop.call_later(_LONGEST_WAIT_SECONDS, current.wake),
+        )
+        try:
+            await current.done
+        except asyncio.CancelledError:
+            self._return_all(current.answers)
+            raise
+        finally:
+            current.is_over = True
+            for timer in timers:
+                timer.cancel()
+        return current.answers
+
+    def _return_all(self, answers: list[Asked]) -> None:
+        for asked in answers:
+            self.give_back(asked)
+
+    def give_back(self, asked: Asked) -> None:
+        """Keep the connection of an answer that is not used any further."""
+        server = asked.candidate.registered.server
+        self.connections.keep((server.host, server.port), asked.connection)
+
+    def _ask_one(
+        self,
+        current: _Round,
+        candidate: Candidate,
+        health_path: str,
+        loop: asyncio.AbstractEventLoop,
+    ) -> None:
+        server = candidate.registered.server
+        address = server.host, server.port
+        self.asked += 1
+        payload = self.dialect.load_question(health_path, server.host)
+        connection = self.connections.take(address, loop.time())
+        if connection is None:
+            task = loop.create_task(
+                self._connect_and_ask(current, candidate, address, payload),
+            )
+            task.add_done_callback(_swallow)
+        else:
+            self._send(current, candidate, connection, payload)
+
+    async def _connect_and_ask(
+        self,
+        current: _Round,
+        candidate: Candidate,
+        address: Address,
+        payload: bytes,
+    ) -> None:
+        try:
+            connection = await self.connections.connect(
+                address,
+                _ABANDON_SECONDS,
+            )
+        except ConnectFailedError:
+            candidate.memory.note_unanswered()
+            current.close_one()
+            return
+        self._send(current, candidate, connection, payload)
+
+    def _send(
+        self,
+        current: _Round,
+        candidate: Candidate,
+        connection: BackendConnection,
+        payload: bytes,
+    ) -> None:
+        loop = connection.loop
+        field_name = self.dialect.answer_id_field
+        answer = connection.send(Exchange(payload, field_name))
+        timer = loop.call_later(_ABANDON_SECONDS, connection.close)
+        answer.add_done_callback(
+            lambda future: self._receive(
+                current, candidate, connection, future, timer
+            ),
+        )
+
+    def _receive(
+        self,
+        current: _Round,
+        candidate: Candidate,
+        connection: BackendConnection,
+        answer: 'asyncio.Future[Response]',
+        timer: asyncio.TimerHandle,
+    ) -> None:
+        timer.cancel()
+        if answer.cancelled() or answer.exception() is not None:
+            candidate.memory.note_unanswered()
+            current.close_one()
+            return
+        reply = answer.result()
+        report = self.dialect.load_report(reply)
+        server = candidate.registered.server
+        if self.dialect.answering_server(reply) not in {None, server.name}:
+            candidate.memory.is_replaced = True
+            connection.close()
+            current.close_one()
+            return
+        if report is None:
+            report = LoadReport(0, 0, server.slots)
+        candidate.memory.note_report(report, connection.loop.time())
+        note_keep_alive(connection, reply)
+        asked = Asked(
+            candidate, report, connection, reply.status == _HEALTHY
+        )
+        if current.is_over or not connection.is_clean:
+            self.connections.keep((server.host, server.port), connection)
+        else:
+            current.answers.append(asked)
+        current.close_one()
+
+
+def _swallow(task: 'asyncio.Task[None]') -> None:
+    """Take the outcome of a task that handles its own errors."""
+    if not task.cancelled():
+        error = task.exception()
+        assert error is None or isinstance(error, ExchangeBrokenError), error
--- /dev/null
+++ b/zinniaturn/gateway/jobs.py
@@ -0,0 +1,68 @@
+"""One caller's request on its way through the gateway."""
+
+__all__ = ('Job', 'Placement')
+
+import asyncio
+from dataclasses import dataclass, field
+
+from zinniaturn.choosing.reports import LoadReport
+from zinniaturn.http1.backend import BackendConnection
+from zinniaturn.http1.messages import Request
+from zinniaturn.outcomes import Verdict
+from zinniaturn.placing.asking import Candidate
+from zinniaturn.tables.domain import Pool, Route
+
+
+@dataclass(slots=True)
+class Job:
+    """
+    A request, its route and what has been tried.
+
+    Times are the loop's. ``attempts`` counts those that may have run, and
+    ``unanswered`` those that were sent and whose end is not known yet.
+    """
+
+    request: Request
+    request_id: str
+    route: Route
+    pool: Pool
+    arrived_at: float
+    deadline: float
+    idempotent: bool
+    attempts: int = 0
+    sends: int = 0
+    unanswered: int = 0
+    asked: int = 0
+    tried: set[str] = field(default_factory=set)
+    known: Verdict | None = None
+    servers: list[str] = field(default_factory=list)
+    report: LoadReport | None = None
+    expected: float = 0
+    detail: str = ''
+
+    @property
+    def objective_at(self) -> float:
+        """Return when the answer is due to be worth most."""
+        seconds = self.route.objective_seconds
+        return self.arrived_at + (seconds or self.route.deadline_seconds)
+
+    def seconds_left(self, now: float) -> float:
+        """Return the seconds until the deadline."""
+        return self.deadline - now
+
+
+@dataclass(slots=True)
+class Placement:
+    """
+    The server that a request is sent to.
+
+    ``connection`` is ready for it, or ``None`` where one must be opened.
+    ``work`` is the estimate of the work alone, ``expected`` of the answer.
+    """
+
+    candidate: Candidate
+    connection: BackendConnection | None
+    work: float
+    expected: float
+    report: LoadReport | None = None
+    attempt: 'asyncio.Task[object] | None' = None
--- /dev/null
+++ b/zinniaturn/gateway/process.py
@@ -0,0 +1,304 @@
+"""The gateway process: its listeners, its tasks and its stop."""
+
+__all__ = ('Gateway', 'run_gateway')
+
+import asyncio
+import contextlib
+import gc
+import random
+import signal
+import time
+from collections.abc import Callable
+
+from zinniaturn.clock import BootClock
+from zinniaturn.events.catalogue import LogEvent
+from zinniaturn.fleet.domain import VmRecord, VmStage
+from zinniaturn.fleet.exceptions import FleetStoreError
+from zinniaturn.fleet.following import Registration, StateReader
+from zinniaturn.fleet.knowledge import Change, Knowledge
+from zinniaturn.fleet.pacing import ReadPacing
+from zinniaturn.fleet.peers import PeerExchange, StateService
+from zinniaturn.fleet.port import FleetStore
+from zinniaturn.fleet.vms import VmTable
+from zinniaturn.gateway.dialect import Dialect
+from zinniaturn.gateway.dispatch import Dispatcher
+from zinniaturn.gateway.journal import Journal
+from zinniaturn.gateway.rendering import render_metrics
+from zinniaturn.gateway.services import (
+    LookupService,
+    MetricsService,
+    ReadinessService,
+)
+from zinniaturn.gateway.settings import GatewaySettings
+from zinniaturn.gateway.state import GatewayState
+from zinniaturn.http1.callers import Listener
+from zinniaturn.placing.lookups import LookupAnswers
+
+_MILLISECONDS = 1000
+_TICK_SECONDS = 0.5
+_STOP_POLL_SECONDS = 0.05
+_SERVE_SHARE = 0.72
+_LAST_SHARE = 0.92
+_WITHDRAW_SECONDS = 0.5
+
+Reload = Callable[[], GatewaySettings | None]
+
+
+class Gateway:
+    """One process; `start`, then `stop`."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        store: FleetStore,
+        dialect: Dialect,
+        journal: Journal,
+    ) -> None:
+        clock = BootClock()
+        source = random.Random()
+        self.settings = settings
+        self.store = store
+        self.journal = journal
+        record = VmRecord(
+            settings.name,
+            int(time.time() * _MILLISECONDS),
+            settings.data_center,
+            '' if settings.front is None else '{}:{}'.format(*settings.front),
+            (settings.host, settings.first_port),
+        )
+        self.knowledge = Knowledge(clock, store.decode_tables)
+        self.vms = VmTable(record, clock)
+        self.state = GatewayState(
+            settings,
+            dialect,
+            self.knowledge,
+            self.vms,
+            journal,
+            source,
+            asyncio.get_running_loop().time(),
+        )
+        self.knowledge.observers.append(self._note_change)
+        self.reader = StateReader(
+            store,
+            self.knowledge,
+            self.vms,
+            ReadPacing(source),
+        )
+        self.reader.on_reply.append(self._note_reply)
+        self.registration = Registration(store, record, self._note_reply)
+        self.peers = PeerExchange(
+            record,
+            self.knowledge,
+            self.vms,
+            self.state.connections,
+            lambda: self.state.stage,
+            self._note_refused,
+        )
+        self.reader.on_read.append(self.peers.send_beats)
+        self.dispatcher = Dispatcher(self.state)
+        self.listeners: list[Listener] = []
+        self.tasks: list[asyncio.Task[None]] = []
+        self.store_failures = 0
+
+    async def start(self) -> None:
+        """Listen and begin to follow the store; raises `OSError`."""
+        settings = self.settings
+        await self.peers.start()
+        await self._listen(
+            (settings.host, settings.first_port + 1),
+            StateService(self.knowledge),
+        )
+        lookups = LookupAnswers(
+            self.state.source,
+            min(2.0, settings.bounds.lookup_seconds),
+        )
+        services = (
+            (settings.front, self.dispatcher),
+            (settings.readiness, ReadinessService(self.state)),
+            (settings.directory, LookupService(self.state, lookups)),
+        )
+        for address, service in services:
+            if address is not None:
+                await self._listen(address, service)
+        if settings.metrics_port:
+            await self._listen(
+                (settings.host, settings.metrics_port),
+                MetricsService(lambda: render_metrics(self.state)),
+            )
+        self._begin(self.reader.run())
+        self._begin(self.registration.run())
+        self._begin(self.peers.run())
+        self._begin(self._tick())
+        self.journal.write(
+            LogEvent.GATEWAY_STARTED,
+            front=self.vms.own.front,
+            data_center=settings.data_center,
+        )
+
+    async def stop(self) -> None:
+        """
+        Serve callers that come with older answers, then those in flight.
+
+        The addresses that callers were told live on for a while, so that the
+        process goes on listening for most of the time that it has.
+        """
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        seconds = self.settings.bounds.stop_seconds
+        self.state.stage = VmStage.STOPPING
+        self.journal.write(
+            LogEvent.GATEWAY_STOPPING,
+            in_flight=self._in_flight(),
+        )
+        await self.peers.say_stopping()
+        withdrawal = asyncio.ensure_future(self._withdraw())
+        await asyncio.sleep(seconds * _SERVE_SHARE)
+        for listener in self.listeners:
+            listener.close()
+        while loop.time() < began + seconds * _LAST_SHARE:
+            if all(listener.is_idle() for listener in self.listeners):
+                break
+            await asyncio.sleep(_STOP_POLL_SECONDS)
+            for listener in self.listeners:
+                listener.close()
+        await withdrawal
+        for task in self.tasks:
+            task.cancel()
+        self.peers.close()
+        self.journal.write(
+            LogEvent.GATEWAY_STOPPED,
+            in_flight=self._in_flight(),
+        )
+
+    def apply(self, settings: GatewaySettings) -> None:
+        """Take over changed settings, but for the addresses listened on."""
+        self.settings = settings
+        self.state.settings = settings
+        self.state.second_sends.clear()
+        self.journal.write(LogEvent.SETTINGS_RELOADED)
+
+    async def _listen(self, address: tuple[str, int], service: object) -> None:
+        listener = Listener(service)  # type: ignore[arg-type]
+        await listener.start(*address)
+        self.listeners.append(listener)
+
+    def _begin(self, work: 'asyncio.Coroutine[None, None, None]') -> None:  # type: ignore[name-defined]
+        self.tasks.append(asyncio.create_task(work))
+
+    def _in_flight(self) -> int:
+        return sum(listener.in_flight for listener in self.listeners)
+
+    async def _withdraw(self) -> None:
+        with contextlib.suppress(TimeoutError, FleetStoreError):
+            async with asyncio.timeout(_WITHDRAW_SECONDS):
+                await self.registration.withdraw()
+
+    async def _tick(self) -> None:
+        loop = asyncio.get_running_loop()
+        heard: set[str] = set()
+        while True:
+            await asyncio.sleep(_TICK_SECONDS)
+            self.state.connections.drop_stale(loop.time())
+            now_heard = {each.record.name for each in self.vms.living()}
+            for name in sorted(now_heard - heard):
+                self.journal.write(LogEvent.VM_ALIVE, other=name)
+            for name in sorted(heard - now_heard):
+                self.journal.write(LogEvent.VM_SILENT, other=name)
+            heard = now_heard
+
+    def _note_change(self, change: Change) -> None:
+        was_starting = self.state.stage is VmStage.STARTING
+        self.state.install(change)
+        if change.refused:
+            self.journal.write(
+                LogEvent.TABLES_REFUSED,
+                revision=change.revision,
+                reason=change.refused,
+            )
+        if change.tables_revision is not None:
+            self._note_tables(change)
+        if change.joined or change.leaving or change.gone:
+            self.journal.write(
+                LogEvent.SERVERS_CHANGED,
+                revision=change.revision,
+                joined=change.joined,
+                leaving=change.leaving,
+                gone=change.gone,
+            )
+        if was_starting and self.state.stage is VmStage.READY:
+            self.journal.write(LogEvent.GATEWAY_READY)
+            gc.collect()
+            gc.freeze()
+
+    def _note_tables(self, change: Change) -> None:
+        tables = self.knowledge.tables
+        assert tables is not None
+        self.dispatcher.limits = tables.caller_limits
+        self.journal.write(
+            LogEvent.TABLES_IN_FORCE,
+            revision=change.tables_revision,
+            routes=len(tables.routes),
+        )
+
+    def _note_reply(self, error: FleetStoreError | None) -> None:
+        if error is not None:
+            self.store_failures += 1
+            self.state.counters.events['store_failure'] += 1
+            if self.store_failures == 1:
+                self.journal.write(
+                    LogEvent.FLEET_STORE_LOST,
+                    reason=error.message,
+                    state_age_ms=self._state_age_ms(),
+                )
+        elif self.store_failures:
+            self.journal.write(
+                LogEvent.FLEET_STORE_BACK,
+                failures=self.store_failures,
+                state_age_ms=self._state_age_ms(),
+            )
+            self.store_failures = 0
+
+    def _state_age_ms(self) -> int:
+        return round(min(1e6, self.knowledge.age_seconds) * _MILLISECONDS)
+
+    def _note_refused(self, reason: str) -> None:
+        self.state.counters.events['vm_message_refused'] += 1
+        self.journal.write(LogEvent.VM_MESSAGE_REFUSED, reason=reason)
+
+
+async def run_gateway(
+    settings: GatewaySettings,
+    store: FleetStore,
+    dialect: Dialect,
+    journal: Journal,
+    reload: Reload,
+) -> None:
+    """
+    Run a gateway until SIGTERM or SIGINT.
+
+    ``reload`` returns changed settings, or ``None`` where there are none; it
+    is called on SIGHUP and now and then.
+    """
+    gateway = Gateway(settings, store, dialect, journal)
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+
+    def apply_changed() -> None:
+        changed = reload()
+        if changed is not None:
+            gateway.apply(changed)
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, apply_changed)
+    await gateway.start()
+    watching = asyncio.create_task(_watch_settings(apply_changed))
+    await stopping.wait()
+    watching.cancel()
+    await gateway.stop()
+
+
+async def _watch_settings(apply_changed: Callable[[], None]) -> None:
+    while True:
+        await asyncio.sleep(1)
+        apply_changed()
--- /dev/null
+++ b/zinniaturn/gateway/rendering.py
@@ -0,0 +1,71 @@
+"""
+The gateway's metrics as text.
+
+The library's collectors are loaded at the first scrape and hold copies of the
+plain counts, so that a process that nobody scrapes does not carry them.
+"""
+
+__all__ = ('render_metrics',)
+
+from itertools import accumulate
+
+from zinniaturn.gateway.counters import BOUNDS_SECONDS, Counters
+from zinniaturn.gateway.state import GatewayState
+
+
+def render_metrics(state: GatewayState) -> bytes:
+    """Return the text that a scrape gets."""
+    from aioprometheus import Gauge, Registry  # noqa: PLC0415
+    from aioprometheus.formats import text  # noqa: PLC0415
+
+    registry = Registry()
+    requests = _counter(registry, 'zinniaturn_requests_total', 'Requests')
+    for (route, outcome), count in state.counters.requests.items():
+        requests.set({'route': route, 'outcome': outcome}, count)
+    events = _counter(registry, 'zinniaturn_events_total', 'Events by kind')
+    for name, count in state.counters.events.items():
+        events.set({'event': name}, count)
+    _add_latencies(registry, state.counters)
+    age = Gauge(
+        'zinniaturn_state_age_seconds',
+        'Seconds since the state held was last confirmed',
+        registry=registry,
+    )
+    age.set({}, min(1e6, state.knowledge.age_seconds))
+    vms = Gauge(
+        'zinniaturn_vms_alive',
+        'Other VMs that are heard',
+        registry=registry,
+    )
+    vms.set({}, len(state.vms.living()))
+    return text.TextFormatter().marshall(registry)
+
+
+def _counter(registry: object, name: str, doc: str) -> 'Counter':  # type: ignore  # noqa: F821
+    from aioprometheus import Counter  # noqa: PLC0415
+
+    return Counter(name, doc, registry=registry)
+
+
+def _add_latencies(registry: object, counters: Counters) -> None:
+    from aioprometheus import Histogram  # noqa: PLC0415
+    from aioprometheus.histogram import Histogram as Buckets  # noqa: PLC0415
+
+    histogram = Histogram(
+        'zinniaturn_answer_seconds',
+        'Seconds until a successful answer',
+        buckets=BOUNDS_SECONDS,
+        registry=registry,
+    )
+    bounds = (*BOUNDS_SECONDS, float('inf'))
+    for route, latency in counters.latencies.items():
+        buckets = Buckets(*bounds)
+        cumulative = accumulate(latency.counts)
+        buckets.buckets.update(zip(bounds, cumulative, strict=True))
+        buckets.observations = sum(latency.counts)
+        buckets.sum = latency.total
+        histogram.values[_labels(route)] = buckets
+
+
+def _labels(route: str) -> dict[str, str]:
+    return {'route': route}
--- /dev/null
+++ b/zinniaturn/gateway/services.py
@@ -0,0 +1,69 @@
+"""What the gateway answers besides callers' requests."""
+
+__all__ = ('LookupService', 'MetricsService', 'ReadinessService')
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from zinniaturn.fleet.domain import VmStage
+from zinniaturn.gateway.state import GatewayState
+from zinniaturn.http1.callers import Exchange
+from zinniaturn.http1.messages import Response
+from zinniaturn.placing.lookups import LookupAnswers
+from zinniaturn.tables.domain import CallerLimits
+
+_METRICS_TYPE = (b'Content-Type', b'text/plain; version=0.0.4')
+
+
+@dataclass(slots=True)
+class LookupService:
+    """Tells callers which addresses to use."""
+
+    state: GatewayState
+    answers: LookupAnswers
+    limits: CallerLimits = field(default_factory=CallerLimits)
+    is_stopping: bool = False
+
+    def handle(self, exchange: Exchange) -> Response:
+        """Return the addresses, or 503 where none is known."""
+        dialect = self.state.dialect
+        query = dialect.lookup_query(exchange.request)
+        if query is None:
+            return Response(404, b'', [])
+        own_is_ready = self.state.stage is VmStage.READY
+        fronts = self.answers.pick(self.state.vms.fronts(own_is_ready))
+        if not fronts:
+            return Response(503, b'', [(b'Retry-After', b'0.1')])
+        self.state.counters.events['lookup'] += 1
+        return dialect.lookup_answer(fronts, self.answers.lifetime_seconds)
+
+
+@dataclass(slots=True)
+class ReadinessService:
+    """Tells whether new requests are welcome."""
+
+    state: GatewayState
+    limits: CallerLimits = field(default_factory=CallerLimits)
+    is_stopping: bool = False
+
+    def handle(self, exchange: Exchange) -> Response:
+        """Return 200 once there are tables and until the stop."""
+        if not self.state.dialect.is_readiness(exchange.request):
+            return Response(404, b'', [])
+        is_ready = self.state.stage is VmStage.READY
+        return Response(200 if is_ready else 503, b'', [])
+
+
+@dataclass(slots=True)
+class MetricsService:
+    """Serves the counters as text."""
+
+    render: Callable[[], bytes]
+    limits: CallerLimits = field(default_factory=CallerLimits)
+    is_stopping: bool = False
+
+    def handle(self, exchange: Exchange) -> Response:
+        """Return all metrics."""
+        if exchange.request.target != b'/metrics':
+            return Response(404, b'', [])
+        return Response(200, b'', [_METRICS_TYPE], self.render())
--- /dev/null
+++ b/zinniaturn/gateway/state.py
@@ -0,0 +1,97 @@
+"""What the parts of the gateway process share."""
+
+__all__ = ('GatewayState',)
+
+import random
+from dataclasses import dataclass, field
+
+from zinniaturn.events.catalogue import LogEvent
+from zinniaturn.fleet.domain import VmStage
+from zinniaturn.fleet.knowledge import Change, Knowledge
+from zinniaturn.fleet.vms import VmTable
+from zinniaturn.gateway.counters import Counters
+from zinniaturn.gateway.dialect import Dialect
+from zinniaturn.gateway.journal import Journal
+from zinniaturn.gateway.settings import GatewaySettings
+from zinniaturn.http1.connections import Connections
+from zinniaturn.placing.allowance import SecondSends
+from zinniaturn.placing.asking import Candidate
+from zinniaturn.placing.memory import ServerMemory
+from zinniaturn.tables.matching import RouteMatcher
+
+
+@dataclass(slots=True)
+class GatewayState:
+    """Tables, servers, what is remembered of them, and the process's stage."""
+
+    settings: GatewaySettings
+    dialect: Dialect
+    knowledge: Knowledge
+    vms: VmTable
+    journal: Journal
+    source: random.Random
+    started_at: float
+    stage: VmStage = VmStage.STARTING
+    connections: Connections = field(default_factory=Connections)
+    counters: Counters = field(default_factory=Counters)
+    matcher: RouteMatcher = field(default_factory=RouteMatcher)
+    pools: dict[str, dict[str, Candidate]] = field(default_factory=dict)
+    second_sends: dict[str, SecondSends] = field(default_factory=dict)
+
+    @property
+    def is_stopping(self) -> bool:
+        """Return whether the process was told to stop."""
+        return self.stage is VmStage.STOPPING
+
+    def install(self, change: Change) -> None:
+        """Take over what the newest state brought."""
+        tables = self.knowledge.tables
+        if change.tables_revision is not None and tables is not None:
+            self.matcher = RouteMatcher(tables.routes.values())
+            if self.stage is VmStage.STARTING:
+                self.stage = VmStage.READY
+        known = {
+            candidate.name: candidate
+            for candidates in self.pools.values()
+            for candidate in candidates.values()
+        }
+        self.pools = {}
+        for registered in self.knowledge.servers.values():
+            name = registered.server.name
+            former = known.get(name)
+            memory = ServerMemory()
+            if former and former.registered.born_ms == registered.born_ms:
+                memory = former.memory
+            candidates = self.pools.setdefault(registered.pool, {})
+            candidates[name] = Candidate(registered, memory)
+
+    def note_server_out(
+        self,
+        candidate: Candidate,
+        reason: str,
+        now: float,
+    ) -> None:
+        """Log that a server is left out for a while."""
+        self.counters.events['server_out'] += 1
+        self.journal.write(
+            LogEvent.SERVER_OUT,
+            server=candidate.name,
+            pool=candidate.registered.pool,
+            reason=reason,
+            failures=candidate.memory.failures,
+            seconds=round(candidate.memory.out_until - now, 2),
+        )
+
+    def allowance(self, pool: str) -> SecondSends:
+        """Return the second sends of a pool."""
+        allowance = self.second_sends.get(pool)
+        if allowance is None:
+            bounds = self.settings.bounds
+            allowance = SecondSends(
+                bounds.second_send_ratio,
+                bounds.second_send_fixed,
+                bounds.second_send_window_seconds,
+                self.started_at,
+            )
+            self.second_sends[pool] = allowance
+        return allowance
--- /dev/null
+++ b/zinniaturn/placing/expecting.py
@@ -0,0 +1,90 @@
+"""
+How long a request would take at a server, by its report and our memory.
+
+It answers the load of few slots a server on VMs with noisy neighbours: a VM's
+slowness changes within a few hundred milliseconds, so a short request is
+served at the slowness reported and a long one mostly at the usual one.
+"""
+
+__all__ = ('WorkEstimates', 'expected_seconds')
+
+from dataclasses import dataclass, field
+
+from zinniaturn.choosing.reports import LoadReport
+from zinniaturn.placing.memory import ServerMemory
+
+_SLOWNESS_LASTS_SECONDS = 0.25
+_USUAL_SLOWNESS = 1.3
+_CROWDED_SHARE = 0.8
+_CROWDED_FACTOR = 1.6
+_FAILURE_FACTOR = 4.0
+_WORK_WEIGHT = 0.08
+
+
+def expected_seconds(
+    work_seconds: float,
+    report: LoadReport,
+    memory: ServerMemory,
+    now: float,
+) -> float:
+    """
+    Return the seconds until an answer to a request that is sent now.
+
+    >>> memory = ServerMemory()
+    >>> idle = LoadReport(0, 0, 4)
+    >>> round(expected_seconds(0.1, idle, memory, 0), 3)
+    0.1
+    >>> slow = LoadReport(0, 0, 4, slowness=4.0)
+    >>> expected_seconds(0.1, slow, memory, 0) > 0.25
+    True
+    """
+    slots = max(1, report.slots)
+    running = report.busy + memory.sent_since(memory.reported_at)
+    crowd = 1.0
+    if (running + 1) / slots > _CROWDED_SHARE:
+        crowd = _CROWDED_FACTOR
+    learned = memory.slowness_at(now)
+    own = _with_slowness(work_seconds * crowd * learned, report.slowness)
+    ahead = running + report.queued - slots + 1
+    if ahead > 0:
+        each = work_seconds * crowd * learned * _USUAL_SLOWNESS
+        own += each * ahead / slots
+    failing = memory.failure_share_at(now)
+    return own * (1 + failing * _FAILURE_FACTOR)
+
+
+def _with_slowness(work: float, slowness: float) -> float:
+    """Return how long work takes where the slowness soon changes again."""
+    slowest = work * slowness
+    if slowest <= _SLOWNESS_LASTS_SECONDS:
+        return slowest
+    left = work - _SLOWNESS_LASTS_SECONDS / slowness
+    return _SLOWNESS_LASTS_SECONDS + left * _USUAL_SLOWNESS
+
+
+@dataclass(slots=True)
+class WorkEstimates:
+    """
+    How long the work of a route's requests takes on an idle, usual server.
+
+    Until something is known it is taken as a share of the route's objective.
+    """
+
+    known: dict[str, float] = field(default_factory=dict)
+
+    def work_seconds(self, route: str, objective_seconds: float) -> float:
+        """Return the estimate for a route."""
+        usual = objective_seconds * 0.4 if objective_seconds else 0.1
+        return self.known.get(route, usual)
+
+    def learn(
+        self,
+        route: str,
+        objective_seconds: float,
+        seconds: float,
+        expected: float,
+    ) -> None:
+        """Correct the estimate by how far an answer was off."""
+        current = self.work_seconds(route, objective_seconds)
+        ratio = min(2.0, max(0.5, seconds / max(expected, 0.001)))
+        self.known[route] = current + current * (ratio - 1) * _WORK_WEIGHT
--- /dev/null
+++ b/zinniaturn/placing/hedging.py
@@ -0,0 +1,33 @@
+"""
+When an idempotent request is sent to a second server as well.
+
+It answers servers that turn slow or silent after they were chosen. The second
+send waits as long as it can and still meet the objective, so that few are
+made; where the objective is out of reach already there is none.
+"""
+
+__all__ = ('second_send_delay',)
+
+_PATIENCE = 1.25
+_ROOM = 1.2
+_SHORTEST_SECONDS = 0.02
+
+
+def second_send_delay(
+    work_seconds: float,
+    expected_seconds: float,
+    objective_left: float,
+) -> float | None:
+    """
+    Return the seconds after the first send, or ``None`` for no second one.
+
+    >>> round(second_send_delay(0.1, 0.12, 0.4), 2)
+    0.28
+    >>> second_send_delay(0.3, 0.3, 0.4) is None
+    True
+    """
+    latest = objective_left - work_seconds * _ROOM
+    earliest = expected_seconds * _PATIENCE
+    if latest < max(earliest, _SHORTEST_SECONDS):
+        return None
+    return latest
--- /dev/null
+++ b/zinniaturn/placing/returning.py
@@ -0,0 +1,27 @@
+"""When a caller whose request was refused should come back."""
+
+__all__ = ('ReturnTimes',)
+
+import random
+from dataclasses import dataclass
+
+_SHORTEST_SECONDS = 0.03
+_LONGEST_SECONDS = 2.0
+
+
+@dataclass(slots=True)
+class ReturnTimes:
+    """
+    Spreads the return of refused callers over the time a slot takes.
+
+    Those that come back at once would find the servers as full as before, and
+    those that come back together would fill them at one moment.
+    """
+
+    source: random.Random
+
+    def seconds(self, work_seconds: float, refused_lately: int) -> float:
+        """Return the seconds to wait, longer the more were refused lately."""
+        usual = work_seconds * (0.5 + refused_lately / 8)
+        spread = usual * self.source.uniform(0.6, 1.4)
+        return min(_LONGEST_SECONDS, max(_SHORTEST_SECONDS, spread))
--- /dev/null
+++ b/zinniaturn/platform/__main__.py
@@ -0,0 +1,10 @@
+"""Run the gateway on the platform as ``python -m zinniaturn.platform``."""
+
+import sys
+
+# Nothing here uses TLS, and loading it takes a fifth of the process's memory.
+sys.modules.setdefault('ssl', None)  # type: ignore[arg-type]
+
+from zinniaturn.platform.running import main  # noqa: E402
+
+main(sys.argv[1:])
--- /dev/null
+++ b/zinniaturn/platform/dialect.py
@@ -0,0 +1,140 @@
+"""Headers and paths of the platform's requests and answers."""
+
+__all__ = ('PlatformDialect',)
+
+from urllib.parse import parse_qs
+
+import msgspec
+
+from zinniaturn.choosing.reports import LoadReport
+from zinniaturn.gateway.dialect import LookupQuery
+from zinniaturn.http1.messages import (
+    Request,
+    Response,
+    Fields,
+    end_to_end,
+    find_field,
+    request_bytes,
+)
+
+# The id of one attempt of a caller; a server echoes it.
+_REQUEST_ID = b'x-attempt-id'
+# For how many milliseconds more the sender waits, not a moment.
+_TIME_LEFT = b'x-request-deadline-ms'
+# The server that a request is meant for; any other answers 421.
+_MEANT_SERVER = b'x-expect-instance'
+_ANSWERING_SERVER = b'x-instance-id'
+_NOT_RUN = b'x-not-executed'
+# Running, waiting, slots and the VM's slowness in hundredths.
+_LOAD = b'x-upstream-load'
+# The server's proof of an answer, passed on to the caller.
+_SIGNATURE = b'x-upstream-signature'
+
+_OWN_REQUEST_FIELDS = frozenset(
+    (_TIME_LEFT, _MEANT_SERVER, b'accept-encoding', b'content-length'),
+)
+_OWN_ANSWER_FIELDS = frozenset((_LOAD, _ANSWERING_SERVER, b'content-length'))
+_NOTHING: frozenset[bytes] = frozenset()
+_MISDIRECTED = 421
+_MILLISECONDS = 1000
+_USUAL_SLOWNESS = 100
+_LOAD_FIGURES = 3
+_JSON = (b'Content-Type', b'application/json')
+
+
+class PlatformDialect:
+    """The product's questions, answered in the platform's names."""
+
+    answer_id_field = _REQUEST_ID
+
+    def request_id(self, fields: Fields) -> bytes | None:
+        """Return the id that a caller gave its request."""
+        return find_field(fields, _REQUEST_ID)
+
+    def caller_seconds(self, fields: Fields) -> float | None:
+        """Return how long the caller says it will wait."""
+        text = find_field(fields, _TIME_LEFT)
+        try:
+            return float(text) / _MILLISECONDS if text else None
+        except ValueError:
+            return None
+
+    def server_request(
+        self,
+        request: Request,
+        server: str,
+        seconds_left: float,
+    ) -> bytes:
+        """Return the bytes of a request for one server."""
+        fields = end_to_end(request.fields, _OWN_REQUEST_FIELDS)
+        milliseconds = max(1, int(seconds_left * _MILLISECONDS))
+        fields.append((b'X-Request-Deadline-Ms', b'%d' % milliseconds))
+        fields.append((b'X-Expect-Instance', server.encode()))
+        return request_bytes(request, fields)
+
+    def load_question(self, path: str, host: str) -> bytes:
+        """Return the bytes of a request for a server's load."""
+        return b'GET %b HTTP/1.1\r\nHost: %b\r\n\r\n' % (
+            path.encode(),
+            host.encode(),
+        )
+
+    def load_report(self, answer: Response) -> LoadReport | None:
+        """Return what an answer says of its server's load."""
+        text = find_field(answer.fields, _LOAD)
+        if text is None:
+            return None
+        try:
+            figures = [int(each) for each in text.split(b',')]
+        except ValueError:
+            return None
+        if len(figures) < _LOAD_FIGURES or figures[2] < 1:
+            return None
+        slowness = _USUAL_SLOWNESS
+        if len(figures) > _LOAD_FIGURES:
+            slowness = figures[_LOAD_FIGURES]
+        return LoadReport(*figures[:_LOAD_FIGURES], slowness / _USUAL_SLOWNESS)
+
+    def answering_server(self, answer: Response) -> str | None:
+        """Return the name of the server that answered, if it says so."""
+        name = find_field(answer.fields, _ANSWERING_SERVER)
+        return None if name is None else name.decode('latin-1')
+
+    def is_not_run(self, answer: Response) -> bool:
+        """Return whether the server says that it did not run the request."""
+        return find_field(answer.fields, _NOT_RUN) is not None
+
+    def is_other_server(self, answer: Response) -> bool:
+        """Return whether another server than the one meant has answered."""
+        return answer.status == _MISDIRECTED
+
+    def is_genuine(self, answer: Response) -> bool:
+        """Return whether a success bears its server's mark, unaltered."""
+        is_signed = find_field(answer.fields, _SIGNATURE) is not None
+        is_plain = find_field(answer.fields, b'content-encoding') is None
+        return is_signed and is_plain
+
+    def caller_answer(self, answer: Response) -> Response:
+        """Return a server's answer as the caller gets it."""
+        fields = end_to_end(answer.fields, _OWN_ANSWER_FIELDS)
+        return Response(answer.status, answer.reason, fields, answer.body)
+
+    def lookup_query(self, request: Request) -> LookupQuery | None:
+        """Return what is asked for, or ``None`` for another request."""
+        path, _, query = request.target.partition(b'?')
+        if path != b'/resolve':
+            return None
+        asked = parse_qs(query.decode('latin-1'))
+        return LookupQuery(
+            asked.get('name', [''])[0],
+            asked.get('zone', [''])[0],
+        )
+
+    def lookup_answer(self, fronts: list[str], seconds: float) -> Response:
+        """Return the answer to a look-up."""
+        body = msgspec.json.encode({'addresses': fronts, 'ttl_s': seconds})
+        return Response(200, b'', [_JSON], body)
+
+    def is_readiness(self, request: Request) -> bool:
+        """Return whether the request asks for readiness."""
+        return request.target.partition(b'?')[0] == b'/readyz'
--- /dev/null
+++ b/zinniaturn/platform/exceptions.py
@@ -0,0 +1,11 @@
+"""Errors of the platform's adapter."""
+
+__all__ = ('SettingsFileError',)
+
+from zinniaturn.gateway.exceptions import GatewaySettingsError
+
+
+class SettingsFileError(GatewaySettingsError):
+    """The settings file is missing, cut short or lacks a field."""
+
+    code = 'settings-file-invalid'
--- /dev/null
+++ b/zinniaturn/platform/server_entries.py
@@ -0,0 +1,51 @@
+"""The entries that backend servers keep in the store."""
+
+__all__ = ('decode_server',)
+
+import msgspec
+
+from zinniaturn.fleet.domain import RegisteredServer
+from zinniaturn.http1.connections import parse_address
+from zinniaturn.tables.domain import Server
+
+_LEAVING = {'ready': False, 'draining': True}
+_MILLISECONDS = 1000
+
+
+class _Entry(msgspec.Struct):
+    """What a server says of itself; its id is the key."""
+
+    service: str
+    address: str
+    zone: str
+    capacity: int
+    state: str
+    warmup_left_ms: float = 0
+    # The Unix millisecond of the server's start, whatever the name.
+    born: int = 0
+
+
+_decoder = msgspec.json.Decoder(_Entry)
+
+
+def decode_server(name: str, raw: bytes) -> RegisteredServer:
+    """Return the server of an entry; raises `ValueError`."""
+    entry = _decoder.decode(raw)
+    if entry.state not in _LEAVING:
+        raise ValueError(f'state "{entry.state}" is unknown')
+    if entry.capacity < 1:
+        raise ValueError(f'capacity {entry.capacity} is too small')
+    host, port = parse_address(entry.address)
+    return RegisteredServer(
+        Server(
+            name,
+            host,
+            port,
+            entry.capacity,
+            entry.zone,
+            _LEAVING[entry.state],
+        ),
+        entry.service,
+        entry.born,
+        entry.warmup_left_ms / _MILLISECONDS,
+    )
--- /dev/null
+++ b/zinniaturn/platform/settings_file.py
@@ -0,0 +1,107 @@
+"""
+The platform's settings file.
+
+The platform renders it as JSON through ``deploy/settings.json``. Fields that
+are not named here are ignored.
+"""
+
+__all__ = ('VARIABLE', 'read_settings')
+
+from pathlib import Path
+
+import msgspec
+
+from zinniaturn.gateway.settings import FleetBounds, GatewaySettings
+from zinniaturn.http1.connections import Address, parse_address
+from zinniaturn.platform.exceptions import SettingsFileError
+
+VARIABLE = 'ZINNIATURN_SETTINGS'
+
+_MILLISECONDS = 1000
+
+
+class _Listen(msgspec.Struct):
+    """What the process listens on, as HOST:PORT."""
+
+    front: str | None = None
+    readiness: str | None = None
+    directory: str | None = None
+
+
+class _Bounds(msgspec.Struct):
+    """The figures that the fleet has to keep."""
+
+    drain_ms: float = 2000
+    config_apply_ms: float = 2000
+    # Seconds from SIGTERM to SIGKILL.
+    grace_s: float = 6
+    # The longest lifetime of a look-up's answer that counts.
+    ttl_max_s: float = 5
+    retry_budget_ratio: float = 0.2
+    retry_min: float = msgspec.field(default=50, name='budget_min_retries')
+    budget_window_s: float = 10
+    probes_per_s: float = 60
+
+
+class _Store(msgspec.Struct):
+    """Where the platform's store is."""
+
+    address: str
+
+
+class _SettingsFile(msgspec.Struct):
+    """The fields of the file that are used."""
+
+    node_name: str
+    ip: str
+    zone: str
+    listen: _Listen
+    port_range: tuple[int, int]
+    platform: _Store
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+
+_decoder = msgspec.json.Decoder(_SettingsFile)
+
+
+def read_settings(path: str, metrics_port: int = 0) -> GatewaySettings:
+    """Return the settings of a file; raises `SettingsFileError`."""
+    try:
+        file = _decoder.decode(Path(path).read_bytes())
+        return _settings_of(file, metrics_port)
+    except OSError as error:
+        raise SettingsFileError(f'{path}: {error.strerror}') from error
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise SettingsFileError(f'{path}: {error}') from error
+
+
+def _settings_of(file: _SettingsFile, metrics_port: int) -> GatewaySettings:
+    return GatewaySettings(
+        name=file.node_name,
+        host=file.ip,
+        data_center=file.zone,
+        store=parse_address(file.platform.address),
+        front=_address(file.listen.front),
+        readiness=_address(file.listen.readiness),
+        directory=_address(file.listen.directory),
+        first_port=file.port_range[0],
+        metrics_port=metrics_port,
+        bounds=_bounds_of(file.bounds),
+    )
+
+
+def _address(text: str | None) -> Address | None:
+    return parse_address(text) if text else None
+
+
+def _bounds_of(bounds: _Bounds) -> FleetBounds:
+    return FleetBounds(
+        leaving_seconds=bounds.drain_ms / _MILLISECONDS,
+        tables_seconds=bounds.config_apply_ms / _MILLISECONDS,
+        stop_seconds=bounds.grace_s,
+        lookup_seconds=bounds.ttl_max_s,
+        second_send_ratio=bounds.retry_budget_ratio,
+        second_send_fixed=bounds.retry_min,
+        second_send_window_seconds=bounds.budget_window_s,
+        asks_per_second=bounds.probes_per_s,
+    )
--- /dev/null
+++ b/zinniaturn/platform/store.py
@@ -0,0 +1,204 @@
+"""
+The platform's store behind the product's port.
+
+Replies lost on a connection leave it useless, so that a call without a reply
+closes its connection.
+"""
+
+__all__ = ('PlatformStore',)
+
+import asyncio
+import base64
+from typing import Any
+from urllib.parse import quote
+
+import msgspec
+
+from zinniaturn.fleet.domain import (
+    FleetReading,
+    RegisteredServer,
+    TablesDocument,
+    VmRecord,
+)
+from zinniaturn.fleet.exceptions import FleetStoreError, LeaseEndedError
+from zinniaturn.http1.backend import Exchange
+from zinniaturn.http1.connections import Address, Connections
+from zinniaturn.http1.exceptions import ConnectFailedError, ExchangeBrokenError
+from zinniaturn.http1.messages import Response
+from zinniaturn.platform.documents import decode_document
+from zinniaturn.platform.server_entries import decode_server
+from zinniaturn.tables.domain import Tables
+
+_CONFIG_KEY = 'op/config'
+_SERVER_PREFIX = 'servers/'
+_VM_PREFIX = 'zinniaturn/vms/'
+_CALL_SECONDS = 0.7
+_NO_FIELD = b'-'
+_OK = 200
+_NOT_FOUND = 404
+_MILLISECONDS = 1000
+
+
+class _Item(msgspec.Struct):
+    """A key; ``value`` is base64 text."""
+
+    key: str
+    value: str
+    revision: int
+
+
+class _Page(msgspec.Struct):
+    """Items in the order of their keys, as of ``current_rev`` or later."""
+
+    items: list[_Item]
+    more_pages: bool
+    current_rev: int
+
+
+class _Lease(msgspec.Struct):
+    lease: int
+
+
+_pages = msgspec.json.Decoder(_Page)
+_leases = msgspec.json.Decoder(_Lease)
+_records = msgspec.json.Decoder(VmRecord)
+
+
+class PlatformStore:
+    """A client of the store; calls raise `FleetStoreError`."""
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self.connections = Connections()
+        self.calls = 0
+
+    async def read_fleet(self) -> FleetReading:
+        """Return everything that lies in the store."""
+        items: list[_Item] = []
+        revision = 0
+        after = ''
+        while True:
+            page = await self._page(after)
+            revision = revision or page.current_rev
+            items.extend(page.items)
+            if not (page.more_pages and page.items):
+                return _reading_of(revision, items)
+            after = page.items[-1].key
+
+    def decode_tables(self, document: TablesDocument) -> Tables:
+        """Return the tables of a document; raises `BadDocumentError`."""
+        return decode_document(document)
+
+    async def register(self, record: VmRecord, ttl_seconds: float) -> int:
+        """Write a record that lives as long as the lease that is returned."""
+        body = {'ttl_ms': int(ttl_seconds * _MILLISECONDS)}
+        reply = await self._call(b'POST', '/kv-lease', body)
+        lease = _decoded(_leases, reply).lease
+        value = base64.b64encode(msgspec.json.encode(record)).decode()
+        put = {'key': _VM_PREFIX + record.name, 'value': value, 'lease': lease}
+        await self._call(
+            b'POST',
+            '/kv-txn',
+            {'expected_revision': [], 'puts': [put], 'remove': []},
+        )
+        return lease
+
+    async def renew(self, lease: int) -> None:
+        """Keep a lease for another term; raises `LeaseEndedError`."""
+        await self._call(b'POST', f'/kv-keep/{lease}', {})
+
+    async def withdraw(self, lease: int) -> None:
+        """End a lease, which removes the record."""
+        await self._call(b'DELETE', f'/kv-lease-end/{lease}')
+
+    async def _page(self, after: str) -> _Page:
+        query = f'?prefix=&after={quote(after)}' if after else '?prefix='
+        reply = await self._call(b'GET', f'/kv-range{query}')
+        return _decoded(_pages, reply)
+
+    async def _call(
+        self,
+        method: bytes,
+        path: str,
+        body: dict[str, Any] | None = None,
+    ) -> Response:
+        payload = _request_bytes(method, path, self.address[0], body)
+        loop = asyncio.get_running_loop()
+        connection = self.connections.take(self.address, loop.time())
+        self.calls += 1
+        try:
+            async with asyncio.timeout(_CALL_SECONDS):
+                if connection is None:
+                    connection = await self.connections.connect(
+                        self.address,
+                        _CALL_SECONDS,
+                    )
+                reply = await connection.send(Exchange(payload, _NO_FIELD))
+        except (TimeoutError, ConnectFailedError, ExchangeBrokenError) as error:
+            raise FleetStoreError(f'{path}: {error!r}') from error
+        else:
+            self.connections.give_back(self.address, connection, reply)
+            connection = None
+        finally:
+            if connection is not None:
+                connection.close()
+        return _checked(path, reply)
+
+
+def _request_bytes(
+    method: bytes,
+    path: str,
+    host: str,
+    body: dict[str, Any] | None,
+) -> bytes:
+    head = b'%b %b HTTP/1.1\r\nHost: %b\r\n' % (
+        method,
+        path.encode(),
+        host.encode(),
+    )
+    if body is None:
+        return head + b'\r\n'
+    raw = msgspec.json.encode(body)
+    fields = b'Content-Type: application/json\r\nContent-Length: %d\r\n\r\n'
+    return head + fields % len(raw) + raw
+
+
+def _checked(path: str, reply: Response) -> Response:
+    if reply.status == _OK:
+        return reply
+    if reply.status == _NOT_FOUND:
+        raise LeaseEndedError(f'{path}: no such lease')
+    raise FleetStoreError(f'{path}: status {reply.status}')
+
+
+def _decoded(decoder: Any, reply: Response) -> Any:
+    try:
+        return decoder.decode(reply.body)
+    except msgspec.MsgspecError as error:
+        raise FleetStoreError(f'unreadable reply: {error}') from error
+
+
+def _reading_of(revision: int, items: list[_Item]) -> FleetReading:
+    document: TablesDocument | None = None
+    servers: list[RegisteredServer] = []
+    vms: list[VmRecord] = []
+    unreadable = 0
+    for item in items:
+        try:
+            raw = base64.b64decode(item.value)
+            if item.key == _CONFIG_KEY:
+                document = TablesDocument(item.revision, raw)
+            elif item.key.startswith(_SERVER_PREFIX):
+                name = item.key.removeprefix(_SERVER_PREFIX)
+                servers.append(decode_server(name, raw))
+            elif item.key.startswith(_VM_PREFIX):
+                vms.append(_records.decode(raw))
+        except (msgspec.MsgspecError, ValueError):
+            unreadable += 1
+    return FleetReading(
+        revision,
+        document,
+        tuple(servers),
+        tuple(vms),
+        unreadable,
+    )
--- a/zinniaturn/tables/__init__.py
+++ b/zinniaturn/tables/__init__.py
@@ -2,7 +2,9 @@
 The route table and the pool table.
 
 Models validate what operators and the store hand in; the data classes of
-`zinniaturn.tables.domain` are what the rest of the program works with.
+`zinniaturn.tables.domain` are what the rest of the program works with. What
+needs the models is loaded on its first use, so that a process that works with
+the domain alone stays small.
 """
 
 __all__ = (
@@ -20,9 +22,33 @@
     'read_table_file',
 )
 
-from zinniaturn.tables.codec import decode_tables, encode_tables
+import importlib
+from types import MappingProxyType
+from typing import TYPE_CHECKING
+
 from zinniaturn.tables.domain import Pool, Route, Server, Tables
 from zinniaturn.tables.exceptions import InvalidTableError, TablesError
-from zinniaturn.tables.files import read_table_file
 from zinniaturn.tables.matching import RouteMatcher
-from zinniaturn.tables.parsing import parse_pools, parse_routes
+
+if TYPE_CHECKING:
+    from zinniaturn.tables.codec import decode_tables, encode_tables
+    from zinniaturn.tables.files import read_table_file
+    from zinniaturn.tables.parsing import parse_pools, parse_routes
+
+_LOADED_ON_USE = MappingProxyType(
+    {
+        'decode_tables': 'zinniaturn.tables.codec',
+        'encode_tables': 'zinniaturn.tables.codec',
+        'parse_pools': 'zinniaturn.tables.parsing',
+        'parse_routes': 'zinniaturn.tables.parsing',
+        'read_table_file': 'zinniaturn.tables.files',
+    }
+)
+
+
+def __getattr__(name: str) -> object:
+    """Load what needs the models when it is first asked for."""
+    module = _LOADED_ON_USE.get(name)
+    if module is None:
+        raise AttributeError(f'module {__name__!r} has no attribute {name!r}')
+    return getattr(importlib.import_module(module), name)
