Let requests wait in a line for the server that serves them in time

Change: servers are filled up to their best concurrency; the rest waits in a line that feeds on answers and on questions within the fleet's budget; a send counts as one that may have run until its answer says that it did not.

--- a/zinniaturn/gateway/attempt.py
+++ b/zinniaturn/gateway/attempt.py
@@ -3,12 +3,13 @@
 __all__ = ('send_once',)
 
 import asyncio
+from collections.abc import Callable
 
 from zinniaturn.gateway.exceptions import AttemptError
 from zinniaturn.gateway.jobs import Job, Placement
 from zinniaturn.gateway.state import GatewayState
 from zinniaturn.http1.backend import BackendConnection, Exchange
-from zinniaturn.http1.connections import Address
+from zinniaturn.http1.connections import Address, note_keep_alive
 from zinniaturn.http1.exceptions import (
     BadMessageError,
     ConnectFailedError,
@@ -21,16 +22,20 @@
 _FIRST_FAILURE = 500
 _SUCCESS = range(200, 300)
 
+OnFreed = Callable[[BackendConnection], bool]
+
 
 async def send_once(
     state: GatewayState,
     job: Job,
     placement: Placement,
+    on_freed: OnFreed,
 ) -> Response:
     """
     Return the server's whole answer; raises `AttemptError`.
 
-    Cancelling it closes the connection, which ends the work at the server.
+    ``on_freed`` gets the connection of a whole answer, and keeps it where it
+    returns true. Cancelling it closes the connection, which ends the work at the server.
     """
     server = placement.candidate.registered.server
     address = server.host, server.port
@@ -44,7 +49,6 @@
     )
     memory = placement.candidate.memory
     memory.begin(now)
-    job.unanswered += 1
     try:
         answer = await connection.send(
             Exchange(
@@ -55,7 +59,6 @@
             ),
         )
     except ExchangeBrokenError as error:
-        job.unanswered -= 1
         _note_failure(state, placement, error.message, loop.time())
         raise AttemptError(
             f'{server.name}: {error.message}',
@@ -67,9 +70,12 @@
         raise
     finally:
         memory.end()
-    job.unanswered -= 1
-    state.connections.give_back(address, connection, answer)
-    _judge(state, placement, answer, loop.time() - now, loop.time())
+    note_keep_alive(connection, answer)
+    try:
+        _judge(state, placement, answer, loop.time() - now, loop.time())
+    finally:
+        if not on_freed(connection):
+            state.connections.keep(address, connection)
     return answer
 
 
--- a/zinniaturn/gateway/dispatch.py
+++ b/zinniaturn/gateway/dispatch.py
@@ -16,6 +16,7 @@
 from zinniaturn.http1.callers import Exchange as CallerExchange
 from zinniaturn.http1.messages import Request, Response, find_field
 from zinniaturn.outcomes import Event, Outcome, Phase, combine, decide
+from zinniaturn.placing.elapsed import ElapsedTimes
 from zinniaturn.placing.hedging import second_send_delay
 from zinniaturn.placing.spreading import Spreader
 from zinniaturn.tables.domain import CallerLimits, Pool
@@ -32,6 +33,7 @@
         self.state = state
         self.placer = Placer(state)
         self.spreader = Spreader(state.source)
+        self.elapsed = ElapsedTimes()
         self.limits = CallerLimits()
 
     @property
@@ -70,6 +72,8 @@
             request.began_at + limit,
             bool(route.idempotent),
         )
+        if seconds is not None:
+            job.elapsed = self.elapsed.elapsed(route.name, seconds)
         self.state.allowance(name).note_request(request.began_at)
         return self._serve(exchange, job)
 
@@ -115,7 +119,7 @@
             return await _result(first)
         try:
             await asyncio.wait((first,), timeout=delay)
-            if first.done() or not self._may_send_again(job):
+            if first.done() or not self._may_hedge(job):
                 return await _result(first)
             return await self._race(job, first)
         except asyncio.CancelledError:
@@ -164,7 +168,6 @@
         job.tried.add(name)
         job.servers.append(name)
         job.attempts += 1
-        job.sends += 1
         job.report = placement.report
         job.expected = placement.expected
         return asyncio.ensure_future(self._send(job, placement))
@@ -172,7 +175,17 @@
     async def _send(self, job: Job, placement: Placement) -> Response:
         loop = asyncio.get_running_loop()
         sent_at = loop.time()
-        answer = await send_once(self.state, job, placement)
+        answer = await send_once(
+            self.state,
+            job,
+            placement,
+            lambda connection: self.placer.offer_freed(
+                job.pool.name,
+                placement,
+                connection,
+                loop.time(),
+            ),
+        )
         self.placer.work.learn(
             job.route.name,
             job.route.objective_seconds,
@@ -198,6 +211,10 @@
         )
         return allowed and self._may_send_again(job)
 
+    def _may_hedge(self, job: Job) -> bool:
+        waiting = self.placer.line(job.pool.name).waiting
+        return not waiting and self._may_send_again(job)
+
     def _may_send_again(self, job: Job) -> bool:
         if job.attempts >= job.route.max_attempts:
             return False
@@ -215,7 +232,7 @@
         return self.state.dialect.caller_answer(answer)
 
     def _give_up(self, job: Job, event: Event) -> Response:
-        phase = Phase.SENT_WHOLE if job.unanswered else Phase.NOT_SENT
+        phase = Phase.SENT_WHOLE if job.attempts else Phase.NOT_SENT
         job.known = combine(job.known, decide(phase, event))
         return self._final(job, job.known.code, job.known.outcome, None)
 
@@ -285,6 +302,8 @@
                 report.busy, report.queued, report.slots, report.slowness,
             ],
             expected_ms=round(job.expected * _MILLISECONDS, 1),
+            elapsed_ms=round(job.elapsed * _MILLISECONDS),
+            limit_ms=round((job.deadline - job.arrived_at) * _MILLISECONDS),
             detail=job.detail,
             tables_revision=self._tables_revision(),
             state_age_ms=round(
--- a/zinniaturn/gateway/jobs.py
+++ b/zinniaturn/gateway/jobs.py
@@ -18,8 +18,9 @@
     """
     A request, its route and what has been tried.
 
-    Times are the loop's. ``attempts`` counts those that may have run, and
-    ``unanswered`` those that were sent and whose end is not known yet.
+    Times are the loop's. ``attempts`` counts the sends but for those that
+    surely did not run. ``elapsed`` is how long the caller had been trying
+    before this request.
     """
 
     request: Request
@@ -30,8 +31,7 @@
     deadline: float
     idempotent: bool
     attempts: int = 0
-    sends: int = 0
-    unanswered: int = 0
+    elapsed: float = 0
     asked: int = 0
     tried: set[str] = field(default_factory=set)
     known: Verdict | None = None
@@ -44,7 +44,8 @@
     def objective_at(self) -> float:
         """Return when the answer is due to be worth most."""
         seconds = self.route.objective_seconds
-        return self.arrived_at + (seconds or self.route.deadline_seconds)
+        limit = seconds or self.route.deadline_seconds
+        return self.arrived_at - self.elapsed + limit
 
     def seconds_left(self, now: float) -> float:
         """Return the seconds until the deadline."""
--- a/zinniaturn/gateway/placer.py
+++ b/zinniaturn/gateway/placer.py
@@ -1,23 +1,31 @@
-"""Finding the server for a request: asking a few and taking the best."""
+"""
+Finding the server for a request: asking a few and taking the best.
+
+A request for which none is good enough waits in its pool's line. The line is
+fed by answers, which say that a slot has become free, and by further
+questions.
+"""
 
 __all__ = ('Placer',)
 
 import asyncio
+from collections.abc import Iterable
 
 from zinniaturn.choosing.exceptions import RefusedError
 from zinniaturn.choosing.reports import LoadReport
 from zinniaturn.gateway.asker import Asked, Asker
 from zinniaturn.gateway.jobs import Job, Placement
 from zinniaturn.gateway.state import GatewayState
-from zinniaturn.placing.asking import Asking, Candidate
+from zinniaturn.http1.backend import BackendConnection
+from zinniaturn.placing.asking import AskBudget, Asking, Candidate
 from zinniaturn.placing.expecting import WorkEstimates, expected_seconds
+from zinniaturn.placing.line import Line, Offer, Waiting, best_concurrency
 from zinniaturn.placing.returning import ReturnTimes
+from zinniaturn.tables.domain import Pool
 
-_GOOD_FACTOR = 1.3
 _UNHEALTHY_FACTOR = 3.0
-_FULL_PER_SLOT = 2.5
-_WAIT_SECONDS = 0.03
-_HOPELESS_FACTOR = 0.75
+_POLL_SECONDS = 0.03
+_ASK_SAFETY = 0.85
 
 
 class Placer:
@@ -29,7 +37,9 @@
         self.asking = Asking(state.source)
         self.work = WorkEstimates()
         self.returns = ReturnTimes(state.source)
-        self.refused_lately = 0
+        self.lines: dict[str, Line] = {}
+        self.budgets: dict[str, AskBudget] = {}
+        self.polls: dict[str, asyncio.Task[None]] = {}
 
     async def place(self, job: Job) -> Placement:
         """Return the best server; raises `RefusedError`."""
@@ -38,105 +48,177 @@
             job.route.name,
             job.route.objective_seconds,
         )
-        while True:
-            best = await self._best(job, work)
-            if best is None:
-                raise self._refusal(job, work, 'no server can be reached')
-            now = loop.time()
-            if best.expected * _HOPELESS_FACTOR > job.seconds_left(now):
-                self._drop(best)
-                raise self._refusal(job, work, 'no server is free in time')
-            if not _is_full(best.report):
-                return best
-            self._drop(best)
-            if work * 2 > job.seconds_left(now):
-                raise self._refusal(job, work, 'all servers are full')
-            await asyncio.sleep(
-                self.state.source.uniform(0.5, 1.5) * _WAIT_SECONDS,
+        if not self.candidates(job.pool):
+            raise self._refusal(work, 'no server is known')
+        ended = loop.create_future()
+        line = self.line(job.pool.name)
+        waiting = Waiting(
+            work,
+            job.arrived_at,
+            job.objective_at,
+            job.deadline,
+            job.route.priority,
+            lambda offer: self._expect(work, offer, loop.time()),
+            lambda: _finish(ended),
+            job.tried,
+        )
+        line.join(waiting)
+        try:
+            await self._find(job, line, waiting)
+            if waiting.granted is None and waiting.refused_seconds is None:
+                self._poll(job.pool)
+                await ended
+        except asyncio.CancelledError:
+            line.leave(waiting)
+            if waiting.granted is not None:
+                self._return(waiting.granted)
+            raise
+        if waiting.granted is None:
+            raise self._refusal(
+                waiting.refused_seconds or work,
+                'no server is free in time',
             )
+        return _placement(waiting, waiting.granted)
 
-    def _candidates(self, job: Job) -> list[Candidate]:
-        every = [
+    def candidates(self, pool: Pool) -> list[Candidate]:
+        """Return the servers of a pool that may get new requests."""
+        return [
             candidate
-            for candidate in self.state.pools.get(job.pool.name, {}).values()
+            for candidate in self.state.pools.get(pool.name, {}).values()
             if not candidate.registered.server.leaving
             and not candidate.memory.is_replaced
         ]
-        untried = [each for each in every if each.name not in job.tried]
-        return untried or every
 
-    async def _best(self, job: Job, work: float) -> Placement | None:
-        loop = asyncio.get_running_loop()
-        order = self.asking.order(self._candidates(job), loop.time())
-        first = order[: self.asking.first]
-        answers = await self.asker.ask(first, job.pool.health_path)
-        job.asked += len(first)
-        best = self._choose(answers, work, loop.time())
-        rest = order[self.asking.first :]
-        if rest and (best is None or best.expected > work * _GOOD_FACTOR):
-            try:
-                more = await self.asker.ask(rest, job.pool.health_path)
-            except asyncio.CancelledError:
-                for asked in answers:
-                    self.asker.give_back(asked)
-                raise
-            job.asked += len(rest)
-            answers.extend(more)
-            best = self._choose(answers, work, loop.time())
-        for asked in answers:
-            if best is None or asked.connection is not best.connection:
-                self.asker.give_back(asked)
-        if best is None and order:
-            return self._unasked(order, work, loop.time())
-        return best
-
-    def _choose(
-        self,
-        answers: list[Asked],
-        work: float,
-        now: float,
-    ) -> Placement | None:
-        best: Placement | None = None
-        for asked in answers:
-            memory = asked.candidate.memory
-            expected = expected_seconds(work, asked.report, memory, now)
-            if not asked.is_healthy or memory.out_until > now:
-                expected *= _UNHEALTHY_FACTOR
-            if best is None or expected < best.expected:
-                best = Placement(
-                    asked.candidate,
-                    asked.connection,
-                    work,
-                    expected,
-                    asked.report,
-                )
-        return best
-
-    def _unasked(
+    def line(self, pool: str) -> Line:
+        """Return the line of a pool."""
+        return self.lines.setdefault(pool, Line())
+
+    def offer_freed(
         self,
-        order: list[Candidate],
-        work: float,
+        pool: str,
+        placement: Placement,
+        connection: BackendConnection,
         now: float,
-    ) -> Placement:
-        """Take the server with the least of our own where none answered."""
+    ) -> bool:
+        """Offer the slot that an answer has freed; return if it was taken."""
+        line = self.lines.get(pool)
+        report = placement.candidate.memory.report
+        candidate = placement.candidate
+        if line is None or not line.waiting or report is None:
+            return False
+        if candidate.registered.server.leaving or not connection.is_usable(now):
+            return False
+        offer = Offer(candidate, report, connection)
+        return _has_room(offer) and line.match(offer, now)
+
+    async def _find(self, job: Job, line: Line, waiting: Waiting) -> None:
+        """Ask servers until the request has one or all were asked."""
+        loop = asyncio.get_running_loop()
+        every = self.candidates(job.pool)
+        untried = [each for each in every if each.name not in job.tried]
+        if not untried:
+            job.tried.clear()
+        order = self.asking.order(untried or every, loop.time())
+        budget = self._budget(job.pool, len(every))
+        first = self.asking.first
+        for group in (order[:first], order[first:]):
+            if not group or not budget.take(len(group)):
+                break
+            job.asked += len(group)
+            answers = await self.asker.ask(group, job.pool.health_path)
+            self._settle(line, answers)
+            if waiting.granted is not None:
+                return
+        if not any(each.memory.unanswered == 0 for each in order):
+            self._settle_blind(line, order)
+
+    def _settle(self, line: Line, answers: Iterable[Asked]) -> None:
+        """Offer the servers that answered, the quickest first."""
+        now = asyncio.get_running_loop().time()
+        offers = [
+            Offer(each.candidate, each.report, each.connection)
+            for each in answers
+        ]
+        offers.sort(key=lambda offer: self._expect(0.1, offer, now))
+        for offer in offers:
+            if not (_has_room(offer) and line.match(offer, now)):
+                self._return(offer)
+
+    def _settle_blind(self, line: Line, order: list[Candidate]) -> None:
+        """Offer the server with the least of our own where none answered."""
+        now = asyncio.get_running_loop().time()
         candidate = min(order, key=lambda each: each.memory.in_flight)
         slots = candidate.registered.server.slots
         report = LoadReport(candidate.memory.in_flight, 0, slots)
-        expected = expected_seconds(work, report, candidate.memory, now)
-        return Placement(candidate, None, work, expected)
-
-    def _drop(self, placement: Placement) -> None:
-        connection = placement.connection
-        if connection is not None:
-            server = placement.candidate.registered.server
-            self.state.connections.keep((server.host, server.port), connection)
-
-    def _refusal(self, job: Job, work: float, detail: str) -> RefusedError:
-        seconds = self.returns.seconds(work, self.refused_lately)
-        return RefusedError(detail, 'no-server', seconds)
-
-
-def _is_full(report: LoadReport | None) -> bool:
-    if report is None:
-        return False
-    return report.total >= report.slots * _FULL_PER_SLOT
+        line.match(Offer(candidate, report), now)
+
+    def _expect(self, work: float, offer: Offer, now: float) -> float:
+        memory = offer.candidate.memory
+        expected = expected_seconds(work, offer.report, memory, now)
+        if memory.out_until > now:
+            expected *= _UNHEALTHY_FACTOR
+        return expected
+
+    def _poll(self, pool: Pool) -> None:
+        """Keep asking while requests wait."""
+        if pool.name not in self.polls:
+            task = asyncio.ensure_future(self._keep_asking(pool))
+            self.polls[pool.name] = task
+            task.add_done_callback(lambda _: self.polls.pop(pool.name))
+
+    async def _keep_asking(self, pool: Pool) -> None:
+        line = self.line(pool.name)
+        loop = asyncio.get_running_loop()
+        while line.waiting:
+            await asyncio.sleep(
+                self.state.source.uniform(0.6, 1.4) * _POLL_SECONDS,
+            )
+            line.refuse_hopeless(loop.time())
+            candidates = self.candidates(pool)
+            order = self.asking.order(candidates, loop.time())
+            group = order[: max(1, min(len(line.waiting), self.asking.first))]
+            budget = self._budget(pool, len(candidates))
+            if line.waiting and group and budget.take(len(group)):
+                answers = await self.asker.ask(group, pool.health_path)
+                self._settle(line, answers)
+                line.note_round()
+
+    def _budget(self, pool: Pool, servers: int) -> AskBudget:
+        now = asyncio.get_running_loop().time()
+        budget = self.budgets.get(pool.name)
+        if budget is None:
+            budget = AskBudget(self.state.started_at)
+            self.budgets[pool.name] = budget
+        allowed = self.state.settings.bounds.asks_per_second * _ASK_SAFETY
+        budget.refill(allowed * servers / self.state.vms.most(), now)
+        return budget
+
+    def _return(self, offer: Offer) -> None:
+        if offer.connection is not None:
+            server = offer.candidate.registered.server
+            address = server.host, server.port
+            self.state.connections.keep(address, offer.connection)
+
+    def _refusal(self, seconds: float, detail: str) -> RefusedError:
+        return RefusedError(detail, 'no-server', self.returns.seconds(seconds))
+
+
+def _placement(waiting: Waiting, offer: Offer) -> Placement:
+    return Placement(
+        offer.candidate,
+        offer.connection,
+        waiting.work,
+        waiting.expected,
+        offer.report,
+    )
+
+
+def _has_room(offer: Offer) -> bool:
+    memory = offer.candidate.memory
+    running = offer.report.total + memory.sent_since(memory.reported_at)
+    return running < best_concurrency(offer.report.slots)
+
+
+def _finish(ended: 'asyncio.Future[None]') -> None:
+    if not ended.done():
+        ended.set_result(None)
--- a/zinniaturn/placing/asking.py
+++ b/zinniaturn/placing/asking.py
@@ -6,7 +6,7 @@
 where none of those can serve the request soon.
 """
 
-__all__ = ('Asking', 'Candidate')
+__all__ = ('AskBudget', 'Asking', 'Candidate')
 
 import random
 from collections.abc import Sequence
@@ -16,6 +16,7 @@
 from zinniaturn.placing.memory import ServerMemory
 
 _UNANSWERED_OUT = 2
+_SAVED_SECONDS = 6.0
 
 
 @dataclass(slots=True)
@@ -59,3 +60,35 @@
 def _standing(memory: ServerMemory, now: float) -> int:
     is_out = memory.out_until > now
     return is_out * 2 + (memory.unanswered >= _UNANSWERED_OUT)
+
+
+@dataclass(slots=True)
+class AskBudget:
+    """
+    This VM's part of the questions that the fleet may ask a pool's servers.
+
+    The bound is a mean over a long time, so that what quiet times leave over
+    may be used in a busy one, up to some seconds' worth.
+
+    >>> budget = AskBudget(updated_at=0)
+    >>> budget.refill(10, 0.1), budget.take(2), budget.take(2)
+    (None, False, False)
+    >>> budget.refill(10, 1.0), budget.take(10)
+    (None, True)
+    """
+
+    updated_at: float
+    saved: float = 0
+
+    def refill(self, a_second: float, now: float) -> None:
+        """Add what has been earned at a rate since the last time."""
+        earned = (now - self.updated_at) * a_second
+        self.saved = min(a_second * _SAVED_SECONDS, self.saved + earned)
+        self.updated_at = now
+
+    def take(self, count: int) -> bool:
+        """Take some questions; return whether there were as many."""
+        if self.saved < count:
+            return False
+        self.saved -= count
+        return True
--- a/zinniaturn/placing/expecting.py
+++ b/zinniaturn/placing/expecting.py
@@ -6,7 +6,12 @@
 served at the slowness reported and a long one mostly at the usual one.
 """
 
-__all__ = ('WorkEstimates', 'expected_seconds')
+__all__ = (
+    'CROWDED_FACTOR',
+    'CROWDED_SHARE',
+    'WorkEstimates',
+    'expected_seconds',
+)
 
 from dataclasses import dataclass, field
 
@@ -15,8 +20,8 @@
 
 _SLOWNESS_LASTS_SECONDS = 0.25
 _USUAL_SLOWNESS = 1.3
-_CROWDED_SHARE = 0.8
-_CROWDED_FACTOR = 1.6
+CROWDED_SHARE = 0.8
+CROWDED_FACTOR = 1.6
 _FAILURE_FACTOR = 4.0
 _WORK_WEIGHT = 0.08
 
@@ -41,8 +46,8 @@
     slots = max(1, report.slots)
     running = report.busy + memory.sent_since(memory.reported_at)
     crowd = 1.0
-    if (running + 1) / slots > _CROWDED_SHARE:
-        crowd = _CROWDED_FACTOR
+    if (running + 1) / slots > CROWDED_SHARE:
+        crowd = CROWDED_FACTOR
     learned = memory.slowness_at(now)
     own = _with_slowness(work_seconds * crowd * learned, report.slowness)
     ahead = running + report.queued - slots + 1
--- /dev/null
+++ b/zinniaturn/placing/line.py
@@ -0,0 +1,183 @@
+"""
+Requests that wait for a server, and which of them the next free slot serves.
+
+This answers overload: more requests than slots, where an answer past the
+objective is worth little and where servers that are nearly full serve less,
+not more. So servers are filled only up to where they are quickest, the rest
+waits here, and a free slot goes to the newest request that it can still serve
+in time. Those that are late already get slots that would be too slow for the
+others, the one with the least time left first. What can't be served before
+its deadline any more is refused at once, and so is what is too much.
+"""
+
+__all__ = ('Line', 'Offer', 'Waiting', 'best_concurrency')
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from zinniaturn.choosing.reports import LoadReport
+from zinniaturn.placing.asking import Candidate
+from zinniaturn.placing.expecting import CROWDED_FACTOR, CROWDED_SHARE
+
+_MARGIN = 1.1
+_HOPELESS_SHARE = 0.9
+_RATE_SECONDS = 2.0
+_FEWEST_WAITING = 8
+_PATIENT_ROUNDS = 3
+
+
+@dataclass(slots=True)
+class Offer:
+    """
+    A server with room for a request, as of a fresh report.
+
+    ``connection`` is whatever the caller of the line needs to use the server.
+    """
+
+    candidate: Candidate
+    report: LoadReport
+    connection: Any = None
+
+
+@dataclass(slots=True, eq=False)
+class Waiting:
+    """
+    A request that waits; times are the loop's seconds.
+
+    ``expect`` returns the seconds until the answer of a server that is
+    offered. ``refused`` is set, with the seconds after which to come back,
+    where the line gives the request up.
+    """
+
+    work: float
+    arrived_at: float
+    objective_at: float
+    deadline: float
+    priority: int
+    expect: Callable[[Offer], float]
+    on_end: Callable[[], None]
+    excluded: set[str] = field(default_factory=set)
+    granted: Offer | None = None
+    expected: float = 0
+    refused_seconds: float | None = None
+    rounds: int = 0
+
+    def is_late(self, now: float) -> bool:
+        """Return whether not even an idle server would be in time."""
+        return now + self.work > self.objective_at
+
+
+@dataclass(slots=True)
+class Line:
+    """The requests of one pool that wait at this VM."""
+
+    waiting: list[Waiting] = field(default_factory=list)
+    grants: deque[float] = field(default_factory=deque)
+
+    def join(self, waiting: Waiting) -> None:
+        """Let a request wait for an offer."""
+        self.waiting.append(waiting)
+
+    def leave(self, waiting: Waiting) -> None:
+        """Take out a request whose caller does not wait any more."""
+        if waiting in self.waiting:
+            self.waiting.remove(waiting)
+
+    def match(self, offer: Offer, now: float) -> bool:
+        """Give an offer to the request it serves best; return if one took it."""
+        name = offer.candidate.name
+        best: Waiting | None = None
+        best_rank: tuple[int, int, float] = (0, 0, 0)
+        best_expected = 0.0
+        for waiting in self.waiting:
+            if name in waiting.excluded:
+                continue
+            expected = waiting.expect(offer)
+            rank = _rank(waiting, expected, now)
+            if rank is not None and (best is None or rank < best_rank):
+                best, best_rank, best_expected = waiting, rank, expected
+        if best is None:
+            return False
+        self.waiting.remove(best)
+        self.grants.append(now)
+        best.granted = offer
+        best.expected = best_expected
+        best.on_end()
+        return True
+
+    def note_round(self) -> None:
+        """Count a round of offers that those still waiting went through."""
+        for waiting in self.waiting:
+            waiting.rounds += 1
+
+    def refuse_hopeless(self, now: float) -> int:
+        """Give up what can't be served any more; return how many."""
+        hopeless = [
+            waiting
+            for waiting in self.waiting
+            if now + waiting.work * _HOPELESS_SHARE > waiting.deadline
+        ]
+        for waiting in hopeless:
+            self._refuse(waiting, waiting.work)
+        return len(hopeless) + self._refuse_excess(now)
+
+    def rate(self, now: float) -> float:
+        """Return the requests a second that were given a server lately."""
+        while self.grants and self.grants[0] < now - _RATE_SECONDS:
+            self.grants.popleft()
+        return len(self.grants) / _RATE_SECONDS
+
+    def _refuse_excess(self, now: float) -> int:
+        """Give up what is more than can be served within a second."""
+        rate = self.rate(now)
+        excess = len(self.waiting) - max(_FEWEST_WAITING, int(rate))
+        if excess <= 0:
+            return 0
+        last_first = sorted(
+            self.waiting,
+            key=lambda each: (
+                -each.priority,
+                not each.is_late(now),
+                each.arrived_at,
+            ),
+        )
+        for waiting in last_first[:excess]:
+            self._refuse(waiting, excess / max(1.0, rate))
+        return excess
+
+    def _refuse(self, waiting: Waiting, seconds: float) -> None:
+        self.waiting.remove(waiting)
+        waiting.refused_seconds = seconds
+        waiting.on_end()
+
+
+def _rank(
+    waiting: Waiting,
+    expected: float,
+    now: float,
+) -> tuple[int, int, float] | None:
+    """Return a request's place for an offer, or ``None`` for none."""
+    if now + expected * _MARGIN <= waiting.objective_at:
+        return waiting.priority, 0, -waiting.arrived_at
+    if now + expected > waiting.deadline:
+        return None
+    if waiting.is_late(now):
+        return waiting.priority, 1, waiting.deadline
+    if waiting.rounds >= _PATIENT_ROUNDS:
+        return waiting.priority, 2, waiting.deadline
+    return None
+
+
+def best_concurrency(slots: int) -> int:
+    """
+    Return how many requests at once a server gets most done with.
+
+    >>> [best_concurrency(slots) for slots in (1, 2, 3, 4, 8)]
+    [1, 2, 2, 3, 6]
+    """
+    uncrowded = int(slots * CROWDED_SHARE)
+    if slots / CROWDED_FACTOR > uncrowded:
+        return slots
+    return max(1, uncrowded)
--- a/zinniaturn/placing/returning.py
+++ b/zinniaturn/placing/returning.py
@@ -20,8 +20,7 @@
 
     source: random.Random
 
-    def seconds(self, work_seconds: float, refused_lately: int) -> float:
-        """Return the seconds to wait, longer the more were refused lately."""
-        usual = work_seconds * (0.5 + refused_lately / 8)
-        spread = usual * self.source.uniform(0.6, 1.4)
+    def seconds(self, until_free_seconds: float) -> float:
+        """Return the seconds to wait, given when a slot should be free."""
+        spread = until_free_seconds * self.source.uniform(0.6, 1.4)
         return min(_LONGEST_SECONDS, max(_SHORTEST_SECONDS, spread))
