--- a/zinniaturn/events/logging.py
+++ b/zinniaturn/events/logging.py
@@ -17,7 +17,7 @@
     ``level`` is a name such as ``INFO``; ``node`` stands in every line.
     """
     # Only processes that log through this library pay for loading it.
-    from pythonjsonlogger.json import JsonFormatter  # noqa: PLC0415
+    from pythonjsonlogger.json import JsonFormatter
 
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(
--- a/zinniaturn/fleet/domain.py
+++ b/zinniaturn/fleet/domain.py
@@ -70,11 +70,11 @@
     """
     All that the store holds for the system, as of one revision.
 
-    ``unreadable`` counts entries of servers that name none to use.
+    ``unreadable`` says which items could not be decoded, and why.
     """
 
     revision: int
     document: TablesDocument | None
     servers: tuple[RegisteredServer, ...]
     vms: tuple[VmRecord, ...] = ()
-    unreadable: int = 0
+    unreadable: tuple[str, ...] = ()
--- a/zinniaturn/fleet/following.py
+++ b/zinniaturn/fleet/following.py
@@ -78,7 +78,7 @@
 
 @dataclass(slots=True)
 class Registration:
-    """This VM's record in the store, for as long as its lease is renewed."""
+    """Keeps the VM's own record in the store by renewing its lease."""
 
     store: FleetStore
     record: VmRecord
--- a/zinniaturn/fleet/peers.py
+++ b/zinniaturn/fleet/peers.py
@@ -124,7 +124,9 @@
     async def _fetch(self, record: VmRecord) -> None:
         host, port = record.exchange
         address = host, port + 1
-        held = self.knowledge.document.revision if self.knowledge.document else 0
+        held = (
+            self.knowledge.document.revision if self.knowledge.document else 0
+        )
         payload = b'GET %b%d HTTP/1.1\r\nHost: %b\r\n\r\n' % (
             _STATE_PATH,
             held,
--- a/zinniaturn/gateway/asker.py
+++ b/zinniaturn/gateway/asker.py
@@ -190,9 +190,7 @@
             report = LoadReport(0, 0, server.slots)
         candidate.memory.note_report(report, connection.loop.time())
         note_keep_alive(connection, reply)
-        asked = Asked(
-            candidate, report, connection, reply.status == _HEALTHY
-        )
+        asked = Asked(candidate, report, connection, reply.status == _HEALTHY)
         if current.is_over or not connection.is_clean:
             self.connections.keep((server.host, server.port), connection)
         else:
--- a/zinniaturn/gateway/counters.py
+++ b/zinniaturn/gateway/counters.py
@@ -14,7 +14,7 @@
     """Answered requests of one route by their seconds."""
 
     counts: list[int] = field(
-        default_factory=lambda: [0] * (len(BOUNDS_SECONDS) + 1),
+        default_factory=lambda: [0 for _ in range(len(BOUNDS_SECONDS) + 1)],
     )
     total: float = 0
 
--- a/zinniaturn/gateway/dispatch.py
+++ b/zinniaturn/gateway/dispatch.py
@@ -7,9 +7,8 @@
 
 from zinniaturn.choosing.exceptions import RefusedError
 from zinniaturn.events.catalogue import LogEvent
-from zinniaturn.gateway.attempt import send_once
-from zinniaturn.gateway.exceptions import AttemptError
-from zinniaturn.gateway.jobs import Job, Placement
+from zinniaturn.gateway.attempts import AttemptRunner
+from zinniaturn.gateway.jobs import Job
 from zinniaturn.gateway.placer import Placer
 from zinniaturn.gateway.refusals import refusal
 from zinniaturn.gateway.state import GatewayState
@@ -17,7 +16,6 @@
 from zinniaturn.http1.messages import Request, Response, find_field
 from zinniaturn.outcomes import Event, Outcome, Phase, combine, decide
 from zinniaturn.placing.elapsed import ElapsedTimes
-from zinniaturn.placing.hedging import second_send_delay
 from zinniaturn.placing.spreading import Spreader
 from zinniaturn.tables.domain import CallerLimits, Pool
 
@@ -31,7 +29,7 @@
 
     def __init__(self, state: GatewayState) -> None:
         self.state = state
-        self.placer = Placer(state)
+        self.attempts = AttemptRunner(state, Placer(state))
         self.spreader = Spreader(state.source)
         self.elapsed = ElapsedTimes()
         self.limits = CallerLimits()
@@ -82,7 +80,7 @@
             async with asyncio.timeout_at(job.deadline):
                 if not job.idempotent:
                     await exchange.wait_for_turn()
-                answer = await self._run(job)
+                answer = await self.attempts.run(job)
         except TimeoutError:
             return self._give_up(job, Event.DEADLINE_PASSED)
         except RefusedError as error:
@@ -92,136 +90,6 @@
             raise
         return self._pass_on(job, answer)
 
-    async def _run(self, job: Job) -> Response:
-        """Return the answer of the attempt that ends the job."""
-        while True:
-            placement = await self.placer.place(job)
-            try:
-                return await self._attempt(job, placement)
-            except AttemptError as error:
-                self._note(job, error)
-                if not self._may_repeat(job):
-                    if error.answer is not None:
-                        return error.answer
-                    raise RefusedError(error.message, 'given-up') from error
-
-    async def _attempt(self, job: Job, placement: Placement) -> Response:
-        first = self._start(job, placement)
-        if not job.idempotent:
-            return await _result(first)
-        now = first.get_loop().time()
-        delay = second_send_delay(
-            placement.work,
-            placement.expected,
-            job.objective_at - now,
-        )
-        if delay is None:
-            return await _result(first)
-        try:
-            await asyncio.wait((first,), timeout=delay)
-            if first.done() or not self._may_hedge(job):
-                return await _result(first)
-            return await self._race(job, first)
-        except asyncio.CancelledError:
-            first.cancel()
-            raise
-
-    async def _race(
-        self,
-        job: Job,
-        first: 'asyncio.Task[Response]',
-    ) -> Response:
-        """Send to a second server and return whichever answers first."""
-        running = {first}
-        try:
-            try:
-                placement = await self.placer.place(job)
-            except RefusedError:
-                return await _result(first)
-            self.state.counters.events['second_send'] += 1
-            running.add(self._start(job, placement))
-            failed: AttemptError | None = None
-            while running:
-                done, running = await asyncio.wait(
-                    running,
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
-                for task in done:
-                    try:
-                        return task.result()
-                    except AttemptError as error:
-                        if failed is not None:
-                            self._note(job, failed)
-                        failed = error
-            assert failed is not None
-            raise failed
-        finally:
-            for task in running:
-                task.cancel()
-
-    def _start(
-        self,
-        job: Job,
-        placement: Placement,
-    ) -> 'asyncio.Task[Response]':
-        name = placement.candidate.name
-        job.tried.add(name)
-        job.servers.append(name)
-        job.attempts += 1
-        job.report = placement.report
-        job.expected = placement.expected
-        return asyncio.ensure_future(self._send(job, placement))
-
-    async def _send(self, job: Job, placement: Placement) -> Response:
-        loop = asyncio.get_running_loop()
-        sent_at = loop.time()
-        answer = await send_once(
-            self.state,
-            job,
-            placement,
-            lambda connection: self.placer.offer_freed(
-                job.pool.name,
-                placement,
-                connection,
-                loop.time(),
-            ),
-        )
-        self.placer.work.learn(
-            job.route.name,
-            job.route.objective_seconds,
-            loop.time() - sent_at,
-            placement.expected,
-        )
-        return answer
-
-    def _note(self, job: Job, error: AttemptError) -> None:
-        verdict = decide(error.phase, error.event)
-        job.known = combine(job.known, verdict)
-        job.detail = error.message
-        if verdict.outcome is Outcome.NOT_RUN:
-            job.attempts -= 1
-
-    def _may_repeat(self, job: Job) -> bool:
-        assert job.known is not None
-        allowed = (
-            job.known.retry_idempotent
-            if job.idempotent
-            else job.known.outcome is Outcome.NOT_RUN
-            and job.known.retry_non_idempotent
-        )
-        return allowed and self._may_send_again(job)
-
-    def _may_hedge(self, job: Job) -> bool:
-        waiting = self.placer.line(job.pool.name).waiting
-        return not waiting and self._may_send_again(job)
-
-    def _may_send_again(self, job: Job) -> bool:
-        if job.attempts >= job.route.max_attempts:
-            return False
-        allowance = self.state.allowance(job.pool.name)
-        now = asyncio.get_running_loop().time()
-        return allowance.spend(now, self.state.vms.most())
-
     def _pass_on(self, job: Job, answer: Response) -> Response:
         now = asyncio.get_running_loop().time()
         if answer.status < _FIRST_FAILURE:
@@ -298,8 +166,12 @@
             milliseconds=round((now - job.arrived_at) * _MILLISECONDS, 1),
             servers=job.servers,
             asked=job.asked,
-            load=report and [
-                report.busy, report.queued, report.slots, report.slowness,
+            load=report
+            and [
+                report.busy,
+                report.queued,
+                report.slots,
+                report.slowness,
             ],
             expected_ms=round(job.expected * _MILLISECONDS, 1),
             elapsed_ms=round(job.elapsed * _MILLISECONDS),
@@ -312,10 +184,5 @@
         )
 
 
-async def _result(task: 'asyncio.Task[Response]') -> Response:
-    """Return a task's result; cancelling the wait cancels the task."""
-    return await task
-
-
 def _text_of(raw: bytes | None) -> str:
     return (raw or b'').decode('latin-1')
--- a/zinniaturn/gateway/journal.py
+++ b/zinniaturn/gateway/journal.py
@@ -77,7 +77,7 @@
         self._emit(row)
 
     def _emit(self, row: dict[str, Any]) -> None:
-        line = msgspec.json.encode(row) + b'\n'
+        line = b'%b\n' % msgspec.json.encode(row)
         try:
             os.write(self.output, line)
         except OSError:
--- a/zinniaturn/gateway/process.py
+++ b/zinniaturn/gateway/process.py
@@ -8,7 +8,7 @@
 import random
 import signal
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 
 from zinniaturn.clock import BootClock
 from zinniaturn.events.catalogue import LogEvent
@@ -32,6 +32,7 @@
 from zinniaturn.gateway.settings import GatewaySettings
 from zinniaturn.gateway.state import GatewayState
 from zinniaturn.http1.callers import Listener
+from zinniaturn.http1.connections import Address
 from zinniaturn.placing.lookups import LookupAnswers
 
 _MILLISECONDS = 1000
@@ -112,23 +113,10 @@
             self.state.source,
             min(2.0, settings.bounds.lookup_seconds),
         )
-        services = (
-            (settings.front, self.dispatcher),
-            (settings.readiness, ReadinessService(self.state)),
-            (settings.directory, LookupService(self.state, lookups)),
-        )
-        for address, service in services:
+        for address, service in self._services(lookups):
             if address is not None:
                 await self._listen(address, service)
-        if settings.metrics_port:
-            await self._listen(
-                (settings.host, settings.metrics_port),
-                MetricsService(lambda: render_metrics(self.state)),
-            )
-        self._begin(self.reader.run())
-        self._begin(self.registration.run())
-        self._begin(self.peers.run())
-        self._begin(self._tick())
+        self._begin_tasks()
         self.journal.write(
             LogEvent.GATEWAY_STARTED,
             front=self.vms.own.front,
@@ -153,14 +141,7 @@
         await self.peers.say_stopping()
         withdrawal = asyncio.ensure_future(self._withdraw())
         await asyncio.sleep(seconds * _SERVE_SHARE)
-        for listener in self.listeners:
-            listener.close()
-        while loop.time() < began + seconds * _LAST_SHARE:
-            if all(listener.is_idle() for listener in self.listeners):
-                break
-            await asyncio.sleep(_STOP_POLL_SECONDS)
-            for listener in self.listeners:
-                listener.close()
+        await self._finish_requests(began + seconds * _LAST_SHARE)
         await withdrawal
         for task in self.tasks:
             task.cancel()
@@ -177,16 +158,53 @@
         self.state.second_sends.clear()
         self.journal.write(LogEvent.SETTINGS_RELOADED)
 
+    def _services(
+        self,
+        lookups: LookupAnswers,
+    ) -> tuple[tuple[Address | None, object], ...]:
+        settings = self.settings
+        metrics = MetricsService(lambda: render_metrics(self.state))
+        metrics_address = None
+        if settings.metrics_port:
+            metrics_address = settings.host, settings.metrics_port
+        return (
+            (settings.front, self.dispatcher),
+            (settings.readiness, ReadinessService(self.state)),
+            (settings.directory, LookupService(self.state, lookups)),
+            (metrics_address, metrics),
+        )
+
+    def _begin_tasks(self) -> None:
+        work: tuple[Coroutine[None, None, None], ...] = (
+            self.reader.run(),
+            self.registration.run(),
+            self.peers.run(),
+            self._tick(),
+        )
+        self.tasks.extend(asyncio.ensure_future(each) for each in work)
+
     async def _listen(self, address: tuple[str, int], service: object) -> None:
         listener = Listener(service)  # type: ignore[arg-type]
         await listener.start(*address)
         self.listeners.append(listener)
 
-    def _begin(self, work: 'asyncio.Coroutine[None, None, None]') -> None:  # type: ignore[name-defined]
-        self.tasks.append(asyncio.create_task(work))
+    async def _finish_requests(self, until: float) -> None:
+        """Stop listening and wait for the last answer, at most until then."""
+        loop = asyncio.get_running_loop()
+        self._close_idle()
+        while loop.time() < until and not self._is_idle():
+            await asyncio.sleep(_STOP_POLL_SECONDS)
+            self._close_idle()
+
+    def _close_idle(self) -> None:
+        for each in self.listeners:
+            each.close()
+
+    def _is_idle(self) -> bool:
+        return all(each.is_idle() for each in self.listeners)
 
     def _in_flight(self) -> int:
-        return sum(listener.in_flight for listener in self.listeners)
+        return sum(each.in_flight for each in self.listeners)
 
     async def _withdraw(self) -> None:
         with contextlib.suppress(TimeoutError, FleetStoreError):
--- a/zinniaturn/gateway/rendering.py
+++ b/zinniaturn/gateway/rendering.py
@@ -8,15 +8,19 @@
 __all__ = ('render_metrics',)
 
 from itertools import accumulate
+from typing import TYPE_CHECKING
 
 from zinniaturn.gateway.counters import BOUNDS_SECONDS, Counters
 from zinniaturn.gateway.state import GatewayState
 
+if TYPE_CHECKING:
+    from aioprometheus import Counter, Registry
+
 
 def render_metrics(state: GatewayState) -> bytes:
     """Return the text that a scrape gets."""
-    from aioprometheus import Gauge, Registry  # noqa: PLC0415
-    from aioprometheus.formats import text  # noqa: PLC0415
+    from aioprometheus import Gauge, Registry
+    from aioprometheus.formats import text
 
     registry = Registry()
     requests = _counter(registry, 'zinniaturn_requests_total', 'Requests')
@@ -41,15 +45,15 @@
     return text.TextFormatter().marshall(registry)
 
 
-def _counter(registry: object, name: str, doc: str) -> 'Counter':  # type: ignore  # noqa: F821
-    from aioprometheus import Counter  # noqa: PLC0415
+def _counter(registry: object, name: str, doc: str) -> 'Counter':  # type: ignore
+    from aioprometheus import Counter
 
     return Counter(name, doc, registry=registry)
 
 
-def _add_latencies(registry: object, counters: Counters) -> None:
-    from aioprometheus import Histogram  # noqa: PLC0415
-    from aioprometheus.histogram import Histogram as Buckets  # noqa: PLC0415
+def _add_latencies(registry: 'Registry', counters: Counters) -> None:
+    from aioprometheus import Histogram
+    from aioprometheus.histogram import Histogram as Buckets
 
     histogram = Histogram(
         'zinniaturn_answer_seconds',
--- a/zinniaturn/http1/__init__.py
+++ b/zinniaturn/http1/__init__.py
@@ -8,8 +8,8 @@
 
 __all__ = (
     'Address',
-    'BadMessageError',
     'BackendConnection',
+    'BadMessageError',
     'ConnectFailedError',
     'Connections',
     'ExchangeBrokenError',
--- a/zinniaturn/http1/callers.py
+++ b/zinniaturn/http1/callers.py
@@ -129,7 +129,7 @@
         self.unsent = 0
         self.receiving = False
         self.head_done = False
-        self.began_at = 0.0
+        self.began_at = loop.time()
         self.target = b''
         self.fields: Fields = []
         self.unfinished_bytes = 0
--- a/zinniaturn/placing/asking.py
+++ b/zinniaturn/placing/asking.py
@@ -65,7 +65,7 @@
 @dataclass(slots=True)
 class AskBudget:
     """
-    This VM's part of the questions that the fleet may ask a pool's servers.
+    One VM's part of what the fleet may ask a pool's servers.
 
     The bound is a mean over a long time, so that what quiet times leave over
     may be used in a busy one, up to some seconds' worth.
--- a/zinniaturn/placing/elapsed.py
+++ b/zinniaturn/placing/elapsed.py
@@ -34,9 +34,9 @@
         longest = self.longest.get(route, seconds)
         if seconds >= longest:
             self.longest[route] = seconds
-            return 0.0
+            return 0
         shortest = longest * (1 - _SPREAD_SHARE)
         if seconds >= shortest:
-            return 0.0
+            return 0
         self.longest[route] = longest - (shortest - seconds) * _FORGET_WEIGHT
         return shortest - seconds
--- a/zinniaturn/placing/line.py
+++ b/zinniaturn/placing/line.py
@@ -86,11 +86,11 @@
             self.waiting.remove(waiting)
 
     def match(self, offer: Offer, now: float) -> bool:
-        """Give an offer to the request it serves best; return if one took it."""
+        """Give an offer to whom it serves best; return if one took it."""
         name = offer.candidate.name
         best: Waiting | None = None
         best_rank: tuple[int, int, float] = (0, 0, 0)
-        best_expected = 0.0
+        best_expected: float = 0
         for waiting in self.waiting:
             if name in waiting.excluded:
                 continue
--- a/zinniaturn/placing/memory.py
+++ b/zinniaturn/placing/memory.py
@@ -79,7 +79,7 @@
         self.failure_share -= self.failure_share * _FAILURE_WEIGHT
 
     def note_failure(self, now: float) -> bool:
-        """Count a failure; return whether it puts the server out for a while."""
+        """Count a failure; return whether the server is left out for it."""
         self.failures += 1
         self.failure_share += (1 - self.failure_share) * _FAILURE_WEIGHT
         self.learned_at = now
@@ -99,4 +99,4 @@
         return self.failure_share * self._trust(now)
 
     def _trust(self, now: float) -> float:
-        return max(0.0, 1 - (now - self.learned_at) / _FADE_SECONDS / 2)
+        return max(0, 1 - (now - self.learned_at) / _FADE_SECONDS / 2)
--- a/zinniaturn/platform/dialect.py
+++ b/zinniaturn/platform/dialect.py
@@ -9,9 +9,9 @@
 from zinniaturn.choosing.reports import LoadReport
 from zinniaturn.gateway.dialect import LookupQuery
 from zinniaturn.http1.messages import (
+    Fields,
     Request,
     Response,
-    Fields,
     end_to_end,
     find_field,
     request_bytes,
@@ -93,7 +93,8 @@
         slowness = _USUAL_SLOWNESS
         if len(figures) > _LOAD_FIGURES:
             slowness = figures[_LOAD_FIGURES]
-        return LoadReport(*figures[:_LOAD_FIGURES], slowness / _USUAL_SLOWNESS)
+        busy, queued, slots = figures[:_LOAD_FIGURES]
+        return LoadReport(busy, queued, slots, slowness / _USUAL_SLOWNESS)
 
     def answering_server(self, answer: Response) -> str | None:
         """Return the name of the server that answered, if it says so."""
--- a/zinniaturn/platform/server_entries.py
+++ b/zinniaturn/platform/server_entries.py
@@ -2,13 +2,15 @@
 
 __all__ = ('decode_server',)
 
+from types import MappingProxyType
+
 import msgspec
 
 from zinniaturn.fleet.domain import RegisteredServer
 from zinniaturn.http1.connections import parse_address
 from zinniaturn.tables.domain import Server
 
-_LEAVING = {'ready': False, 'draining': True}
+_LEAVING = MappingProxyType({'ready': False, 'draining': True})
 _MILLISECONDS = 1000
 
 
--- a/zinniaturn/platform/store.py
+++ b/zinniaturn/platform/store.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import base64
+from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import quote
 
@@ -157,10 +158,10 @@
         host.encode(),
     )
     if body is None:
-        return head + b'\r\n'
+        return b'%b\r\n' % head
     raw = msgspec.json.encode(body)
     fields = b'Content-Type: application/json\r\nContent-Length: %d\r\n\r\n'
-    return head + fields % len(raw) + raw
+    return b''.join((head, fields % len(raw), raw))
 
 
 def _checked(path: str, reply: Response) -> Response:
@@ -179,26 +180,37 @@
 
 
 def _reading_of(revision: int, items: list[_Item]) -> FleetReading:
-    document: TablesDocument | None = None
-    servers: list[RegisteredServer] = []
-    vms: list[VmRecord] = []
-    unreadable = 0
+    contents = _Contents()
     for item in items:
         try:
-            raw = base64.b64decode(item.value)
-            if item.key == _CONFIG_KEY:
-                document = TablesDocument(item.revision, raw)
-            elif item.key.startswith(_SERVER_PREFIX):
-                name = item.key.removeprefix(_SERVER_PREFIX)
-                servers.append(decode_server(name, raw))
-            elif item.key.startswith(_VM_PREFIX):
-                vms.append(_records.decode(raw))
-        except (msgspec.MsgspecError, ValueError):
-            unreadable += 1
+            contents.add(item)
+        except (msgspec.MsgspecError, ValueError) as error:
+            contents.unreadable.append(f'{item.key}: {error}')
     return FleetReading(
         revision,
-        document,
-        tuple(servers),
-        tuple(vms),
-        unreadable,
+        contents.document,
+        tuple(contents.servers),
+        tuple(contents.vms),
+        tuple(contents.unreadable),
     )
+
+
+@dataclass(slots=True)
+class _Contents:
+    """The store's items as far as they are decoded."""
+
+    document: TablesDocument | None = None
+    servers: list[RegisteredServer] = field(default_factory=list)
+    vms: list[VmRecord] = field(default_factory=list)
+    unreadable: list[str] = field(default_factory=list)
+
+    def add(self, item: _Item) -> None:
+        """Decode an item by its key; raises `ValueError`."""
+        raw = base64.b64decode(item.value)
+        if item.key == _CONFIG_KEY:
+            self.document = TablesDocument(item.revision, raw)
+        elif item.key.startswith(_SERVER_PREFIX):
+            name = item.key.removeprefix(_SERVER_PREFIX)
+            self.servers.append(decode_server(name, raw))
+        elif item.key.startswith(_VM_PREFIX):
+            self.vms.append(_records.decode(raw))
