--- /dev/null
+++ b/features/fleet_knowledge.feature
@@ -0,0 +1,96 @@
+Feature: What a VM knows of the fleet
+
+  Scenario: An older state changes nothing
+    Given a VM that holds revision 7 with server "a"
+    When it reads revision 6 with server "b"
+    Then it holds revision 7 with servers "a"
+    And the older revision is complained of
+
+  Scenario: An older document never replaces a newer one
+    Given a VM that holds the document of revision 5
+    When it reads revision 9 with the document of revision 4
+    Then the tables of revision 5 are in force
+
+  Scenario: A document that cannot be read leaves the last good tables
+    Given a VM that holds the document of revision 5
+    When it reads revision 9 with an unreadable document of revision 8
+    Then the tables of revision 5 are in force
+    And the unreadable document is complained of
+
+  Scenario: A server that was seen leaving stays leaving
+    Given a VM that holds revision 7 with server "a" leaving
+    When it reads revision 8 with server "a"
+    Then server "a" is leaving
+
+  Scenario: Another start of a leaving server is another server
+    Given a VM that holds revision 7 with server "a" leaving
+    When it reads revision 8 with server "a" born later
+    Then server "a" is not leaving
+    And server "a" is told as joined
+
+  Scenario: A server that is gone while the store answers is dropped at once
+    Given a VM that holds revision 7 with server "a"
+    When it reads revision 8 without servers after 1 s
+    Then it holds revision 8 with servers ""
+
+  Scenario: Servers whose entries lapsed in an outage get two seconds
+    Given a VM that holds revision 7 with server "a"
+    When it reads revision 8 without servers after 10 s
+    Then it holds revision 8 with servers "a"
+    When 1.5 s pass and it reads revision 9 without servers
+    Then it holds revision 9 with servers "a"
+    When 1 s pass and lapsed servers are dropped
+    Then it holds revision 9 with servers ""
+
+  Scenario: A lapsed server that returns in time stays for good
+    Given a VM that holds revision 7 with server "a"
+    When it reads revision 8 without servers after 10 s
+    And it reads revision 9 with server "a"
+    And 5 s pass and lapsed servers are dropped
+    Then it holds revision 9 with servers "a"
+
+  Scenario: A server that was seen leaving gets no time after an outage
+    Given a VM that holds revision 7 with server "a" leaving
+    When it reads revision 8 without servers after 10 s
+    Then server "a" is leaving or gone
+
+  Scenario: Two VMs with the same state have the same digest
+    Given a VM that holds revision 7 with server "a"
+    And another VM that holds revision 9 with server "a"
+    Then their digests are equal
+    When the other reads revision 10 with server "a" leaving
+    Then their digests differ
+
+  Scenario: A confirmation renews the state's age and nothing else
+    Given a VM that holds revision 7 with server "a"
+    When 5 s pass and revision 8 is confirmed as of 1 s ago
+    Then the state's age is 1 s
+    And it holds revision 8 with servers "a"
+
+  Scenario Outline: Messages of other VMs that cannot be used are refused
+    When a VM gets the bytes "<bytes>" as <kind>
+    Then they are refused
+
+    Examples:
+      | kind  | bytes                |
+      | beat  |                      |
+      | beat  | ff00                 |
+      | beat  | 9101                 |
+      | beat  | 9601c0c0c0c0c0       |
+      | state |                      |
+      | state | 9101                 |
+      | state | 960105010100c4009101 |
+
+  Scenario: Any bytes are read as a message or refused
+    When 3000 random byte strings and 3000 altered messages arrive
+    Then each is read or refused, and nothing else happens
+
+  Scenario: A message of another version is refused
+    When a beat of version 2 arrives
+    Then they are refused
+
+  Scenario: A state passes between VMs without loss
+    Given a VM that holds revision 7 with server "a" leaving
+    When another VM takes over its state
+    Then both hold the same
+
--- /dev/null
+++ b/features/placing.feature
@@ -0,0 +1,132 @@
+Feature: Deciding where a request goes, and when
+
+  Scenario: The newest request that can be served in time goes first
+    Given requests "old" and "new" that arrived 0.1 s apart
+    When an idle server is offered
+    Then "new" gets it
+
+  Scenario: A more urgent request goes before a newer one
+    Given requests "urgent" of priority 1 and "newer" of priority 2
+    When an idle server is offered
+    Then "urgent" gets it
+
+  Scenario: A slow server is left to those that are late already
+    Given requests "late" that is past its objective and "new"
+    When a slow server is offered
+    Then "late" gets it
+
+  Scenario: A slow server is not taken by a request that a quick one can serve
+    Given a request "new"
+    When a slow server is offered
+    Then nobody gets it
+
+  Scenario: After some rounds any server is better than none
+    Given a request "new"
+    When 3 rounds pass without a good server
+    And a slow server is offered
+    Then "new" gets it
+
+  Scenario: A server that was tried is not offered again to the same request
+    Given a request "new" that has tried the server
+    When an idle server is offered
+    Then nobody gets it
+
+  Scenario: What can't be served before its deadline is refused at once
+    Given a request "new" whose deadline is nearer than its work takes
+    When the line gives up what is hopeless
+    Then "new" is refused with a time to come back
+
+  Scenario: More than can be served soon is refused, the least urgent first
+    Given 30 waiting requests, of which 5 are of a more urgent priority
+    When the line gives up what is hopeless
+    Then 8 requests wait and the 5 urgent ones are among them
+
+  Scenario Outline: Servers are filled up to where they get most done
+    Then the best concurrency of <slots> slots is <best>
+
+    Examples:
+      | slots | best |
+      | 1     | 1    |
+      | 3     | 2    |
+      | 4     | 3    |
+      | 10    | 8    |
+
+  Scenario: A report counts what was sent after it
+    Given a server that reported 1 of 4 busy a moment ago
+    When 2 requests are sent to it
+    Then it is expected to take longer than before
+
+  Scenario: A server that fails is expected to take longer, for a while
+    Given a server that reported 0 of 4 busy a moment ago
+    When a request to it fails
+    Then it is expected to take longer than before
+    And after 10 s it is expected to take as long as before
+
+  Scenario: Two failures in a row put a server out, longer each time
+    Given a server that reported 0 of 4 busy a moment ago
+    When requests to it fail over and over
+    Then it is out for 1 s, 2 s, 4 s, 8 s and 8 s
+
+  Scenario: Slower answers than expected are remembered
+    Given a server that reported 0 of 4 busy a moment ago
+    When 4 answers take 5 times as long as expected
+    Then it is expected to take at least 3 times as long
+
+  Scenario: The fleet's second sends stay within its allowance
+    Given 13 VMs with a ratio of 0.2 and 56 more in any 10 s
+    When each sends 5 requests a second for 60 s and wants to repeat them all
+    Then no window of 10 s has more second sends than the fleet's allowance
+    And most of the allowance is used
+
+  Scenario: A VM that has just started has no share of the fixed number yet
+    Given 13 VMs with a ratio of 0.2 and 56 more in any 10 s
+    When a VM that started a moment ago wants to repeat its first request
+    Then it may not
+
+  Scenario: The questions stay within the budget
+    Given a budget of 50 questions a second
+    When 20 questions are wanted each 0.1 s for 60 s
+    Then at most 50 a second and 6 s more are asked
+
+  Scenario: A second send comes as late as the objective allows
+    Then with 0.1 s of work, 0.12 s expected and 0.4 s left it is due in 0.28 s
+    And with 0.3 s of work, 0.3 s expected and 0.4 s left there is none
+
+  Scenario: Weights are kept over few requests
+    Given a route that splits its requests 90 to 10
+    When 13 VMs spread 50 requests each
+    Then the small share is within 0.03 of its weight
+
+  Scenario: A route that changes its shares starts anew
+    Given a route that splits its requests 90 to 10
+    When its requests go to one pool only
+    Then all requests go to that pool
+
+  Scenario: Servers in good standing are asked first
+    Given 8 servers of which 2 are out and 1 does not answer
+    Then the first 5 that are asked are the others
+
+  Scenario: The first of the living VMs reads the store most often
+    Given 5 VMs that hear each other
+    Then their places are 0 to 4, each once
+    And the ages at which they read grow with their place up to 1.2 s
+
+  Scenario: Look-ups name living VMs only
+    Given a VM that hears "b" ready, "c" stopping and has not heard "d"
+    Then a look-up names itself and "b"
+    When "b" falls silent
+    Then a look-up names itself, "b" and "d"
+
+  Scenario: A VM that was told to stop stays out whatever it says later
+    Given a VM that hears "b" ready, "c" stopping and has not heard "d"
+    When "c" says that it is ready
+    Then a look-up names itself and "b"
+    When "c" starts anew and says that it is ready
+    Then a look-up names itself, "b" and "c"
+
+  Scenario: Overload does not cost those that can be served in time
+    Given 6 servers of 3 slots that serve 100 requests a second at best
+    When 150 requests a second come for 20 s
+    Then at least half of what could be served in time is
+    And no request is held past its deadline
+    And at least twice as many are in time as with the oldest first
--- /dev/null
+++ b/features/steps/fleet_knowledge_steps.py
@@ -0,0 +1,279 @@
+"""Steps of what a VM knows of the fleet."""
+
+import random
+
+from behave import given, then, when
+
+from features.support.gateway import (
+    build_document,
+    build_knowledge,
+    build_reading,
+    build_record,
+    build_registered,
+)
+from zinniaturn.clock import ManualClock
+from zinniaturn.fleet.domain import VmStage
+from zinniaturn.fleet.exceptions import BadDocumentError, PeerMessageError
+from zinniaturn.fleet.messages import (
+    PROTOCOL_VERSION,
+    Beat,
+    decode_beat,
+    decode_state,
+    encode_message,
+    reading_of,
+    state_of,
+)
+from zinniaturn.tables.domain import Tables
+
+_UNREADABLE = b'unreadable'
+
+
+def _decode(document):
+    if document.raw == _UNREADABLE:
+        raise BadDocumentError('no JSON')
+    return Tables(document.revision)
+
+
+def _hold(context, reading):
+    context.clock = ManualClock(100)
+    context.knowledge = build_knowledge(context.clock, _decode)
+    context.knowledge.install(reading, context.clock.monotonic())
+
+
+def _read(context, reading):
+    now = context.clock.monotonic()
+    context.change = context.knowledge.install(reading, now)
+
+
+@given('a VM that holds revision {revision:d} with server "{name}"')
+def hold_server(context, revision, name):
+    _hold(context, build_reading(revision, [build_registered(name)]))
+
+
+@given('a VM that holds revision {revision:d} with server "{name}" leaving')
+def hold_leaving(context, revision, name):
+    leaving = build_registered(name, leaving=True)
+    _hold(context, build_reading(revision, [leaving]))
+
+
+@given('a VM that holds the document of revision {revision:d}')
+def hold_document(context, revision):
+    document = build_document(revision)
+    _hold(context, build_reading(revision, document=document))
+
+
+@given('another VM that holds revision {revision:d} with server "{name}"')
+def hold_other(context, revision, name):
+    context.other = build_knowledge(context.clock, _decode)
+    reading = build_reading(revision, [build_registered(name)])
+    context.other.install(reading, context.clock.monotonic())
+
+
+@when('it reads revision {revision:d} with server "{name}"')
+def read_server(context, revision, name):
+    _read(context, build_reading(revision, [build_registered(name)]))
+
+
+@when('it reads revision {revision:d} with server "{name}" born later')
+def read_reborn(context, revision, name):
+    reborn = build_registered(name, born_ms=2)
+    _read(context, build_reading(revision, [reborn]))
+
+
+@when('it reads revision {revision:d} with the document of revision {held:d}')
+def read_document(context, revision, held):
+    _read(context, build_reading(revision, document=build_document(held)))
+
+
+@when(
+    'it reads revision {revision:d} with an unreadable document '
+    'of revision {held:d}',
+)
+def read_unreadable(context, revision, held):
+    document = build_document(held, _UNREADABLE)
+    _read(context, build_reading(revision, document=document))
+
+
+@when('it reads revision {revision:d} without servers after {seconds:g} s')
+def read_nothing(context, revision, seconds):
+    context.clock.advance(seconds)
+    _read(context, build_reading(revision))
+
+
+@when('{seconds:g} s pass and it reads revision {revision:d} without servers')
+def pass_and_read(context, seconds, revision):
+    context.clock.advance(seconds)
+    _read(context, build_reading(revision))
+
+
+@when('{seconds:g} s pass and lapsed servers are dropped')
+def drop_lapsed(context, seconds):
+    context.clock.advance(seconds)
+    context.knowledge.drop_lapsed()
+
+
+@when(
+    '{seconds:g} s pass and revision {revision:d} is confirmed '
+    'as of {ago:g} s ago',
+)
+def confirm(context, seconds, revision, ago):
+    context.clock.advance(seconds)
+    context.knowledge.confirm(revision, context.clock.monotonic() - ago)
+
+
+@when('the other reads revision {revision:d} with server "{name}" leaving')
+def other_reads(context, revision, name):
+    leaving = build_registered(name, leaving=True)
+    reading = build_reading(revision, [leaving])
+    context.other.install(reading, context.clock.monotonic())
+
+
+@when('another VM takes over its state')
+def take_over(context):
+    context.other = build_knowledge(context.clock, _decode)
+    raw = encode_message(state_of(context.knowledge, 0))
+    context.other.install(
+        reading_of(decode_state(raw)),
+        context.clock.monotonic(),
+    )
+
+
+@when('a VM gets the bytes "{text}" as {kind}')
+def receive_bytes(context, text, kind):
+    _refuse(context, bytes.fromhex(text), kind)
+
+
+@when('a VM gets the bytes "" as {kind}')
+def receive_nothing(context, kind):
+    _refuse(context, b'', kind)
+
+
+def _refuse(context, raw, kind):
+    decode = {'beat': decode_beat, 'state': decode_state}[kind]
+    try:
+        decode(raw)
+    except PeerMessageError as error:
+        context.error = error
+    else:
+        raise AssertionError('the bytes were read')
+
+
+def _beat(version=PROTOCOL_VERSION):
+    return encode_message(
+        Beat(version, build_record(), VmStage.READY, 5, 6, 7),
+    )
+
+
+@when('a beat of version {version:d} arrives')
+def receive_version(context, version):
+    _refuse(context, _beat(version), 'beat')
+
+
+@when('{count:d} random byte strings and {altered:d} altered messages arrive')
+def receive_random(context, count, altered):
+    source = random.Random(7)
+    knowledge = build_knowledge()
+    knowledge.install(build_reading(3, [build_registered()]), 100)
+    messages = (_beat(), encode_message(state_of(knowledge, 0)))
+    raws = [source.randbytes(source.randrange(60)) for _ in range(count)]
+    for _ in range(altered):
+        raw = bytearray(source.choice(messages))
+        raw[source.randrange(len(raw))] = source.randrange(256)
+        raws.append(bytes(raw[: source.randrange(len(raw)) + 1]))
+    context.read = 0
+    context.refused = 0
+    for raw in raws:
+        for decode in (decode_beat, decode_state):
+            try:
+                decode(raw)
+            except PeerMessageError:
+                context.refused += 1
+            else:
+                context.read += 1
+    context.decoded = len(raws) * 2
+
+
+@then('each is read or refused, and nothing else happens')
+def check_random(context):
+    assert context.read + context.refused == context.decoded
+    assert context.read
+    assert context.refused > context.read
+
+
+@then('they are refused')
+def check_refused(context):
+    assert context.error.code == 'fleet-message-invalid'
+
+
+@then('it holds revision {revision:d} with servers "{names}"')
+def check_servers(context, revision, names):
+    assert context.knowledge.revision == revision
+    assert sorted(context.knowledge.servers) == sorted(names.split())
+
+
+@then('it holds revision {revision:d} with servers ""')
+def check_no_servers(context, revision):
+    check_servers(context, revision, '')
+
+
+@then('the older revision is complained of')
+def check_older(context):
+    assert 'older' in context.change.refused
+
+
+@then('the tables of revision {revision:d} are in force')
+def check_tables(context, revision):
+    assert context.knowledge.tables.revision == revision
+
+
+@then('the unreadable document is complained of')
+def check_unreadable(context):
+    assert context.change.refused == 'no JSON'
+    assert context.change.tables_revision is None
+
+
+@then('server "{name}" is leaving')
+def check_leaving(context, name):
+    registered = context.knowledge.servers[name]
+    assert registered.server.leaving
+
+
+@then('server "{name}" is not leaving')
+def check_staying(context, name):
+    registered = context.knowledge.servers[name]
+    assert not registered.server.leaving
+
+
+@then('server "{name}" is leaving or gone')
+def check_leaving_or_gone(context, name):
+    registered = context.knowledge.servers.get(name)
+    assert registered is None or registered.server.leaving
+
+
+@then('server "{name}" is told as joined')
+def check_joined(context, name):
+    assert context.change.joined == (name,)
+
+
+@then('their digests are equal')
+def check_equal(context):
+    assert context.knowledge.digest
+    assert context.knowledge.digest == context.other.digest
+
+
+@then('their digests differ')
+def check_differ(context):
+    assert context.knowledge.digest != context.other.digest
+
+
+@then('both hold the same')
+def check_same(context):
+    assert context.other.servers == context.knowledge.servers
+    assert context.other.revision == context.knowledge.revision
+    assert context.other.digest == context.knowledge.digest
+
+
+@then("the state's age is {seconds:g} s")
+def check_age(context, seconds):
+    difference = context.knowledge.age_seconds - seconds
+    assert abs(difference) < 1e-6
--- /dev/null
+++ b/features/steps/placing_steps.py
@@ -0,0 +1,473 @@
+"""Steps of the decisions on where a request goes."""
+
+from behave import given, then, when
+
+from features.support.gateway import (
+    build_candidate,
+    build_record,
+    build_report,
+    seeded,
+)
+from features.support.overload import OverloadPlay
+from zinniaturn.clock import ManualClock
+from zinniaturn.fleet.domain import VmStage
+from zinniaturn.fleet.pacing import ReadPacing
+from zinniaturn.fleet.vms import VmTable
+from zinniaturn.placing.allowance import SecondSends
+from zinniaturn.placing.asking import AskBudget, Asking
+from zinniaturn.placing.expecting import expected_seconds
+from zinniaturn.placing.hedging import second_send_delay
+from zinniaturn.placing.line import Line, Offer, Waiting, best_concurrency
+from zinniaturn.placing.spreading import Spreader
+from zinniaturn.tables.domain import PoolShare, Route
+
+_NOW = 100.0
+_WORK_SECONDS = 0.1
+_QUICK_SECONDS = 0.12
+_SLOW_SECONDS = 0.5
+
+
+def _wait(context, name, **fields):
+    """Let a request wait that is expected to take what is offered."""
+    if not hasattr(context, 'line'):
+        context.line = Line()
+        context.ended = []
+        context.requests = {}
+    arrived = fields.get('arrived_at', _NOW)
+    waiting = Waiting(
+        _WORK_SECONDS,
+        arrived,
+        fields.get('objective_at', arrived + 0.4),
+        fields.get('deadline', arrived + 2),
+        fields.get('priority', 2),
+        lambda offer: context.offered_seconds,
+        lambda: context.ended.append(name),
+        fields.get('excluded', set()),
+    )
+    context.requests[name] = waiting
+    context.line.join(waiting)
+
+
+def _offer(context, seconds):
+    context.offered_seconds = seconds
+    offer = Offer(build_candidate('s-1'), build_report())
+    context.taken = context.line.match(offer, _NOW + 0.1)
+
+
+@given('requests "{old}" and "{new}" that arrived 0.1 s apart')
+def two_requests(context, old, new):
+    _wait(context, old, arrived_at=_NOW)
+    _wait(context, new, arrived_at=_NOW + 0.1)
+
+
+@given('requests "{urgent}" of priority 1 and "{newer}" of priority 2')
+def two_priorities(context, urgent, newer):
+    _wait(context, urgent, priority=1)
+    _wait(context, newer, arrived_at=_NOW + 0.1)
+
+
+@given('requests "{late}" that is past its objective and "{new}"')
+def late_and_new(context, late, new):
+    _wait(context, late, arrived_at=_NOW - 1)
+    _wait(context, new, arrived_at=_NOW + 0.1)
+
+
+@given('a request "{name}"')
+def one_request(context, name):
+    _wait(context, name)
+
+
+@given('a request "{name}" that has tried the server')
+def tried_request(context, name):
+    _wait(context, name, excluded={'s-1'})
+
+
+@given('a request "{name}" whose deadline is nearer than its work takes')
+def hopeless_request(context, name):
+    _wait(context, name, deadline=_NOW + 0.15)
+
+
+@given(
+    '{count:d} waiting requests, of which {urgent:d} are of a more urgent '
+    'priority',
+)
+def many_requests(context, count, urgent):
+    for number in range(count):
+        priority = 1 if number < urgent else 2
+        _wait(context, f'r-{number}', priority=priority)
+
+
+@when('an idle server is offered')
+def offer_idle(context):
+    _offer(context, _QUICK_SECONDS)
+
+
+@when('a slow server is offered')
+def offer_slow(context):
+    _offer(context, _SLOW_SECONDS)
+
+
+@when('{count:d} rounds pass without a good server')
+def pass_rounds(context, count):
+    for _ in range(count):
+        context.line.note_round()
+
+
+@when('the line gives up what is hopeless')
+def give_up(context):
+    context.line.refuse_hopeless(_NOW + 0.1)
+
+
+@then('"{name}" gets it')
+def check_granted(context, name):
+    assert context.taken
+    assert context.ended == [name]
+    assert context.requests[name].granted is not None
+
+
+@then('nobody gets it')
+def check_nobody(context):
+    assert not context.taken
+    assert not context.ended
+
+
+@then('"{name}" is refused with a time to come back')
+def check_refused(context, name):
+    assert context.ended == [name]
+    assert context.requests[name].refused_seconds > 0
+
+
+@then('{count:d} requests wait and the {urgent:d} urgent ones are among them')
+def check_excess(context, count, urgent):
+    waiting = context.line.waiting
+    assert len(waiting) == count
+    assert sum(each.priority == 1 for each in waiting) == urgent
+
+
+@then('the best concurrency of {slots:d} slots is {best:d}')
+def check_concurrency(context, slots, best):
+    assert best_concurrency(slots) == best
+
+
+@given('a server that reported {busy:d} of {slots:d} busy a moment ago')
+def reported_server(context, busy, slots):
+    context.memory = build_candidate().memory
+    context.report = build_report(busy, slots=slots)
+    context.memory.note_report(context.report, _NOW)
+    context.before = _expected(context, _NOW)
+
+
+def _expected(context, now):
+    return expected_seconds(
+        _WORK_SECONDS,
+        context.report,
+        context.memory,
+        now,
+    )
+
+
+@when('{count:d} requests are sent to it')
+def send_requests(context, count):
+    for _ in range(count):
+        context.memory.begin(_NOW + 0.01)
+
+
+@when('a request to it fails')
+def fail_request(context):
+    context.memory.note_failure(_NOW)
+
+
+@when('requests to it fail over and over')
+def fail_often(context):
+    context.outs = []
+    now = _NOW
+    for _ in range(40):
+        if context.memory.note_failure(now):
+            context.outs.append(context.memory.out_until - now)
+            now = context.memory.out_until
+        now += 0.01
+
+
+@when('{count:d} answers take {ratio:g} times as long as expected')
+def slow_answers(context, count, ratio):
+    for _ in range(count):
+        context.memory.note_success(
+            context.before * ratio,
+            context.before,
+            _NOW,
+        )
+
+
+@then('it is expected to take longer than before')
+def check_longer(context):
+    assert _expected(context, _NOW) > context.before * 1.2
+
+
+@then('after {seconds:g} s it is expected to take as long as before')
+def check_faded(context, seconds):
+    assert abs(_expected(context, _NOW + seconds) - context.before) < 1e-9
+
+
+@then('it is expected to take at least {ratio:g} times as long')
+def check_slower(context, ratio):
+    assert _expected(context, _NOW) >= context.before * ratio
+
+
+@then('it is out for 1 s, 2 s, 4 s, 8 s and 8 s')
+def check_outs(context):
+    rounded = [round(seconds, 3) for seconds in context.outs[:5]]
+    assert rounded == [1, 2, 4, 8, 8]
+
+
+@given('{vms:d} VMs with a ratio of {ratio:g} and {fixed:d} more in any 10 s')
+def allowances(context, vms, ratio, fixed):
+    context.ratio = ratio
+    context.fixed = fixed
+    context.allowances = [
+        SecondSends(ratio, fixed, 10, started_at=-20) for _ in range(vms)
+    ]
+
+
+@when(
+    'each sends {rate:d} requests a second for {seconds:d} s and wants to '
+    'repeat them all',
+)
+def spend_allowances(context, rate, seconds):
+    context.spent = []
+    context.rate = rate
+    vms = len(context.allowances)
+    for step in range(rate * seconds):
+        now = step / rate
+        for allowance in context.allowances:
+            allowance.note_request(now)
+            if allowance.spend(now, vms):
+                context.spent.append(now)
+
+
+@then("no window of 10 s has more second sends than the fleet's allowance")
+def check_windows(context):
+    vms = len(context.allowances)
+    for start in context.spent:
+        window = [each for each in context.spent if 0 <= each - start < 10]
+        requests = context.rate * vms * min(10, start + 10)
+        assert len(window) <= context.ratio * requests + context.fixed
+
+
+@then('most of the allowance is used')
+def check_used(context):
+    last = [each for each in context.spent if 40 <= each < 50]
+    requests = context.rate * len(context.allowances) * 10
+    allowed = context.ratio * requests + context.fixed
+    assert len(last) > allowed * 0.7
+
+
+@when('a VM that started a moment ago wants to repeat its first request')
+def start_fresh(context):
+    fresh = SecondSends(context.ratio, context.fixed, 10, started_at=_NOW)
+    fresh.note_request(_NOW + 0.1)
+    context.may = fresh.spend(_NOW + 0.2, len(context.allowances))
+
+
+@then('it may not')
+def check_may_not(context):
+    assert not context.may
+
+
+@given('a budget of {rate:d} questions a second')
+def ask_budget(context, rate):
+    context.budget = AskBudget(updated_at=0)
+    context.rate = rate
+
+
+@when('{count:d} questions are wanted each {step:g} s for {seconds:d} s')
+def ask_often(context, count, step, seconds):
+    context.asked = 0
+    for number in range(int(seconds / step)):
+        context.budget.refill(context.rate, number * step)
+        if context.budget.take(count):
+            context.asked += count
+    context.seconds = seconds
+
+
+@then('at most {rate:d} a second and {saved:d} s more are asked')
+def check_asked(context, rate, saved):
+    assert context.asked <= rate * (context.seconds + saved)
+    assert context.asked >= rate * context.seconds * 0.9
+
+
+@then(
+    'with {work:g} s of work, {expected:g} s expected and {left:g} s left '
+    'it is due in {delay:g} s',
+)
+def check_delay(context, work, expected, left, delay):
+    assert abs(second_send_delay(work, expected, left) - delay) < 1e-9
+
+
+@then(
+    'with {work:g} s of work, {expected:g} s expected and {left:g} s left '
+    'there is none',
+)
+def check_no_delay(context, work, expected, left):
+    assert second_send_delay(work, expected, left) is None
+
+
+@given('a route that splits its requests {large:d} to {small:d}')
+def split_route(context, large, small):
+    shares = (PoolShare('large', large), PoolShare('small', small))
+    context.route = Route('r', '', shares=shares)
+    context.weight = small / (large + small)
+    context.spreaders = [Spreader(seeded(number)) for number in range(13)]
+
+
+@when('{vms:d} VMs spread {count:d} requests each')
+def spread(context, vms, count):
+    context.pools = [
+        spreader.pool_of(context.route)
+        for spreader in context.spreaders[:vms]
+        for _ in range(count)
+    ]
+
+
+@then('the small share is within {bound:g} of its weight')
+def check_share(context, bound):
+    share = context.pools.count('small') / len(context.pools)
+    assert abs(share - context.weight) <= bound, share
+
+
+@when('its requests go to one pool only')
+def change_route(context):
+    spread(context, 13, 3)
+    context.route = Route('r', 'large')
+    spread(context, 13, 10)
+
+
+@then('all requests go to that pool')
+def check_one_pool(context):
+    assert set(context.pools) == {'large'}
+
+
+@given('{count:d} servers of which {out:d} are out and 1 does not answer')
+def mixed_servers(context, count, out):
+    context.candidates = [
+        build_candidate(f's-{number}') for number in range(count)
+    ]
+    for candidate in context.candidates[:out]:
+        candidate.memory.out_until = _NOW + 1
+    context.candidates[out].memory.unanswered = 3
+    context.good = {each.name for each in context.candidates[out + 1 :]}
+
+
+@then('the first {count:d} that are asked are the others')
+def check_order(context, count):
+    for seed in range(20):
+        asking = Asking(seeded(seed))
+        order = asking.order(context.candidates, _NOW)
+        assert {each.name for each in order[:count]} <= context.good
+
+
+@given('{count:d} VMs that hear each other')
+def hearing_vms(context, count):
+    clock = ManualClock(_NOW)
+    records = [
+        build_record(f'vm-{number}', number=number + 1)
+        for number in range(count)
+    ]
+    context.tables = [VmTable(record, clock) for record in records]
+    for table in context.tables:
+        for record in records:
+            table.note_beat(record, VmStage.READY)
+
+
+@then('their places are 0 to {last:d}, each once')
+def check_places(context, last):
+    places = sorted(table.rank() for table in context.tables)
+    assert places == list(range(last + 1))
+
+
+@then('the ages at which they read grow with their place up to {most:g} s')
+def check_ages(context, most):
+    pacing = ReadPacing(seeded(), jitter_seconds=0)
+    ages = [pacing.due_at_age(place) for place in range(5)]
+    assert ages == sorted(ages)
+    assert ages[0] < ages[1]
+    assert ages[-1] <= most
+
+
+@given('a VM that hears "b" ready, "c" stopping and has not heard "d"')
+def hearing_vm(context):
+    context.clock = ManualClock(_NOW)
+    context.records = {
+        name: build_record(name, number=number)
+        for number, name in enumerate('abcd', start=1)
+    }
+    context.vms = VmTable(context.records['a'], context.clock)
+    context.vms.note_records(context.records.values())
+    context.vms.note_beat(context.records['b'], VmStage.READY)
+    context.vms.note_beat(context.records['c'], VmStage.STOPPING)
+
+
+@when('"{name}" falls silent')
+def fall_silent(context, name):
+    context.clock.advance(5)
+
+
+@when('"{name}" says that it is ready')
+def say_ready(context, name):
+    context.vms.note_beat(context.records[name], VmStage.READY)
+
+
+@when('"{name}" starts anew and says that it is ready')
+def start_anew(context, name):
+    record = build_record(name, started_ms=2, number=3)
+    context.vms.note_beat(record, VmStage.READY)
+
+
+def _check_named(context, *names):
+    fronts = sorted(context.vms.fronts(own_is_ready=True))
+    assert fronts == [context.records[name].front for name in names], fronts
+
+
+@then('a look-up names itself and "{other}"')
+def check_two_named(context, other):
+    _check_named(context, 'a', other)
+
+
+@then('a look-up names itself, "{second}" and "{third}"')
+def check_three_named(context, second, third):
+    _check_named(context, 'a', second, third)
+
+
+@given(
+    '{servers:d} servers of {slots:d} slots that serve {rate:d} requests a '
+    'second at best',
+)
+def overloaded_servers(context, servers, slots, rate):
+    work = servers * best_concurrency(slots) / rate
+    context.best_rate = rate
+    context.plays = [
+        OverloadPlay(servers, slots, work, oldest_first=oldest_first)
+        for oldest_first in (False, True)
+    ]
+
+
+@when('{rate:d} requests a second come for {seconds:d} s')
+def play_overload(context, rate, seconds):
+    context.seconds = seconds
+    context.results = [play.play(rate, seconds) for play in context.plays]
+
+
+@then('at least half of what could be served in time is')
+def check_in_time(context):
+    best = context.best_rate * context.seconds
+    assert context.results[0].in_time >= best / 2, context.results
+
+
+@then('no request is held past its deadline')
+def check_held(context):
+    assert context.results[0].held_past_deadline == 0, context.results
+
+
+@then('at least twice as many are in time as with the oldest first')
+def check_better(context):
+    newest, oldest = context.results
+    assert newest.in_time >= 2 * oldest.in_time, context.results
--- /dev/null
+++ b/features/support/gateway.py
@@ -0,0 +1,260 @@
+"""Gateways, stand-ins and documents of the platform, for tests."""
+
+import asyncio
+import random
+
+from zinniaturn.choosing.reports import LoadReport
+from zinniaturn.clock import ManualClock
+from zinniaturn.fleet.domain import (
+    FleetReading,
+    RegisteredServer,
+    TablesDocument,
+    VmRecord,
+)
+from zinniaturn.fleet.knowledge import Knowledge
+from zinniaturn.gateway.journal import Journal
+from zinniaturn.gateway.process import Gateway
+from zinniaturn.gateway.settings import FleetBounds, GatewaySettings
+from zinniaturn.http1.messages import Request
+from zinniaturn.placing.asking import Candidate
+from zinniaturn.placing.memory import ServerMemory
+from zinniaturn.platform.dialect import PlatformDialect
+from zinniaturn.platform.standins import StoreStandIn
+from zinniaturn.platform.store import PlatformStore
+from zinniaturn.tables.domain import Server, Tables
+
+HOST = 'shop.example'
+_PATIENCE_SECONDS = 10
+_CLOSED_OUTPUT = -1
+_PORTS = iter(range(21_000, 32_000, 10))
+
+
+class ListedJournal(Journal):
+    """A journal whose lines are kept in a list."""
+
+    def __init__(self):
+        super().__init__('vm-1', _CLOSED_OUTPUT)
+        self.rows = []
+
+    def _emit(self, row):
+        self.rows.append(row)
+
+
+def build_registered(name='s-1', pool='pool', born_ms=1, **fields):
+    """Return a registered server with usual fields."""
+    server = Server(name, '127.0.0.1', 9000, fields.pop('slots', 4), **fields)
+    return RegisteredServer(server, pool, born_ms)
+
+
+def build_reading(revision=1, servers=(), document=None):
+    """Return a reading of these servers."""
+    return FleetReading(revision, document, tuple(servers))
+
+
+def build_record(name='vm-1', started_ms=1, data_center='dc-a', number=1):
+    """Return a record of a VM."""
+    front = f'127.0.0.{number}:8000'
+    address = (f'127.0.0.{number}', 7000)
+    return VmRecord(name, started_ms, data_center, front, address)
+
+
+def build_knowledge(clock=None, decode=None):
+    """Return an empty knowledge."""
+    return Knowledge(
+        clock or ManualClock(100),
+        decode or (lambda document: Tables(document.revision)),
+    )
+
+
+def build_document(revision=1, raw=b'{}'):
+    """Return a document."""
+    return TablesDocument(revision, raw)
+
+
+def build_candidate(name='s-1', **fields):
+    """Return a server that a request may go to."""
+    return Candidate(build_registered(name, **fields), ServerMemory())
+
+
+def build_report(busy=0, queued=0, slots=4, slowness=1.0):
+    """Return a report of a server's load."""
+    return LoadReport(busy, queued, slots, slowness)
+
+
+def build_config(routes=None, services=('pool',), version='00000001', **limits):
+    """Return the operator's document with usual routes."""
+    rows = routes or [
+        build_route_row('reads', '/reads/', 'idempotent'),
+        build_route_row('posts', '/posts/', 'non_idempotent'),
+    ]
+    names = [
+        'name',
+        'host',
+        'prefix',
+        'kind',
+        'timeout_ms',
+        'target_latency_ms',
+        'priority',
+        'service',
+        'max_attempts',
+        'traffic_split',
+    ]
+    document = {
+        'version': version,
+        'routes': {'columns': names, 'rows': rows},
+        'services': {
+            'columns': ['name', 'health_path', 'max_conns'],
+            'rows': [[name, '/healthz', 220] for name in services],
+        },
+    }
+    if limits:
+        document['limits'] = limits
+    return document
+
+
+def build_route_row(
+    name,
+    prefix,
+    kind,
+    service='pool',
+    timeout_ms=1000,
+    max_attempts=2,
+    split=None,
+    target_ms=400,
+):
+    """Return a route as a row of the operator's document."""
+    return [
+        name,
+        HOST,
+        prefix,
+        kind,
+        timeout_ms,
+        target_ms,
+        1,
+        service,
+        max_attempts,
+        split,
+    ]
+
+
+def build_request(method=b'GET', target=b'/reads/1', body=b'', **fields):
+    """Return a caller's request."""
+    rows = [(b'Host', HOST.encode())]
+    rows.extend(
+        (name.replace('_', '-').encode(), text) for name, text in fields.items()
+    )
+    return Request(method, target, rows, body, True, 0)
+
+
+def request_text(
+    method='GET',
+    target='/reads/1',
+    request_id='id-1',
+    wait_ms=1000,
+    body=b'',
+    extra='',
+):
+    """Return a caller's request as bytes."""
+    head = (
+        f'{method} {target} HTTP/1.1\r\nHost: {HOST}\r\n'
+        f'X-Attempt-Id: {request_id}\r\n'
+        f'X-Request-Deadline-Ms: {wait_ms}\r\n'
+        f'Content-Length: {len(body)}\r\n{extra}\r\n'
+    )
+    return head.encode() + body
+
+
+class SmallPlatform:
+    """A store, servers and gateways on loopback, in this process."""
+
+    def __init__(self, context):
+        self.context = context
+        self.store = StoreStandIn()
+        self.servers = []
+        self.gateways = []
+
+    async def start(self, servers, config=None):
+        await self.store.start()
+        self.context.closers.append(self.store.stop)
+        self.store.write('op/config', config or build_config())
+        for server in servers:
+            await self.add_server(server)
+
+    async def add_server(self, server):
+        await server.start()
+        self.context.closers.append(server.stop)
+        self.servers.append(server)
+        self.store.write(f'servers/{server.name}', server.entry())
+
+    async def add_gateway(self, name='vm-1', data_center='dc-a', **bounds):
+        host = f'127.0.1.{len(self.gateways) + 1}'
+        settings = GatewaySettings(
+            name=name,
+            host=host,
+            data_center=data_center,
+            store=('127.0.0.1', self.store.port),
+            front=(host, next(_PORTS)),
+            readiness=(host, next(_PORTS)),
+            directory=(host, next(_PORTS)),
+            first_port=next(_PORTS),
+            bounds=FleetBounds(**bounds),
+        )
+        gateway = Gateway(
+            settings,
+            PlatformStore(settings.store),
+            PlatformDialect(),
+            ListedJournal(),
+        )
+        await gateway.start()
+        self.gateways.append(gateway)
+        self.context.closers.append(lambda: close_gateway(gateway))
+        return gateway
+
+
+async def close_gateway(gateway):
+    """Close a gateway without its graceful stop."""
+    for task in gateway.tasks:
+        task.cancel()
+    gateway.peers.close()
+    for listener in gateway.listeners:
+        listener.close()
+        for connection in list(listener.connections):
+            connection.transport.abort()
+    gateway.state.connections.close()
+    gateway.store.connections.close()
+    await asyncio.sleep(0)
+
+
+async def until(condition, seconds=_PATIENCE_SECONDS):
+    """Wait until a condition holds; raises `TimeoutError`."""
+    async with asyncio.timeout(seconds):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+async def call(address, text, seconds=_PATIENCE_SECONDS):
+    """Send bytes and return all that comes until the answer is whole."""
+    async with asyncio.timeout(seconds):
+        reader, writer = await asyncio.open_connection(*address)
+        try:
+            writer.write(text)
+            return await read_answer(reader)
+        finally:
+            writer.transport.abort()
+
+
+async def read_answer(reader):
+    """Return status, fields by lower-case name and body of an answer."""
+    head = await reader.readuntil(b'\r\n\r\n')
+    first, *lines = head.decode('latin-1').strip().split('\r\n')
+    fields = {}
+    for line in lines:
+        name, _, text = line.partition(':')
+        fields[name.lower()] = text.strip()
+    body = await reader.readexactly(int(fields.get('content-length', 0)))
+    return int(first.split()[1]), fields, body
+
+
+def seeded(seed=1):
+    """Return a random source with a fixed seed."""
+    return random.Random(seed)
--- /dev/null
+++ b/features/support/overload.py
@@ -0,0 +1,113 @@
+"""A load beyond the slots, played against the line without a network."""
+
+import heapq
+import itertools
+from dataclasses import dataclass, field
+
+from features.support.gateway import build_candidate, build_report, seeded
+from zinniaturn.placing.line import Line, Offer, Waiting, best_concurrency
+
+
+@dataclass
+class Result:
+    """What the callers got."""
+
+    in_time: int = 0
+    late: int = 0
+    refused: int = 0
+    held_past_deadline: int = 0
+
+
+@dataclass
+class OverloadPlay:
+    """Requests that arrive at a steady rate at servers with few slots."""
+
+    servers: int
+    slots: int
+    work_seconds: float
+    objective_seconds: float = 0.25
+    deadline_seconds: float = 1.0
+    oldest_first: bool = False
+    now: float = 0
+    result: Result = field(default_factory=Result)
+
+    def play(self, a_second, seconds):
+        """Return what came of the requests."""
+        self.source = seeded()
+        self.line = Line()
+        self.running = [0 for _ in range(self.servers)]
+        self.candidates = [
+            build_candidate(f's-{number}', slots=self.slots)
+            for number in range(self.servers)
+        ]
+        self.order = itertools.count()
+        self.events = []
+        for number in range(int(a_second * seconds)):
+            self._at(number / a_second, self._arrive)
+        while self.events:
+            moment, _, event = heapq.heappop(self.events)
+            self.now = moment
+            event()
+        return self.result
+
+    def _at(self, moment, event):
+        heapq.heappush(self.events, (moment, next(self.order), event))
+
+    def _arrive(self):
+        holder = []
+        waiting = Waiting(
+            self.work_seconds,
+            self.now,
+            self.now + self.objective_seconds,
+            self.now + self.deadline_seconds,
+            1,
+            lambda offer: self.work_seconds,
+            lambda: self._end(holder[0]),
+        )
+        holder.append(waiting)
+        self.line.join(waiting)
+        self.line.refuse_hopeless(self.now)
+        for number in range(self.servers):
+            self._offer(number)
+
+    def _offer(self, number):
+        if self.running[number] >= best_concurrency(self.slots):
+            return
+        candidate = self.candidates[number]
+        report = build_report(self.running[number], slots=self.slots)
+        if self.oldest_first:
+            self._grant_oldest(candidate, report)
+        else:
+            self.line.match(Offer(candidate, report), self.now)
+
+    def _grant_oldest(self, candidate, report):
+        if self.line.waiting:
+            oldest = self.line.waiting.pop(0)
+            self.line.grants.append(self.now)
+            oldest.granted = Offer(candidate, report)
+            oldest.on_end()
+
+    def _end(self, waiting):
+        if waiting.granted is None:
+            self.result.refused += 1
+            if self.now > waiting.deadline:
+                self.result.held_past_deadline += 1
+            return
+        number = int(waiting.granted.candidate.name.split('-')[1])
+        self.running[number] += 1
+        seconds = self.work_seconds * self.source.uniform(0.7, 1.3)
+        self._at(
+            self.now + seconds,
+            lambda: self._answer(waiting, number),
+        )
+
+    def _answer(self, waiting, number):
+        self.running[number] -= 1
+        if self.now <= waiting.objective_at:
+            self.result.in_time += 1
+        elif self.now <= waiting.deadline + self.work_seconds:
+            self.result.late += 1
+        else:
+            self.result.held_past_deadline += 1
+        self.line.refuse_hopeless(self.now)
+        self._offer(number)
--- a/zinniaturn/gateway/attempt.py
+++ b/zinniaturn/gateway/attempt.py
@@ -35,7 +35,7 @@
     Return the server's whole answer; raises `AttemptError`.
 
     ``on_freed`` gets the connection of a whole answer, and keeps it where it
-    returns true. Cancelling closes the connection, which ends the server's work.
+    returns true. Cancelling closes the connection, so the server stops.
     """
     server = placement.candidate.registered.server
     address = server.host, server.port
--- a/zinniaturn/gateway/placer.py
+++ b/zinniaturn/gateway/placer.py
@@ -136,7 +136,12 @@
         """Offer the servers that answered, the quickest first."""
         now = asyncio.get_running_loop().time()
         offers = [
-            Offer(each.candidate, each.report, each.connection)
+            Offer(
+                each.candidate,
+                each.report,
+                each.connection,
+                each.is_healthy,
+            )
             for each in answers
         ]
         offers.sort(key=lambda offer: self._expect(0.1, offer, now))
@@ -155,7 +160,7 @@
     def _expect(self, work: float, offer: Offer, now: float) -> float:
         memory = offer.candidate.memory
         expected = expected_seconds(work, offer.report, memory, now)
-        if memory.out_until > now:
+        if memory.out_until > now or not offer.is_healthy:
             expected *= _UNHEALTHY_FACTOR
         return expected
 
--- a/zinniaturn/gateway/rendering.py
+++ b/zinniaturn/gateway/rendering.py
@@ -23,21 +23,25 @@
     from aioprometheus.formats import text
 
     registry = Registry()
-    requests = _counter(registry, 'zinniaturn_requests_total', 'Requests')
+    requests = _counter(
+        registry, 'zinniaturn_gateway_requests_total', 'Requests'
+    )
     for (route, outcome), count in state.counters.requests.items():
         requests.set({'route': route, 'outcome': outcome}, count)
-    events = _counter(registry, 'zinniaturn_events_total', 'Events by kind')
+    events = _counter(
+        registry, 'zinniaturn_gateway_events_total', 'Events by kind'
+    )
     for name, count in state.counters.events.items():
         events.set({'event': name}, count)
     _add_latencies(registry, state.counters)
     age = Gauge(
-        'zinniaturn_state_age_seconds',
+        'zinniaturn_gateway_state_age_seconds',
         'Seconds since the state held was last confirmed',
         registry=registry,
     )
     age.set({}, min(1e6, state.knowledge.age_seconds))
     vms = Gauge(
-        'zinniaturn_vms_alive',
+        'zinniaturn_gateway_vms_alive',
         'Other VMs that are heard',
         registry=registry,
     )
@@ -45,7 +49,7 @@
     return text.TextFormatter().marshall(registry)
 
 
-def _counter(registry: object, name: str, doc: str) -> 'Counter':  # type: ignore
+def _counter(registry: 'Registry', name: str, doc: str) -> 'Counter':
     from aioprometheus import Counter
 
     return Counter(name, doc, registry=registry)
@@ -56,7 +60,7 @@
     from aioprometheus.histogram import Histogram as Buckets
 
     histogram = Histogram(
-        'zinniaturn_answer_seconds',
+        'zinniaturn_gateway_answer_seconds',
         'Seconds until a successful answer',
         buckets=BOUNDS_SECONDS,
         registry=registry,
--- a/zinniaturn/http1/backend.py
+++ b/zinniaturn/http1/backend.py
@@ -16,6 +16,7 @@
 from zinniaturn.http1.messages import Fields, Response, find_field
 
 _FIRST_FINAL_STATUS = 200
+_FIRST_REFUSAL_STATUS = 300
 _BODYLESS_STATUSES = frozenset((204, 304))
 _MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
@@ -26,8 +27,8 @@
     What is sent and what its answer must look like.
 
     An answer that carries ``id_field`` with another text than ``answer_id``
-    belongs to another request; with an ``answer_id``, one without the field
-    does as well.
+    belongs to another request; with an ``answer_id``, so does a success
+    without the field. A refusal may come without it.
     """
 
     payload: bytes
@@ -199,6 +200,8 @@
 
     def _is_foreign(self, exchange: Exchange) -> bool:
         named = find_field(self.fields, exchange.id_field)
+        if named is None and self.status >= _FIRST_REFUSAL_STATUS:
+            return False
         return named != exchange.answer_id
 
     def _fail(self, error: ExchangeBrokenError) -> None:
--- a/zinniaturn/placing/line.py
+++ b/zinniaturn/placing/line.py
@@ -34,11 +34,13 @@
     A server with room for a request, as of a fresh report.
 
     ``connection`` is whatever the caller of the line needs to use the server.
+    ``is_healthy`` is what the server says of itself, which may be false.
     """
 
     candidate: Candidate
     report: LoadReport
     connection: Any = None
+    is_healthy: bool = True
 
 
 @dataclass(slots=True, eq=False)
