--- a/features/steps/gateway_requests_steps.py
+++ b/features/steps/gateway_requests_steps.py
@@ -454,9 +454,7 @@
 @then('the metrics show {count:d} answered requests of route "{route}"')
 def check_metrics(context, count, route):
     text = render_metrics(context.gateway.state).decode()
-    line = (
-        f'zinniaturn_gateway_requests_total{{outcome="answered",route="{route}"}} '
-        f'{count}'
-    )
+    name = 'zinniaturn_gateway_requests_total'
+    line = f'{name}{{outcome="answered",route="{route}"}} {count}'
     assert line in text, text
     assert f'zinniaturn_gateway_answer_seconds_count{{route="{route}"}}' in text
