Ask near servers first, write VMs' records once, pace reads by the bound

Change: servers of the own data centre are asked first; a record has no lease, its VM's heartbeats tell whether it lives, and lost VMs' records are removed by the VM that stands first; the state is read at 0.35 of the bound.

--- a/features/placing.feature
+++ b/features/placing.feature
@@ -130,3 +130,26 @@
     Then at least half of what could be served in time is
     And no request is held past its deadline
     And at least twice as many are in time as with the oldest first
+
+  Scenario: Near servers are asked before others, the same ones each time
+    Given 12 servers in the own data centre and 12 in another
+    Then the first 5 that are asked are always of the same 8 near ones
+
+  Scenario: A VM's record is written once and not again
+    Given a VM whose record the store lacks
+    When it reads the store
+    Then it writes its record
+    When it reads the store with the record of its process before
+    Then it writes nothing
+
+  Scenario: The record of a lost VM is removed, after two minutes and by one VM
+    Given a VM that stands first, hears "a" and lists "a" and "lost"
+    When 60 s pass and it reads the store
+    Then it writes nothing
+    When 61 s pass and it reads the store
+    Then it removes the record of "lost"
+
+  Scenario: A VM that hears few others removes no record
+    Given a VM that stands first, hears nobody and lists "a" and "lost"
+    When 200 s pass and it reads the store
+    Then it writes nothing
--- a/features/steps/placing_steps.py
+++ b/features/steps/placing_steps.py
@@ -10,7 +10,8 @@
 )
 from features.support.overload import OverloadPlay
 from zinniaturn.clock import ManualClock
-from zinniaturn.fleet.domain import VmStage
+from zinniaturn.fleet.domain import ListedVm, VmStage
+from zinniaturn.fleet.following import Registration
 from zinniaturn.fleet.pacing import ReadPacing
 from zinniaturn.fleet.vms import VmTable
 from zinniaturn.placing.allowance import SecondSends
@@ -360,7 +361,7 @@
 @then('the first {count:d} that are asked are the others')
 def check_order(context, count):
     for seed in range(20):
-        asking = Asking(seeded(seed))
+        asking = Asking(seeded(seed), 'vm-1', 'dc-a')
         order = asking.order(context.candidates, _NOW)
         assert {each.name for each in order[:count]} <= context.good
 
@@ -471,3 +472,125 @@
 def check_better(context):
     newest, oldest = context.results
     assert newest.in_time >= 2 * oldest.in_time, context.results
+
+
+@given('{near:d} servers in the own data centre and {far:d} in another')
+def near_and_far(context, near, far):
+    context.candidates = [
+        build_candidate(f'near-{number}', data_center='dc-a')
+        for number in range(near)
+    ]
+    context.candidates.extend(
+        build_candidate(f'far-{number}', data_center='dc-b')
+        for number in range(far)
+    )
+
+
+@then(
+    'the first {count:d} that are asked are always of the same {most:d} '
+    'near ones',
+)
+def check_near(context, count, most):
+    asked = set()
+    for seed in range(40):
+        asking = Asking(seeded(seed), 'vm-1', 'dc-a')
+        order = asking.order(context.candidates, _NOW)
+        asked.update(each.name for each in order[:count])
+    assert len(asked) == most
+    assert all(name.startswith('near-') for name in asked)
+
+
+class _RecordStore:
+    """A store that keeps what is written of records."""
+
+    def __init__(self):
+        self.written = []
+
+    async def register(self, record):
+        self.written.append(('register', record.name))
+
+    async def forget(self, listed):
+        self.written.append(('forget', listed.record.name))
+
+
+def _registration(context, heard, listed):
+    """Return a registration of the VM that stands first of these."""
+    context.clock = ManualClock(_NOW)
+    context.store = _RecordStore()
+    own = build_record('b')
+    context.vms = VmTable(own, context.clock)
+    context.heard = heard
+    context.listed = [own] + [
+        build_record(name, number=number)
+        for number, name in enumerate(listed, start=2)
+    ]
+    context.registration = Registration(
+        context.store,
+        context.vms,
+        lambda error: None,
+        context.clock,
+    )
+
+
+def _check_listing(context, records):
+    async def check():
+        for record in records:
+            if record.name in context.heard:
+                context.vms.note_beat(record, VmStage.READY)
+        context.vms.note_records(records)
+        context.store.written.clear()
+        context.registration.check(
+            [ListedVm(listed, 5) for listed in records],
+        )
+        if context.registration.writing is not None:
+            await context.registration.writing
+
+    context.loop.run_until_complete(check())
+
+
+@given('a VM whose record the store lacks')
+def unregistered(context):
+    _registration(context, (), ())
+
+
+@given('a VM that stands first, hears "a" and lists "a" and "lost"')
+def hearing_first(context):
+    _registration(context, ('a',), ('a', 'lost'))
+    _check_listing(context, context.listed)
+
+
+@given('a VM that stands first, hears nobody and lists "a" and "lost"')
+def deaf_first(context):
+    _registration(context, (), ('a', 'lost'))
+    _check_listing(context, context.listed)
+
+
+@when('it reads the store')
+def read_empty(context):
+    _check_listing(context, [])
+
+
+@when('it reads the store with the record of its process before')
+def read_former(context):
+    _check_listing(context, [build_record('b', started_ms=0)])
+
+
+@when('{seconds:g} s pass and it reads the store')
+def pass_and_list(context, seconds):
+    context.clock.advance(seconds)
+    _check_listing(context, context.listed)
+
+
+@then('it writes its record')
+def check_registered(context):
+    assert context.store.written == [('register', 'b')]
+
+
+@then('it writes nothing')
+def check_unwritten(context):
+    assert not context.store.written
+
+
+@then('it removes the record of "{name}"')
+def check_forgotten(context, name):
+    assert context.store.written == [('forget', name)]
--- a/zinniaturn/fleet/domain.py
+++ b/zinniaturn/fleet/domain.py
@@ -2,6 +2,7 @@
 
 __all__ = (
     'FleetReading',
+    'ListedVm',
     'RegisteredServer',
     'TablesDocument',
     'VmRecord',
@@ -9,7 +10,7 @@
 )
 
 import enum
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from zinniaturn.http1.connections import Address
 from zinniaturn.tables.domain import Server
@@ -64,6 +65,18 @@
     front: str
     exchange: Address
 
+    def is_at(self, other: 'VmRecord') -> bool:
+        """Return whether both have the same place and addresses."""
+        return replace(self, started_ms=other.started_ms) == other
+
+
+@dataclass(frozen=True, slots=True)
+class ListedVm:
+    """A VM's record as it lies in the store, and the revision it is of."""
+
+    record: VmRecord
+    revision: int
+
 
 @dataclass(frozen=True, slots=True)
 class FleetReading:
@@ -76,5 +89,5 @@
     revision: int
     document: TablesDocument | None
     servers: tuple[RegisteredServer, ...]
-    vms: tuple[VmRecord, ...] = ()
+    vms: tuple[ListedVm, ...] = ()
     unreadable: tuple[str, ...] = ()
--- a/zinniaturn/fleet/exceptions.py
+++ b/zinniaturn/fleet/exceptions.py
@@ -3,7 +3,6 @@
 __all__ = (
     'BadDocumentError',
     'FleetStoreError',
-    'LeaseEndedError',
     'PeerMessageError',
 )
 
@@ -16,12 +15,6 @@
     code = 'fleet-store-unavailable'
 
 
-class LeaseEndedError(FleetStoreError):
-    """The store knows no such lease any more."""
-
-    code = 'fleet-lease-ended'
-
-
 class BadDocumentError(CodedError):
     """What lies in the store cannot be read."""
 
--- a/zinniaturn/fleet/following.py
+++ b/zinniaturn/fleet/following.py
@@ -1,25 +1,23 @@
-"""Keeping up with the store: reads of its state and the VM's own lease."""
+"""Keeping up with the store: reads of its state and the VM's own record."""
 
 __all__ = ('Registration', 'StateReader')
 
 import asyncio
-import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass, field
 
-from zinniaturn.fleet.domain import VmRecord
-from zinniaturn.fleet.exceptions import FleetStoreError, LeaseEndedError
+from zinniaturn.clock import Clock
+from zinniaturn.fleet.domain import FleetReading, ListedVm
+from zinniaturn.fleet.exceptions import FleetStoreError
 from zinniaturn.fleet.knowledge import Knowledge
 from zinniaturn.fleet.pacing import ReadPacing
 from zinniaturn.fleet.port import FleetStore
 from zinniaturn.fleet.vms import VmTable
 
 _SHORTEST_SLEEP_SECONDS = 0.02
-_LEASE_SECONDS = 6.0
-_RENEW_SECONDS = 2.0
-_RETRY_SECONDS = 0.5
+_LOST_SECONDS = 120.0
 
-Listener = Callable[[], None]
+Listener = Callable[[FleetReading], None]
 Report = Callable[[FleetStoreError | None], None]
 
 
@@ -66,10 +64,10 @@
             return
         self.pacing.failures = 0
         self._tell(None)
-        self.vms.note_records(reading.vms)
+        self.vms.note_records(each.record for each in reading.vms)
         self.knowledge.install(reading, asked_at)
         for listener in self.on_read:
-            listener()
+            listener(reading)
 
     def _tell(self, error: FleetStoreError | None) -> None:
         for report in self.on_reply:
@@ -78,36 +76,61 @@
 
 @dataclass(slots=True)
 class Registration:
-    """Keeps the VM's own record in the store by renewing its lease."""
+    """
+    Keeps this VM's record in the store and takes out those of lost VMs.
+
+    Records have no lease: they only tell where a VM may be, its heartbeats
+    tell whether it lives. So a record costs one write in a VM's life, and none
+    where the process before had the same addresses.
+    """
 
     store: FleetStore
-    record: VmRecord
+    vms: VmTable
     on_failure: Callable[[FleetStoreError], None]
-    lease: int = 0
+    clock: Clock
+    writing: 'asyncio.Task[None] | None' = None
+    first_listed: dict[str, float] = field(default_factory=dict)
+
+    def check(self, listed: Sequence[ListedVm]) -> None:
+        """Compare what the store lists with what should be there."""
+        own = self.vms.own
+        found = [each.record for each in listed if each.record.name == own.name]
+        if not found or not own.is_at(found[0]):
+            self._write(self.store.register(own))
+            return
+        for each in self._lost(listed):
+            self._write(self.store.forget(each))
+            return
 
-    async def run(self) -> None:
-        """Register and keep the lease until cancelled."""
-        while True:
-            try:
-                await self._keep()
-            except LeaseEndedError as error:
-                self.lease = 0
-                self.on_failure(error)
-                await asyncio.sleep(_SHORTEST_SLEEP_SECONDS)
-            except FleetStoreError as error:
-                self.on_failure(error)
-                await asyncio.sleep(_RETRY_SECONDS)
-            else:
-                await asyncio.sleep(_RENEW_SECONDS)
-
-    async def withdraw(self) -> None:
-        """Remove the record; a lease that can't be ended runs out."""
-        if self.lease:
-            with contextlib.suppress(LeaseEndedError):
-                await self.store.withdraw(self.lease)
-
-    async def _keep(self) -> None:
-        if self.lease:
-            await self.store.renew(self.lease)
+    def _write(self, call: Coroutine[None, None, None]) -> None:
+        if self.writing is None:
+            self.writing = asyncio.ensure_future(self._complete(call))
         else:
-            self.lease = await self.store.register(self.record, _LEASE_SECONDS)
+            call.close()
+
+    async def _complete(self, call: Coroutine[None, None, None]) -> None:
+        """Await a write; the next reading shows whether it took effect."""
+        try:
+            await call
+        except FleetStoreError as error:
+            self.on_failure(error)
+        finally:
+            self.writing = None
+
+    def _lost(self, listed: Sequence[ListedVm]) -> list[ListedVm]:
+        """Return records of VMs that nobody heard for a long time."""
+        now = self.clock.monotonic()
+        names = {each.record.name for each in listed}
+        self.first_listed = {
+            name: self.first_listed.get(name, now) for name in names
+        }
+        if self.vms.rank() or not self.vms.hears_most():
+            return []
+        oldest = now - _LOST_SECONDS
+        return [
+            each
+            for each in listed
+            if each.record.name != self.vms.own.name
+            and self.first_listed[each.record.name] < oldest
+            and self.vms.silent_since(each.record.name) < oldest
+        ]
--- a/zinniaturn/fleet/pacing.py
+++ b/zinniaturn/fleet/pacing.py
@@ -11,9 +11,13 @@
 
 import random
 from dataclasses import dataclass
+from typing import Self
 
 _LONGEST_BACKOFF_SECONDS = 0.8
 _FIRST_BACKOFF_SECONDS = 0.1
+_FIRST_SHARE = 0.35
+_STEP_SHARE = 0.08
+_LAST_SHARE = 0.55
 
 
 @dataclass(slots=True)
@@ -37,6 +41,16 @@
     jitter_seconds: float = 0.1
     failures: int = 0
 
+    @classmethod
+    def within(cls, source: random.Random, bound_seconds: float) -> Self:
+        """Return a pacing that leaves room for a lost call within a bound."""
+        return cls(
+            source,
+            bound_seconds * _FIRST_SHARE,
+            bound_seconds * _STEP_SHARE,
+            bound_seconds * _LAST_SHARE,
+        )
+
     def due_at_age(self, rank: int) -> float:
         """Return the age of the state at which this VM reads the store."""
         age = self.first_seconds + rank * self.step_seconds
--- a/zinniaturn/fleet/peers.py
+++ b/zinniaturn/fleet/peers.py
@@ -31,8 +31,6 @@
 from zinniaturn.http1.messages import Response
 from zinniaturn.tables.domain import CallerLimits
 
-_BEAT_SECONDS = 0.35
-_BEAT_SECONDS_A_VM = 0.01
 _FETCH_SECONDS = 0.4
 _TRANSIT_SECONDS = 0.005
 _STOP_REPEATS = 3
@@ -68,8 +66,7 @@
         """Send heartbeats until cancelled."""
         while True:
             self.send_beats()
-            scaled = _BEAT_SECONDS_A_VM * self.vms.most()
-            await asyncio.sleep(max(_BEAT_SECONDS, scaled))
+            await asyncio.sleep(self.vms.beat_seconds)
 
     def send_beats(self) -> None:
         """Tell every known VM what this one holds."""
--- a/zinniaturn/fleet/port.py
+++ b/zinniaturn/fleet/port.py
@@ -8,13 +8,18 @@
 
 from typing import Protocol
 
-from zinniaturn.fleet.domain import FleetReading, TablesDocument, VmRecord
+from zinniaturn.fleet.domain import (
+    FleetReading,
+    ListedVm,
+    TablesDocument,
+    VmRecord,
+)
 from zinniaturn.tables.domain import Tables
 
 
 class FleetStore(Protocol):
     """
-    Reads of the whole fleet and a lease for the VM's own record.
+    Reads of the whole fleet and writes of VMs' records.
 
     Every call raises `FleetStoreError` where no usable reply came.
     """
@@ -25,11 +30,8 @@
     def decode_tables(self, document: TablesDocument) -> Tables:
         """Return the tables of a document; raises `BadDocumentError`."""
 
-    async def register(self, record: VmRecord, ttl_seconds: float) -> int:
-        """Write a record that lives as long as the lease that is returned."""
+    async def register(self, record: VmRecord) -> None:
+        """Write a VM's record in place of its former one."""
 
-    async def renew(self, lease: int) -> None:
-        """Keep a lease for another term; raises `LeaseEndedError`."""
-
-    async def withdraw(self, lease: int) -> None:
-        """End a lease, which removes the record."""
+    async def forget(self, listed: ListedVm) -> None:
+        """Remove a VM's record if it is still the one that was read."""
--- a/zinniaturn/fleet/vms.py
+++ b/zinniaturn/fleet/vms.py
@@ -15,6 +15,9 @@
 from zinniaturn.fleet.domain import VmRecord, VmStage
 
 _FORGET_SECONDS = 30.0
+_BEAT_SECONDS = 0.35
+_BEAT_SECONDS_A_VM = 0.01
+_BEATS_MISSED = 3.4
 
 
 @dataclass(slots=True)
@@ -32,13 +35,12 @@
     """
     Known VMs by name, without this one.
 
-    ``silence_seconds`` is how long a VM may be silent and still counts as
-    alive.
+    Heartbeats come the more seldom the more VMs there are, so that a VM's
+    cost grows with the fleet no more than its look-ups need.
     """
 
     own: VmRecord
     clock: Clock
-    silence_seconds: float = 1.2
     vms: dict[str, KnownVm] = field(default_factory=dict)
 
     def note_records(self, records: Iterable[VmRecord]) -> None:
@@ -66,10 +68,15 @@
             known.stage = stage
         return not was_alive
 
+    @property
+    def beat_seconds(self) -> float:
+        """Return the time between two heartbeats of a VM."""
+        return max(_BEAT_SECONDS, _BEAT_SECONDS_A_VM * self.most())
+
     def is_alive(self, known: KnownVm) -> bool:
         """Return whether a VM was heard a moment ago."""
         silent = self.clock.monotonic() - known.heard_at
-        return silent <= self.silence_seconds
+        return silent <= self.beat_seconds * _BEATS_MISSED
 
     def living(self) -> list[KnownVm]:
         """Return the VMs that are alive, without this one."""
@@ -108,6 +115,15 @@
             if each.stage is not VmStage.STOPPING
         )
 
+    def hears_most(self) -> bool:
+        """Return whether more than half of the known VMs are alive."""
+        return len(self.living()) * 2 >= len(self.vms)
+
+    def silent_since(self, name: str) -> float:
+        """Return when a VM was last heard."""
+        known = self.vms.get(name)
+        return known.heard_at if known else float('-inf')
+
     def most(self) -> int:
         """Return how many VMs may be alive, with this one."""
         return len(self.vms) + 1
--- a/zinniaturn/gateway/placer.py
+++ b/zinniaturn/gateway/placer.py
@@ -24,6 +24,8 @@
 from zinniaturn.tables.domain import Pool
 
 _UNHEALTHY_FACTOR = 3.0
+_GOOD_FACTOR = 1.4
+_USUAL_WORK = 0.1
 _POLL_SECONDS = 0.03
 _ASK_SAFETY = 0.85
 
@@ -34,7 +36,11 @@
     def __init__(self, state: GatewayState) -> None:
         self.state = state
         self.asker = Asker(state.connections, state.dialect)
-        self.asking = Asking(state.source)
+        self.asking = Asking(
+            state.source,
+            state.settings.name,
+            state.settings.data_center,
+        )
         self.work = WorkEstimates()
         self.returns = ReturnTimes(state.source)
         self.lines: dict[str, Line] = {}
@@ -120,33 +126,62 @@
             job.tried.clear()
         order = self.asking.order(untried or every, loop.time())
         budget = self._budget(job.pool, len(every))
-        first = self.asking.first
-        for group in (order[:first], order[first:]):
-            if not group or not budget.take(len(group)):
-                break
-            job.asked += len(group)
-            answers = await self.asker.ask(group, job.pool.health_path)
-            self._settle(line, answers)
-            if waiting.granted is not None:
-                return
+        first = order[: self.asking.first]
+        if budget.take(len(first)):
+            job.asked += len(first)
+            answers = await self.asker.ask(first, job.pool.health_path)
+            offers = self._offers(answers)
+            rest = order[self.asking.first :]
+            if not self._has_good(offers, waiting) and budget.take(len(rest)):
+                job.asked += len(rest)
+                offers.extend(await self._ask_more(rest, job.pool, offers))
+            self._settle(line, offers)
+        if waiting.granted is not None:
+            return
         if not any(each.memory.unanswered == 0 for each in order):
             self._settle_blind(line, order)
 
-    def _settle(self, line: Line, answers: Iterable[Asked]) -> None:
-        """Offer the servers that answered, the quickest first."""
-        now = asyncio.get_running_loop().time()
-        offers = [
-            Offer(
+    async def _ask_more(
+        self,
+        group: list[Candidate],
+        pool: Pool,
+        held: list[Offer],
+    ) -> list[Offer]:
+        """Ask further servers while earlier offers are held."""
+        try:
+            return self._offers(await self.asker.ask(group, pool.health_path))
+        except asyncio.CancelledError:
+            for offer in held:
+                self._return(offer)
+            raise
+
+    def _offers(self, answers: Iterable[Asked]) -> list[Offer]:
+        """Return the servers with room; keep the others' connections."""
+        offers = []
+        for each in answers:
+            offer = Offer(
                 each.candidate,
                 each.report,
                 each.connection,
                 each.is_healthy,
             )
-            for each in answers
-        ]
-        offers.sort(key=lambda offer: self._expect(0.1, offer, now))
+            if _has_room(offer):
+                offers.append(offer)
+            else:
+                self._return(offer)
+        return offers
+
+    def _has_good(self, offers: list[Offer], waiting: Waiting) -> bool:
+        """Return whether a server is about as quick as an idle one."""
+        good = waiting.work * _GOOD_FACTOR
+        return any(waiting.expect(offer) <= good for offer in offers)
+
+    def _settle(self, line: Line, offers: list[Offer]) -> None:
+        """Offer servers, the quickest first."""
+        now = asyncio.get_running_loop().time()
+        offers.sort(key=lambda offer: self._expect(_USUAL_WORK, offer, now))
         for offer in offers:
-            if not (_has_room(offer) and line.match(offer, now)):
+            if not line.match(offer, now):
                 self._return(offer)
 
     def _settle_blind(self, line: Line, order: list[Candidate]) -> None:
@@ -185,7 +220,7 @@
             budget = self._budget(pool, len(candidates))
             if line.waiting and group and budget.take(len(group)):
                 answers = await self.asker.ask(group, pool.health_path)
-                self._settle(line, answers)
+                self._settle(line, self._offers(answers))
                 line.note_round()
 
     def _budget(self, pool: Pool, servers: int) -> AskBudget:
--- a/zinniaturn/gateway/process.py
+++ b/zinniaturn/gateway/process.py
@@ -3,7 +3,6 @@
 __all__ = ('Gateway', 'run_gateway')
 
 import asyncio
-import contextlib
 import gc
 import random
 import signal
@@ -12,7 +11,7 @@
 
 from zinniaturn.clock import BootClock
 from zinniaturn.events.catalogue import LogEvent
-from zinniaturn.fleet.domain import VmRecord, VmStage
+from zinniaturn.fleet.domain import FleetReading, VmRecord, VmStage
 from zinniaturn.fleet.exceptions import FleetStoreError
 from zinniaturn.fleet.following import Registration, StateReader
 from zinniaturn.fleet.knowledge import Change, Knowledge
@@ -36,11 +35,11 @@
 from zinniaturn.placing.lookups import LookupAnswers
 
 _MILLISECONDS = 1000
+_SHOWN_ENTRIES = 5
 _TICK_SECONDS = 0.5
 _STOP_POLL_SECONDS = 0.05
 _SERVE_SHARE = 0.72
 _LAST_SHARE = 0.92
-_WITHDRAW_SECONDS = 0.5
 
 Reload = Callable[[], GatewaySettings | None]
 
@@ -83,10 +82,15 @@
             store,
             self.knowledge,
             self.vms,
-            ReadPacing(source),
+            ReadPacing.within(source, settings.bounds.follow_seconds),
         )
         self.reader.on_reply.append(self._note_reply)
-        self.registration = Registration(store, record, self._note_reply)
+        self.registration = Registration(
+            store,
+            self.vms,
+            self._note_reply,
+            clock,
+        )
         self.peers = PeerExchange(
             record,
             self.knowledge,
@@ -95,11 +99,12 @@
             lambda: self.state.stage,
             self._note_refused,
         )
-        self.reader.on_read.append(self.peers.send_beats)
+        self.reader.on_read.append(self._note_reading)
         self.dispatcher = Dispatcher(self.state)
         self.listeners: list[Listener] = []
         self.tasks: list[asyncio.Task[None]] = []
         self.store_failures = 0
+        self.unreadable: tuple[str, ...] = ()
 
     async def start(self) -> None:
         """Listen and begin to follow the store; raises `OSError`."""
@@ -139,10 +144,8 @@
             in_flight=self._in_flight(),
         )
         await self.peers.say_stopping()
-        withdrawal = asyncio.ensure_future(self._withdraw())
         await asyncio.sleep(seconds * _SERVE_SHARE)
         await self._finish_requests(began + seconds * _LAST_SHARE)
-        await withdrawal
         for task in self.tasks:
             task.cancel()
         self.peers.close()
@@ -177,7 +180,6 @@
     def _begin_tasks(self) -> None:
         work: tuple[Coroutine[None, None, None], ...] = (
             self.reader.run(),
-            self.registration.run(),
             self.peers.run(),
             self._tick(),
         )
@@ -206,11 +208,6 @@
     def _in_flight(self) -> int:
         return sum(each.in_flight for each in self.listeners)
 
-    async def _withdraw(self) -> None:
-        with contextlib.suppress(TimeoutError, FleetStoreError):
-            async with asyncio.timeout(_WITHDRAW_SECONDS):
-                await self.registration.withdraw()
-
     async def _tick(self) -> None:
         loop = asyncio.get_running_loop()
         heard: set[str] = set()
@@ -258,6 +255,18 @@
             routes=len(tables.routes),
         )
 
+    def _note_reading(self, reading: FleetReading) -> None:
+        self.registration.check(reading.vms)
+        self.peers.send_beats()
+        if reading.unreadable != self.unreadable:
+            self.unreadable = reading.unreadable
+            self.journal.write(
+                LogEvent.SERVERS_UNREADABLE,
+                revision=reading.revision,
+                entries=reading.unreadable[:_SHOWN_ENTRIES],
+                count=len(reading.unreadable),
+            )
+
     def _note_reply(self, error: FleetStoreError | None) -> None:
         if error is not None:
             self.store_failures += 1
--- a/zinniaturn/gateway/settings.py
+++ b/zinniaturn/gateway/settings.py
@@ -28,6 +28,11 @@
     second_send_window_seconds: float = 10.0
     asks_per_second: float = 60.0
 
+    @property
+    def follow_seconds(self) -> float:
+        """Return how soon a change in the store must be acted upon."""
+        return min(self.leaving_seconds, self.tables_seconds)
+
 
 @dataclass(frozen=True, slots=True)
 class GatewaySettings:
--- a/zinniaturn/placing/asking.py
+++ b/zinniaturn/placing/asking.py
@@ -9,6 +9,7 @@
 __all__ = ('AskBudget', 'Asking', 'Candidate')
 
 import random
+import zlib
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -35,15 +36,20 @@
 @dataclass(slots=True)
 class Asking:
     """
-    Picks servers to ask, at random and those in good standing first.
+    Picks servers to ask, those in good standing first, then the near ones.
 
-    ``first`` are asked at once and up to ``more`` further ones if the first
-    bring nothing good.
+    Near is a part of the servers in the VM's own data centre, the same ones
+    each time, so that connections to them stay open; within it the order is
+    random. ``first`` are asked at once and up to ``more`` further ones if the
+    first bring nothing good.
     """
 
     source: random.Random
+    vm: str
+    data_center: str
     first: int = 5
     more: int = 6
+    near: int = 8
 
     def order(
         self,
@@ -51,11 +57,26 @@
         now: float,
     ) -> list[Candidate]:
         """Return the servers in the order in which to ask them."""
+        near = self._near(candidates)
         shuffled = list(candidates)
         self.source.shuffle(shuffled)
-        shuffled.sort(key=lambda each: _standing(each.memory, now))
+        shuffled.sort(
+            key=lambda each: (
+                _standing(each.memory, now),
+                each.name not in near,
+            ),
+        )
         return shuffled[: self.first + self.more]
 
+    def _near(self, candidates: Sequence[Candidate]) -> set[str]:
+        own = [
+            each.name
+            for each in candidates
+            if each.registered.server.data_center == self.data_center
+        ]
+        own.sort(key=lambda name: zlib.crc32(f'{self.vm} {name}'.encode()))
+        return set(own[: self.near])
+
 
 def _standing(memory: ServerMemory, now: float) -> int:
     is_out = memory.out_until > now
--- a/zinniaturn/platform/store.py
+++ b/zinniaturn/platform/store.py
@@ -17,11 +17,12 @@
 
 from zinniaturn.fleet.domain import (
     FleetReading,
+    ListedVm,
     RegisteredServer,
     TablesDocument,
     VmRecord,
 )
-from zinniaturn.fleet.exceptions import FleetStoreError, LeaseEndedError
+from zinniaturn.fleet.exceptions import FleetStoreError
 from zinniaturn.http1.backend import Exchange
 from zinniaturn.http1.connections import Address, Connections
 from zinniaturn.http1.exceptions import ConnectFailedError, ExchangeBrokenError
@@ -36,8 +37,6 @@
 _CALL_SECONDS = 0.7
 _NO_FIELD = b'-'
 _OK = 200
-_NOT_FOUND = 404
-_MILLISECONDS = 1000
 
 
 class _Item(msgspec.Struct):
@@ -56,12 +55,7 @@
     current_rev: int
 
 
-class _Lease(msgspec.Struct):
-    lease: int
-
-
 _pages = msgspec.json.Decoder(_Page)
-_leases = msgspec.json.Decoder(_Lease)
 _records = msgspec.json.Decoder(VmRecord)
 
 
@@ -90,27 +84,25 @@
         """Return the tables of a document; raises `BadDocumentError`."""
         return decode_document(document)
 
-    async def register(self, record: VmRecord, ttl_seconds: float) -> int:
-        """Write a record that lives as long as the lease that is returned."""
-        body = {'ttl_ms': int(ttl_seconds * _MILLISECONDS)}
-        reply = await self._call(b'POST', '/kv-lease', body)
-        lease = _decoded(_leases, reply).lease
+    async def register(self, record: VmRecord) -> None:
+        """Write a VM's record in place of its former one."""
         value = base64.b64encode(msgspec.json.encode(record)).decode()
-        put = {'key': _VM_PREFIX + record.name, 'value': value, 'lease': lease}
+        put = {'key': _VM_PREFIX + record.name, 'value': value, 'lease': 0}
         await self._call(
             b'POST',
             '/kv-txn',
             {'expected_revision': [], 'puts': [put], 'remove': []},
         )
-        return lease
 
-    async def renew(self, lease: int) -> None:
-        """Keep a lease for another term; raises `LeaseEndedError`."""
-        await self._call(b'POST', f'/kv-keep/{lease}', {})
-
-    async def withdraw(self, lease: int) -> None:
-        """End a lease, which removes the record."""
-        await self._call(b'DELETE', f'/kv-lease-end/{lease}')
+    async def forget(self, listed: ListedVm) -> None:
+        """Remove a VM's record if it is still the one that was read."""
+        key = _VM_PREFIX + listed.record.name
+        expected = {'key': key, 'revision': listed.revision}
+        await self._call(
+            b'POST',
+            '/kv-txn',
+            {'expected_revision': [expected], 'puts': [], 'remove': [key]},
+        )
 
     async def _page(self, after: str) -> _Page:
         query = f'?prefix=&after={quote(after)}' if after else '?prefix='
@@ -167,8 +159,6 @@
 def _checked(path: str, reply: Response) -> Response:
     if reply.status == _OK:
         return reply
-    if reply.status == _NOT_FOUND:
-        raise LeaseEndedError(f'{path}: no such lease')
     raise FleetStoreError(f'{path}: status {reply.status}')
 
 
@@ -201,7 +191,7 @@
 
     document: TablesDocument | None = None
     servers: list[RegisteredServer] = field(default_factory=list)
-    vms: list[VmRecord] = field(default_factory=list)
+    vms: list[ListedVm] = field(default_factory=list)
     unreadable: list[str] = field(default_factory=list)
 
     def add(self, item: _Item) -> None:
@@ -213,4 +203,5 @@
             name = item.key.removeprefix(_SERVER_PREFIX)
             self.servers.append(decode_server(name, raw))
         elif item.key.startswith(_VM_PREFIX):
-            self.vms.append(_records.decode(raw))
+            record = _records.decode(raw)
+            self.vms.append(ListedVm(record, item.revision))
