Make the list of VMs part of the state; play the path in processes

Cause: the test in separate processes found that two VMs that had both started before the other's record was written never heard of each other, since neither read the store again. Change: the listed VMs belong to the state and its digest, so a change of the list reaches every VM as a drain does. Calls to the store come from the VM's own address.

--- /dev/null
+++ b/features/steps/platform_path_steps.py
@@ -0,0 +1,410 @@
+"""Steps of the whole path on the platform."""
+
+import asyncio
+import itertools
+import json
+import signal
+import tempfile
+
+from behave import given, then, when
+
+from features.support.gateway import (
+    HOST,
+    build_config,
+    build_route_row,
+    call,
+    read_answer,
+    request_text,
+    until,
+)
+from features.support.platform_processes import (
+    GatewayProcess,
+    build_settings,
+    free_ports,
+)
+from zinniaturn.platform.standins import (
+    ServerStandIn,
+    StoreFault,
+    StoreStandIn,
+)
+
+_PORTS = 4
+_LOOKUP = (
+    f'GET /resolve?name={HOST}&region=region&zone=dc-a HTTP/1.1\r\n'
+    f'Host: directory\r\n\r\n'
+).encode()
+_READY = b'GET /readyz HTTP/1.1\r\nHost: readiness\r\n\r\n'
+_ADDED = build_route_row('added', '/added/', 'idempotent')
+_USUAL = (
+    build_route_row('reads', '/reads/', 'idempotent', timeout_ms=4000),
+    build_route_row('posts', '/posts/', 'non_idempotent', timeout_ms=4000),
+)
+_RANGE_PATH = '/kv-range'
+_PATIENCE_SECONDS = 20
+
+
+def _run(context, coroutine):
+    return context.loop.run_until_complete(coroutine)
+
+
+def _vm(context, number):
+    return context.vms[number - 1]
+
+
+async def _status(address, text):
+    try:
+        answer = await call(address, text)
+    except (OSError, EOFError):
+        return 0
+    return answer[0]
+
+
+async def _eventually(expected, condition, *arguments):
+    """Wait until a coroutine function brings what is expected."""
+    loop = asyncio.get_running_loop()
+    until_time = loop.time() + _PATIENCE_SECONDS
+    while True:
+        found = await condition(*arguments)
+        if found == expected:
+            return
+        assert loop.time() < until_time, (found, expected)
+        await asyncio.sleep(0.05)
+
+
+async def _named(vm):
+    status, _, body = await call(vm.directory, _LOOKUP)
+    return len(json.loads(body)['addresses']) if status == 200 else 0
+
+
+@given('a store and servers "{first}" and "{second}"')
+def start_store(context, first, second):
+    async def start():
+        context.store = StoreStandIn()
+        await context.store.start()
+        context.closers.append(context.store.stop)
+        context.store.write('op/config', build_config(_USUAL))
+        context.servers = {}
+        for name in (first, second):
+            server = ServerStandIn(name)
+            await server.start()
+            context.closers.append(server.stop)
+            context.servers[name] = server
+            context.store.write(f'servers/{name}', server.entry())
+
+    _run(context, start())
+
+
+@given('gateway processes on VMs 1, 2 and 3')
+def start_gateways(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.folder = folder.name
+    ports = free_ports(_PORTS)
+    context.vms = [
+        GatewayProcess(folder.name, number, context.store.port, ports)
+        for number in (1, 2, 3)
+    ]
+    for vm in context.vms:
+        context.add_cleanup(vm.kill)
+        vm.start()
+    _run(context, _wait_for_all(context))
+
+
+async def _wait_for_all(context):
+    for vm in context.vms:
+        await _eventually(200, _status, vm.readiness, _READY)
+        await _eventually(len(context.vms), _named, vm)
+
+
+@given('the servers take {seconds:g} s')
+def set_work(context, seconds):
+    for server in context.servers.values():
+        server.work_seconds = seconds
+
+
+@when('VM {number:d} is killed')
+def kill_vm(context, number):
+    _vm(context, number).kill()
+
+
+@when('VM {number:d} is started again')
+def restart_vm(context, number):
+    _vm(context, number).start()
+
+
+@when('the VM that reads the store is killed')
+def kill_reader(context):
+    context.store.reads_by_host.clear()
+    _run(context, until(lambda: context.store.reads_by_host.total() > 4))
+    host, _ = context.store.reads_by_host.most_common(1)[0]
+    reader = next(vm for vm in context.vms if vm.host == host)
+    reader.kill()
+    context.vms.remove(reader)
+
+
+@when('VM {number:d} is told to stop while it answers a request')
+def stop_vm(context, number):
+    _signal_during(context, number, signal.SIGTERM)
+
+
+@when('VM {number:d} gets SIGHUP while it answers a request')
+def hang_up(context, number):
+    _signal_during(context, number, signal.SIGHUP)
+
+
+def _signal_during(context, number, kind):
+    vm = _vm(context, number)
+
+    async def send():
+        reader, writer = await asyncio.open_connection(*vm.front)
+        writer.write(request_text('POST', '/posts/1', wait_ms=4000))
+        await until(
+            lambda: any(each.running for each in context.servers.values()),
+        )
+        vm.signal(kind)
+        context.answer = await read_answer(reader)
+        if kind == signal.SIGTERM:
+            context.rest = await asyncio.wait_for(reader.read(), 10)
+        writer.transport.abort()
+
+    _run(context, send())
+
+
+@when(
+    'VM {number:d} is frozen for {seconds:g} s while "{name}" says that it '
+    'is leaving'
+)
+def freeze(context, number, seconds, name):
+    _vm(context, number).signal(signal.SIGSTOP)
+    leave(context, name)
+    _run(context, asyncio.sleep(seconds))
+    _vm(context, number).signal(signal.SIGCONT)
+
+
+@when('the operator adds the route "{prefix}"')
+def add_route(context, prefix):
+    rows = [*_USUAL, _ADDED]
+    context.store.write('op/config', build_config(rows, version='00000002'))
+
+
+@when('the operator removes the route "{prefix}"')
+def remove_route(context, prefix):
+    config = build_config(_USUAL, version='00000003')
+    context.store.write('op/config', config)
+
+
+@when("the operator's document is unreadable")
+def write_unreadable(context):
+    context.store.write('op/config', b'{"version": "00000009", "rou')
+    _run(context, asyncio.sleep(2))
+
+
+@when('"{name}" says that it is leaving')
+def leave(context, name):
+    entry = context.servers[name].entry('draining')
+    context.store.write(f'servers/{name}', entry)
+
+
+@when('the store is well again and "{name}" says that it is leaving')
+def mend_store(context, name):
+    context.store.faults.clear()
+    leave(context, name)
+
+
+@when('the store becomes {how} for all')
+def break_store(context, how):
+    context.store.faults[''] = StoreFault[how]
+
+
+@when('the store becomes {how} for VM {number:d}')
+def break_store_for(context, how, number):
+    host = _vm(context, number).host
+    context.store.faults[host] = StoreFault[how]
+
+
+@when('VMs {one:d} and {two:d} no longer read the store')
+def silence_store_for(context, one, two):
+    for number in (one, two):
+        break_store_for(context, 'SILENT', number)
+
+
+@when('VMs {one:d} and {two:d} read the store again')
+def mend_store_for(context, one, two):
+    for number in (one, two):
+        context.store.faults.pop(_vm(context, number).host)
+
+
+@when('{seconds:g} s pass')
+def pass_seconds(context, seconds):
+    context.calls_before = dict(context.store.calls)
+    context.passed = seconds
+    _run(context, asyncio.sleep(seconds))
+
+
+@when('entries of unusual shapes are in the store')
+def write_shapes(context):
+    good = context.servers['s-1'].entry()
+    shapes = [
+        b'',
+        b'\xff\xfe',
+        b'null',
+        b'[]',
+        b'{}',
+        {**good, 'address': 'nowhere'},
+        {**good, 'address': 7},
+        {**good, 'address': '127.0.0.1:99999999'},
+        {**good, 'state': 'asleep'},
+        {**good, 'capacity': 0},
+        {**good, 'capacity': 'many'},
+        {**good, 'service': None},
+        {**good, 'born': 'long ago'},
+    ]
+    for number, shape in enumerate(shapes):
+        context.store.write(f'servers/odd-{number}', shape)
+
+
+@when('a gateway is started with {kind} settings')
+def start_badly(context, kind):
+    ports = free_ports(_PORTS)
+    vm = GatewayProcess(context.folder, 9, context.store.port, ports)
+    settings = build_settings(vm.host, vm.name, context.store.port, ports)
+    texts = {
+        'cut short': json.dumps(settings)[:80],
+        'incomplete': json.dumps({**settings, 'ip': None}),
+        'wrong': json.dumps({**settings, 'port_range': 'none'}),
+    }
+    if kind == 'missing':
+        vm.settings_path.unlink()
+    else:
+        vm.settings_path.write_text(texts[kind])
+    vm.start()
+    context.bad_vm = vm
+    context.bad_status = vm.process.wait(_PATIENCE_SECONDS)
+
+
+@when('the settings of VM {number:d} are cut short')
+def cut_settings(context, number):
+    path = _vm(context, number).settings_path
+    path.write_text(path.read_text()[:50])
+
+
+@then('a look-up at each VM names {count:d} addresses')
+def check_lookups(context, count):
+    for vm in context.vms:
+        _run(context, _eventually(count, _named, vm))
+
+
+@then('a look-up at VM {number:d} names {count:d} addresses')
+def check_lookup(context, number, count):
+    vm = _vm(context, number)
+    _run(context, _eventually(count, _named, vm))
+
+
+@then('a request through each VM gets {status:d}')
+def check_requests(context, status):
+    for vm in context.vms:
+        assert _run(context, _status(vm.front, request_text())) == status
+
+
+@then('the request gets {status:d} and its connection is closed behind it')
+def check_last_answer(context, status):
+    assert context.answer[0] == status
+    assert context.answer[1]['connection'] == 'close'
+    assert context.rest == b''
+
+
+@then('the request gets {status:d}')
+def check_answer(context, status):
+    assert context.answer[0] == status
+
+
+@then(
+    'VM {number:d} is not ready, and look-ups at VM {other:d} name '
+    '{count:d} addresses'
+)
+def check_leaving(context, number, other, count):
+    vm = _vm(context, number)
+    assert _run(context, _status(vm.readiness, _READY)) == 503
+    check_lookup(context, other, count)
+
+
+@then('a request that still comes to VM {number:d} gets {status:d}')
+def check_late_request(context, number, status):
+    vm = _vm(context, number)
+    text = request_text(wait_ms=4000)
+    assert _run(context, _status(vm.front, text)) == status
+
+
+@then('VM {number:d} ends by itself with status {status:d}')
+def check_end(context, number, status):
+    process = _vm(context, number).process
+    assert process.wait(_PATIENCE_SECONDS) == status
+    stopped = [
+        row for row in _vm(context, number).rows() if row['event'] == 703
+    ]
+    assert stopped[0]['in_flight'] == 0
+
+
+@then(
+    'a request for "{target}" gets {status:d} through each VM within '
+    '{seconds:g} s'
+)
+def check_in_force(context, target, status, seconds):
+    async def check():
+        await asyncio.sleep(seconds)
+        for vm in context.vms:
+            text = request_text(target=target)
+            assert await _status(vm.front, text) == status
+
+    _run(context, check())
+
+
+def _arrivals(context):
+    return {name: each.arrivals for name, each in context.servers.items()}
+
+
+def _check_all_go_to(context, vms, count, name):
+    before = _arrivals(context)
+    for vm in itertools.islice(itertools.cycle(vms), count):
+        status = _run(context, _status(vm.front, request_text()))
+        assert status == 200, status
+    after = _arrivals(context)
+    gained = {key: after[key] - before[key] for key in after}
+    assert gained[name] >= count
+    assert sum(gained.values()) == gained[name], gained
+
+
+@then('{count:d} requests through the VMs all go to "{name}"')
+def check_drained(context, count, name):
+    _check_all_go_to(context, context.vms, count, name)
+
+
+@then('{count:d} requests through VM {number:d} all go to "{name}"')
+def check_drained_at(context, count, number, name):
+    _check_all_go_to(context, [_vm(context, number)], count, name)
+
+
+@then('the store was read at most {rate:d} times a second')
+def check_reads(context, rate):
+    before = context.calls_before.get(_RANGE_PATH, 0)
+    reads = context.store.calls[_RANGE_PATH] - before
+    assert 0 < reads <= rate * context.passed, reads
+
+
+@then('the log of VM {number:d} tells event {event:d}')
+def check_event(context, number, event):
+    assert event in {row['event'] for row in _vm(context, number).rows()}
+
+
+@then('the log of VM {number:d} or of another tells event {event:d}')
+def check_some_event(context, number, event):
+    events = {row['event'] for vm in context.vms for row in vm.rows()}
+    assert event in events
+
+
+@then('it ends with status {status:d} and says why with event {event:d}')
+def check_bad_start(context, status, event):
+    assert context.bad_status == status
+    rows = context.bad_vm.rows()
+    assert [row['event'] for row in rows] == [event]
+    assert rows[0]['reason']
--- a/features/support/gateway.py
+++ b/features/support/gateway.py
@@ -201,7 +201,7 @@
         )
         gateway = Gateway(
             settings,
-            PlatformStore(settings.store),
+            PlatformStore(settings.store, host),
             PlatformDialect(),
             ListedJournal(),
         )
--- a/zinniaturn/fleet/following.py
+++ b/zinniaturn/fleet/following.py
@@ -64,7 +64,6 @@
             return
         self.pacing.failures = 0
         self._tell(None)
-        self.vms.note_records(each.record for each in reading.vms)
         self.knowledge.install(reading, asked_at)
         for listener in self.on_read:
             listener(reading)
--- a/zinniaturn/fleet/knowledge.py
+++ b/zinniaturn/fleet/knowledge.py
@@ -16,6 +16,7 @@
 from zinniaturn.clock import Clock
 from zinniaturn.fleet.domain import (
     FleetReading,
+    ListedVm,
     RegisteredServer,
     TablesDocument,
 )
@@ -38,11 +39,13 @@
     leaving: tuple[str, ...] = ()
     gone: tuple[str, ...] = ()
     refused: str = ''
+    listed_vms_changed: bool = False
 
     def __bool__(self) -> bool:
         """Return whether anything has changed."""
         changed = self.joined or self.leaving or self.gone or self.refused
-        return bool(changed) or self.tables_revision is not None
+        has_tables = self.tables_revision is not None
+        return bool(changed) or has_tables or self.listed_vms_changed
 
 
 @dataclass(slots=True)
@@ -61,6 +64,7 @@
     document: TablesDocument | None = None
     tables: Tables | None = None
     servers: dict[str, RegisteredServer] = field(default_factory=dict)
+    vms: tuple[ListedVm, ...] = ()
     lapsed: dict[str, float] = field(default_factory=dict)
     digest: int = 0
     observers: list[Callable[[Change], None]] = field(default_factory=list)
@@ -88,6 +92,8 @@
         self.revision = reading.revision
         self.confirmed_at = max(self.confirmed_at, asked_at)
         tables_revision, refused = self._take_document(reading.document)
+        listed_vms_changed = self.vms != reading.vms
+        self.vms = reading.vms
         known = self.servers
         self.servers = self._merge(reading.servers, was_away, now)
         self._renew_digest()
@@ -99,6 +105,7 @@
                 leaving=_turned_leaving(known, self.servers),
                 gone=tuple(name for name in known if name not in self.servers),
                 refused=refused,
+                listed_vms_changed=listed_vms_changed,
             ),
         )
 
@@ -170,7 +177,11 @@
             if name not in self.lapsed
         )
         held = self.document.revision if self.document else 0
-        self.digest = zlib.crc32(msgspec.msgpack.encode((held, rows)))
+        vms = sorted(
+            (each.record.name, each.record.front, each.record.exchange)
+            for each in self.vms
+        )
+        self.digest = zlib.crc32(msgspec.msgpack.encode((held, rows, vms)))
 
     def _tell(self, change: Change) -> Change:
         if change:
--- a/zinniaturn/fleet/messages.py
+++ b/zinniaturn/fleet/messages.py
@@ -19,6 +19,7 @@
 
 from zinniaturn.fleet.domain import (
     FleetReading,
+    ListedVm,
     RegisteredServer,
     TablesDocument,
     VmRecord,
@@ -60,6 +61,7 @@
     tables_revision: int
     raw_tables: bytes
     servers: list[tuple[Server, str, int, float]]
+    vms: tuple[ListedVm, ...] = ()
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -110,6 +112,7 @@
             for name, each in knowledge.servers.items()
             if name not in knowledge.lapsed
         ],
+        knowledge.vms,
     )
 
 
@@ -122,4 +125,5 @@
         state.revision,
         document,
         tuple(RegisteredServer(*row) for row in state.servers),
+        state.vms,
     )
--- a/zinniaturn/fleet/vms.py
+++ b/zinniaturn/fleet/vms.py
@@ -8,7 +8,7 @@
 __all__ = ('KnownVm', 'VmTable')
 
 import zlib
-from collections.abc import Iterable
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from zinniaturn.clock import Clock
@@ -27,7 +27,6 @@
     record: VmRecord
     stage: VmStage = VmStage.STARTING
     heard_at: float = float('-inf')
-    listed_at: float = float('-inf')
 
 
 @dataclass(slots=True)
@@ -42,16 +41,17 @@
     own: VmRecord
     clock: Clock
     vms: dict[str, KnownVm] = field(default_factory=dict)
+    listed: set[str] = field(default_factory=set)
 
-    def note_records(self, records: Iterable[VmRecord]) -> None:
+    def note_records(self, records: Collection[VmRecord]) -> None:
         """Take over what the store lists; forget what is long gone."""
-        now = self.clock.monotonic()
+        self.listed = {record.name for record in records}
         for record in records:
             if record.name != self.own.name:
-                self._known(record).listed_at = now
-        oldest = now - _FORGET_SECONDS
+                self._known(record)
+        oldest = self.clock.monotonic() - _FORGET_SECONDS
         for name, known in list(self.vms.items()):
-            if max(known.heard_at, known.listed_at) < oldest:
+            if name not in self.listed and known.heard_at < oldest:
                 self.vms.pop(name)
 
     def note_beat(self, record: VmRecord, stage: VmStage) -> bool:
--- a/zinniaturn/gateway/process.py
+++ b/zinniaturn/gateway/process.py
@@ -223,6 +223,7 @@
 
     def _note_change(self, change: Change) -> None:
         was_starting = self.state.stage is VmStage.STARTING
+        self.vms.note_records([each.record for each in self.knowledge.vms])
         self.state.install(change)
         if change.refused:
             self.journal.write(
--- a/zinniaturn/http1/connections.py
+++ b/zinniaturn/http1/connections.py
@@ -35,9 +35,14 @@
 
 
 class Connections:
-    """Idle connections by address, the last used taken first."""
+    """
+    Idle connections by address, the last used taken first.
+
+    They are opened from ``own_host``, if one is given.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, own_host: str = '') -> None:
+        self.own = (own_host, 0) if own_host else None
         self.idle: dict[Address, list[BackendConnection]] = {}
         self.opened = 0
 
@@ -64,6 +69,7 @@
                 transport, protocol = await loop.create_connection(
                     lambda: BackendConnection(loop),
                     *address,
+                    local_addr=self.own,
                 )
         except (TimeoutError, OSError) as error:
             raise ConnectFailedError(repr(error)) from error
--- a/zinniaturn/platform/running.py
+++ b/zinniaturn/platform/running.py
@@ -30,7 +30,7 @@
         journal.write(LogEvent.SETTINGS_REFUSED, True, reason=str(error))
         sys.exit(_USAGE_STATUS)
     journal.vm = settings.name
-    store = PlatformStore(settings.store)
+    store = PlatformStore(settings.store, settings.host)
     changes = _Changes(path, metrics_port, settings, journal)
 
     def reload() -> GatewaySettings | None:
--- a/zinniaturn/platform/standins/store.py
+++ b/zinniaturn/platform/standins/store.py
@@ -6,6 +6,7 @@
 import base64
 import itertools
 import time
+from collections import Counter
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from types import MappingProxyType
@@ -21,6 +22,7 @@
 from zinniaturn.tables.domain import CallerLimits
 
 _PAGE_ITEMS = 500
+_RANGE_PATH = '/kv-range'
 _MILLISECONDS = 1000
 _PROTECTED = ('op/', 'servers/')
 _FAULT_STATUSES = MappingProxyType(
@@ -44,7 +46,8 @@
     Keys, leases and revisions on a loopback address.
 
     ``faults`` holds what befalls the calls of a host, or of all under ``''``.
-    ``calls`` counts what was asked for, by path.
+    ``calls`` counts what was asked for, by path, and ``reads_by_host`` the
+    ranges that were read.
     """
 
     listener: Listener = field(init=False)
@@ -56,6 +59,7 @@
     limits: CallerLimits = field(default_factory=CallerLimits)
     is_stopping: bool = False
     page_items: int = _PAGE_ITEMS
+    reads_by_host: Counter[str] = field(default_factory=Counter)
     numbers: 'itertools.count[int]' = field(
         default_factory=lambda: itertools.count(1),
     )
@@ -94,7 +98,9 @@
         path, _, query = exchange.request.target.decode().partition('?')
         self.calls[path] = self.calls.get(path, 0) + 1
         self._expire()
-        fault = self._fault_of(exchange)
+        host = _host_of(exchange)
+        self.reads_by_host[host] += path == _RANGE_PATH
+        fault = self._fault_of(host)
         status = _FAULT_STATUSES.get(fault) if fault else None
         if status is not None:
             return Response(status, b'', [])
@@ -107,10 +113,7 @@
             return _silence()
         return reply
 
-    def _fault_of(self, exchange: Exchange) -> StoreFault | None:
-        transport = exchange.connection.transport
-        assert transport is not None
-        host = transport.get_extra_info('peername')[0]
+    def _fault_of(self, host: str) -> StoreFault | None:
         return self.faults.get('', self.faults.get(host))
 
     def _serve(
@@ -225,6 +228,12 @@
         }
 
 
+def _host_of(exchange: Exchange) -> str:
+    transport = exchange.connection.transport
+    assert transport is not None
+    return str(transport.get_extra_info('peername')[0])
+
+
 def _reply(body: dict[str, Any], status: int = 200) -> Response:
     fields = [(b'Content-Type', b'application/json')]
     return Response(status, b'', fields, msgspec.json.encode(body))
--- a/zinniaturn/platform/store.py
+++ b/zinniaturn/platform/store.py
@@ -62,9 +62,9 @@
 class PlatformStore:
     """A client of the store; calls raise `FleetStoreError`."""
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, own_host: str) -> None:
         self.address = address
-        self.connections = Connections()
+        self.connections = Connections(own_host)
         self.calls = 0
 
     async def read_fleet(self) -> FleetReading:
