--- a/zinniaturn/gateway/attempts.py
+++ b/zinniaturn/gateway/attempts.py
@@ -80,6 +80,8 @@
         job.servers.append(name)
         job.attempts += 1
         job.report = placement.report
+        if job.first_sent_at is None:
+            job.first_sent_at = asyncio.get_running_loop().time()
         job.expected = placement.expected
         return asyncio.ensure_future(self._send(job, placement))
 
--- a/zinniaturn/gateway/dispatch.py
+++ b/zinniaturn/gateway/dispatch.py
@@ -164,6 +164,10 @@
             outcome=outcome,
             status=status,
             milliseconds=round((now - job.arrived_at) * _MILLISECONDS, 1),
+            waited_ms=round(
+                ((job.first_sent_at or now) - job.arrived_at) * _MILLISECONDS,
+                1,
+            ),
             servers=job.servers,
             asked=job.asked,
             load=report
--- a/zinniaturn/gateway/jobs.py
+++ b/zinniaturn/gateway/jobs.py
@@ -33,6 +33,7 @@
     attempts: int = 0
     elapsed: float = 0
     asked: int = 0
+    first_sent_at: float | None = None
     tried: set[str] = field(default_factory=set)
     known: Verdict | None = None
     servers: list[str] = field(default_factory=list)
--- a/zinniaturn/gateway/placer.py
+++ b/zinniaturn/gateway/placer.py
@@ -17,7 +17,7 @@
 from zinniaturn.gateway.jobs import Job, Placement
 from zinniaturn.gateway.state import GatewayState
 from zinniaturn.http1.backend import BackendConnection
-from zinniaturn.placing.asking import AskBudget, Asking, Candidate
+from zinniaturn.placing.asking import AskBudgets, Asking, Candidate
 from zinniaturn.placing.expecting import WorkEstimates, expected_seconds
 from zinniaturn.placing.line import Line, Offer, Waiting, best_concurrency
 from zinniaturn.placing.returning import ReturnTimes
@@ -27,7 +27,8 @@
 _GOOD_FACTOR = 1.4
 _USUAL_WORK = 0.1
 _POLL_SECONDS = 0.03
-_ASK_SAFETY = 0.85
+_ASK_SAFETY = 0.9
+_SPARE_ROUNDS = 4
 
 
 class Placer:
@@ -44,7 +45,7 @@
         self.work = WorkEstimates()
         self.returns = ReturnTimes(state.source)
         self.lines: dict[str, Line] = {}
-        self.budgets: dict[str, AskBudget] = {}
+        self.budgets = AskBudgets(state.started_at)
         self.polls: dict[str, asyncio.Task[None]] = {}
 
     async def place(self, job: Job) -> Placement:
@@ -125,14 +126,15 @@
         if not untried:
             job.tried.clear()
         order = self.asking.order(untried or every, loop.time())
-        budget = self._budget(job.pool, len(every))
         first = order[: self.asking.first]
-        if budget.take(len(first)):
+        if self._may_ask(job.pool, len(first)):
             job.asked += len(first)
             answers = await self.asker.ask(first, job.pool.health_path)
             offers = self._offers(answers)
             rest = order[self.asking.first :]
-            if not self._has_good(offers, waiting) and budget.take(len(rest)):
+            if not self._has_good(offers, waiting) and self._may_ask(
+                job.pool, len(rest)
+            ):
                 job.asked += len(rest)
                 offers.extend(await self._ask_more(rest, job.pool, offers))
             self._settle(line, offers)
@@ -216,22 +218,21 @@
             line.refuse_hopeless(loop.time())
             candidates = self.candidates(pool)
             order = self.asking.order(candidates, loop.time())
-            group = order[: max(1, min(len(line.waiting), self.asking.first))]
-            budget = self._budget(pool, len(candidates))
-            if line.waiting and group and budget.take(len(group)):
+            group = order[: self.asking.first]
+            spare = self.asking.first * _SPARE_ROUNDS
+            if line.waiting and self._may_ask(pool, len(group), spare):
                 answers = await self.asker.ask(group, pool.health_path)
                 self._settle(line, self._offers(answers))
                 line.note_round()
 
-    def _budget(self, pool: Pool, servers: int) -> AskBudget:
+    def _may_ask(self, pool: Pool, count: int, spare: int = 0) -> bool:
+        """Take questions from the budget; return whether there were any."""
+        state = self.state
+        allowed = state.settings.bounds.asks_per_second * _ASK_SAFETY
+        sizes = {name: len(each) for name, each in state.pools.items()}
         now = asyncio.get_running_loop().time()
-        budget = self.budgets.get(pool.name)
-        if budget is None:
-            budget = AskBudget(self.state.started_at)
-            self.budgets[pool.name] = budget
-        allowed = self.state.settings.bounds.asks_per_second * _ASK_SAFETY
-        budget.refill(allowed * servers / self.state.vms.most(), now)
-        return budget
+        self.budgets.refill(allowed / state.vms.most(), sizes, now)
+        return count > 0 and self.budgets.take(pool.name, count, spare)
 
     def _return(self, offer: Offer) -> None:
         if offer.connection is not None:
--- a/zinniaturn/placing/asking.py
+++ b/zinniaturn/placing/asking.py
@@ -6,18 +6,19 @@
 where none of those can serve the request soon.
 """
 
-__all__ = ('AskBudget', 'Asking', 'Candidate')
+__all__ = ('AskBudget', 'AskBudgets', 'Asking', 'Candidate')
 
 import random
 import zlib
-from collections.abc import Sequence
-from dataclasses import dataclass
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
 
 from zinniaturn.fleet.domain import RegisteredServer
 from zinniaturn.placing.memory import ServerMemory
 
 _UNANSWERED_OUT = 2
 _SAVED_SECONDS = 6.0
+_MOST_OF_SHARE = 2.0
 
 
 @dataclass(slots=True)
@@ -109,7 +110,49 @@
 
     def take(self, count: int) -> bool:
         """Take some questions; return whether there were as many."""
-        if self.saved < count:
+        if not self.has(count):
             return False
         self.saved -= count
         return True
+
+    def has(self, count: int) -> bool:
+        """Return whether so many questions may be asked."""
+        return self.saved >= count
+
+
+@dataclass(slots=True)
+class AskBudgets:
+    """
+    One VM's questions to the servers of all pools.
+
+    The fleet's bound is a mean over all servers. A busy pool may use what
+    quiet ones leave, up to twice its servers' own share.
+    """
+
+    started_at: float
+    pools: dict[str, AskBudget] = field(default_factory=dict)
+    whole: AskBudget = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Begin with nothing saved."""
+        self.whole = AskBudget(self.started_at)
+
+    def refill(
+        self, a_server: float, sizes: Mapping[str, int], now: float
+    ) -> None:
+        """Add what was earned, given the questions a second to a server."""
+        self.whole.refill(a_server * sum(sizes.values()), now)
+        for pool, servers in sizes.items():
+            budget = self.pools.setdefault(pool, AskBudget(self.started_at))
+            budget.refill(a_server * servers * _MOST_OF_SHARE, now)
+
+    def take(self, pool: str, count: int, spare: int = 0) -> bool:
+        """
+        Take some questions to a pool; return whether there were as many.
+
+        ``spare`` of the whole are left for more urgent ones.
+        """
+        budget = self.pools.get(pool)
+        if budget is None or not self.whole.has(count + spare):
+            return False
+        return budget.take(count) and self.whole.take(count)
