--- a/zinniaturn/placing/asking.py
+++ b/zinniaturn/placing/asking.py
@@ -18,6 +18,8 @@
 
 _UNANSWERED_OUT = 2
 _SAVED_SECONDS = 6.0
+_REPORT_HOLDS_SECONDS = 0.12
+_SLOW = 1.5
 _MOST_OF_SHARE = 2.0
 
 
@@ -64,6 +66,7 @@
         shuffled.sort(
             key=lambda each: (
                 _standing(each.memory, now),
+                _seemed_slow(each.memory, now),
                 each.name not in near,
             ),
         )
@@ -79,6 +82,14 @@
         return set(own[: self.near])
 
 
+def _seemed_slow(memory: ServerMemory, now: float) -> bool:
+    """Return whether the server was slow or full a moment ago."""
+    report = memory.report
+    if report is None or now - memory.reported_at > _REPORT_HOLDS_SECONDS:
+        return False
+    return report.slowness > _SLOW or report.total >= report.slots
+
+
 def _standing(memory: ServerMemory, now: float) -> int:
     is_out = memory.out_until > now
     return is_out * 2 + (memory.unanswered >= _UNANSWERED_OUT)
