--- a/features/steps/fleet_knowledge_steps.py
+++ b/features/steps/fleet_knowledge_steps.py
@@ -23,7 +23,7 @@
     reading_of,
     state_of,
 )
-from zinniaturn.tables.domain import Tables
+from zinniaturn.fleet.tables import FleetTables
 
 _UNREADABLE = b'unreadable'
 
@@ -31,7 +31,7 @@
 def _decode(document):
     if document.raw == _UNREADABLE:
         raise BadDocumentError('no JSON')
-    return Tables(document.revision)
+    return FleetTables(document.revision)
 
 
 def _hold(context, reading):
--- a/features/steps/placing_steps.py
+++ b/features/steps/placing_steps.py
@@ -13,6 +13,7 @@
 from zinniaturn.fleet.domain import ListedVm, VmStage
 from zinniaturn.fleet.following import Registration
 from zinniaturn.fleet.pacing import ReadPacing
+from zinniaturn.fleet.tables import FleetRoute, PoolShare
 from zinniaturn.fleet.vms import VmTable
 from zinniaturn.placing.allowance import SecondSends
 from zinniaturn.placing.asking import AskBudget, Asking
@@ -20,7 +21,6 @@
 from zinniaturn.placing.hedging import second_send_delay
 from zinniaturn.placing.line import Line, Offer, Waiting, best_concurrency
 from zinniaturn.placing.spreading import Spreader
-from zinniaturn.tables.domain import PoolShare, Route
 
 _NOW = 100.0
 _WORK_SECONDS = 0.1
@@ -315,7 +315,7 @@
 @given('a route that splits its requests {large:d} to {small:d}')
 def split_route(context, large, small):
     shares = (PoolShare('large', large), PoolShare('small', small))
-    context.route = Route('r', '', shares=shares)
+    context.route = FleetRoute('r', '', shares=shares)
     context.weight = small / (large + small)
     context.spreaders = [Spreader(seeded(number)) for number in range(13)]
 
@@ -338,7 +338,7 @@
 @when('its requests go to one pool only')
 def change_route(context):
     spread(context, 13, 3)
-    context.route = Route('r', 'large')
+    context.route = FleetRoute('r', 'large')
     spread(context, 13, 10)
 
 
--- a/features/support/gateway.py
+++ b/features/support/gateway.py
@@ -12,6 +12,7 @@
     VmRecord,
 )
 from zinniaturn.fleet.knowledge import Knowledge
+from zinniaturn.fleet.tables import FleetTables
 from zinniaturn.gateway.journal import Journal
 from zinniaturn.gateway.process import Gateway
 from zinniaturn.gateway.settings import FleetBounds, GatewaySettings
@@ -21,7 +22,7 @@
 from zinniaturn.platform.dialect import PlatformDialect
 from zinniaturn.platform.standins import StoreStandIn
 from zinniaturn.platform.store import PlatformStore
-from zinniaturn.tables.domain import Server, Tables
+from zinniaturn.tables.domain import Server
 
 HOST = 'shop.example'
 _PATIENCE_SECONDS = 10
@@ -62,7 +63,7 @@
     """Return an empty knowledge."""
     return Knowledge(
         clock or ManualClock(100),
-        decode or (lambda document: Tables(document.revision)),
+        decode or (lambda document: FleetTables(document.revision)),
     )
 
 
--- a/zinniaturn/fleet/knowledge.py
+++ b/zinniaturn/fleet/knowledge.py
@@ -21,12 +21,12 @@
     TablesDocument,
 )
 from zinniaturn.fleet.exceptions import BadDocumentError
-from zinniaturn.tables.domain import Tables
+from zinniaturn.fleet.tables import FleetTables
 
 _OUTAGE_SECONDS = 3.0
 _RETURN_SECONDS = 2.0
 
-Decoder = Callable[[TablesDocument], Tables]
+Decoder = Callable[[TablesDocument], FleetTables]
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,7 +62,7 @@
     revision: int = 0
     confirmed_at: float = float('-inf')
     document: TablesDocument | None = None
-    tables: Tables | None = None
+    tables: FleetTables | None = None
     servers: dict[str, RegisteredServer] = field(default_factory=dict)
     vms: tuple[ListedVm, ...] = ()
     lapsed: dict[str, float] = field(default_factory=dict)
--- a/zinniaturn/fleet/peers.py
+++ b/zinniaturn/fleet/peers.py
@@ -28,8 +28,8 @@
 from zinniaturn.http1.callers import Exchange as CallerExchange
 from zinniaturn.http1.connections import Connections
 from zinniaturn.http1.exceptions import ConnectFailedError, ExchangeBrokenError
+from zinniaturn.http1.limits import CallerLimits
 from zinniaturn.http1.messages import Response
-from zinniaturn.tables.domain import CallerLimits
 
 _FETCH_SECONDS = 0.4
 _TRANSIT_SECONDS = 0.005
--- a/zinniaturn/fleet/port.py
+++ b/zinniaturn/fleet/port.py
@@ -14,7 +14,7 @@
     TablesDocument,
     VmRecord,
 )
-from zinniaturn.tables.domain import Tables
+from zinniaturn.fleet.tables import FleetTables
 
 
 class FleetStore(Protocol):
@@ -27,7 +27,7 @@
     async def read_fleet(self) -> FleetReading:
         """Return all that the store holds, never from a stale copy."""
 
-    def decode_tables(self, document: TablesDocument) -> Tables:
+    def decode_tables(self, document: TablesDocument) -> FleetTables:
         """Return the tables of a document; raises `BadDocumentError`."""
 
     async def register(self, record: VmRecord) -> None:
--- a/zinniaturn/gateway/dispatch.py
+++ b/zinniaturn/gateway/dispatch.py
@@ -7,17 +7,18 @@
 
 from zinniaturn.choosing.exceptions import RefusedError
 from zinniaturn.events.catalogue import LogEvent
+from zinniaturn.fleet.tables import FleetPool
 from zinniaturn.gateway.attempts import AttemptRunner
 from zinniaturn.gateway.jobs import Job
 from zinniaturn.gateway.placer import Placer
 from zinniaturn.gateway.refusals import refusal
 from zinniaturn.gateway.state import GatewayState
 from zinniaturn.http1.callers import Exchange as CallerExchange
+from zinniaturn.http1.limits import CallerLimits
 from zinniaturn.http1.messages import Request, Response, find_field
 from zinniaturn.outcomes import Event, Outcome, Phase, combine, decide
 from zinniaturn.placing.elapsed import ElapsedTimes
 from zinniaturn.placing.spreading import Spreader
-from zinniaturn.tables.domain import CallerLimits, Pool
 
 _FIRST_FAILURE = 400
 _NOT_READY_SECONDS = 0.3
@@ -58,7 +59,7 @@
         if route is None:
             return self._refuse_early(request, 'no-route', None)
         name = self.spreader.pool_of(route)
-        pool = tables.pools.get(name, Pool(name, ()))
+        pool = tables.pools.get(name, FleetPool(name, ()))
         seconds = self.state.dialect.caller_seconds(request.fields)
         limit = min(route.deadline_seconds, seconds or route.deadline_seconds)
         job = Job(
--- a/zinniaturn/gateway/jobs.py
+++ b/zinniaturn/gateway/jobs.py
@@ -6,11 +6,11 @@
 from dataclasses import dataclass, field
 
 from zinniaturn.choosing.reports import LoadReport
+from zinniaturn.fleet.tables import FleetPool, FleetRoute
 from zinniaturn.http1.backend import BackendConnection
 from zinniaturn.http1.messages import Request
 from zinniaturn.outcomes import Verdict
 from zinniaturn.placing.asking import Candidate
-from zinniaturn.tables.domain import Pool, Route
 
 
 @dataclass(slots=True)
@@ -25,8 +25,8 @@
 
     request: Request
     request_id: str
-    route: Route
-    pool: Pool
+    route: FleetRoute
+    pool: FleetPool
     arrived_at: float
     deadline: float
     idempotent: bool
--- a/zinniaturn/gateway/placer.py
+++ b/zinniaturn/gateway/placer.py
@@ -13,6 +13,7 @@
 
 from zinniaturn.choosing.exceptions import RefusedError
 from zinniaturn.choosing.reports import LoadReport
+from zinniaturn.fleet.tables import FleetPool
 from zinniaturn.gateway.asker import Asked, Asker
 from zinniaturn.gateway.jobs import Job, Placement
 from zinniaturn.gateway.state import GatewayState
@@ -21,7 +22,6 @@
 from zinniaturn.placing.expecting import WorkEstimates, expected_seconds
 from zinniaturn.placing.line import Line, Offer, Waiting, best_concurrency
 from zinniaturn.placing.returning import ReturnTimes
-from zinniaturn.tables.domain import Pool
 
 _UNHEALTHY_FACTOR = 3.0
 _GOOD_FACTOR = 1.4
@@ -87,7 +87,7 @@
             )
         return _placement(waiting, waiting.granted)
 
-    def candidates(self, pool: Pool) -> list[Candidate]:
+    def candidates(self, pool: FleetPool) -> list[Candidate]:
         """Return the servers of a pool that may get new requests."""
         return [
             candidate
@@ -146,7 +146,7 @@
     async def _ask_more(
         self,
         group: list[Candidate],
-        pool: Pool,
+        pool: FleetPool,
         held: list[Offer],
     ) -> list[Offer]:
         """Ask further servers while earlier offers are held."""
@@ -201,14 +201,14 @@
             expected *= _UNHEALTHY_FACTOR
         return expected
 
-    def _poll(self, pool: Pool) -> None:
+    def _poll(self, pool: FleetPool) -> None:
         """Keep asking while requests wait."""
         if pool.name not in self.polls:
             task = asyncio.ensure_future(self._keep_asking(pool))
             self.polls[pool.name] = task
             task.add_done_callback(lambda _: self.polls.pop(pool.name))
 
-    async def _keep_asking(self, pool: Pool) -> None:
+    async def _keep_asking(self, pool: FleetPool) -> None:
         line = self.line(pool.name)
         loop = asyncio.get_running_loop()
         while line.waiting:
@@ -225,7 +225,7 @@
                 self._settle(line, self._offers(answers))
                 line.note_round()
 
-    def _may_ask(self, pool: Pool, count: int, spare: int = 0) -> bool:
+    def _may_ask(self, pool: FleetPool, count: int, spare: int = 0) -> bool:
         """Take questions from the budget; return whether there were any."""
         state = self.state
         allowed = state.settings.bounds.asks_per_second * _ASK_SAFETY
--- a/zinniaturn/gateway/services.py
+++ b/zinniaturn/gateway/services.py
@@ -8,9 +8,9 @@
 from zinniaturn.fleet.domain import VmStage
 from zinniaturn.gateway.state import GatewayState
 from zinniaturn.http1.callers import Exchange
+from zinniaturn.http1.limits import CallerLimits
 from zinniaturn.http1.messages import Response
 from zinniaturn.placing.lookups import LookupAnswers
-from zinniaturn.tables.domain import CallerLimits
 
 _METRICS_TYPE = (b'Content-Type', b'text/plain; version=0.0.4')
 
--- a/zinniaturn/gateway/state.py
+++ b/zinniaturn/gateway/state.py
@@ -8,6 +8,7 @@
 from zinniaturn.events.catalogue import LogEvent
 from zinniaturn.fleet.domain import VmStage
 from zinniaturn.fleet.knowledge import Change, Knowledge
+from zinniaturn.fleet.tables import FleetRoute
 from zinniaturn.fleet.vms import VmTable
 from zinniaturn.gateway.counters import Counters
 from zinniaturn.gateway.dialect import Dialect
@@ -34,7 +35,7 @@
     stage: VmStage = VmStage.STARTING
     connections: Connections = field(default_factory=Connections)
     counters: Counters = field(default_factory=Counters)
-    matcher: RouteMatcher = field(default_factory=RouteMatcher)
+    matcher: RouteMatcher[FleetRoute] = field(default_factory=RouteMatcher)
     pools: dict[str, dict[str, Candidate]] = field(default_factory=dict)
     second_sends: dict[str, SecondSends] = field(default_factory=dict)
 
--- a/zinniaturn/http1/callers.py
+++ b/zinniaturn/http1/callers.py
@@ -15,13 +15,13 @@
 
 import httptools
 
+from zinniaturn.http1.limits import CallerLimits
 from zinniaturn.http1.messages import (
     Fields,
     Request,
     Response,
     response_bytes,
 )
-from zinniaturn.tables.domain import CallerLimits
 
 _MOST_WAITING = 32
 _SWEEP_SECONDS = 0.5
--- a/zinniaturn/placing/spreading.py
+++ b/zinniaturn/placing/spreading.py
@@ -5,7 +5,7 @@
 import random
 from dataclasses import dataclass, field
 
-from zinniaturn.tables.domain import Route
+from zinniaturn.fleet.tables import FleetRoute
 
 
 @dataclass(slots=True)
@@ -21,7 +21,7 @@
     source: random.Random
     credits: dict[str, dict[str, float]] = field(default_factory=dict)
 
-    def pool_of(self, route: Route) -> str:
+    def pool_of(self, route: FleetRoute) -> str:
         """Return the pool that a request of the route goes to."""
         if not route.shares:
             return route.pool
--- a/zinniaturn/platform/documents.py
+++ b/zinniaturn/platform/documents.py
@@ -8,13 +8,13 @@
 
 from zinniaturn.fleet.domain import TablesDocument
 from zinniaturn.fleet.exceptions import BadDocumentError
-from zinniaturn.tables.domain import (
-    CallerLimits,
-    Pool,
+from zinniaturn.fleet.tables import (
+    FleetPool,
+    FleetRoute,
+    FleetTables,
     PoolShare,
-    Route,
-    Tables,
 )
+from zinniaturn.http1.limits import CallerLimits
 
 # Kinds of routes whose requests may run more than once.
 _REPEATABLE = frozenset(('idempotent', 'download'))
@@ -70,7 +70,7 @@
 _decoder = msgspec.json.Decoder(_Document)
 
 
-def decode_document(document: TablesDocument) -> Tables:
+def decode_document(document: TablesDocument) -> FleetTables:
     """Return the tables of a document; raises `BadDocumentError`."""
     try:
         decoded = _decoder.decode(document.raw)
@@ -78,7 +78,7 @@
         pools = [_pool_of(row) for row in _rows(decoded.services, _Service)]
     except (msgspec.MsgspecError, ValueError) as error:
         raise BadDocumentError(str(error)) from error
-    return Tables(
+    return FleetTables(
         document.revision,
         {route.name: route for route in routes},
         {pool.name: pool for pool in pools},
@@ -101,14 +101,14 @@
     ]
 
 
-def _route_of(row: _Route) -> Route:
+def _route_of(row: _Route) -> FleetRoute:
     shares = tuple(
         PoolShare(share.service, share.weight)
         for share in row.traffic_split or ()
     )
     if not (shares or row.service):
         raise ValueError(f'route "{row.name}" names no service')
-    return Route(
+    return FleetRoute(
         name=row.name,
         pool=row.service or '',
         host=row.host.lower(),
@@ -122,8 +122,8 @@
     )
 
 
-def _pool_of(row: _Service) -> Pool:
-    return Pool(row.name, (), health_path=row.health_path)
+def _pool_of(row: _Service) -> FleetPool:
+    return FleetPool(row.name, (), health_path=row.health_path)
 
 
 def _limits_of(limits: _Limits) -> CallerLimits:
--- a/zinniaturn/platform/standins/server.py
+++ b/zinniaturn/platform/standins/server.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from zinniaturn.http1.callers import Exchange, Listener
+from zinniaturn.http1.limits import CallerLimits
 from zinniaturn.http1.messages import (
     Fields,
     Request,
@@ -18,7 +19,6 @@
 )
 from zinniaturn.platform.standins.faults import ServerFault
 from zinniaturn.platform.standins.resets import reset
-from zinniaturn.tables.domain import CallerLimits
 
 _MILLISECONDS = 1000
 _PAUSE_SECONDS = 0.02
--- a/zinniaturn/platform/standins/store.py
+++ b/zinniaturn/platform/standins/store.py
@@ -16,10 +16,10 @@
 import msgspec
 
 from zinniaturn.http1.callers import Exchange, Listener
+from zinniaturn.http1.limits import CallerLimits
 from zinniaturn.http1.messages import Response
 from zinniaturn.platform.standins.faults import StoreFault
 from zinniaturn.platform.standins.resets import reset
-from zinniaturn.tables.domain import CallerLimits
 
 _PAGE_ITEMS = 500
 _RANGE_PATH = '/kv-range'
--- a/zinniaturn/platform/store.py
+++ b/zinniaturn/platform/store.py
@@ -23,13 +23,13 @@
     VmRecord,
 )
 from zinniaturn.fleet.exceptions import FleetStoreError
+from zinniaturn.fleet.tables import FleetTables
 from zinniaturn.http1.backend import Exchange
 from zinniaturn.http1.connections import Address, Connections
 from zinniaturn.http1.exceptions import ConnectFailedError, ExchangeBrokenError
 from zinniaturn.http1.messages import Response
 from zinniaturn.platform.documents import decode_document
 from zinniaturn.platform.server_entries import decode_server
-from zinniaturn.tables.domain import Tables
 
 _CONFIG_KEY = 'op/config'
 _SERVER_PREFIX = 'servers/'
@@ -80,7 +80,7 @@
                 return _reading_of(revision, items)
             after = page.items[-1].key
 
-    def decode_tables(self, document: TablesDocument) -> Tables:
+    def decode_tables(self, document: TablesDocument) -> FleetTables:
         """Return the tables of a document; raises `BadDocumentError`."""
         return decode_document(document)
 
--- a/zinniaturn/tables/domain.py
+++ b/zinniaturn/tables/domain.py
@@ -5,23 +5,13 @@
 checking.
 """
 
-__all__ = ('CallerLimits', 'Pool', 'PoolShare', 'Route', 'Server', 'Tables')
+__all__ = ('Pool', 'Route', 'Server', 'Tables')
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from types import MappingProxyType
 
 
-@dataclass(frozen=True, slots=True)
-class CallerLimits:
-    """What a caller may send and how long it may take or stay idle."""
-
-    header_bytes: int = 16_384
-    body_bytes: int = 16 * 1024 * 1024
-    header_seconds: float = 3.0
-    idle_seconds: float = 15.0
-
-
 @dataclass(frozen=True, slots=True)
 class Server:
     """
@@ -47,7 +37,6 @@
     ``measuring_budget`` is in measuring requests per second per server, over
     all entries together. ``retry_share`` is the retries allowed as a share of
     successes. ``queue_limit`` is requests that wait at one entry.
-    ``health_path`` is where its servers say how loaded they are.
     """
 
     name: str
@@ -55,15 +44,6 @@
     measuring_budget: float = 0
     retry_share: float = 0.1
     queue_limit: int = 64
-    health_path: str = ''
-
-
-@dataclass(frozen=True, slots=True)
-class PoolShare:
-    """A pool's weight among those that share a route's requests."""
-
-    pool: str
-    weight: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,11 +53,7 @@
 
     An empty ``host`` matches every host and empty ``methods`` every method.
     ``idempotent`` is ``None`` where the method decides. ``deadline_seconds``
-    applies to a caller that sends none. With ``shares`` the requests are
-    spread over several pools. ``objective_seconds`` is the time within which
-    an answer is worth most, 0 where nothing is known; a lower ``priority``
-    goes first. ``max_attempts`` bounds the servers that one request is sent
-    to.
+    applies to a caller that sends none.
     """
 
     name: str
@@ -87,10 +63,6 @@
     methods: frozenset[str] = frozenset()
     idempotent: bool | None = None
     deadline_seconds: float = 30
-    shares: tuple[PoolShare, ...] = ()
-    objective_seconds: float = 0
-    priority: int = 0
-    max_attempts: int = 3
 
 
 def _empty() -> Mapping[str, object]:
@@ -104,4 +76,3 @@
     revision: int = 0
     routes: Mapping[str, Route] = field(default_factory=_empty)  # type: ignore
     pools: Mapping[str, Pool] = field(default_factory=_empty)  # type: ignore
-    caller_limits: CallerLimits = CallerLimits()
--- a/zinniaturn/tables/matching.py
+++ b/zinniaturn/tables/matching.py
@@ -8,13 +8,16 @@
 __all__ = ('RouteMatcher',)
 
 from collections.abc import Iterable, Iterator
+from typing import Generic, TypeVar
 
 from zinniaturn.tables.domain import Route
 
+RouteT = TypeVar('RouteT', bound=Route)
+
 _SEPARATOR = '/'
 
 
-class RouteMatcher:
+class RouteMatcher(Generic[RouteT]):
     """
     Finds the most specific route.
 
@@ -28,15 +31,15 @@
     True
     """
 
-    def __init__(self, routes: Iterable[Route] = ()) -> None:
-        self.hosts: dict[str, dict[str, list[Route]]] = {}
+    def __init__(self, routes: Iterable[RouteT] = ()) -> None:
+        self.hosts: dict[str, dict[str, list[RouteT]]] = {}
         self.longest = 0
         for route in sorted(routes, key=_rank):
             prefixes = self.hosts.setdefault(route.host, {})
             prefixes.setdefault(route.path_prefix, []).append(route)
             self.longest = max(self.longest, len(route.path_prefix))
 
-    def find(self, host: str, path: str, method: str) -> Route | None:
+    def find(self, host: str, path: str, method: str) -> RouteT | None:
         """Return the most specific route, or ``None``."""
         for known_host in (host, '') if host else ('',):
             prefixes = self.hosts.get(known_host)
@@ -48,10 +51,10 @@
 
     def _find(
         self,
-        prefixes: dict[str, list[Route]],
+        prefixes: dict[str, list[RouteT]],
         path: str,
         method: str,
-    ) -> Route | None:
+    ) -> RouteT | None:
         for prefix in _prefixes_of(path, self.longest):
             for route in prefixes.get(prefix, ()):
                 if not route.methods or method in route.methods:
