--- a/features/placing.feature
+++ b/features/placing.feature
@@ -153,3 +153,14 @@
     Given a VM that stands first, hears nobody and lists "a" and "lost"
     When 200 s pass and it reads the store
     Then it writes nothing
+
+  Scenario: A process that has just started may ask
+    Given the budgets of a VM that started a moment ago
+    Then it may ask 20 questions at once
+
+  Scenario: A busy pool uses what quiet pools leave, and no more
+    Given the budgets of a VM with 10 questions a second to a server
+    When pool "busy" of 4 servers wants 100 questions a second for 60 s beside a quiet pool of 8 servers
+    Then it asks 80 a second
+    When pool "busy" of 8 servers wants 200 questions a second for 60 s beside a quiet pool of 4 servers
+    Then it asks 120 a second
--- a/features/steps/placing_steps.py
+++ b/features/steps/placing_steps.py
@@ -16,7 +16,7 @@
 from zinniaturn.fleet.tables import FleetRoute, PoolShare
 from zinniaturn.fleet.vms import VmTable
 from zinniaturn.placing.allowance import SecondSends
-from zinniaturn.placing.asking import AskBudget, Asking
+from zinniaturn.placing.asking import AskBudget, AskBudgets, Asking
 from zinniaturn.placing.expecting import expected_seconds
 from zinniaturn.placing.hedging import second_send_delay
 from zinniaturn.placing.line import Line, Offer, Waiting, best_concurrency
@@ -594,3 +594,40 @@
 @then('it removes the record of "{name}"')
 def check_forgotten(context, name):
     assert context.store.written == [('forget', name)]
+
+
+@given('the budgets of a VM that started a moment ago')
+def fresh_budgets(context):
+    context.budgets = AskBudgets(_NOW)
+    context.budgets.refill(4, {'pool': 14}, _NOW + 0.05)
+
+
+@then('it may ask {count:d} questions at once')
+def check_may_ask(context, count):
+    assert context.budgets.take('pool', count)
+
+
+@given('the budgets of a VM with {rate:d} questions a second to a server')
+def budgets(context, rate):
+    context.rate = rate
+
+
+@when(
+    'pool "{pool}" of {servers:d} servers wants {wanted:d} questions a second '
+    'for {seconds:d} s beside a quiet pool of {quiet:d} servers',
+)
+def ask_busily(context, pool, servers, wanted, seconds, quiet):
+    asking = AskBudgets(0)
+    sizes = {pool: servers, 'quiet': quiet}
+    asked = 0
+    for step in range(wanted * seconds):
+        now = step / wanted
+        asking.refill(context.rate, sizes, now)
+        # What was saved at first is left out of the count.
+        asked += asking.take(pool, 1) and now > seconds / 2
+    context.asked_a_second = asked / (seconds / 2)
+
+
+@then('it asks {rate:d} a second')
+def check_asked_rate(context, rate):
+    assert abs(context.asked_a_second - rate) < rate * 0.03
--- a/zinniaturn/gateway/placer.py
+++ b/zinniaturn/gateway/placer.py
@@ -115,8 +115,8 @@
             return False
         if candidate.registered.server.leaving or not connection.is_usable(now):
             return False
-        offer = Offer(candidate, report, connection)
-        return _has_room(offer) and line.match(offer, now)
+        offer = _offer(candidate, report, connection)
+        return offer is not None and line.match(offer, now)
 
     async def _find(self, job: Job, line: Line, waiting: Waiting) -> None:
         """Ask servers until the request has one or all were asked."""
@@ -161,16 +161,16 @@
         """Return the servers with room; keep the others' connections."""
         offers = []
         for each in answers:
-            offer = Offer(
+            offer = _offer(
                 each.candidate,
                 each.report,
                 each.connection,
                 each.is_healthy,
             )
-            if _has_room(offer):
-                offers.append(offer)
+            if offer is None:
+                self.asker.give_back(each)
             else:
-                self._return(offer)
+                offers.append(offer)
         return offers
 
     def _has_good(self, offers: list[Offer], waiting: Waiting) -> bool:
@@ -254,10 +254,20 @@
     )
 
 
-def _has_room(offer: Offer) -> bool:
-    memory = offer.candidate.memory
-    running = offer.report.total + memory.sent_since(memory.reported_at)
-    return running < best_concurrency(offer.report.slots)
+def _offer(
+    candidate: Candidate,
+    report: LoadReport,
+    connection: BackendConnection,
+    is_healthy: bool = True,
+) -> Offer | None:
+    """Return a server as an offer if it has room."""
+    memory = candidate.memory
+    running = report.total + memory.sent_since(memory.reported_at)
+    best = best_concurrency(report.slots)
+    if running >= best:
+        return None
+    is_last = best > 1 and running + 1 == best
+    return Offer(candidate, report, connection, is_healthy, is_last)
 
 
 def _finish(ended: 'asyncio.Future[None]') -> None:
--- a/zinniaturn/gateway/rendering.py
+++ b/zinniaturn/gateway/rendering.py
@@ -5,8 +5,9 @@
 plain counts, so that a process that nobody scrapes does not carry them.
 """
 
-__all__ = ('render_metrics',)
+__all__ = ('GatewayNumbers', 'build_registry', 'render_metrics')
 
+from dataclasses import dataclass
 from itertools import accumulate
 from typing import TYPE_CHECKING
 
@@ -16,37 +17,57 @@
 if TYPE_CHECKING:
     from aioprometheus import Counter, Registry
 
+_LONGEST_AGE_SECONDS = 1e6
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayNumbers:
+    """What is shown of a process at one moment."""
+
+    counters: Counters
+    state_age_seconds: float
+    vms_alive: int
+
 
 def render_metrics(state: GatewayState) -> bytes:
     """Return the text that a scrape gets."""
-    from aioprometheus import Gauge, Registry
     from aioprometheus.formats import text
 
+    age = min(_LONGEST_AGE_SECONDS, state.knowledge.age_seconds)
+    numbers = GatewayNumbers(state.counters, age, len(state.vms.living()))
+    return text.TextFormatter().marshall(build_registry(numbers))
+
+
+def build_registry(numbers: GatewayNumbers) -> 'Registry':
+    """Return the library's collectors with the numbers."""
+    from aioprometheus import Gauge, Registry
+
     registry = Registry()
+    counters = numbers.counters
     requests = _counter(
         registry, 'zinniaturn_gateway_requests_total', 'Requests'
     )
-    for (route, outcome), count in state.counters.requests.items():
+    for (route, outcome), count in counters.requests.items():
         requests.set({'route': route, 'outcome': outcome}, count)
     events = _counter(
         registry, 'zinniaturn_gateway_events_total', 'Events by kind'
     )
-    for name, count in state.counters.events.items():
+    for name, count in counters.events.items():
         events.set({'event': name}, count)
-    _add_latencies(registry, state.counters)
+    _add_latencies(registry, counters)
     age = Gauge(
         'zinniaturn_gateway_state_age_seconds',
         'Seconds since the state held was last confirmed',
         registry=registry,
     )
-    age.set({}, min(1e6, state.knowledge.age_seconds))
+    age.set({}, numbers.state_age_seconds)
     vms = Gauge(
         'zinniaturn_gateway_vms_alive',
         'Other VMs that are heard',
         registry=registry,
     )
-    vms.set({}, len(state.vms.living()))
-    return text.TextFormatter().marshall(registry)
+    vms.set({}, numbers.vms_alive)
+    return registry
 
 
 def _counter(registry: 'Registry', name: str, doc: str) -> 'Counter':
--- a/zinniaturn/placing/asking.py
+++ b/zinniaturn/placing/asking.py
@@ -21,6 +21,7 @@
 _REPORT_HOLDS_SECONDS = 0.12
 _SLOW = 1.5
 _MOST_OF_SHARE = 2.0
+_BEFORE_START_SECONDS = 1.5
 
 
 @dataclass(slots=True)
@@ -137,7 +138,9 @@
     One VM's questions to the servers of all pools.
 
     The fleet's bound is a mean over all servers. A busy pool may use what
-    quiet ones leave, up to twice its servers' own share.
+    quiet ones leave, up to twice its servers' own share. A process begins with
+    what the time before its start would have earned, in which it asked
+    nothing.
     """
 
     started_at: float
@@ -145,7 +148,8 @@
     whole: AskBudget = field(init=False)
 
     def __post_init__(self) -> None:
-        """Begin with nothing saved."""
+        """Count the time before the start."""
+        self.started_at -= _BEFORE_START_SECONDS
         self.whole = AskBudget(self.started_at)
 
     def refill(
--- a/zinniaturn/placing/line.py
+++ b/zinniaturn/placing/line.py
@@ -6,7 +6,8 @@
 not more. So servers are filled only up to where they are quickest, the rest
 waits here, and a free slot goes to the newest request that it can still serve
 in time. Those that are late already get slots that would be too slow for the
-others, the one with the least time left first. What can't be served before
+others, the one with the least time left first; a quick server's last slot is
+kept for the next request that comes in time. What can't be served before
 its deadline any more is refused at once, and so is what is too much.
 """
 
@@ -26,6 +27,7 @@
 _RATE_SECONDS = 2.0
 _FEWEST_WAITING = 8
 _PATIENT_ROUNDS = 3
+_QUICK_FACTOR = 1.8
 
 
 @dataclass(slots=True)
@@ -35,12 +37,14 @@
 
     ``connection`` is whatever the caller of the line needs to use the server.
     ``is_healthy`` is what the server says of itself, which may be false.
+    ``is_last_slot`` says that it has room for no other request beside.
     """
 
     candidate: Candidate
     report: LoadReport
     connection: Any = None
     is_healthy: bool = True
+    is_last_slot: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -97,7 +101,7 @@
             if name in waiting.excluded:
                 continue
             expected = waiting.expect(offer)
-            rank = _rank(waiting, expected, now)
+            rank = _rank(waiting, offer, expected, now)
             if rank is not None and (best is None or rank < best_rank):
                 best, best_rank, best_expected = waiting, rank, expected
         if best is None:
@@ -157,6 +161,7 @@
 
 def _rank(
     waiting: Waiting,
+    offer: Offer,
     expected: float,
     now: float,
 ) -> tuple[int, int, float] | None:
@@ -165,6 +170,9 @@
         return waiting.priority, 0, -waiting.arrived_at
     if now + expected > waiting.deadline:
         return None
+    is_quick = expected < waiting.work * _QUICK_FACTOR
+    if offer.is_last_slot and is_quick:
+        return None
     if waiting.is_late(now):
         return waiting.priority, 1, waiting.deadline
     if waiting.rounds >= _PATIENT_ROUNDS:
