Tell late requests without a server to come back

Change: one that is late and has found no server for 0.25 s is refused at once with a time to come back.

--- a/features/placing.feature
+++ b/features/placing.feature
@@ -164,3 +164,15 @@
     Then it asks 80 a second
     When pool "busy" of 8 servers wants 200 questions a second for 60 s beside a quiet pool of 4 servers
     Then it asks 120 a second
+
+  Scenario: A quick server's last slot is kept for requests in time
+    Given requests "late" that is past its objective and "new"
+    When the last slot of an idle server is offered
+    Then "new" gets it
+    When the last slot of an idle server is offered
+    Then "late" does not get it
+
+  Scenario: A late request that finds no server is told to come back
+    Given a request "late" that has been late for 0.3 s
+    When the line gives up what is hopeless
+    Then "late" is refused with a time to come back
--- a/features/steps/placing_steps.py
+++ b/features/steps/placing_steps.py
@@ -49,9 +49,13 @@
     context.line.join(waiting)
 
 
-def _offer(context, seconds):
+def _offer(context, seconds, is_last_slot=False):
     context.offered_seconds = seconds
-    offer = Offer(build_candidate('s-1'), build_report())
+    offer = Offer(
+        build_candidate('s-1'),
+        build_report(),
+        is_last_slot=is_last_slot,
+    )
     context.taken = context.line.match(offer, _NOW + 0.1)
 
 
@@ -83,6 +87,17 @@
     _wait(context, name, excluded={'s-1'})
 
 
+@given('a request "{name}" that has been late for {seconds:g} s')
+def late_request(context, name, seconds):
+    _wait(
+        context,
+        name,
+        arrived_at=_NOW - 1,
+        objective_at=_NOW + 0.1 - seconds + _WORK_SECONDS,
+        deadline=_NOW + 5,
+    )
+
+
 @given('a request "{name}" whose deadline is nearer than its work takes')
 def hopeless_request(context, name):
     _wait(context, name, deadline=_NOW + 0.15)
@@ -103,6 +118,11 @@
     _offer(context, _QUICK_SECONDS)
 
 
+@when('the last slot of an idle server is offered')
+def offer_last_slot(context):
+    _offer(context, _QUICK_SECONDS, is_last_slot=True)
+
+
 @when('a slow server is offered')
 def offer_slow(context):
     _offer(context, _SLOW_SECONDS)
@@ -126,6 +146,12 @@
     assert context.requests[name].granted is not None
 
 
+@then('"{name}" does not get it')
+def check_not_granted(context, name):
+    assert not context.taken
+    assert context.requests[name].granted is None
+
+
 @then('nobody gets it')
 def check_nobody(context):
     assert not context.taken
--- a/zinniaturn/placing/line.py
+++ b/zinniaturn/placing/line.py
@@ -7,8 +7,9 @@
 waits here, and a free slot goes to the newest request that it can still serve
 in time. Those that are late already get slots that would be too slow for the
 others, the one with the least time left first; a quick server's last slot is
-kept for the next request that comes in time. What can't be served before
-its deadline any more is refused at once, and so is what is too much.
+kept for the next request that comes in time. What can't be served before its
+deadline any more is refused at once, and so is what is too much; one that is
+late and still finds no server is told to come back after the worst.
 """
 
 __all__ = ('Line', 'Offer', 'Waiting', 'best_concurrency')
@@ -27,6 +28,8 @@
 _RATE_SECONDS = 2.0
 _FEWEST_WAITING = 8
 _PATIENT_ROUNDS = 3
+_LATE_WAIT_SECONDS = 0.25
+_LATE_RETURN_SECONDS = 0.35
 _QUICK_FACTOR = 1.8
 
 
@@ -74,6 +77,10 @@
         """Return whether not even an idle server would be in time."""
         return now + self.work > self.objective_at
 
+    def late_seconds(self, now: float) -> float:
+        """Return for how long the request has waited here while late."""
+        return now - max(self.arrived_at, self.objective_at - self.work)
+
 
 @dataclass(slots=True)
 class Line:
@@ -120,14 +127,15 @@
 
     def refuse_hopeless(self, now: float) -> int:
         """Give up what can't be served any more; return how many."""
-        hopeless = [
-            waiting
-            for waiting in self.waiting
-            if now + waiting.work * _HOPELESS_SHARE > waiting.deadline
-        ]
-        for waiting in hopeless:
-            self._refuse(waiting, waiting.work)
-        return len(hopeless) + self._refuse_excess(now)
+        refused = 0
+        for waiting in tuple(self.waiting):
+            if now + waiting.work * _HOPELESS_SHARE > waiting.deadline:
+                self._refuse(waiting, waiting.work)
+                refused += 1
+            elif waiting.late_seconds(now) > _LATE_WAIT_SECONDS:
+                self._refuse(waiting, _LATE_RETURN_SECONDS)
+                refused += 1
+        return refused + self._refuse_excess(now)
 
     def rate(self, now: float) -> float:
         """Return the requests a second that were given a server lately."""
