--- /dev/null
+++ b/features/explain_logs.feature
@@ -0,0 +1,44 @@
+Feature: From a request's id to its cause, with logs only
+
+  Background:
+    Given logs of two VMs
+
+  Scenario: A request refused though a server was free
+    When "request refused" is explained from the logs
+    Then it says "waited 392.9 ms, 11 servers were asked, it was sent to no server"
+    And it says "no server is free in time"
+    And it says "leaving s-7"
+    And it says nothing of "s-8"
+
+  Scenario: An unknown outcome of a non-idempotent request
+    When "request lost" is explained from the logs
+    Then it says "sent to s-3. Reason: s-3: reset by peer"
+    And it says "a failing backend server is left out for a while: server s-3"
+
+  Scenario: A late answer
+    When "request late" is explained from the logs
+    Then it says "Its server became slow after it was chosen"
+
+  Scenario: What became of a server
+    When "server s-3" is explained from the logs
+    Then it says "request lost of route posts"
+    And it says "server s-3, pool pool, reason reset by peer"
+
+  Scenario: A request that is in no log
+    When "request nobody" is explained from the logs
+    Then the status is 1
+
+  Scenario: Lines that are no events are passed over
+    Given a log with other lines between
+    When "request late" is explained from the logs
+    Then it says "Its server became slow after it was chosen"
+
+  Scenario Outline: The gateway's settings are checked before it runs
+    Given <settings> gateway settings
+    When the operator checks them
+    Then the status is <status> and it says "<text>"
+
+    Examples:
+      | settings  | status | text                |
+      | good      | 0      | can be used         |
+      | cut short | 2      | settings-file-invalid |
--- a/zinniaturn/commands/exit_status.py
+++ b/zinniaturn/commands/exit_status.py
@@ -28,6 +28,7 @@
 _BY_CODE = MappingProxyType(
     {
         'setting-invalid': ExitStatus.USAGE,
+        'settings-file-invalid': ExitStatus.USAGE,
         'change-unknown': ExitStatus.UNKNOWN,
         'tables-unavailable': ExitStatus.UNAVAILABLE,
         'store-unavailable': ExitStatus.UNAVAILABLE,
--- a/zinniaturn/commands/explain.py
+++ b/zinniaturn/commands/explain.py
@@ -6,6 +6,7 @@
 import sys
 from collections.abc import Sequence
 from datetime import UTC, datetime
+from typing import BinaryIO
 
 import click
 import msgspec
@@ -18,6 +19,7 @@
 )
 from zinniaturn.commands.output import print_json
 from zinniaturn.commands.stores import opened_optional
+from zinniaturn.explain.logs import explain_from_logs, read_rows
 from zinniaturn.explain.messages import Explanation, ExplanationLine
 from zinniaturn.explain.queries import Subject, SubjectKind
 from zinniaturn.explain.reading import read_explanations
@@ -38,29 +40,43 @@
 @click.argument('name')
 @optional_store_option
 @entries_option
+@click.option(
+    '--logs',
+    type=click.File('rb'),
+    multiple=True,
+    help='A log of a gateway process, - for standard input; may be repeated. '
+    'With it no entry is asked.',
+)
 @json_option
 def explain(
     kind: str,
     name: str,
     store_url: str,
     entries: Sequence[str],
+    logs: Sequence[BinaryIO],
     as_json: bool,
 ) -> None:
     """
     Say why a request, server, entry or revision was treated as it was.
 
     KIND is request, server, entry or revision and NAME its id, name or
-    number. The entries keep their latest decisions in memory only. The exit
-    status is 1 if none of them knows of the subject.
+    number. The entries keep their latest decisions in memory only; the logs
+    of gateway processes are read with --logs. The exit status is 1 if nothing
+    is known of the subject.
     """
     subject = Subject(SubjectKind(kind), name)
-    answers = asyncio.run(_read(store_url, entries, subject))
-    answer = ExplainAnswer(
-        kind,
-        name,
-        [one.entry for one in answers],
-        _ordered(answers),
-    )
+    if logs:
+        rows = read_rows(line for log in logs for line in log)
+        lines = explain_from_logs(rows, subject)
+        answer = ExplainAnswer(kind, name, [log.name for log in logs], lines)
+    else:
+        answers = asyncio.run(_read(store_url, entries, subject))
+        answer = ExplainAnswer(
+            kind,
+            name,
+            [one.entry for one in answers],
+            _ordered(answers),
+        )
     if as_json:
         print_json(answer)
     else:
--- a/zinniaturn/commands/main.py
+++ b/zinniaturn/commands/main.py
@@ -27,6 +27,7 @@
         'entry': 'zinniaturn.commands.entry:entry',
         'experiment': 'zinniaturn.commands.experiment:experiment',
         'explain': 'zinniaturn.commands.explain:explain',
+        'gateway': 'zinniaturn.commands.gateway:gateway',
         'pools': 'zinniaturn.commands.pools:pools',
         'routes': 'zinniaturn.commands.routes:routes',
         'schema': 'zinniaturn.commands.schema:schema',
