Tell a VM's processes apart without its clock

Cause, found by reading: a VM that restarted after its time of day was set back had an earlier start than its process before and was never heard again by the others. Its incarnation is drawn at random now.

--- a/features/placing.feature
+++ b/features/placing.feature
@@ -176,3 +176,9 @@
     Given a request "late" that has been late for 0.3 s
     When the line gives up what is hopeless
     Then "late" is refused with a time to come back
+
+  Scenario: A late heartbeat of a process before changes nothing
+    Given a VM that hears "b" ready, "c" stopping and has not heard "d"
+    When "c" starts anew and says that it is ready
+    And "c" says in a late heartbeat of its process before that it is stopping
+    Then a look-up names itself, "b" and "c"
--- a/features/steps/placing_steps.py
+++ b/features/steps/placing_steps.py
@@ -445,7 +445,7 @@
 
 @when('"{name}" starts anew and says that it is ready')
 def start_anew(context, name):
-    record = build_record(name, started_ms=2, number=3)
+    record = build_record(name, incarnation=0, number=3)
     context.vms.note_beat(record, VmStage.READY)
 
 
@@ -598,7 +598,7 @@
 
 @when('it reads the store with the record of its process before')
 def read_former(context):
-    _check_listing(context, [build_record('b', started_ms=0)])
+    _check_listing(context, [build_record('b', incarnation=0)])
 
 
 @when('{seconds:g} s pass and it reads the store')
@@ -657,3 +657,11 @@
 @then('it asks {rate:d} a second')
 def check_asked_rate(context, rate):
     assert abs(context.asked_a_second - rate) < rate * 0.03
+
+
+@when(
+    '"{name}" says in a late heartbeat of its process before that it is '
+    'stopping',
+)
+def say_stopping_late(context, name):
+    context.vms.note_beat(context.records[name], VmStage.STOPPING)
--- a/zinniaturn/fleet/domain.py
+++ b/zinniaturn/fleet/domain.py
@@ -54,20 +54,21 @@
     """
     One process of the system on a VM.
 
-    ``started_ms`` tells two processes of one VM apart. Callers connect to
+    ``incarnation`` tells two processes of one VM apart; it is drawn at random,
+    as a clock that was set back would tell the wrong order. Callers connect to
     ``front``; ``exchange`` takes datagrams, and the port above it connections,
     of the other VMs.
     """
 
     name: str
-    started_ms: int
+    incarnation: int
     data_center: str
     front: str
     exchange: Address
 
     def is_at(self, other: 'VmRecord') -> bool:
         """Return whether both have the same place and addresses."""
-        return replace(self, started_ms=other.started_ms) == other
+        return replace(self, incarnation=other.incarnation) == other
 
 
 @dataclass(frozen=True, slots=True)
--- a/zinniaturn/fleet/vms.py
+++ b/zinniaturn/fleet/vms.py
@@ -18,15 +18,27 @@
 _BEAT_SECONDS = 0.35
 _BEAT_SECONDS_A_VM = 0.01
 _BEATS_MISSED = 3.4
+_FORMER_KEPT = 8
 
 
 @dataclass(slots=True)
 class KnownVm:
-    """One VM; ``heard_at`` is minus infinity where it was never heard."""
+    """
+    One VM; ``heard_at`` is minus infinity where it was never heard.
+
+    ``former`` are the incarnations before this one, whose heartbeats may
+    still be on their way.
+    """
 
     record: VmRecord
     stage: VmStage = VmStage.STARTING
     heard_at: float = float('-inf')
+    former: tuple[int, ...] = ()
+
+    def succeeded_by(self, record: VmRecord) -> 'KnownVm':
+        """Return the VM with another process."""
+        former = (*self.former, self.record.incarnation)
+        return KnownVm(record, former=former[-_FORMER_KEPT:])
 
 
 @dataclass(slots=True)
@@ -47,21 +59,32 @@
         """Take over what the store lists; forget what is long gone."""
         self.listed = {record.name for record in records}
         for record in records:
-            if record.name != self.own.name:
-                self._known(record)
+            if record.name != self.own.name and self._is_news(record):
+                self.vms[record.name] = KnownVm(record)
         oldest = self.clock.monotonic() - _FORGET_SECONDS
         for name, known in list(self.vms.items()):
             if name not in self.listed and known.heard_at < oldest:
                 self.vms.pop(name)
 
+    def _is_news(self, record: VmRecord) -> bool:
+        known = self.vms.get(record.name)
+        if known is None:
+            return True
+        return not (record.is_at(known.record) or self.is_alive(known))
+
     def note_beat(self, record: VmRecord, stage: VmStage) -> bool:
         """Note a heartbeat; return whether the VM was not alive before."""
         if record.name == self.own.name:
             return False
-        current = self.vms.get(record.name)
-        if current and current.record.started_ms > record.started_ms:
+        known = self.vms.get(record.name)
+        if known is None:
+            known = KnownVm(record)
+            self.vms[record.name] = known
+        elif record.incarnation in known.former:
             return False
-        known = self._known(record)
+        elif record.incarnation != known.record.incarnation:
+            known = known.succeeded_by(record)
+            self.vms[record.name] = known
         was_alive = self.is_alive(known)
         known.heard_at = self.clock.monotonic()
         if known.stage is not VmStage.STOPPING:
@@ -128,13 +151,6 @@
         """Return how many VMs may be alive, with this one."""
         return len(self.vms) + 1
 
-    def _known(self, record: VmRecord) -> KnownVm:
-        known = self.vms.get(record.name)
-        if known is None or record.started_ms > known.record.started_ms:
-            known = KnownVm(record)
-            self.vms[record.name] = known
-        return known
-
 
 def _order(name: str) -> tuple[int, str]:
     return zlib.crc32(name.encode()), name
--- a/zinniaturn/gateway/process.py
+++ b/zinniaturn/gateway/process.py
@@ -6,7 +6,6 @@
 import gc
 import random
 import signal
-import time
 from collections.abc import Callable, Coroutine
 
 from zinniaturn.clock import BootClock
@@ -36,6 +35,7 @@
 
 _MILLISECONDS = 1000
 _SHOWN_ENTRIES = 5
+_INCARNATION_BITS = 53
 _TICK_SECONDS = 0.5
 _STOP_POLL_SECONDS = 0.05
 _SERVE_SHARE = 0.72
@@ -61,7 +61,7 @@
         self.journal = journal
         record = VmRecord(
             settings.name,
-            int(time.time() * _MILLISECONDS),
+            source.getrandbits(_INCARNATION_BITS),
             settings.data_center,
             '' if settings.front is None else '{}:{}'.format(*settings.front),
             (settings.host, settings.first_port),
