Add a fault soak of real processes

Store, servers, links and callers are stand-ins in one process, gateways are processes of their own; a seed makes the plan of faults. The first seed failed: the loopback proxy turned a server's reset into a clean end, so that a cut body without length passed for a whole one. The proxy passes resets on now.

--- /dev/null
+++ b/features/steps/soak_steps.py
@@ -0,0 +1,106 @@
+"""Steps of the soak."""
+
+import asyncio
+from pathlib import Path
+
+from behave import given, then, when
+
+from zinniaturn.experiments.soak.callers import Call
+from zinniaturn.experiments.soak.checking import check_promises
+from zinniaturn.experiments.soak.fleet import SoakFleet, SoakServer
+from zinniaturn.experiments.soak.plan import make_plan
+from zinniaturn.experiments.soak.run import play
+from zinniaturn.experiments.soak.vms import VmProcess
+from zinniaturn.platform.standins import ServerStandIn
+
+_PLAN_SECONDS = 20
+
+
+@then('seed {seed:d} makes the same plan twice and seed {other:d} another')
+def check_plans(context, seed, other):
+    first = make_plan(seed, _PLAN_SECONDS)
+    assert first == make_plan(seed, _PLAN_SECONDS)
+    assert first != make_plan(other, _PLAN_SECONDS)
+    assert len(first) > 5
+
+
+@when('the soak plays seed {seed:d} for {seconds:g} s')
+def play_seed(context, seed, seconds):
+    context.report = asyncio.run(play(seed, seconds))
+
+
+@then('at least {count:d} requests ended and no promise was broken')
+def check_report(context, count):
+    assert not context.report.violations, context.report.violations
+    assert context.report.answered >= count, context.report
+
+
+def _call(context, name, route='reads', **fields):
+    call = Call(name, route, context.vm, 100, 100.1, 200)
+    for key, each in fields.items():
+        setattr(call, key, each)
+    context.calls.append(call)
+    return call
+
+
+@given('a soak in which a post ran twice and was told 503')
+def run_twice(context):
+    server = ServerStandIn('s-1')
+    context.fleet = SoakFleet(1, Path())
+    context.server = SoakServer(server, None)
+    context.fleet.servers.append(context.server)
+    context.vm = VmProcess('vm-1', '127.0.0.1', 1, 2, Path())
+    context.calls = []
+    _call(context, 'twice', 'posts', status=503)
+    server.runs[b'twice'] = 2
+
+
+@given("a read that got another's body")
+def read_foreign(context):
+    _call(context, 'foreign', mark='by-s-1', body=b'other answer')
+
+
+@given('a read that a removed route still served')
+def read_removed(context):
+    context.fleet.removed['gone'] = 90
+    _call(context, 'removed', 'gone', mark='by-s-1', body=b'removed answer')
+
+
+@given('a request that a server got long after its leaving')
+def send_late(context):
+    server = ServerStandIn('s-2')
+    left = SoakServer(server, None, left_at=97)
+    context.fleet.gone.append(left)
+    server.arrived_at[b'late'] = 100
+    _call(context, 'late', mark='by-s-2', body=b'late answer')
+
+
+@given('a request that was held')
+def hold(context):
+    _call(context, 'held', status=504, ended_at=103)
+
+
+@given('a request that a planned stop cut off')
+def cut_off(context):
+    stopping = VmProcess('vm-2', '127.0.0.2', 1, 2, Path())
+    stopping.stopping_since = 99.5
+    call = _call(context, 'cut', status=0, was_cut=True)
+    call.vm = stopping
+    context.server.server.runs[b'cut'] = 1
+
+
+@then('each of these is told as a broken promise')
+def check_violations(context):
+    found = check_promises(context.fleet, context.calls, [])
+    told = sorted((each.request_id, each.promise) for each in found)
+    assert told == [
+        ('cut', 'a stop cuts nothing off'),
+        ('foreign', 'whole answer of its own'),
+        ('held', 'answered in time'),
+        ('late', 'no new work'),
+        ('removed', 'tables in force'),
+        ('twice', 'at most once'),
+        ('twice', 'not run is true'),
+    ], told
+    stalled = check_promises(context.fleet, context.calls, [99.9])
+    assert len(stalled) < len(found)
--- a/zinniaturn/experiments/registry.py
+++ b/zinniaturn/experiments/registry.py
@@ -52,6 +52,11 @@
 
 
 _ALL: tuple[Experiment, ...] = (
+    Experiment(
+        'soak',
+        'gateway processes under random faults from outside, by --seed',
+        'zinniaturn.experiments.soak:run_soak',
+    ),
     Experiment(
         'configuration-smoke',
         'operators, entries and a failing store, within 45 s',
--- /dev/null
+++ b/zinniaturn/experiments/soak/plan.py
@@ -0,0 +1,81 @@
+"""The plan of faults of one seed."""
+
+__all__ = ('Fault', 'FaultKind', 'make_plan')
+
+import enum
+import random
+from dataclasses import dataclass
+from types import MappingProxyType
+
+_SHORTEST_GAP_SECONDS = 0.1
+_LONGEST_GAP_SECONDS = 1.2
+_SHORTEST_SECONDS = 0.3
+_LONGEST_SECONDS = 4.0
+_QUIET_END_SECONDS = 4.0
+
+
+class FaultKind(enum.Enum):
+    """What is done from outside."""
+
+    VM_KILLED = 'vm-killed'
+    VM_STOPPED = 'vm-stopped'
+    VM_PAUSED = 'vm-paused'
+    VM_HUNG_UP = 'vm-hung-up'
+    STORE_BUSY = 'store-busy'
+    STORE_RESET = 'store-reset'
+    STORE_SILENT = 'store-silent'
+    STORE_LOSES_REPLIES = 'store-loses-replies'
+    STORE_REFUSES_VM = 'store-refuses-vm'
+    SERVER_SLOW = 'server-slow'
+    SERVER_FAILS = 'server-fails'
+    SERVER_LEAVES = 'server-leaves'
+    LINK_CUT = 'link-cut'
+    LINK_SILENT = 'link-silent'
+    LINK_SLOW = 'link-slow'
+    LINK_LOSES_ANSWERS = 'link-loses-answers'
+    TABLES_CHANGE = 'tables-change'
+
+
+_WEIGHTS = MappingProxyType(
+    {
+        FaultKind.TABLES_CHANGE: 3,
+        FaultKind.SERVER_LEAVES: 3,
+        FaultKind.VM_STOPPED: 2,
+        FaultKind.SERVER_FAILS: 2,
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault: when, what, whom (an index that wraps) and for how long."""
+
+    at: float
+    kind: FaultKind
+    target: int
+    seconds: float
+
+
+def make_plan(seed: int, seconds: float) -> list[Fault]:
+    """
+    Return the faults of a run, the last some seconds before its end.
+
+    >>> make_plan(1, 20) == make_plan(1, 20)
+    True
+    """
+    source = random.Random(seed)
+    kinds = list(FaultKind)
+    weights = [_WEIGHTS.get(kind, 1) for kind in kinds]
+    plan = []
+    now = 1.0
+    while now < seconds - _QUIET_END_SECONDS:
+        plan.append(
+            Fault(
+                now,
+                source.choices(kinds, weights)[0],
+                source.randrange(1000),
+                source.uniform(_SHORTEST_SECONDS, _LONGEST_SECONDS),
+            ),
+        )
+        now += source.uniform(_SHORTEST_GAP_SECONDS, _LONGEST_GAP_SECONDS)
+    return plan
--- a/zinniaturn/platform/standins/server.py
+++ b/zinniaturn/platform/standins/server.py
@@ -33,9 +33,11 @@
     """
     Runs requests in its slots and queues a few more.
 
-    ``runs`` counts the executions by request id, ``faults`` befall the next
-    requests in turn, ``slowness`` is the VM's. ``cancelled`` counts the
-    requests whose connection was closed while they ran.
+    ``runs`` counts the executions by request id, ``arrived_at`` says when each
+    came last, ``faults`` befall the next requests in turn, ``slowness`` is the
+    VM's. With ``is_personal`` each body begins with its request's id, so that
+    a wrong one can be told. ``cancelled`` counts the requests whose connection
+    was closed while they ran.
     """
 
     name: str
@@ -45,6 +47,7 @@
     work_seconds: float = 0.01
     slowness: float = 1.0
     body: bytes = b'answer'
+    is_personal: bool = False
     host: str = '127.0.0.1'
     is_healthy: bool = True
     listener: Listener = field(init=False)
@@ -57,6 +60,7 @@
     arrivals: int = 0
     born_ms: int = 1
     runs: Counter[bytes] = field(default_factory=Counter)
+    arrived_at: dict[bytes, float] = field(default_factory=dict)
     requests: list[Request] = field(default_factory=list)
     faults: deque[ServerFault] = field(default_factory=deque)
     every_fault: ServerFault | None = None
@@ -104,6 +108,8 @@
             return Response(status, b'', [own, self._load()])
         self.arrivals += 1
         self.requests.append(request)
+        identity = find_field(request.fields, b'x-attempt-id') or b''
+        self.arrived_at[identity] = asyncio.get_running_loop().time()
         meant = find_field(request.fields, b'x-expect-instance')
         fault = self.faults.popleft() if self.faults else self.every_fault
         if fault is ServerFault.REPLACED or meant != self.name.encode():
@@ -140,7 +146,7 @@
             self.running -= 1
             self.free.release()
         if fault is None:
-            return self._answer(identity, 200, self.body)
+            return self._answer(identity, 200, self._body_for(identity))
         return await self._misbehave(exchange, identity, fault)
 
     async def _misbehave(
@@ -151,18 +157,19 @@
     ) -> Response:
         transport = exchange.connection.transport
         assert transport is not None
-        answer = self._answer(identity, 200, self.body)
+        body = self._body_for(identity)
+        answer = self._answer(identity, 200, body)
         whole = response_bytes(answer)
         head = whole[: whole.index(b'\r\n\r\n') + 4]
         unframed = head.replace(b'Content-Length', b'X-Length')
         stale = response_bytes(self._answer(b'earlier', 200, b'stale'))
-        half = self.body[: len(self.body) // 2]
+        half = body[: len(body) // 2]
         writes: dict[ServerFault, tuple[bytes, Callable[[], None]]] = {
             ServerFault.MUTE: (b'', _nothing),
             ServerFault.LOST: (b'', lambda: reset(transport)),
             ServerFault.EXTRA: (whole + stale, _nothing),
             ServerFault.STALE: (stale + whole, _nothing),
-            ServerFault.UNFRAMED: (unframed + self.body, transport.close),
+            ServerFault.UNFRAMED: (unframed + body, transport.close),
             ServerFault.UNFRAMED_CUT: (unframed + half, _nothing),
             ServerFault.SHORT: (head + half, transport.close),
             ServerFault.GIBBERISH: (b'\x00\x01 nonsense\r\n\r\n', _nothing),
@@ -190,6 +197,11 @@
                 answer.fields.append((b'Content-Encoding', b'gzip'))
         return answer
 
+    def _body_for(self, identity: bytes) -> bytes:
+        return (
+            b'%b %b' % (identity, self.body) if self.is_personal else self.body
+        )
+
     def _answer(self, identity: bytes, status: int, body: bytes) -> Response:
         fields: Fields = [
             (b'X-Attempt-Id', identity),
--- a/zinniaturn/standins/fault_proxy.py
+++ b/zinniaturn/standins/fault_proxy.py
@@ -242,8 +242,12 @@
         if self.server is not None:
             self.server.close()
 
-    def server_lost(self) -> None:
+    def server_lost(self, reason: Exception | None) -> None:
+        """End the caller's side in the way in which the server's ended."""
         self.proxy.links.discard(self)
+        if reason is not None and isinstance(self.fault, NoFault):
+            _reset(self.caller)
+            return
         match self.fault:
             case BlackHole() | LoseAnswer() | HalfClose():
                 return
@@ -280,7 +284,7 @@
         self.link.take_answer(chunk)
 
     def connection_lost(self, reason: Exception | None) -> None:
-        self.link.server_lost()
+        self.link.server_lost(reason)
 
 
 def _reset(transport: asyncio.Transport) -> None:
