Send a stuck idempotent request once more, as soon as that is allowed

Change: the second send is tried again until it could no longer be answered; one behind the objective comes after three times the expected time; a request ended unanswered makes its server seem slower. The scenario failed before.

--- a/features/gateway_requests.feature
+++ b/features/gateway_requests.feature
@@ -86,6 +86,12 @@
     Then it gets a status of 502
     And the servers got 1 request
 
+  Scenario: A second send that is not allowed at first is made once it is
+    Given the first request meets the fault "MUTE"
+    And the gateway has second sends to spend after 0.6 s
+    When a caller reads with 3 s to wait on a route of 2 s
+    Then it gets 200 with the body "answer" and the server's mark
+
   Scenario: No more servers than the route allows
     Given every request meets the fault "LOST"
     And the gateway has second sends to spend
--- a/features/placing.feature
+++ b/features/placing.feature
@@ -90,7 +90,7 @@
 
   Scenario: A second send comes as late as the objective allows
     Then with 0.1 s of work, 0.12 s expected and 0.4 s left it is due in 0.28 s
-    And with 0.3 s of work, 0.3 s expected and 0.4 s left there is none
+    And with 0.3 s of work, 0.3 s expected and 0.4 s left it is due in 0.9 s
 
   Scenario: Weights are kept over few requests
     Given a route that splits its requests 90 to 10
--- a/features/steps/gateway_requests_steps.py
+++ b/features/steps/gateway_requests_steps.py
@@ -51,6 +51,9 @@
             [
                 build_route_row('reads', '/reads/', 'idempotent'),
                 build_route_row('posts', '/posts/', 'non_idempotent'),
+                build_route_row(
+                    'long', '/long/', 'idempotent', timeout_ms=2000
+                ),
                 build_route_row(
                     'short',
                     '/short/',
@@ -112,6 +115,17 @@
     state.second_sends.clear()
 
 
+@given('the gateway has second sends to spend after {seconds:g} s')
+def fill_allowance_later(context, seconds):
+    context.loop.call_later(seconds, fill_allowance, context)
+
+
+@when('a caller reads with 3 s to wait on a route of 2 s')
+def read_waiting(context):
+    text = request_text(target='/long/1', wait_ms=3000)
+    _run(context, _timed_call(context, text))
+
+
 @given('"{name}" names itself "{other}" when it is asked')
 def rename_server(context, name, other):
     _server(context, name).name = other
--- a/zinniaturn/gateway/attempt.py
+++ b/zinniaturn/gateway/attempt.py
@@ -67,6 +67,8 @@
         ) from error
     except asyncio.CancelledError:
         connection.close()
+        ended = loop.time()
+        memory.note_unfinished(ended - now, placement.expected, ended)
         raise
     finally:
         memory.end()
--- a/zinniaturn/gateway/attempts.py
+++ b/zinniaturn/gateway/attempts.py
@@ -17,6 +17,8 @@
 
 Attempt = asyncio.Task[Response]
 
+_ASK_AGAIN_SECONDS = 0.1
+
 
 @dataclass(slots=True)
 class AttemptRunner:
@@ -52,14 +54,18 @@
             placement.expected,
             job.objective_at - now,
         )
-        if delay is None or not job.idempotent:
+        if not job.idempotent:
             return await first
         running = {first}
+        last = job.deadline - placement.work
         try:
-            await asyncio.wait(running, timeout=delay)
-            if first.done() or not self._may_hedge(job):
-                return await first
-            await self._join_second(job, running)
+            while not first.done() and now + delay < last:
+                await asyncio.wait(running, timeout=delay)
+                if not first.done() and self._may_hedge(job):
+                    await self._join_second(job, running)
+                    break
+                now += delay
+                delay = _ASK_AGAIN_SECONDS
             return await _first_answer(job, running)
         finally:
             for attempt in running:
--- a/zinniaturn/placing/hedging.py
+++ b/zinniaturn/placing/hedging.py
@@ -3,13 +3,16 @@
 
 It answers servers that turn slow or silent after they were chosen. The second
 send waits as long as it can and still meet the objective, so that few are
-made; where the objective is out of reach already there is none.
+made. Where the objective is out of reach it comes once the first send has taken
+several times as long as it should: the server may have lost the answer, and a
+late one is better than none.
 """
 
 __all__ = ('second_send_delay',)
 
 _PATIENCE = 1.25
 _ROOM = 1.2
+_STUCK = 3.0
 _SHORTEST_SECONDS = 0.02
 
 
@@ -17,17 +20,17 @@
     work_seconds: float,
     expected_seconds: float,
     objective_left: float,
-) -> float | None:
+) -> float:
     """
-    Return the seconds after the first send, or ``None`` for no second one.
+    Return the seconds after the first send.
 
     >>> round(second_send_delay(0.1, 0.12, 0.4), 2)
     0.28
-    >>> second_send_delay(0.3, 0.3, 0.4) is None
-    True
+    >>> round(second_send_delay(0.3, 0.3, 0.4), 2)
+    0.9
     """
     latest = objective_left - work_seconds * _ROOM
     earliest = expected_seconds * _PATIENCE
     if latest < max(earliest, _SHORTEST_SECONDS):
-        return None
+        return expected_seconds * _STUCK
     return latest
--- a/zinniaturn/placing/memory.py
+++ b/zinniaturn/placing/memory.py
@@ -78,6 +78,21 @@
         self.times_out = 0
         self.failure_share -= self.failure_share * _FAILURE_WEIGHT
 
+    def note_unfinished(
+        self,
+        seconds: float,
+        expected: float,
+        now: float,
+    ) -> None:
+        """Learn from a request that was ended here before its answer."""
+        if seconds <= expected:
+            return
+        ratio = min(_MOST_SLOWNESS, seconds / max(expected, 0.001))
+        current = self.slowness_at(now)
+        if ratio > current:
+            self.slowness = current + (ratio - current) * _SLOWNESS_WEIGHT
+            self.learned_at = now
+
     def note_failure(self, now: float) -> bool:
         """Count a failure; return whether the server is left out for it."""
         self.failures += 1
