--- a/zinniaturn/explain/logs.py
+++ b/zinniaturn/explain/logs.py
@@ -146,7 +146,7 @@
 
 
 def _cause(fields: dict[str, Any]) -> str:
-    """Return the likely cause, the first that applies."""
+    """Return the likely causes, the weightiest first."""
     load = fields.get('load') or [0, 0, 0, 0]
     causes = (
         (
@@ -164,8 +164,12 @@
             'Its server became slow after it was chosen.',
         ),
         (len(fields['servers']) > 1, 'A second server was tried.'),
+        (
+            fields.get('second_send') == 'not allowed',
+            'A second server was wanted, but second sends were used up.',
+        ),
     )
-    return next((text for applies, text in causes if applies), '')
+    return ' '.join(text for applies, text in causes if applies)
 
 
 def _text(stated: Any) -> str:
--- a/zinniaturn/gateway/attempts.py
+++ b/zinniaturn/gateway/attempts.py
@@ -123,8 +123,12 @@
         return allowed and self._may_send_again(job)
 
     def _may_hedge(self, job: Job) -> bool:
-        waiting = self.placer.line(job.pool.name).waiting
-        return not waiting and self._may_send_again(job)
+        if self.placer.line(job.pool.name).waiting:
+            job.second_send = 'others wait'
+            return False
+        is_allowed = self._may_send_again(job)
+        job.second_send = 'sent' if is_allowed else 'not allowed'
+        return is_allowed
 
     def _may_send_again(self, job: Job) -> bool:
         if job.attempts >= job.route.max_attempts:
--- a/zinniaturn/gateway/dispatch.py
+++ b/zinniaturn/gateway/dispatch.py
@@ -170,6 +170,7 @@
                 1,
             ),
             servers=job.servers,
+            second_send=job.second_send,
             asked=job.asked,
             load=report
             and [
--- a/zinniaturn/gateway/jobs.py
+++ b/zinniaturn/gateway/jobs.py
@@ -20,7 +20,8 @@
 
     Times are the loop's. ``attempts`` counts the sends but for those that
     surely did not run. ``elapsed`` is how long the caller had been trying
-    before this request.
+    before this request. ``second_send`` says what came of a wish to send to a
+    second server beside the first.
     """
 
     request: Request
@@ -40,6 +41,7 @@
     report: LoadReport | None = None
     expected: float = 0
     detail: str = ''
+    second_send: str = ''
 
     @property
     def objective_at(self) -> float:
--- a/zinniaturn/gateway/process.py
+++ b/zinniaturn/gateway/process.py
@@ -240,6 +240,7 @@
                 joined=change.joined,
                 leaving=change.leaving,
                 gone=change.gone,
+                usable=self.state.usable_servers(),
             )
         if was_starting and self.state.stage is VmStage.READY:
             self.journal.write(LogEvent.GATEWAY_READY)
--- a/zinniaturn/gateway/state.py
+++ b/zinniaturn/gateway/state.py
@@ -83,6 +83,16 @@
             seconds=round(candidate.memory.out_until - now, 2),
         )
 
+    def usable_servers(self) -> dict[str, int]:
+        """Return how many servers of each pool are not leaving."""
+        return {
+            pool: sum(
+                not each.registered.server.leaving
+                for each in candidates.values()
+            )
+            for pool, candidates in self.pools.items()
+        }
+
     def allowance(self, pool: str) -> SecondSends:
         """Return the second sends of a pool."""
         allowance = self.second_sends.get(pool)
