Fetch only what is lacking, from any VM that holds it

Change: a state has three parts and only those that the asker lacks are sent, compressed; fetches are spread over 0.3 s at most and over the VMs that hold it.

--- a/features/fleet_knowledge.feature
+++ b/features/fleet_knowledge.feature
@@ -79,7 +79,8 @@
       | beat  | 9601c0c0c0c0c0       |
       | state |                      |
       | state | 9101                 |
-      | state | 960105010100c4009101 |
+      | state | 94010501c400         |
+      | state | 94010501c403010203   |
 
   Scenario: Any bytes are read as a message or refused
     When 3000 random byte strings and 3000 altered messages arrive
@@ -94,3 +95,17 @@
     When another VM takes over its state
     Then both hold the same
 
+  Scenario: Only what the asker lacks passes between VMs
+    Given a VM that holds revision 7 with server "a"
+    And another VM that holds revision 6 with server "a"
+    Then the state that it sends the other is without servers
+    When the first reads revision 8 with server "a" leaving
+    Then the state that it sends the other is with servers
+    When another VM takes over the rest of its state
+    Then both hold the same
+
+  Scenario: Parts that no longer fit together are not taken over
+    Given a VM that holds revision 7 with server "a"
+    And another VM that holds revision 6 with server "a"
+    When the other changes between its asking and the answer
+    Then the answer is not taken over
--- a/features/steps/fleet_knowledge_steps.py
+++ b/features/steps/fleet_knowledge_steps.py
@@ -14,6 +14,7 @@
 from zinniaturn.clock import ManualClock
 from zinniaturn.fleet.domain import VmStage
 from zinniaturn.fleet.exceptions import BadDocumentError, PeerMessageError
+from zinniaturn.fleet.knowledge import StateParts
 from zinniaturn.fleet.messages import (
     PROTOCOL_VERSION,
     Beat,
@@ -131,11 +132,9 @@
 @when('another VM takes over its state')
 def take_over(context):
     context.other = build_knowledge(context.clock, _decode)
-    raw = encode_message(state_of(context.knowledge, 0))
-    context.other.install(
-        reading_of(decode_state(raw)),
-        context.clock.monotonic(),
-    )
+    raw = encode_message(state_of(context.knowledge, context.other.parts))
+    reading = reading_of(*decode_state(raw), context.other)
+    context.other.install(reading, context.clock.monotonic())
 
 
 @when('a VM gets the bytes "{text}" as {kind}')
@@ -174,7 +173,7 @@
     source = random.Random(7)
     knowledge = build_knowledge()
     knowledge.install(build_reading(3, [build_registered()]), 100)
-    messages = (_beat(), encode_message(state_of(knowledge, 0)))
+    messages = (_beat(), encode_message(state_of(knowledge, StateParts())))
     raws = [source.randbytes(source.randrange(60)) for _ in range(count)]
     for _ in range(altered):
         raw = bytearray(source.choice(messages))
@@ -277,3 +276,44 @@
 def check_age(context, seconds):
     difference = context.knowledge.age_seconds - seconds
     assert abs(difference) < 1e-6
+
+
+def _sent(context):
+    state = state_of(context.knowledge, context.other.parts)
+    return decode_state(encode_message(state))
+
+
+@then('the state that it sends the other is without servers')
+def check_without(context):
+    _, content = _sent(context)
+    assert content.servers is None
+
+
+@then('the state that it sends the other is with servers')
+def check_with(context):
+    _, content = _sent(context)
+    assert len(content.servers) == 1
+
+
+@when('the first reads revision {revision:d} with server "{name}" leaving')
+def first_reads(context, revision, name):
+    leaving = build_registered(name, leaving=True)
+    _read(context, build_reading(revision, [leaving]))
+
+
+@when('another VM takes over the rest of its state')
+def take_over_rest(context):
+    reading = reading_of(*_sent(context), context.other)
+    context.other.install(reading, context.clock.monotonic())
+
+
+@when('the other changes between its asking and the answer')
+def change_between(context):
+    context.sent = _sent(context)
+    reading = build_reading(7, [build_registered('b')])
+    context.other.install(reading, context.clock.monotonic())
+
+
+@then('the answer is not taken over')
+def check_not_taken(context):
+    assert reading_of(*context.sent, context.other) is None
--- a/zinniaturn/fleet/knowledge.py
+++ b/zinniaturn/fleet/knowledge.py
@@ -5,7 +5,7 @@
 server that was seen leaving stays so until another start of it is seen.
 """
 
-__all__ = ('Change', 'Knowledge')
+__all__ = ('Change', 'Knowledge', 'StateParts')
 
 import zlib
 from collections.abc import Callable, Iterable
@@ -48,6 +48,24 @@
         return bool(changed) or has_tables or self.listed_vms_changed
 
 
+@dataclass(frozen=True, slots=True)
+class StateParts:
+    """
+    What tells two states apart, part by part.
+
+    The tables go by their revision, servers and listed VMs by a digest.
+    """
+
+    tables: int = 0
+    servers: int = 0
+    vms: int = 0
+
+    @property
+    def digest(self) -> int:
+        """Return one number for all parts."""
+        return _digest((self.tables, self.servers, self.vms))
+
+
 @dataclass(slots=True)
 class Knowledge:
     """
@@ -66,9 +84,14 @@
     servers: dict[str, RegisteredServer] = field(default_factory=dict)
     vms: tuple[ListedVm, ...] = ()
     lapsed: dict[str, float] = field(default_factory=dict)
-    digest: int = 0
+    parts: StateParts = field(default_factory=StateParts)
     observers: list[Callable[[Change], None]] = field(default_factory=list)
 
+    @property
+    def digest(self) -> int:
+        """Return the digest of the whole state."""
+        return self.parts.digest
+
     @property
     def age_seconds(self) -> float:
         """Return for how long the state has not been confirmed."""
@@ -163,7 +186,7 @@
         return merged
 
     def _renew_digest(self) -> None:
-        rows = sorted(
+        servers = sorted(
             (
                 name,
                 registered.pool,
@@ -176,12 +199,12 @@
             for name, registered in self.servers.items()
             if name not in self.lapsed
         )
-        held = self.document.revision if self.document else 0
         vms = sorted(
             (each.record.name, each.record.front, each.record.exchange)
             for each in self.vms
         )
-        self.digest = zlib.crc32(msgspec.msgpack.encode((held, rows, vms)))
+        held = self.document.revision if self.document else 0
+        self.parts = StateParts(held, _digest(servers), _digest(vms))
 
     def _tell(self, change: Change) -> Change:
         if change:
@@ -222,3 +245,7 @@
         if registered.server.leaving
         and not (name in known and known[name].server.leaving)
     )
+
+
+def _digest(rows: object) -> int:
+    return zlib.crc32(msgspec.msgpack.encode(rows))
--- a/zinniaturn/fleet/messages.py
+++ b/zinniaturn/fleet/messages.py
@@ -7,6 +7,7 @@
 
 __all__ = (
     'Beat',
+    'StateContent',
     'StateMessage',
     'decode_beat',
     'decode_state',
@@ -15,6 +16,8 @@
     'state_of',
 )
 
+import zlib
+
 import msgspec
 
 from zinniaturn.fleet.domain import (
@@ -26,7 +29,7 @@
     VmStage,
 )
 from zinniaturn.fleet.exceptions import PeerMessageError
-from zinniaturn.fleet.knowledge import Knowledge
+from zinniaturn.fleet.knowledge import Knowledge, StateParts
 from zinniaturn.tables.domain import Server
 
 PROTOCOL_VERSION = 1
@@ -48,26 +51,39 @@
     age_ms: int
 
 
+class StateContent(msgspec.Struct, array_like=True, frozen=True):
+    """
+    The parts of a state that its asker lacks; the others are ``None``.
+
+    ``parts`` are the digests of the whole state.
+    """
+
+    parts: StateParts
+    raw_tables: bytes | None
+    servers: list[tuple[Server, str, int, float]] | None
+    vms: tuple[ListedVm, ...] | None
+
+
 class StateMessage(msgspec.Struct, array_like=True, frozen=True):
     """
-    The state that a VM holds.
+    The state that a VM holds, and how old it is.
 
-    ``raw_tables`` is empty where the asker holds that revision already.
+    ``packed`` is a compressed `StateContent`.
     """
 
     version: int
     revision: int
     age_ms: int
-    tables_revision: int
-    raw_tables: bytes
-    servers: list[tuple[Server, str, int, float]]
-    vms: tuple[ListedVm, ...] = ()
+    packed: bytes
 
 
 _encoder = msgspec.msgpack.Encoder()
 _beats = msgspec.msgpack.Decoder(Beat)
 _states = msgspec.msgpack.Decoder(StateMessage)
+_contents = msgspec.msgpack.Decoder(StateContent)
 _MILLISECONDS = 1000
+_LEVEL = 1
+_MOST_BYTES = 64 * 1024 * 1024
 
 
 def encode_message(message: Beat | StateMessage) -> bytes:
@@ -86,44 +102,81 @@
     return beat
 
 
-def decode_state(raw: bytes) -> StateMessage:
-    """Return a state; raises `PeerMessageError`."""
+def decode_state(raw: bytes) -> tuple[StateMessage, StateContent]:
+    """Return a state and its content; raises `PeerMessageError`."""
     try:
         state = _states.decode(raw)
-    except (msgspec.MsgspecError, ValueError) as error:
+        if state.version != PROTOCOL_VERSION:
+            raise PeerMessageError(f'version {state.version} is unknown')
+        return state, _contents.decode(_unpack(state.packed))
+    except (msgspec.MsgspecError, ValueError, zlib.error) as error:
         raise PeerMessageError(str(error)) from error
-    if state.version != PROTOCOL_VERSION:
-        raise PeerMessageError(f'version {state.version} is unknown')
-    return state
 
 
-def state_of(knowledge: Knowledge, held_tables: int) -> StateMessage:
-    """Return the state for an asker that holds the tables of a revision."""
-    document = knowledge.document or TablesDocument(0, b'')
-    is_known = document.revision <= held_tables
+def state_of(knowledge: Knowledge, held: StateParts) -> StateMessage:
+    """Return the state for an asker that holds these parts."""
     return StateMessage(
         PROTOCOL_VERSION,
         knowledge.revision,
         max(0, int(knowledge.age_seconds * _MILLISECONDS) + 1),
-        document.revision,
-        b'' if is_known else document.raw,
-        [
-            (each.server, each.pool, each.born_ms, each.warm_up_seconds)
-            for name, each in knowledge.servers.items()
-            if name not in knowledge.lapsed
-        ],
-        knowledge.vms,
+        zlib.compress(_encoder.encode(_content_of(knowledge, held)), _LEVEL),
     )
 
 
-def reading_of(state: StateMessage) -> FleetReading:
-    """Return a state as a reading, without tables if it brought none."""
+def reading_of(
+    state: StateMessage,
+    content: StateContent,
+    knowledge: Knowledge,
+) -> FleetReading | None:
+    """
+    Return a state as a reading; what it lacks is taken from what is held.
+
+    Returns ``None`` where what is held has changed since the asking, so that
+    the parts do not fit together.
+    """
+    own, other = knowledge.parts, content.parts
+    if content.servers is None and own.servers != other.servers:
+        return None
+    if content.vms is None and own.vms != other.vms:
+        return None
     document = None
-    if state.raw_tables:
-        document = TablesDocument(state.tables_revision, state.raw_tables)
+    if content.raw_tables is not None:
+        document = TablesDocument(other.tables, content.raw_tables)
+    servers = content.servers
+    if servers is None:
+        servers = _rows_of(knowledge)
     return FleetReading(
         state.revision,
         document,
-        tuple(RegisteredServer(*row) for row in state.servers),
-        state.vms,
+        tuple(RegisteredServer(*row) for row in servers),
+        knowledge.vms if content.vms is None else content.vms,
+    )
+
+
+def _content_of(knowledge: Knowledge, held: StateParts) -> StateContent:
+    parts = knowledge.parts
+    document = knowledge.document
+    has_newer = document is not None and document.revision > held.tables
+    return StateContent(
+        parts,
+        document.raw if document is not None and has_newer else None,
+        None if parts.servers == held.servers else _rows_of(knowledge),
+        None if parts.vms == held.vms else knowledge.vms,
     )
+
+
+def _rows_of(knowledge: Knowledge) -> list[tuple[Server, str, int, float]]:
+    return [
+        (each.server, each.pool, each.born_ms, each.warm_up_seconds)
+        for name, each in knowledge.servers.items()
+        if name not in knowledge.lapsed
+    ]
+
+
+def _unpack(packed: bytes) -> bytes:
+    """Return what was compressed; raises `ValueError` if it is too much."""
+    unpacker = zlib.decompressobj()
+    raw = unpacker.decompress(packed, _MOST_BYTES)
+    if unpacker.unconsumed_tail:
+        raise ValueError(f'the state is over {_MOST_BYTES} bytes')
+    return raw
--- a/zinniaturn/fleet/peers.py
+++ b/zinniaturn/fleet/peers.py
@@ -2,18 +2,21 @@
 What VMs tell each other: heartbeats by datagram, state on demand.
 
 A heartbeat names the state that its sender holds and how old it is. Whoever
-holds the same state is confirmed by it; whoever holds another fetches it.
+holds the same state is confirmed by it; whoever holds another fetches what it
+lacks, after a short random pause and from any VM that holds the new state by
+then, so that not all of them ask the one that read it first.
 """
 
 __all__ = ('PeerExchange', 'StateService')
 
 import asyncio
+import random
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 
 from zinniaturn.fleet.domain import VmRecord, VmStage
 from zinniaturn.fleet.exceptions import PeerMessageError
-from zinniaturn.fleet.knowledge import Knowledge
+from zinniaturn.fleet.knowledge import Knowledge, StateParts
 from zinniaturn.fleet.messages import (
     PROTOCOL_VERSION,
     Beat,
@@ -31,7 +34,9 @@
 from zinniaturn.http1.limits import CallerLimits
 from zinniaturn.http1.messages import Response
 
-_FETCH_SECONDS = 0.4
+_FETCH_SECONDS = 0.8
+_SPREAD_A_VM = 0.003
+_LONGEST_SPREAD_SECONDS = 0.3
 _TRANSIT_SECONDS = 0.005
 _STOP_REPEATS = 3
 _MILLISECONDS = 1000
@@ -50,6 +55,9 @@
     on_refused: Callable[[str], None]
     transport: asyncio.DatagramTransport | None = None
     fetching: 'asyncio.Task[None] | None' = None
+    source: random.Random = field(default_factory=random.Random)
+    holders: dict[str, VmRecord] = field(default_factory=dict)
+    wanted_revision: int = 0
     fetched: int = 0
     sent: int = field(default=0)
 
@@ -109,8 +117,17 @@
             return
         if beat.digest == self.knowledge.digest:
             self.knowledge.confirm(beat.revision, asked_at)
-        elif beat.revision > self.knowledge.revision and self.fetching is None:
-            self.fetching = asyncio.ensure_future(self._fetch(beat.record))
+        elif beat.revision > self.knowledge.revision:
+            self._note_holder(beat)
+
+    def _note_holder(self, beat: Beat) -> None:
+        """Remember who holds a newer state, and see that it is fetched."""
+        if beat.revision > self.wanted_revision:
+            self.wanted_revision = beat.revision
+            self.holders.clear()
+        self.holders[beat.record.name] = beat.record
+        if self.fetching is None:
+            self.fetching = asyncio.ensure_future(self._fetch())
             self.fetching.add_done_callback(self._end_fetch)
 
     def _end_fetch(self, task: 'asyncio.Task[None]') -> None:
@@ -118,47 +135,64 @@
         if not task.cancelled() and task.exception() is not None:
             self.on_refused(repr(task.exception()))
 
-    async def _fetch(self, record: VmRecord) -> None:
+    async def _fetch(self) -> None:
+        """Fetch from a VM that holds the newer state."""
+        await asyncio.sleep(self.source.uniform(0, self._spread_seconds()))
+        if self.knowledge.revision >= self.wanted_revision:
+            return
+        record = self.source.choice(list(self.holders.values()))
+        self.holders.pop(record.name)
+        try:
+            async with asyncio.timeout(_FETCH_SECONDS):
+                answer = await self._ask(record)
+        except (TimeoutError, ExchangeBrokenError, ConnectFailedError) as error:
+            self.on_refused(f'{record.name}: {error!r}')
+            return
+        self._take(answer)
+
+    def _spread_seconds(self) -> float:
+        """Return how long fetches are spread, longer in a larger fleet."""
+        return min(_LONGEST_SPREAD_SECONDS, _SPREAD_A_VM * self.vms.most())
+
+    async def _ask(self, record: VmRecord) -> Response:
         host, port = record.exchange
         address = host, port + 1
-        held = (
-            self.knowledge.document.revision if self.knowledge.document else 0
-        )
-        payload = b'GET %b%d HTTP/1.1\r\nHost: %b\r\n\r\n' % (
+        held = self.knowledge.parts
+        payload = b'GET %b%d,%d,%d HTTP/1.1\r\nHost: %b\r\n\r\n' % (
             _STATE_PATH,
-            held,
+            held.tables,
+            held.servers,
+            held.vms,
             host.encode(),
         )
         loop = asyncio.get_running_loop()
         connection = self.connections.take(address, loop.time())
+        if connection is None:
+            connection = await self.connections.connect(address, _FETCH_SECONDS)
         try:
-            async with asyncio.timeout(_FETCH_SECONDS):
-                if connection is None:
-                    connection = await self.connections.connect(
-                        address,
-                        _FETCH_SECONDS,
-                    )
-                answer = await connection.send(Exchange(payload, b'-'))
-        except (TimeoutError, ExchangeBrokenError, ConnectFailedError) as error:
-            if connection is not None:
-                connection.close()
-            self.on_refused(f'{record.name}: {error!r}')
-            return
+            answer = await connection.send(Exchange(payload, b'-'))
+        except BaseException:
+            connection.close()
+            raise
         self.connections.give_back(address, connection, answer)
-        self._take(answer)
+        return answer
 
     def _take(self, answer: Response) -> None:
         try:
-            state = decode_state(answer.body)
+            state, content = decode_state(answer.body)
         except PeerMessageError as error:
             self.on_refused(error.message)
             return
+        if state.revision <= self.knowledge.revision:
+            return
+        reading = reading_of(state, content, self.knowledge)
+        if reading is None:
+            return
         age = state.age_ms / _MILLISECONDS + _TRANSIT_SECONDS
         asked_at = self.knowledge.clock.monotonic() - age
-        if state.revision > self.knowledge.revision:
-            self.fetched += 1
-            self.knowledge.install(reading_of(state), asked_at)
-            self.send_beats()
+        self.fetched += 1
+        self.knowledge.install(reading, asked_at)
+        self.send_beats()
 
     def _send(self, payload: bytes, record: VmRecord) -> None:
         if self.transport is not None:
@@ -192,9 +226,19 @@
         exchange: CallerExchange,
     ) -> Response | Coroutine[None, None, Response]:
         """Return the state that is held."""
-        target = exchange.request.target
-        held = target.removeprefix(_STATE_PATH)
-        if not (target.startswith(_STATE_PATH) and held.isdigit()):
+        held = _held_parts(exchange.request.target)
+        if held is None:
             return Response(404, b'', [])
-        state = state_of(self.knowledge, int(held))
+        state = state_of(self.knowledge, held)
         return Response(200, b'', [], encode_message(state))
+
+
+def _held_parts(target: bytes) -> StateParts | None:
+    """Return the parts that an asker holds, or ``None`` for another path."""
+    if not target.startswith(_STATE_PATH):
+        return None
+    try:
+        tables, servers, vms = target.removeprefix(_STATE_PATH).split(b',')
+        return StateParts(int(tables), int(servers), int(vms))
+    except ValueError:
+        return None
