--- a/zinniaturn/experiments/registry.py
+++ b/zinniaturn/experiments/registry.py
@@ -52,6 +52,11 @@
 
 
 _ALL: tuple[Experiment, ...] = (
+    Experiment(
+        'gateway-start',
+        'processor time to ready and peak memory of a gateway process',
+        'zinniaturn.experiments.start:run_start',
+    ),
     Experiment(
         'soak',
         'gateway processes under random faults from outside, by --seed',
--- a/zinniaturn/experiments/soak/fleet.py
+++ b/zinniaturn/experiments/soak/fleet.py
@@ -56,10 +56,14 @@
         self.write_tables()
         for _ in range(servers):
             await self.add_server()
-        self.vms = make_vms(vms, self.store.port, self.folder)
+        self.add_vms(vms)
         for vm in self.vms:
             vm.start()
-        await asyncio.sleep(START_SECONDS)
+        await asyncio.sleep(START_SECONDS * bool(vms))
+
+    def add_vms(self, count: int) -> None:
+        """Add VMs that are not started yet."""
+        self.vms = make_vms(count, self.store.port, self.folder)
 
     async def stop(self) -> None:
         """End all that was started, by its ids."""
--- /dev/null
+++ b/zinniaturn/experiments/start.py
@@ -0,0 +1,106 @@
+"""What a gateway process costs to start and holds at its peak."""
+
+__all__ = ('StartFigures', 'measure_start', 'run_start')
+
+import asyncio
+import json
+import random
+import tempfile
+from dataclasses import asdict, dataclass
+from http import HTTPStatus
+from pathlib import Path
+
+import click
+import psutil
+
+from zinniaturn.experiments.registry import ExperimentOptions
+from zinniaturn.experiments.soak.callers import SoakCaller
+from zinniaturn.experiments.soak.fleet import SoakFleet
+
+_SERVERS = 6
+_CALLS_SECONDS = 5.0
+_READY_EVENT = '"event":701'
+_POLL_SECONDS = 0.005
+_PATIENCE_SECONDS = 20.0
+_KILOBYTES_PER_MEGABYTE = 1024
+_TARGET_MEGABYTES = 35.0
+_TARGET_CPU_SECONDS = 0.4
+
+
+@dataclass(frozen=True, slots=True)
+class StartFigures:
+    """Processor time to ready, and the peak after some load."""
+
+    cpu_seconds_to_ready: float
+    seconds_to_ready: float
+    peak_megabytes: float
+    requests: int
+
+    def is_on_target(self) -> bool:
+        """Return whether both are under the users' figures."""
+        return (
+            self.cpu_seconds_to_ready < _TARGET_CPU_SECONDS
+            and self.peak_megabytes < _TARGET_MEGABYTES
+        )
+
+
+def run_start(options: ExperimentOptions) -> int:
+    """Print the figures; return 1 if they miss the target."""
+    seconds = options.seconds or _CALLS_SECONDS
+    figures = asyncio.run(measure_start(seconds))
+    if options.as_json:
+        click.echo(json.dumps(asdict(figures)))
+    else:
+        click.echo(
+            f'ready after {figures.cpu_seconds_to_ready:.2f} s of processor '
+            f'time ({figures.seconds_to_ready:.2f} s), peak '
+            f'{figures.peak_megabytes:.1f} MB after {figures.requests} '
+            'requests',
+        )
+    return int(not figures.is_on_target())
+
+
+async def measure_start(seconds: float) -> StartFigures:
+    """Start one gateway, put load on it and return its figures."""
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = SoakFleet(1, Path(folder))
+        try:
+            await fleet.start(0, _SERVERS)
+            fleet.add_vms(1)
+            return await _measure(fleet, seconds)
+        finally:
+            await fleet.stop()
+
+
+async def _measure(fleet: SoakFleet, seconds: float) -> StartFigures:
+    vm = fleet.vms[0]
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    vm.start()
+    assert vm.process is not None
+    await _wait_until_ready(vm.log_path)
+    ready = loop.time()
+    times = psutil.Process(vm.process.pid).cpu_times()
+    caller = SoakCaller('c', fleet, random.Random(fleet.seed))
+    task = asyncio.create_task(caller.run())
+    await asyncio.sleep(seconds)
+    task.cancel()
+    caller.close()
+    return StartFigures(
+        times.user + times.system,
+        ready - began,
+        _peak_megabytes(vm.process.pid),
+        sum(call.status == HTTPStatus.OK for call in caller.calls),
+    )
+
+
+async def _wait_until_ready(log: Path) -> None:
+    async with asyncio.timeout(_PATIENCE_SECONDS):
+        while not log.exists() or _READY_EVENT not in log.read_text():
+            await asyncio.sleep(_POLL_SECONDS)
+
+
+def _peak_megabytes(pid: int) -> float:
+    lines = Path(f'/proc/{pid}/status').read_text().splitlines()
+    peak = next(line for line in lines if line.startswith('VmHWM'))
+    return int(peak.split()[1]) / _KILOBYTES_PER_MEGABYTE
