Split the connections' module and the process; share what stood twice

One loader for packages whose parts are loaded on use, one base of the platform's stand-ins, one starter of gateway processes for tests and soak.

--- a/features/steps/explain_logs_steps.py
+++ b/features/steps/explain_logs_steps.py
@@ -9,7 +9,7 @@
 
 from behave import given, then, when
 
-from features.support.platform_processes import build_settings
+from zinniaturn.experiments.soak.vms import VmPorts, build_settings
 
 _REQUEST = MappingProxyType(
     {
@@ -111,7 +111,9 @@
 
 @given('{kind} gateway settings')
 def write_settings(context, kind):
-    text = json.dumps(build_settings('127.0.0.1', 'vm-1', 1, (1, 2, 3, 4)))
+    text = json.dumps(
+        build_settings('127.0.0.1', 'vm-1', 1, VmPorts(1, 2, 3, 4))
+    )
     path = Path(context.folder) / 'settings.json'
     path.write_text(text if kind == 'good' else text[:40])
     context.settings = path
--- a/features/steps/gateway_requests_steps.py
+++ b/features/steps/gateway_requests_steps.py
@@ -62,7 +62,7 @@
                 ),
             ],
         )
-        servers = [ServerStandIn(name) for name in (first, second)]
+        servers = [ServerStandIn(name=name) for name in (first, second)]
         await context.platform.start(servers, config)
         context.gateway = await context.platform.add_gateway()
         context.front = context.gateway.settings.front
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -5,6 +5,7 @@
 import json
 import signal
 import tempfile
+from pathlib import Path
 
 from behave import given, then, when
 
@@ -17,10 +18,11 @@
     request_text,
     until,
 )
-from features.support.platform_processes import (
-    GatewayProcess,
+from zinniaturn.experiments.soak.vms import (
+    VmProcess,
     build_settings,
     free_ports,
+    make_vms,
 )
 from zinniaturn.platform.standins import (
     ServerStandIn,
@@ -28,7 +30,6 @@
     StoreStandIn,
 )
 
-_PORTS = 4
 _LOOKUP = (
     f'GET /resolve?name={HOST}&region=region&zone=dc-a HTTP/1.1\r\n'
     f'Host: directory\r\n\r\n'
@@ -85,7 +86,7 @@
         context.store.write('op/config', build_config(_USUAL))
         context.servers = {}
         for name in (first, second):
-            server = ServerStandIn(name)
+            server = ServerStandIn(name=name)
             await server.start()
             context.closers.append(server.stop)
             context.servers[name] = server
@@ -99,11 +100,7 @@
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
     context.folder = folder.name
-    ports = free_ports(_PORTS)
-    context.vms = [
-        GatewayProcess(folder.name, number, context.store.port, ports)
-        for number in (1, 2, 3)
-    ]
+    context.vms = make_vms(3, context.store.port, Path(folder.name))
     for vm in context.vms:
         context.add_cleanup(vm.kill)
         vm.start()
@@ -156,7 +153,7 @@
     vm = _vm(context, number)
 
     async def send():
-        reader, writer = await asyncio.open_connection(*vm.front)
+        reader, writer = await asyncio.open_connection(*vm.address)
         writer.write(request_text('POST', '/posts/1', wait_ms=4000))
         await until(
             lambda: any(each.running for each in context.servers.values()),
@@ -265,17 +262,15 @@
 
 @when('a gateway is started with {kind} settings')
 def start_badly(context, kind):
-    ports = free_ports(_PORTS)
-    vm = GatewayProcess(context.folder, 9, context.store.port, ports)
+    ports = free_ports()
+    vm = VmProcess('vm-9', '127.0.3.9', ports, Path(context.folder))
     settings = build_settings(vm.host, vm.name, context.store.port, ports)
     texts = {
         'cut short': json.dumps(settings)[:80],
         'incomplete': json.dumps({**settings, 'ip': None}),
         'wrong': json.dumps({**settings, 'port_range': 'none'}),
     }
-    if kind == 'missing':
-        vm.settings_path.unlink()
-    else:
+    if kind != 'missing':
         vm.settings_path.write_text(texts[kind])
     vm.start()
     context.bad_vm = vm
@@ -303,7 +298,7 @@
 @then('a request through each VM gets {status:d}')
 def check_requests(context, status):
     for vm in context.vms:
-        assert _run(context, _status(vm.front, request_text())) == status
+        assert _run(context, _status(vm.address, request_text())) == status
 
 
 @then('the request gets {status:d} and its connection is closed behind it')
@@ -332,7 +327,7 @@
 def check_late_request(context, number, status):
     vm = _vm(context, number)
     text = request_text(wait_ms=4000)
-    assert _run(context, _status(vm.front, text)) == status
+    assert _run(context, _status(vm.address, text)) == status
 
 
 @then('VM {number:d} ends by itself with status {status:d}')
@@ -340,7 +335,7 @@
     process = _vm(context, number).process
     assert process.wait(_PATIENCE_SECONDS) == status
     stopped = [
-        row for row in _vm(context, number).rows() if row['event'] == 703
+        row for row in _vm(context, number).log_rows() if row['event'] == 703
     ]
     assert stopped[0]['in_flight'] == 0
 
@@ -354,7 +349,7 @@
         await asyncio.sleep(seconds)
         for vm in context.vms:
             text = request_text(target=target)
-            assert await _status(vm.front, text) == status
+            assert await _status(vm.address, text) == status
 
     _run(context, check())
 
@@ -366,7 +361,7 @@
 def _check_all_go_to(context, vms, count, name):
     before = _arrivals(context)
     for vm in itertools.islice(itertools.cycle(vms), count):
-        status = _run(context, _status(vm.front, request_text()))
+        status = _run(context, _status(vm.address, request_text()))
         assert status == 200, status
     after = _arrivals(context)
     gained = {key: after[key] - before[key] for key in after}
@@ -393,18 +388,18 @@
 
 @then('the log of VM {number:d} tells event {event:d}')
 def check_event(context, number, event):
-    assert event in {row['event'] for row in _vm(context, number).rows()}
+    assert event in {row['event'] for row in _vm(context, number).log_rows()}
 
 
 @then('the log of VM {number:d} or of another tells event {event:d}')
 def check_some_event(context, number, event):
-    events = {row['event'] for vm in context.vms for row in vm.rows()}
+    events = {row['event'] for vm in context.vms for row in vm.log_rows()}
     assert event in events
 
 
 @then('it ends with status {status:d} and says why with event {event:d}')
 def check_bad_start(context, status, event):
     assert context.bad_status == status
-    rows = context.bad_vm.rows()
+    rows = context.bad_vm.log_rows()
     assert [row['event'] for row in rows] == [event]
     assert rows[0]['reason']
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -10,10 +10,11 @@
 from zinniaturn.experiments.soak.fleet import SoakFleet, SoakServer
 from zinniaturn.experiments.soak.plan import make_plan
 from zinniaturn.experiments.soak.run import play
-from zinniaturn.experiments.soak.vms import VmProcess
+from zinniaturn.experiments.soak.vms import VmPorts, VmProcess
 from zinniaturn.platform.standins import ServerStandIn
 
 _PLAN_SECONDS = 20
+_PORTS = VmPorts(1, 2, 3, 4)
 
 
 @then('seed {seed:d} makes the same plan twice and seed {other:d} another')
@@ -45,11 +46,11 @@
 
 @given('a soak in which a post ran twice and was told 503')
 def run_twice(context):
-    server = ServerStandIn('s-1')
+    server = ServerStandIn(name='s-1')
     context.fleet = SoakFleet(1, Path())
     context.server = SoakServer(server, None)
     context.fleet.servers.append(context.server)
-    context.vm = VmProcess('vm-1', '127.0.0.1', 1, 2, Path())
+    context.vm = VmProcess('vm-1', '127.0.0.1', _PORTS, Path())
     context.calls = []
     _call(context, 'twice', 'posts', status=503)
     server.runs[b'twice'] = 2
@@ -68,7 +69,7 @@
 
 @given('a request that a server got long after its leaving')
 def send_late(context):
-    server = ServerStandIn('s-2')
+    server = ServerStandIn(name='s-2')
     left = SoakServer(server, None, left_at=97)
     context.fleet.gone.append(left)
     server.arrived_at[b'late'] = 100
@@ -82,7 +83,7 @@
 
 @given('a request that a planned stop cut off')
 def cut_off(context):
-    stopping = VmProcess('vm-2', '127.0.0.2', 1, 2, Path())
+    stopping = VmProcess('vm-2', '127.0.0.2', _PORTS, Path())
     stopping.stopping_since = 99.5
     call = _call(context, 'cut', status=0, was_cut=True)
     call.vm = stopping
--- a/zinniaturn/choosing/__init__.py
+++ b/zinniaturn/choosing/__init__.py
@@ -18,12 +18,11 @@
     'policy_named',
 )
 
-import importlib
-from types import MappingProxyType
 from typing import TYPE_CHECKING
 
 from zinniaturn.choosing.exceptions import RefusedError
 from zinniaturn.choosing.reports import LoadReport
+from zinniaturn.loading import load_on_use
 
 if TYPE_CHECKING:
     from zinniaturn.choosing.pool_state import PoolState
@@ -35,7 +34,8 @@
     from zinniaturn.choosing.server_state import Completion, ServerState
     from zinniaturn.choosing.waiting import Ticket
 
-_LOADED_ON_USE = MappingProxyType(
+__getattr__ = load_on_use(
+    __name__,
     {
         'PRODUCT_POLICY': 'zinniaturn.choosing.registry',
         'policy_for_pool': 'zinniaturn.choosing.registry',
@@ -44,13 +44,5 @@
         'PoolState': 'zinniaturn.choosing.pool_state',
         'ServerState': 'zinniaturn.choosing.server_state',
         'Ticket': 'zinniaturn.choosing.waiting',
-    }
+    },
 )
-
-
-def __getattr__(name: str) -> object:
-    """Load what the policies need when it is first asked for."""
-    module = _LOADED_ON_USE.get(name)
-    if module is None:
-        raise AttributeError(f'module {__name__!r} has no attribute {name!r}')
-    return getattr(importlib.import_module(module), name)
--- a/zinniaturn/experiments/soak/callers.py
+++ b/zinniaturn/experiments/soak/callers.py
@@ -140,7 +140,7 @@
 
 
 async def _ask_directory(vm: VmProcess) -> list[str]:
-    reader, writer = await asyncio.open_connection(vm.host, vm.directory)
+    reader, writer = await asyncio.open_connection(*vm.directory)
     try:
         writer.write(
             f'GET /resolve?name={HOST}&zone=dc-0 HTTP/1.1\r\n'
@@ -154,7 +154,7 @@
 
 
 def _front(vm: VmProcess) -> str:
-    return f'{vm.host}:{vm.front}'
+    return f'{vm.host}:{vm.ports.front}'
 
 
 def _request(call: Call) -> bytes:
--- a/zinniaturn/experiments/soak/fleet.py
+++ b/zinniaturn/experiments/soak/fleet.py
@@ -78,8 +78,8 @@
         """Add a server behind a proxy and register it."""
         number = len(self.servers) + len(self.gone) + 1
         server = ServerStandIn(
-            f's-{number}',
-            POOL,
+            name=f's-{number}',
+            pool=POOL,
             work_seconds=0.03,
             is_personal=True,
             body=b'x' * self.source.choice((10, 5_000, 90_000)),
--- a/zinniaturn/experiments/soak/vms.py
+++ b/zinniaturn/experiments/soak/vms.py
@@ -1,6 +1,12 @@
 """Gateway processes on loopback addresses, started and ended by their ids."""
 
-__all__ = ('VmProcess', 'make_vms')
+__all__ = (
+    'VmPorts',
+    'VmProcess',
+    'build_settings',
+    'free_ports',
+    'make_vms',
+)
 
 import contextlib
 import json
@@ -11,6 +17,7 @@
 import sys
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 from zinniaturn.http1.connections import Address
 
@@ -19,6 +26,16 @@
 _KILL_WAIT_SECONDS = 10
 
 
+@dataclass(frozen=True, slots=True)
+class VmPorts:
+    """The ports of a VM, the same on all of them."""
+
+    front: int
+    readiness: int
+    directory: int
+    first: int
+
+
 @dataclass(slots=True)
 class VmProcess:
     """
@@ -31,8 +48,7 @@
 
     name: str
     host: str
-    front: int
-    directory: int
+    ports: VmPorts
     folder: Path
     process: 'subprocess.Popen[bytes] | None' = None
     disturbed_until: float = 0
@@ -42,7 +58,17 @@
     @property
     def address(self) -> Address:
         """Return where callers connect to."""
-        return self.host, self.front
+        return self.host, self.ports.front
+
+    @property
+    def readiness(self) -> Address:
+        """Return where the process says whether it is ready."""
+        return self.host, self.ports.readiness
+
+    @property
+    def directory(self) -> Address:
+        """Return where look-ups are answered."""
+        return self.host, self.ports.directory
 
     def start(self) -> None:
         """Start the process; its output goes to a log of its own."""
@@ -67,6 +93,13 @@
         """Return the path of the log."""
         return self.folder / f'{self.name}.log'
 
+    def log_rows(self) -> list[dict[str, Any]]:
+        """Return the lines of the log."""
+        if not self.log_path.exists():
+            return []
+        lines = self.log_path.read_text().splitlines()
+        return [json.loads(line) for line in lines if line.startswith('{')]
+
     def is_running(self) -> bool:
         """Return whether the process lives."""
         return self.process is not None and self.process.poll() is None
@@ -86,39 +119,46 @@
 
 def make_vms(count: int, store_port: int, folder: Path) -> list[VmProcess]:
     """Return VMs whose settings are written and that are not started."""
-    front, readiness, directory, first = _free_ports()
+    ports = free_ports()
     vms = []
     for number in range(1, count + 1):
-        vm = VmProcess(
-            f'vm-{number}', f'127.0.3.{number}', front, directory, folder
-        )
-        vm.settings_path.write_text(
-            json.dumps(
-                {
-                    'node_name': vm.name,
-                    'ip': vm.host,
-                    'zone': f'dc-{number % 3}',
-                    'listen': {
-                        'front': f'{vm.host}:{front}',
-                        'readiness': f'{vm.host}:{readiness}',
-                        'directory': f'{vm.host}:{directory}',
-                    },
-                    'port_range': [first, first + 5],
-                    'bounds': {
-                        'grace_s': _STOP_SECONDS,
-                        'budget_min_retries': 56,
-                    },
-                    'platform': {'address': f'127.0.0.1:{store_port}'},
-                },
-            ),
-        )
+        host = f'127.0.3.{number}'
+        vm = VmProcess(f'vm-{number}', host, ports, folder)
+        settings = build_settings(host, vm.name, store_port, ports)
+        settings['zone'] = f'dc-{number % 3}'
+        vm.settings_path.write_text(json.dumps(settings))
         vms.append(vm)
     return vms
 
 
-def _free_ports() -> list[int]:
+def build_settings(
+    host: str,
+    name: str,
+    store_port: int,
+    ports: VmPorts,
+) -> dict[str, Any]:
+    """Return the settings of a VM as the platform renders them."""
+    return {
+        'node_name': name,
+        'role': 'gateway',
+        'ip': host,
+        'zone': 'dc-0',
+        'listen': {
+            'front': f'{host}:{ports.front}',
+            'readiness': f'{host}:{ports.readiness}',
+            'control': None,
+            'directory': f'{host}:{ports.directory}',
+        },
+        'port_range': [ports.first, ports.first + 5],
+        'bounds': {'grace_s': _STOP_SECONDS, 'budget_min_retries': 56},
+        'platform': {'address': f'127.0.0.1:{store_port}', 'form': 'kv'},
+    }
+
+
+def free_ports() -> VmPorts:
+    """Return ports that are free on all loopback addresses now."""
     with contextlib.ExitStack() as probes:
         opened = [probes.enter_context(socket.socket()) for _ in range(_PORTS)]
         for probe in opened:
             probe.bind(('127.0.0.1', 0))
-        return [int(each.getsockname()[1]) for each in opened]
+        return VmPorts(*(int(each.getsockname()[1]) for each in opened))
--- a/zinniaturn/fleet/peers.py
+++ b/zinniaturn/fleet/peers.py
@@ -11,7 +11,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from zinniaturn.fleet.domain import VmRecord, VmStage
@@ -28,9 +28,9 @@
 )
 from zinniaturn.fleet.vms import VmTable
 from zinniaturn.http1.backend import Exchange
-from zinniaturn.http1.callers import Exchange as CallerExchange
 from zinniaturn.http1.connections import Connections
 from zinniaturn.http1.exceptions import ConnectFailedError, ExchangeBrokenError
+from zinniaturn.http1.exchanges import CallerExchange, Reply
 from zinniaturn.http1.limits import CallerLimits
 from zinniaturn.http1.messages import Response
 
@@ -224,7 +224,7 @@
     def handle(
         self,
         exchange: CallerExchange,
-    ) -> Response | Coroutine[None, None, Response]:
+    ) -> Reply:
         """Return the state that is held."""
         held = _held_parts(exchange.request.target)
         if held is None:
--- a/zinniaturn/gateway/dispatch.py
+++ b/zinniaturn/gateway/dispatch.py
@@ -3,7 +3,6 @@
 __all__ = ('Dispatcher',)
 
 import asyncio
-from collections.abc import Coroutine
 
 from zinniaturn.choosing.exceptions import RefusedError
 from zinniaturn.events.catalogue import LogEvent
@@ -13,7 +12,7 @@
 from zinniaturn.gateway.placer import Placer
 from zinniaturn.gateway.refusals import refusal
 from zinniaturn.gateway.state import GatewayState
-from zinniaturn.http1.callers import Exchange as CallerExchange
+from zinniaturn.http1.exchanges import CallerExchange, Reply
 from zinniaturn.http1.limits import CallerLimits
 from zinniaturn.http1.messages import Request, Response, find_field
 from zinniaturn.outcomes import Event, Outcome, Phase, combine, decide
@@ -43,7 +42,7 @@
     def handle(
         self,
         exchange: CallerExchange,
-    ) -> Response | Coroutine[None, None, Response]:
+    ) -> Reply:
         """Return the answer of a request, or a coroutine that brings it."""
         request = exchange.request
         tables = self.state.knowledge.tables
--- a/zinniaturn/gateway/process.py
+++ b/zinniaturn/gateway/process.py
@@ -3,7 +3,6 @@
 __all__ = ('Gateway', 'run_gateway')
 
 import asyncio
-import gc
 import random
 import signal
 from collections.abc import Callable, Coroutine
@@ -11,9 +10,8 @@
 from zinniaturn.clock import BootClock
 from zinniaturn.events.catalogue import LogEvent
 from zinniaturn.fleet.domain import FleetReading, VmRecord, VmStage
-from zinniaturn.fleet.exceptions import FleetStoreError
 from zinniaturn.fleet.following import Registration, StateReader
-from zinniaturn.fleet.knowledge import Change, Knowledge
+from zinniaturn.fleet.knowledge import Knowledge
 from zinniaturn.fleet.pacing import ReadPacing
 from zinniaturn.fleet.peers import PeerExchange, StateService
 from zinniaturn.fleet.port import FleetStore
@@ -22,6 +20,7 @@
 from zinniaturn.gateway.dispatch import Dispatcher
 from zinniaturn.gateway.journal import Journal
 from zinniaturn.gateway.rendering import render_metrics
+from zinniaturn.gateway.reporting import StateReporter
 from zinniaturn.gateway.services import (
     LookupService,
     MetricsService,
@@ -29,12 +28,10 @@
 )
 from zinniaturn.gateway.settings import GatewaySettings
 from zinniaturn.gateway.state import GatewayState
-from zinniaturn.http1.callers import Listener
 from zinniaturn.http1.connections import Address
+from zinniaturn.http1.listener import Listener
 from zinniaturn.placing.lookups import LookupAnswers
 
-_MILLISECONDS = 1000
-_SHOWN_ENTRIES = 5
 _INCARNATION_BITS = 53
 _TICK_SECONDS = 0.5
 _STOP_POLL_SECONDS = 0.05
@@ -77,18 +74,20 @@
             source,
             asyncio.get_running_loop().time(),
         )
-        self.knowledge.observers.append(self._note_change)
+        self.dispatcher = Dispatcher(self.state)
+        self.reports = StateReporter(self.state, self.dispatcher)
+        self.knowledge.observers.append(self.reports.note_change)
         self.reader = StateReader(
             store,
             self.knowledge,
             self.vms,
             ReadPacing.within(source, settings.bounds.follow_seconds),
         )
-        self.reader.on_reply.append(self._note_reply)
+        self.reader.on_reply.append(self.reports.note_reply)
         self.registration = Registration(
             store,
             self.vms,
-            self._note_reply,
+            self.reports.note_reply,
             clock,
         )
         self.peers = PeerExchange(
@@ -97,14 +96,11 @@
             self.vms,
             self.state.connections,
             lambda: self.state.stage,
-            self._note_refused,
+            self.reports.note_refused,
         )
-        self.reader.on_read.append(self._note_reading)
-        self.dispatcher = Dispatcher(self.state)
+        self.reader.on_read.append(self._follow_up)
         self.listeners: list[Listener] = []
         self.tasks: list[asyncio.Task[None]] = []
-        self.store_failures = 0
-        self.unreadable: tuple[str, ...] = ()
 
     async def start(self) -> None:
         """Listen and begin to follow the store; raises `OSError`."""
@@ -208,91 +204,18 @@
     def _in_flight(self) -> int:
         return sum(each.in_flight for each in self.listeners)
 
+    def _follow_up(self, reading: FleetReading) -> None:
+        """Compare a reading with this VM's record and tell the other VMs."""
+        self.registration.check(reading.vms)
+        self.peers.send_beats()
+        self.reports.note_reading(reading)
+
     async def _tick(self) -> None:
         loop = asyncio.get_running_loop()
-        heard: set[str] = set()
         while True:
             await asyncio.sleep(_TICK_SECONDS)
             self.state.connections.drop_stale(loop.time())
-            now_heard = {each.record.name for each in self.vms.living()}
-            for name in sorted(now_heard - heard):
-                self.journal.write(LogEvent.VM_ALIVE, other=name)
-            for name in sorted(heard - now_heard):
-                self.journal.write(LogEvent.VM_SILENT, other=name)
-            heard = now_heard
-
-    def _note_change(self, change: Change) -> None:
-        was_starting = self.state.stage is VmStage.STARTING
-        self.vms.note_records([each.record for each in self.knowledge.vms])
-        self.state.install(change)
-        if change.refused:
-            self.journal.write(
-                LogEvent.TABLES_REFUSED,
-                revision=change.revision,
-                reason=change.refused,
-            )
-        if change.tables_revision is not None:
-            self._note_tables(change)
-        if change.joined or change.leaving or change.gone:
-            self.journal.write(
-                LogEvent.SERVERS_CHANGED,
-                revision=change.revision,
-                joined=change.joined,
-                leaving=change.leaving,
-                gone=change.gone,
-                usable=self.state.usable_servers(),
-            )
-        if was_starting and self.state.stage is VmStage.READY:
-            self.journal.write(LogEvent.GATEWAY_READY)
-            gc.collect()
-            gc.freeze()
-
-    def _note_tables(self, change: Change) -> None:
-        tables = self.knowledge.tables
-        assert tables is not None
-        self.dispatcher.limits = tables.caller_limits
-        self.journal.write(
-            LogEvent.TABLES_IN_FORCE,
-            revision=change.tables_revision,
-            routes=len(tables.routes),
-        )
-
-    def _note_reading(self, reading: FleetReading) -> None:
-        self.registration.check(reading.vms)
-        self.peers.send_beats()
-        if reading.unreadable != self.unreadable:
-            self.unreadable = reading.unreadable
-            self.journal.write(
-                LogEvent.SERVERS_UNREADABLE,
-                revision=reading.revision,
-                entries=reading.unreadable[:_SHOWN_ENTRIES],
-                count=len(reading.unreadable),
-            )
-
-    def _note_reply(self, error: FleetStoreError | None) -> None:
-        if error is not None:
-            self.store_failures += 1
-            self.state.counters.events['store_failure'] += 1
-            if self.store_failures == 1:
-                self.journal.write(
-                    LogEvent.FLEET_STORE_LOST,
-                    reason=error.message,
-                    state_age_ms=self._state_age_ms(),
-                )
-        elif self.store_failures:
-            self.journal.write(
-                LogEvent.FLEET_STORE_BACK,
-                failures=self.store_failures,
-                state_age_ms=self._state_age_ms(),
-            )
-            self.store_failures = 0
-
-    def _state_age_ms(self) -> int:
-        return round(min(1e6, self.knowledge.age_seconds) * _MILLISECONDS)
-
-    def _note_refused(self, reason: str) -> None:
-        self.state.counters.events['vm_message_refused'] += 1
-        self.journal.write(LogEvent.VM_MESSAGE_REFUSED, reason=reason)
+            self.reports.note_vms()
 
 
 async def run_gateway(
--- a/zinniaturn/gateway/services.py
+++ b/zinniaturn/gateway/services.py
@@ -7,7 +7,7 @@
 
 from zinniaturn.fleet.domain import VmStage
 from zinniaturn.gateway.state import GatewayState
-from zinniaturn.http1.callers import Exchange
+from zinniaturn.http1.exchanges import CallerExchange
 from zinniaturn.http1.limits import CallerLimits
 from zinniaturn.http1.messages import Response
 from zinniaturn.placing.lookups import LookupAnswers
@@ -24,7 +24,7 @@
     limits: CallerLimits = field(default_factory=CallerLimits)
     is_stopping: bool = False
 
-    def handle(self, exchange: Exchange) -> Response:
+    def handle(self, exchange: CallerExchange) -> Response:
         """Return the addresses, or 503 where none is known."""
         dialect = self.state.dialect
         query = dialect.lookup_query(exchange.request)
@@ -46,7 +46,7 @@
     limits: CallerLimits = field(default_factory=CallerLimits)
     is_stopping: bool = False
 
-    def handle(self, exchange: Exchange) -> Response:
+    def handle(self, exchange: CallerExchange) -> Response:
         """Return 200 once there are tables and until the stop."""
         if not self.state.dialect.is_readiness(exchange.request):
             return Response(404, b'', [])
@@ -62,7 +62,7 @@
     limits: CallerLimits = field(default_factory=CallerLimits)
     is_stopping: bool = False
 
-    def handle(self, exchange: Exchange) -> Response:
+    def handle(self, exchange: CallerExchange) -> Response:
         """Return all metrics."""
         if exchange.request.target != b'/metrics':
             return Response(404, b'', [])
--- a/zinniaturn/http1/__init__.py
+++ b/zinniaturn/http1/__init__.py
@@ -22,11 +22,11 @@
 )
 
 from zinniaturn.http1.backend import BackendConnection
-from zinniaturn.http1.callers import Listener
 from zinniaturn.http1.connections import Address, Connections, parse_address
 from zinniaturn.http1.exceptions import (
     BadMessageError,
     ConnectFailedError,
     ExchangeBrokenError,
 )
+from zinniaturn.http1.listener import Listener
 from zinniaturn.http1.messages import Fields, Request, Response, find_field
--- a/zinniaturn/http1/callers.py
+++ b/zinniaturn/http1/callers.py
@@ -5,16 +5,15 @@
 where they are worked on at the same time.
 """
 
-__all__ = ('CallerConnection', 'Exchange', 'Listener')
+__all__ = ('CallerConnection',)
 
 import asyncio
 from collections import deque
 from collections.abc import Coroutine
-from dataclasses import dataclass, field
-from typing import Protocol
 
 import httptools
 
+from zinniaturn.http1.exchanges import CallerExchange, Service
 from zinniaturn.http1.limits import CallerLimits
 from zinniaturn.http1.messages import (
     Fields,
@@ -24,106 +23,24 @@
 )
 
 _MOST_WAITING = 32
-_SWEEP_SECONDS = 0.5
 _STUCK_READER_SECONDS = 30.0
 
 
-@dataclass(slots=True, eq=False)
-class Exchange:
-    """A request of a connection and its answer, once there is one."""
-
-    request: Request
-    connection: 'CallerConnection'
-    answer: Response | None = None
-    task: 'asyncio.Task[None] | None' = None
-    turn: 'asyncio.Future[None] | None' = None
-
-    async def wait_for_turn(self) -> None:
-        """Wait until every earlier request of the connection is answered."""
-        if self.connection.exchanges[0] is not self:
-            loop = asyncio.get_running_loop()
-            self.turn = loop.create_future()
-            await self.turn
-
-
-class Service(Protocol):
-    """What answers requests."""
-
-    limits: CallerLimits
-    is_stopping: bool
-
-    def handle(
-        self, exchange: Exchange
-    ) -> Response | Coroutine[None, None, Response]:
-        """Return the answer, or a coroutine that brings it."""
-
-
-@dataclass(slots=True)
-class Listener:
-    """The open connections of one listening address."""
-
-    service: Service
-    connections: 'set[CallerConnection]' = field(default_factory=set)
-    server: asyncio.Server | None = None
-    sweeper: 'asyncio.Task[None] | None' = None
-
-    async def start(self, host: str, port: int) -> None:
-        """Listen; raises `OSError`."""
-        loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(
-            lambda: CallerConnection(loop, self),
-            host,
-            port,
-            backlog=1024,
-        )
-        self.sweeper = loop.create_task(self._sweep())
-
-    @property
-    def port(self) -> int:
-        """Return the port that is listened on."""
-        assert self.server is not None
-        return int(self.server.sockets[0].getsockname()[1])
-
-    @property
-    def in_flight(self) -> int:
-        """Return the number of requests without a whole answer."""
-        return sum(len(each.exchanges) for each in self.connections)
-
-    def is_idle(self) -> bool:
-        """Return whether nothing is being received, served or sent."""
-        return all(each.is_idle() for each in self.connections)
-
-    def close(self) -> None:
-        """Stop listening and close what is idle."""
-        if self.server is not None:
-            self.server.close()
-        if self.sweeper is not None:
-            self.sweeper.cancel()
-        for connection in list(self.connections):
-            connection.close_if_idle()
-
-    async def _sweep(self) -> None:
-        loop = asyncio.get_running_loop()
-        while True:
-            await asyncio.sleep(_SWEEP_SECONDS)
-            for connection in list(self.connections):
-                connection.check_progress(loop.time(), self.service.limits)
-
-
 class CallerConnection(asyncio.Protocol):
     """One connection; several requests may be on their way at once."""
 
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
-        listener: Listener,
+        service: Service,
+        connections: 'set[CallerConnection]',
     ) -> None:
         self.loop = loop
-        self.listener = listener
-        self.service = listener.service
+        self.service = service
+        self.connections = connections
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpRequestParser(self)
-        self.exchanges: deque[Exchange] = deque()
+        self.exchanges: deque[CallerExchange] = deque()
         self.is_closing = False
         self.changed_at = loop.time()
         self.unsent = 0
@@ -140,12 +57,12 @@
         """Keep the connection."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        self.listener.connections.add(self)
+        self.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the work for a caller that has left."""
         self.is_closing = True
-        self.listener.connections.discard(self)
+        self.connections.discard(self)
         for exchange in self.exchanges:
             if exchange.task is not None:
                 exchange.task.cancel()
@@ -264,13 +181,13 @@
         self.is_closing = True
         self.receiving = False
         request = Request(b'', b'', [], b'', False, self.loop.time())
-        exchange = Exchange(request, self)
+        exchange = CallerExchange(request, self)
         exchange.answer = Response(status, b'', [], detail, closes=True)
         self.exchanges.append(exchange)
         self._flush()
 
     def _accept(self, request: Request) -> None:
-        exchange = Exchange(request, self)
+        exchange = CallerExchange(request, self)
         self.exchanges.append(exchange)
         if not request.keep_alive:
             self.is_closing = True
@@ -285,7 +202,7 @@
 
     async def _serve(
         self,
-        exchange: Exchange,
+        exchange: CallerExchange,
         outcome: Coroutine[None, None, Response],
     ) -> None:
         exchange.answer = await outcome
@@ -309,7 +226,7 @@
             if not transport.is_closing():
                 transport.resume_reading()
 
-    def _write(self, exchange: Exchange, answer: Response) -> bool:
+    def _write(self, exchange: CallerExchange, answer: Response) -> bool:
         """Write one answer; return whether it was the connection's last."""
         assert self.transport is not None
         is_last = not self.exchanges
--- /dev/null
+++ b/zinniaturn/platform/standins/loopback.py
@@ -0,0 +1,40 @@
+"""What the stand-ins have in common: listening on a loopback address."""
+
+__all__ = ('LoopbackService',)
+
+from dataclasses import dataclass, field
+
+from zinniaturn.http1.exchanges import CallerExchange, Reply
+from zinniaturn.http1.limits import CallerLimits
+from zinniaturn.http1.listener import Listener
+
+
+@dataclass(slots=True)
+class LoopbackService:
+    """A service that listens until it is stopped at once."""
+
+    host: str = '127.0.0.1'
+    listener: Listener = field(init=False)
+    limits: CallerLimits = field(default_factory=CallerLimits)
+    is_stopping: bool = False
+
+    async def start(self, port: int = 0) -> None:
+        """Listen; port 0 takes any free one."""
+        self.listener = Listener(self)
+        await self.listener.start(self.host, port)
+
+    async def stop(self) -> None:
+        """Stop at once."""
+        self.listener.close()
+        for connection in list(self.listener.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+
+    @property
+    def port(self) -> int:
+        """Return the port that is listened on."""
+        return self.listener.port
+
+    def handle(self, exchange: CallerExchange) -> Reply:
+        """Return the answer, or a coroutine that brings it."""
+        raise NotImplementedError
--- a/zinniaturn/platform/standins/server.py
+++ b/zinniaturn/platform/standins/server.py
@@ -4,12 +4,11 @@
 
 import asyncio
 from collections import Counter, deque
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
-from zinniaturn.http1.callers import Exchange, Listener
-from zinniaturn.http1.limits import CallerLimits
+from zinniaturn.http1.exchanges import CallerExchange, Reply
 from zinniaturn.http1.messages import (
     Fields,
     Request,
@@ -18,6 +17,7 @@
     response_bytes,
 )
 from zinniaturn.platform.standins.faults import ServerFault
+from zinniaturn.platform.standins.loopback import LoopbackService
 from zinniaturn.platform.standins.resets import reset
 
 _MILLISECONDS = 1000
@@ -25,11 +25,9 @@
 _SIGNATURE = b'X-Upstream-Signature'
 _HEALTH_PATH = b'/healthz'
 
-Reply = Response | Coroutine[None, None, Response]
-
 
 @dataclass(slots=True)
-class ServerStandIn:
+class ServerStandIn(LoopbackService):
     """
     Runs requests in its slots and queues a few more.
 
@@ -40,7 +38,7 @@
     was closed while they ran.
     """
 
-    name: str
+    name: str = ''
     pool: str = 'pool'
     slots: int = 4
     queue: int = 8
@@ -48,11 +46,7 @@
     slowness: float = 1.0
     body: bytes = b'answer'
     is_personal: bool = False
-    host: str = '127.0.0.1'
     is_healthy: bool = True
-    listener: Listener = field(init=False)
-    limits: CallerLimits = field(default_factory=CallerLimits)
-    is_stopping: bool = False
     running: int = 0
     waiting: int = 0
     asked: int = 0
@@ -68,21 +62,8 @@
 
     async def start(self, port: int = 0) -> None:
         """Listen; port 0 takes any free one."""
-        self.listener = Listener(self)
         self.free = asyncio.Semaphore(self.slots)
-        await self.listener.start(self.host, port)
-
-    async def stop(self) -> None:
-        """Stop at once."""
-        self.listener.close()
-        for connection in list(self.listener.connections):
-            if connection.transport is not None:
-                connection.transport.abort()
-
-    @property
-    def port(self) -> int:
-        """Return the port that is listened on."""
-        return self.listener.port
+        await LoopbackService.start(self, port)
 
     def entry(self, state: str = 'ready') -> dict[str, Any]:
         """Return what the server says of itself in the store."""
@@ -98,7 +79,7 @@
             'born': self.born_ms,
         }
 
-    def handle(self, exchange: Exchange) -> Reply:
+    def handle(self, exchange: CallerExchange) -> Reply:
         """Serve a request or a question for the load."""
         request = exchange.request
         if request.target == _HEALTH_PATH:
@@ -121,7 +102,7 @@
 
     async def _run(
         self,
-        exchange: Exchange,
+        exchange: CallerExchange,
         fault: ServerFault | None,
     ) -> Response:
         request = exchange.request
@@ -151,7 +132,7 @@
 
     async def _misbehave(
         self,
-        exchange: Exchange,
+        exchange: CallerExchange,
         identity: bytes,
         fault: ServerFault,
     ) -> Response:
--- a/zinniaturn/platform/standins/store.py
+++ b/zinniaturn/platform/standins/store.py
@@ -7,7 +7,7 @@
 import itertools
 import time
 from collections import Counter
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from types import MappingProxyType
 from typing import Any
@@ -15,10 +15,10 @@
 
 import msgspec
 
-from zinniaturn.http1.callers import Exchange, Listener
-from zinniaturn.http1.limits import CallerLimits
+from zinniaturn.http1.exchanges import CallerExchange, Reply
 from zinniaturn.http1.messages import Response
 from zinniaturn.platform.standins.faults import StoreFault
+from zinniaturn.platform.standins.loopback import LoopbackService
 from zinniaturn.platform.standins.resets import reset
 
 _PAGE_ITEMS = 500
@@ -29,8 +29,6 @@
     {StoreFault.BUSY: 503, StoreFault.TOO_MANY: 429},
 )
 
-Reply = Response | Coroutine[None, None, Response]
-
 
 @dataclass(slots=True)
 class _Stored:
@@ -41,7 +39,7 @@
 
 
 @dataclass(slots=True)
-class StoreStandIn:
+class StoreStandIn(LoopbackService):
     """
     Keys, leases and revisions on a loopback address.
 
@@ -50,37 +48,17 @@
     ranges that were read.
     """
 
-    listener: Listener = field(init=False)
     keys: dict[str, _Stored] = field(default_factory=dict)
     leases: dict[int, tuple[float, float]] = field(default_factory=dict)
     revision: int = 1
     faults: dict[str, StoreFault] = field(default_factory=dict)
     calls: dict[str, int] = field(default_factory=dict)
-    limits: CallerLimits = field(default_factory=CallerLimits)
-    is_stopping: bool = False
     page_items: int = _PAGE_ITEMS
     reads_by_host: Counter[str] = field(default_factory=Counter)
     numbers: 'itertools.count[int]' = field(
         default_factory=lambda: itertools.count(1),
     )
 
-    async def start(self, host: str = '127.0.0.1', port: int = 0) -> None:
-        """Listen; port 0 takes any free one."""
-        self.listener = Listener(self)
-        await self.listener.start(host, port)
-
-    async def stop(self) -> None:
-        """Stop at once."""
-        self.listener.close()
-        for connection in list(self.listener.connections):
-            if connection.transport is not None:
-                connection.transport.abort()
-
-    @property
-    def port(self) -> int:
-        """Return the port that is listened on."""
-        return self.listener.port
-
     def write(self, key: str, document: Any, lease: int = 0) -> int:
         """Write a document as an operator or a server does."""
         raw = document
@@ -93,7 +71,7 @@
         if self.keys.pop(key, None) is not None:
             self.revision += 1
 
-    def handle(self, exchange: Exchange) -> Reply:
+    def handle(self, exchange: CallerExchange) -> Reply:
         """Serve a call, or what a fault makes of it."""
         path, _, query = exchange.request.target.decode().partition('?')
         self.calls[path] = self.calls.get(path, 0) + 1
@@ -118,7 +96,7 @@
 
     def _serve(
         self,
-        exchange: Exchange,
+        exchange: CallerExchange,
         path: str,
         query: dict[str, list[str]],
     ) -> Response:
@@ -228,7 +206,7 @@
         }
 
 
-def _host_of(exchange: Exchange) -> str:
+def _host_of(exchange: CallerExchange) -> str:
     transport = exchange.connection.transport
     assert transport is not None
     return str(transport.get_extra_info('peername')[0])
@@ -244,7 +222,7 @@
     raise AssertionError('nothing ends the silence')
 
 
-async def _reset(exchange: Exchange) -> Response:
+async def _reset(exchange: CallerExchange) -> Response:
     transport = exchange.connection.transport
     assert transport is not None
     reset(transport)
--- a/zinniaturn/tables/__init__.py
+++ b/zinniaturn/tables/__init__.py
@@ -22,10 +22,9 @@
     'read_table_file',
 )
 
-import importlib
-from types import MappingProxyType
 from typing import TYPE_CHECKING
 
+from zinniaturn.loading import load_on_use
 from zinniaturn.tables.domain import Pool, Route, Server, Tables
 from zinniaturn.tables.exceptions import InvalidTableError, TablesError
 from zinniaturn.tables.matching import RouteMatcher
@@ -35,20 +34,13 @@
     from zinniaturn.tables.files import read_table_file
     from zinniaturn.tables.parsing import parse_pools, parse_routes
 
-_LOADED_ON_USE = MappingProxyType(
+__getattr__ = load_on_use(
+    __name__,
     {
         'decode_tables': 'zinniaturn.tables.codec',
         'encode_tables': 'zinniaturn.tables.codec',
         'parse_pools': 'zinniaturn.tables.parsing',
         'parse_routes': 'zinniaturn.tables.parsing',
         'read_table_file': 'zinniaturn.tables.files',
-    }
+    },
 )
-
-
-def __getattr__(name: str) -> object:
-    """Load what needs the models when it is first asked for."""
-    module = _LOADED_ON_USE.get(name)
-    if module is None:
-        raise AttributeError(f'module {__name__!r} has no attribute {name!r}')
-    return getattr(importlib.import_module(module), name)
