Take the slowness at a request's start for all of it

Routes of a few quick requests taught their servers a wrong speed before their estimate was settled.

--- a/features/placing.feature
+++ b/features/placing.feature
@@ -182,3 +182,15 @@
     When "c" starts anew and says that it is ready
     And "c" says in a late heartbeat of its process before that it is stopping
     Then a look-up names itself, "b" and "c"
+
+  Scenario: A slow VM takes as many times as long, and a quick one is preferred
+    Given a server that reported 0 of 4 busy a moment ago
+    When its VM reports 4 times the usual slowness
+    Then it is expected to take 4 times as long
+
+  Scenario: Servers are not judged by an estimate that is not settled
+    Given a route of which nothing is known, with an objective of 0.4 s
+    When 5 of its requests take 0.002 s each
+    Then its estimate is not settled and under 0.03 s
+    When 5 more of its requests take 0.002 s each
+    Then its estimate is settled
--- a/features/steps/placing_steps.py
+++ b/features/steps/placing_steps.py
@@ -17,7 +17,7 @@
 from zinniaturn.fleet.vms import VmTable
 from zinniaturn.placing.allowance import SecondSends
 from zinniaturn.placing.asking import AskBudget, AskBudgets, Asking
-from zinniaturn.placing.expecting import expected_seconds
+from zinniaturn.placing.expecting import WorkEstimates, expected_seconds
 from zinniaturn.placing.hedging import second_send_delay
 from zinniaturn.placing.line import Line, Offer, Waiting, best_concurrency
 from zinniaturn.placing.spreading import Spreader
@@ -657,3 +657,42 @@
 )
 def say_stopping_late(context, name):
     context.vms.note_beat(context.records[name], VmStage.STOPPING)
+
+
+@when('its VM reports {ratio:g} times the usual slowness')
+def report_slowness(context, ratio):
+    context.report = build_report(slowness=ratio)
+    context.memory.note_report(context.report, _NOW)
+
+
+@then('it is expected to take {ratio:g} times as long')
+def check_ratio(context, ratio):
+    assert abs(_expected(context, _NOW) - context.before * ratio) < 1e-9
+
+
+@given(
+    'a route of which nothing is known, with an objective of {objective:g} s'
+)
+def unknown_route(context, objective):
+    context.estimates = WorkEstimates()
+    context.objective = objective
+
+
+@when('{count:d} of its requests take {seconds:g} s each')
+@when('{count:d} more of its requests take {seconds:g} s each')
+def learn_work(context, count, seconds):
+    for _ in range(count):
+        expected = context.estimates.work_seconds('r', context.objective)
+        context.estimates.learn('r', context.objective, seconds, expected)
+
+
+@then('its estimate is not settled and under {seconds:g} s')
+def check_unsettled(context, seconds):
+    assert not context.estimates.is_settled('r')
+    estimate = context.estimates.work_seconds('r', context.objective)
+    assert 0 < estimate < seconds, estimate
+
+
+@then('its estimate is settled')
+def check_settled(context):
+    assert context.estimates.is_settled('r')
--- a/zinniaturn/gateway/attempt.py
+++ b/zinniaturn/gateway/attempt.py
@@ -145,7 +145,8 @@
             Event.BAD_ANSWER,
             answer,
         )
-    memory.note_success(seconds, placement.expected, now)
+    expected = placement.expected if placement.is_estimate_settled else seconds
+    memory.note_success(seconds, expected, now)
 
 
 def _note_failure(
--- a/zinniaturn/gateway/jobs.py
+++ b/zinniaturn/gateway/jobs.py
@@ -2,7 +2,6 @@
 
 __all__ = ('Job', 'Placement')
 
-import asyncio
 from dataclasses import dataclass, field
 
 from zinniaturn.choosing.reports import LoadReport
@@ -61,7 +60,8 @@
     The server that a request is sent to.
 
     ``connection`` is ready for it, or ``None`` where one must be opened.
-    ``work`` is the estimate of the work alone, ``expected`` of the answer.
+    ``work`` is the estimate of the work alone, ``expected`` of the answer;
+    servers are not judged by it before it is settled.
     """
 
     candidate: Candidate
@@ -69,4 +69,4 @@
     work: float
     expected: float
     report: LoadReport | None = None
-    attempt: 'asyncio.Task[object] | None' = None
+    is_estimate_settled: bool = True
--- a/zinniaturn/gateway/placer.py
+++ b/zinniaturn/gateway/placer.py
@@ -85,7 +85,9 @@
                 waiting.refused_seconds or work,
                 'no server is free in time',
             )
-        return _placement(waiting, waiting.granted)
+        placement = _placement(waiting, waiting.granted)
+        placement.is_estimate_settled = self.work.is_settled(job.route.name)
+        return placement
 
     def candidates(self, pool: FleetPool) -> list[Candidate]:
         """Return the servers of a pool that may get new requests."""
--- a/zinniaturn/placing/expecting.py
+++ b/zinniaturn/placing/expecting.py
@@ -1,9 +1,9 @@
 """
 How long a request would take at a server, by its report and our memory.
 
-It answers the load of few slots a server on VMs with noisy neighbours: a VM's
-slowness changes within a few hundred milliseconds, so a short request is
-served at the slowness reported and a long one mostly at the usual one.
+It answers the load of few slots a server on VMs with noisy neighbours: the
+slowness at which a request begins holds for all of it, while those ahead of it
+in a queue meet the usual one.
 """
 
 __all__ = (
@@ -18,12 +18,13 @@
 from zinniaturn.choosing.reports import LoadReport
 from zinniaturn.placing.memory import ServerMemory
 
-_SLOWNESS_LASTS_SECONDS = 0.25
 _USUAL_SLOWNESS = 1.3
 CROWDED_SHARE = 0.8
 CROWDED_FACTOR = 1.6
 _FAILURE_FACTOR = 4.0
 _WORK_WEIGHT = 0.08
+_FIRST_WEIGHT = 0.5
+_FIRST_SAMPLES = 6
 
 
 def expected_seconds(
@@ -40,8 +41,8 @@
     >>> round(expected_seconds(0.1, idle, memory, 0), 3)
     0.1
     >>> slow = LoadReport(0, 0, 4, slowness=4.0)
-    >>> expected_seconds(0.1, slow, memory, 0) > 0.25
-    True
+    >>> round(expected_seconds(0.1, slow, memory, 0), 3)
+    0.4
     """
     slots = max(1, report.slots)
     running = report.busy + memory.sent_since(memory.reported_at)
@@ -49,7 +50,7 @@
     if (running + 1) / slots > CROWDED_SHARE:
         crowd = CROWDED_FACTOR
     learned = memory.slowness_at(now)
-    own = _with_slowness(work_seconds * crowd * learned, report.slowness)
+    own = work_seconds * crowd * learned * report.slowness
     ahead = running + report.queued - slots + 1
     if ahead > 0:
         each = work_seconds * crowd * learned * _USUAL_SLOWNESS
@@ -58,15 +59,6 @@
     return own * (1 + failing * _FAILURE_FACTOR)
 
 
-def _with_slowness(work: float, slowness: float) -> float:
-    """Return how long work takes where the slowness soon changes again."""
-    slowest = work * slowness
-    if slowest <= _SLOWNESS_LASTS_SECONDS:
-        return slowest
-    left = work - _SLOWNESS_LASTS_SECONDS / slowness
-    return _SLOWNESS_LASTS_SECONDS + left * _USUAL_SLOWNESS
-
-
 @dataclass(slots=True)
 class WorkEstimates:
     """
@@ -76,6 +68,11 @@
     """
 
     known: dict[str, float] = field(default_factory=dict)
+    samples: dict[str, int] = field(default_factory=dict)
+
+    def is_settled(self, route: str) -> bool:
+        """Return whether the estimate rests on several answers."""
+        return self.samples.get(route, 0) >= _FIRST_SAMPLES
 
     def work_seconds(self, route: str, objective_seconds: float) -> float:
         """Return the estimate for a route."""
@@ -91,5 +88,10 @@
     ) -> None:
         """Correct the estimate by how far an answer was off."""
         current = self.work_seconds(route, objective_seconds)
-        ratio = min(2.0, max(0.5, seconds / max(expected, 0.001)))
-        self.known[route] = current + current * (ratio - 1) * _WORK_WEIGHT
+        ratio = seconds / max(expected, 0.001)
+        weight = _FIRST_WEIGHT
+        if self.is_settled(route):
+            ratio = min(2.0, max(0.5, ratio))
+            weight = _WORK_WEIGHT
+        self.known[route] = current + current * (ratio - 1) * weight
+        self.samples[route] = self.samples.get(route, 0) + 1
--- a/zinniaturn/placing/memory.py
+++ b/zinniaturn/placing/memory.py
@@ -16,6 +16,7 @@
 _SLOWNESS_WEIGHT = 0.4
 _FADE_SECONDS = 4.0
 _MOST_SLOWNESS = 12.0
+_LEAST_SLOWNESS = 0.7
 _FAILURE_WEIGHT = 0.3
 _FAILURES_OUT = 2
 _FIRST_OUT_SECONDS = 1.0
@@ -71,6 +72,7 @@
     def note_success(self, seconds: float, expected: float, now: float) -> None:
         """Learn from how long an answer took."""
         ratio = min(_MOST_SLOWNESS, seconds / max(expected, 0.001))
+        ratio = max(_LEAST_SLOWNESS, ratio)
         current = self.slowness_at(now)
         self.slowness = current + (ratio - current) * _SLOWNESS_WEIGHT
         self.learned_at = now
