Never wait for the log's pipe; keep spent second sends over new settings

Cause, found by reading: changed settings emptied the record of second sends, so that a VM could spend its part twice in a window, and a full pipe would have held the process up.

--- a/features/gateway_requests.feature
+++ b/features/gateway_requests.feature
@@ -178,3 +178,13 @@
   Scenario: The metrics count requests and how long they took
     When a caller reads 3 times
     Then the metrics show 3 answered requests of route "reads"
+
+  Scenario: Changed settings give back no second send that was spent
+    Given the gateway has second sends to spend
+    When 3 second sends are spent and the settings change
+    Then 3 second sends count as spent
+
+  Scenario: A full pipe holds nothing up
+    Given a log whose pipe nobody reads
+    When 20000 lines are written to it
+    Then some were dropped and counted, and none waited
--- a/features/steps/gateway_requests_steps.py
+++ b/features/steps/gateway_requests_steps.py
@@ -1,6 +1,8 @@
 """Steps of callers' requests through a gateway."""
 
 import asyncio
+import os
+from dataclasses import replace
 
 from behave import given, then, when
 
@@ -13,6 +15,8 @@
     request_text,
     until,
 )
+from zinniaturn.events.catalogue import LogEvent
+from zinniaturn.gateway.journal import Journal
 from zinniaturn.gateway.rendering import render_metrics
 from zinniaturn.platform.standins import ServerFault, ServerStandIn
 
@@ -472,3 +476,42 @@
     line = f'{name}{{outcome="answered",route="{route}"}} {count}'
     assert line in text, text
     assert f'zinniaturn_gateway_answer_seconds_count{{route="{route}"}}' in text
+
+
+@when('{count:d} second sends are spent and the settings change')
+def spend_and_change(context, count):
+    state = context.gateway.state
+    allowance = state.allowance('pool')
+    for _ in range(count):
+        assert allowance.spend(context.loop.time(), 1)
+    bounds = replace(state.settings.bounds, second_send_ratio=0.1)
+    context.gateway.apply(replace(state.settings, bounds=bounds))
+
+
+@then('{count:d} second sends count as spent')
+def check_spent(context, count):
+    allowance = context.gateway.state.allowance('pool')
+    assert len(allowance.spent) == count
+    assert allowance.ratio == 0.1
+
+
+@given('a log whose pipe nobody reads')
+def unread_log(context):
+    reading, writing = os.pipe()
+    context.add_cleanup(os.close, reading)
+    context.add_cleanup(os.close, writing)
+    context.journal = Journal('vm-1', writing)
+    context.journal.never_wait()
+    context.journal.usual.limit = 10**9
+
+
+@when('{count:d} lines are written to it')
+def write_lines(context, count):
+    for _ in range(count):
+        context.journal.write(LogEvent.GATEWAY_READY)
+    context.written = count
+
+
+@then('some were dropped and counted, and none waited')
+def check_dropped(context):
+    assert 0 < context.journal.dropped < context.written
--- a/zinniaturn/gateway/journal.py
+++ b/zinniaturn/gateway/journal.py
@@ -52,6 +52,10 @@
         default_factory=lambda: _Share(_FAILURE_LINES_A_SECOND),
     )
 
+    def never_wait(self) -> None:
+        """Have a full pipe refuse lines instead of holding the process up."""
+        os.set_blocking(self.output, False)
+
     def write(
         self,
         event: LogEvent,
--- a/zinniaturn/gateway/process.py
+++ b/zinniaturn/gateway/process.py
@@ -154,7 +154,7 @@
         """Take over changed settings, but for the addresses listened on."""
         self.settings = settings
         self.state.settings = settings
-        self.state.second_sends.clear()
+        self.state.renew_allowances()
         self.journal.write(LogEvent.SETTINGS_RELOADED)
 
     def _services(
--- a/zinniaturn/gateway/reporting.py
+++ b/zinniaturn/gateway/reporting.py
@@ -14,6 +14,7 @@
 
 _MILLISECONDS = 1000
 _SHOWN_ENTRIES = 5
+_SHOWN_SERVERS = 40
 _LONGEST_AGE_SECONDS = 1e6
 
 
@@ -50,9 +51,10 @@
             self.state.journal.write(
                 LogEvent.SERVERS_CHANGED,
                 revision=change.revision,
-                joined=change.joined,
-                leaving=change.leaving,
-                gone=change.gone,
+                joined=change.joined[:_SHOWN_SERVERS],
+                leaving=change.leaving[:_SHOWN_SERVERS],
+                gone=change.gone[:_SHOWN_SERVERS],
+                changed=len(change.joined + change.leaving + change.gone),
                 usable=self.state.usable_servers(),
             )
         if was_starting and self.state.stage is VmStage.READY:
--- a/zinniaturn/gateway/state.py
+++ b/zinniaturn/gateway/state.py
@@ -106,3 +106,11 @@
             )
             self.second_sends[pool] = allowance
         return allowance
+
+    def renew_allowances(self) -> None:
+        """Take over changed bounds; what was spent stays spent."""
+        bounds = self.settings.bounds
+        for allowance in self.second_sends.values():
+            allowance.ratio = bounds.second_send_ratio
+            allowance.fixed = bounds.second_send_fixed
+            allowance.window_seconds = bounds.second_send_window_seconds
--- a/zinniaturn/platform/running.py
+++ b/zinniaturn/platform/running.py
@@ -24,6 +24,7 @@
     metrics_port = int(arguments[0]) if arguments else 0
     path = os.environ.get(VARIABLE, '')
     journal = Journal('')
+    journal.never_wait()
     try:
         settings = read_settings(path, metrics_port)
     except SettingsFileError as error:
