Survive faults of our own, and wait for a body that goes on

Cause, found by reading: an unforeseen error in a request left its caller without an answer, one in the reading of the store would have left the VM with what it knew for ever, and a body that took over the head's time was given up. Now the fault is logged (event 706), the request answered as unknown, the part started anew.

--- a/features/gateway_requests.feature
+++ b/features/gateway_requests.feature
@@ -188,3 +188,25 @@
     Given a log whose pipe nobody reads
     When 20000 lines are written to it
     Then some were dropped and counted, and none waited
+
+  Scenario: A slow body is waited for as long as it goes on
+    When a caller sends a body of 8 bytes, one each 0.5 s, with 3 s for a head
+    Then the server ran it once with 8 bytes
+
+  Scenario: A head that does not end is given up
+    When a caller sends half of a head and waits
+    Then it gets a status of 408
+
+  Scenario: A fault of ours ends one request and is logged
+    Given asking servers fails with a fault of the program
+    When a caller reads
+    Then it gets a status of 500
+    And the log tells of the fault
+    When the fault is mended and a caller reads
+    Then it gets 200 with the body "answer" and the server's mark
+
+  Scenario: A part that fails goes on
+    Given reading the store fails with a fault of the program once
+    When the operator's document changes
+    Then the gateway has it in force
+    And the log tells of the fault
--- a/features/steps/gateway_requests_steps.py
+++ b/features/steps/gateway_requests_steps.py
@@ -19,6 +19,7 @@
 from zinniaturn.gateway.journal import Journal
 from zinniaturn.gateway.rendering import render_metrics
 from zinniaturn.platform.standins import ServerFault, ServerStandIn
+from zinniaturn.tables.matching import RouteMatcher
 
 _PROMISES = frozenset((408, 421, 429, 503))
 _LONG_AGO_SECONDS = 1000
@@ -515,3 +516,84 @@
 @then('some were dropped and counted, and none waited')
 def check_dropped(context):
     assert 0 < context.journal.dropped < context.written
+
+
+@when(
+    'a caller sends a body of {size:d} bytes, one each {pause:g} s, with 3 s '
+    'for a head',
+)
+def send_slowly(context, size, pause):
+    async def send():
+        reader, writer = await asyncio.open_connection(*context.front)
+        text = request_text('POST', '/posts/1', body=bytes(size), wait_ms=9000)
+        writer.write(text[:-size])
+        for _ in range(size):
+            await asyncio.sleep(pause)
+            writer.write(bytes(1))
+        context.answer = await read_answer(reader)
+        writer.transport.abort()
+
+    knowledge = context.gateway.knowledge
+    tables = knowledge.tables
+    route = replace(tables.routes['posts'], deadline_seconds=9)
+    knowledge.tables = replace(tables, routes={'posts': route})
+    context.gateway.state.matcher = RouteMatcher([route])
+    _run(context, send())
+
+
+@when('a caller sends half of a head and waits')
+def send_half_head(context):
+    async def send():
+        reader, writer = await asyncio.open_connection(*context.front)
+        writer.write(b'GET /reads/1 HTTP/1.1\r\nHost: ')
+        context.answer = await read_answer(reader)
+        writer.transport.abort()
+
+    _run(context, send())
+
+
+@given('asking servers fails with a fault of the program')
+def break_asking(context):
+    placer = context.gateway.dispatcher.attempts.placer
+    context.asker = placer.asker
+    context.sound_dialect = context.asker.dialect
+    context.asker.dialect = None
+
+
+@when('the fault is mended and a caller reads')
+def mend_asking(context):
+    context.asker.dialect = context.sound_dialect
+    read_once(context)
+
+
+@given('reading the store fails with a fault of the program once')
+def break_reading(context):
+    store = context.gateway.store
+    read = store.read_fleet
+    faults = [RuntimeError('a fault')]
+
+    async def fail_once():
+        if faults:
+            raise faults.pop()
+        return await read()
+
+    store.read_fleet = fail_once
+
+
+@when("the operator's document changes")
+def change_document(context):
+    rows = [build_route_row('other', '/other/', 'idempotent')]
+    config = build_config(rows, version='00000002')
+    context.platform.store.write('op/config', config)
+
+
+@then('the gateway has it in force')
+def check_in_force(context):
+    knowledge = context.gateway.knowledge
+    _run(context, until(lambda: 'other' in knowledge.tables.routes))
+
+
+@then('the log tells of the fault')
+def check_fault_logged(context):
+    rows = context.gateway.journal.rows
+    assert any(row['event'] == 706 and row['reason'] for row in rows)
--- a/zinniaturn/events/catalogue.py
+++ b/zinniaturn/events/catalogue.py
@@ -46,6 +46,7 @@
     GATEWAY_STOPPED = 703
     SETTINGS_RELOADED = 704
     SETTINGS_REFUSED = 705
+    GATEWAY_FAULT = 706
     REQUEST_ENDED = 710
     TABLES_IN_FORCE = 720
     TABLES_REFUSED = 721
@@ -154,6 +155,10 @@
             _WARNING,
             'changed settings cannot be used; the old ones stay in use',
         ),
+        LogEvent.GATEWAY_FAULT: (
+            logging.ERROR,
+            'a part of the gateway process failed and goes on',
+        ),
         LogEvent.REQUEST_ENDED: (_INFO, 'a request of a caller has ended'),
         LogEvent.TABLES_IN_FORCE: (_INFO, 'newer tables are in force'),
         LogEvent.TABLES_REFUSED: (
--- a/zinniaturn/gateway/dispatch.py
+++ b/zinniaturn/gateway/dispatch.py
@@ -88,6 +88,8 @@
         except asyncio.CancelledError:
             self._log(job, 'caller left', 0)
             raise
+        except Exception as error:
+            return self._fail(job, error)
         return self._pass_on(job, answer)
 
     def _pass_on(self, job: Job, answer: Response) -> Response:
@@ -99,6 +101,12 @@
             self._log(job, 'failed by server', answer.status)
         return self.state.dialect.caller_answer(answer)
 
+    def _fail(self, job: Job, error: Exception) -> Response:
+        """Answer a request that met a fault of ours; it may have run."""
+        job.detail = repr(error)
+        self.state.note_fault('a request', error)
+        return self._final(job, 'internal', Outcome.UNKNOWN, None)
+
     def _give_up(self, job: Job, event: Event) -> Response:
         phase = Phase.SENT_WHOLE if job.attempts else Phase.NOT_SENT
         job.known = combine(job.known, decide(phase, event))
--- a/zinniaturn/gateway/placer.py
+++ b/zinniaturn/gateway/placer.py
@@ -208,7 +208,14 @@
         if pool.name not in self.polls:
             task = asyncio.ensure_future(self._keep_asking(pool))
             self.polls[pool.name] = task
-            task.add_done_callback(lambda _: self.polls.pop(pool.name))
+            task.add_done_callback(lambda ended: self._end_poll(pool, ended))
+
+    def _end_poll(self, pool: FleetPool, task: 'asyncio.Task[None]') -> None:
+        self.polls.pop(pool.name)
+        if not task.cancelled() and task.exception() is not None:
+            self.state.note_fault('asking', task.exception())
+            if self.line(pool.name).waiting:
+                self._poll(pool)
 
     async def _keep_asking(self, pool: FleetPool) -> None:
         line = self.line(pool.name)
--- a/zinniaturn/gateway/process.py
+++ b/zinniaturn/gateway/process.py
@@ -34,10 +34,12 @@
 
 _INCARNATION_BITS = 53
 _TICK_SECONDS = 0.5
+_RESTART_SECONDS = 0.2
 _STOP_POLL_SECONDS = 0.05
 _SERVE_SHARE = 0.72
 _LAST_SHARE = 0.92
 
+Part = Callable[[], Coroutine[None, None, None]]
 Reload = Callable[[], GatewaySettings | None]
 
 
@@ -174,12 +176,24 @@
         )
 
     def _begin_tasks(self) -> None:
-        work: tuple[Coroutine[None, None, None], ...] = (
-            self.reader.run(),
-            self.peers.run(),
-            self._tick(),
+        parts: dict[str, Part] = {
+            'reading the store': self.reader.run,
+            'heartbeats': self.peers.run,
+            'ticks': self._tick,
+        }
+        self.tasks.extend(
+            asyncio.ensure_future(self._keep_running(name, part))
+            for name, part in parts.items()
         )
-        self.tasks.extend(asyncio.ensure_future(each) for each in work)
+
+    async def _keep_running(self, name: str, part: Part) -> None:
+        """Run a part for ever; a fault in it is logged and it starts anew."""
+        while True:
+            try:
+                await part()
+            except Exception as error:
+                self.state.note_fault(name, error)
+                await asyncio.sleep(_RESTART_SECONDS)
 
     async def _listen(self, address: tuple[str, int], service: object) -> None:
         listener = Listener(service)  # type: ignore[arg-type]
--- a/zinniaturn/gateway/state.py
+++ b/zinniaturn/gateway/state.py
@@ -83,6 +83,16 @@
             seconds=round(candidate.memory.out_until - now, 2),
         )
 
+    def note_fault(self, where: str, error: BaseException | None) -> None:
+        """Log a fault of the program itself."""
+        self.counters.events['fault'] += 1
+        self.journal.write(
+            LogEvent.GATEWAY_FAULT,
+            is_failure=True,
+            where=where,
+            reason=repr(error),
+        )
+
     def usable_servers(self) -> dict[str, int]:
         """Return how many servers of each pool are not leaving."""
         return {
--- a/zinniaturn/http1/callers.py
+++ b/zinniaturn/http1/callers.py
@@ -161,11 +161,16 @@
             if quiet_seconds > _STUCK_READER_SECONDS:
                 self.transport.abort()
         elif self.receiving:
-            if now - self.began_at > limits.header_seconds:
-                self._refuse(408, b'the request took too long')
+            self._check_receiving(now, limits)
         elif not self.exchanges and quiet_seconds > limits.idle_seconds:
             self.close_if_idle()
 
+    def _check_receiving(self, now: float, limits: CallerLimits) -> None:
+        """Give up a head that takes too long, or a body that stands still."""
+        since = self.changed_at if self.head_done else self.began_at
+        if now - since > limits.header_seconds:
+            self._refuse(408, b'the request took too long')
+
     def _check_head(self) -> None:
         collected = len(self.target) + sum(
             len(name) + len(text) for name, text in self.fields
