--- a/zinniaturn/http1/callers.py
+++ b/zinniaturn/http1/callers.py
@@ -9,7 +9,6 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Coroutine
 
 import httptools
 
@@ -61,12 +60,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the work for a caller that has left."""
-        self.is_closing = True
         self.connections.discard(self)
-        for exchange in self.exchanges:
-            if exchange.task is not None:
-                exchange.task.cancel()
-        self.exchanges.clear()
+        self._drop_exchanges()
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes; what is no request is answered and ends it."""
@@ -189,7 +184,7 @@
         exchange = CallerExchange(request, self)
         exchange.answer = Response(status, b'', [], detail, closes=True)
         self.exchanges.append(exchange)
-        self._flush()
+        self.flush()
 
     def _accept(self, request: Request) -> None:
         exchange = CallerExchange(request, self)
@@ -199,21 +194,13 @@
         outcome = self.service.handle(exchange)
         if isinstance(outcome, Response):
             exchange.answer = outcome
-            self._flush()
+            self.flush()
             return
-        exchange.task = self.loop.create_task(self._serve(exchange, outcome))
+        exchange.task = self.loop.create_task(exchange.serve(outcome))
         if len(self.exchanges) >= _MOST_WAITING and self.transport is not None:
             self.transport.pause_reading()
 
-    async def _serve(
-        self,
-        exchange: CallerExchange,
-        outcome: Coroutine[None, None, Response],
-    ) -> None:
-        exchange.answer = await outcome
-        self._flush()
-
-    def _flush(self) -> None:
+    def flush(self) -> None:
         """Write the answers whose turn it is."""
         transport = self.transport
         while self.exchanges and transport is not None:
@@ -243,14 +230,14 @@
         self.transport.write(response_bytes(answer, is_head))
         self.changed_at = self.loop.time()
         if answer.closes:
-            self._close_behind()
+            self._drop_exchanges()
+            self.transport.close()
         return answer.closes
 
-    def _close_behind(self) -> None:
+    def _drop_exchanges(self) -> None:
+        """End the work on requests that will not be answered here."""
         self.is_closing = True
         for exchange in self.exchanges:
             if exchange.task is not None:
                 exchange.task.cancel()
         self.exchanges.clear()
-        if self.transport is not None:
-            self.transport.close()
--- a/zinniaturn/http1/exchanges.py
+++ b/zinniaturn/http1/exchanges.py
@@ -26,6 +26,11 @@
     task: 'asyncio.Task[None] | None' = None
     turn: 'asyncio.Future[None] | None' = None
 
+    async def serve(self, outcome: Coroutine[None, None, Response]) -> None:
+        """Await the answer and have it written in its turn."""
+        self.answer = await outcome
+        self.connection.flush()
+
     async def wait_for_turn(self) -> None:
         """Wait until every earlier request of the connection is answered."""
         if self.connection.exchanges[0] is not self:
