--- a/zinniaturn/experiments/soak/callers.py
+++ b/zinniaturn/experiments/soak/callers.py
@@ -10,10 +10,14 @@
 import random
 from dataclasses import dataclass, field
 
-import msgspec
-
 from zinniaturn.experiments.soak.fleet import HOST, SoakFleet
 from zinniaturn.experiments.soak.vms import VmProcess
+from zinniaturn.platform.standins.wire import (
+    addresses_of,
+    lookup_bytes,
+    mark_of,
+    request_bytes,
+)
 
 _LOOKUP_SECONDS = 1.0
 _KEEP_SECONDS = (2.0, 2.0, 6.0)
@@ -142,15 +146,12 @@
 async def _ask_directory(vm: VmProcess) -> list[str]:
     reader, writer = await asyncio.open_connection(*vm.directory)
     try:
-        writer.write(
-            f'GET /resolve?name={HOST}&zone=dc-0 HTTP/1.1\r\n'
-            f'Host: directory\r\n\r\n'.encode(),
-        )
+        writer.write(lookup_bytes(HOST, 'dc-0'))
         call = Call('', '', vm, 0)
         await _read_answer(reader, call)
     finally:
         writer.transport.abort()
-    return list(msgspec.json.decode(call.body)['addresses'])
+    return addresses_of(call.body)
 
 
 def _front(vm: VmProcess) -> str:
@@ -159,11 +160,8 @@
 
 def _request(call: Call) -> bytes:
     method = 'POST' if call.route == 'posts' else 'GET'
-    return (
-        f'{method} /{call.route}/1 HTTP/1.1\r\nHost: {HOST}\r\n'
-        f'X-Attempt-Id: {call.request_id}\r\n'
-        f'X-Request-Deadline-Ms: {_WAIT_MS}\r\nContent-Length: 0\r\n\r\n'
-    ).encode()
+    path = f'/{call.route}/1'
+    return request_bytes(method, path, HOST, call.request_id, _WAIT_MS)
 
 
 async def _read_answer(reader: asyncio.StreamReader, call: Call) -> bool:
@@ -173,7 +171,7 @@
     fields = dict(_field(line) for line in lines)
     body = await reader.readexactly(int(fields.get('content-length', 0)))
     call.status = int(first.split()[1])
-    call.mark = fields.get('x-upstream-signature', '')
+    call.mark = mark_of(fields)
     call.body = body
     return fields.get('connection') != 'close'
 
--- a/zinniaturn/experiments/soak/faults.py
+++ b/zinniaturn/experiments/soak/faults.py
@@ -17,6 +17,7 @@
 from zinniaturn.experiments.soak.plan import Fault, FaultKind
 from zinniaturn.experiments.soak.vms import VmProcess
 from zinniaturn.platform.standins import ServerFault, StoreFault
+from zinniaturn.platform.standins.wire import server_key
 from zinniaturn.standins.faults import (
     BlackHole,
     DelayAnswer,
@@ -171,7 +172,7 @@
         each.left_at = _now()
         await self.fleet.add_server()
         await asyncio.sleep(_GONE_SECONDS)
-        self.fleet.store.remove(f'servers/{each.server.name}')
+        self.fleet.store.remove(server_key(each.server.name))
 
     async def _cut_link(self, fault: Fault) -> None:
         self._server(fault).proxy.cut_all()
--- a/zinniaturn/experiments/soak/fleet.py
+++ b/zinniaturn/experiments/soak/fleet.py
@@ -9,6 +9,12 @@
 
 from zinniaturn.experiments.soak.vms import VmProcess, make_vms
 from zinniaturn.platform.standins import ServerStandIn, StoreStandIn
+from zinniaturn.platform.standins.wire import (
+    CONFIG_KEY,
+    config_document,
+    route_row,
+    server_key,
+)
 from zinniaturn.standins.fault_proxy import FaultProxy
 from zinniaturn.standins.faults import Fault as LinkFault
 from zinniaturn.standins.faults import NoFault
@@ -99,32 +105,18 @@
         """Write a server's entry with its proxy's address."""
         entry = each.server.entry(state)
         entry['address'] = f'127.0.0.1:{each.proxy.port}'
-        self.store.write(f'servers/{each.server.name}', entry)
+        self.store.write(server_key(each.server.name), entry)
 
     def write_tables(self) -> None:
         """Write the operator's document with the routes of the moment."""
         self.version += 1
         rows = [
-            _row('reads', 'idempotent'),
-            _row('posts', 'non_idempotent'),
-            *(_row(name, 'idempotent') for name in self.routes),
+            route_row('reads', HOST, POOL, repeatable=True),
+            route_row('posts', HOST, POOL, repeatable=False),
+            *(
+                route_row(name, HOST, POOL, repeatable=True)
+                for name in self.routes
+            ),
         ]
-        columns = [
-            'name', 'host', 'prefix', 'kind', 'timeout_ms',
-            'target_latency_ms', 'priority', 'service', 'max_attempts',
-        ]  # fmt: skip
-        self.store.write(
-            'op/config',
-            {
-                'version': f'{self.version:08x}',
-                'routes': {'columns': columns, 'rows': rows},
-                'services': {
-                    'columns': ['name', 'health_path'],
-                    'rows': [[POOL, '/healthz']],
-                },
-            },
-        )
-
-
-def _row(name: str, kind: str) -> list[object]:
-    return [name, HOST, f'/{name}/', kind, 800, 300, 1, POOL, 2]
+        document = config_document(self.version, rows, POOL)
+        self.store.write(CONFIG_KEY, document)
--- a/zinniaturn/experiments/soak/vms.py
+++ b/zinniaturn/experiments/soak/vms.py
@@ -20,8 +20,9 @@
 from typing import Any
 
 from zinniaturn.http1.connections import Address
+from zinniaturn.platform.settings_file import VARIABLE as SETTINGS_VARIABLE
+from zinniaturn.platform.standins.wire import settings_document
 
-_STOP_SECONDS = 6
 _PORTS = 4
 _KILL_WAIT_SECONDS = 10
 
@@ -73,7 +74,7 @@
     def start(self) -> None:
         """Start the process; its output goes to a log of its own."""
         environment = dict(os.environ)
-        environment['ZINNIATURN_SETTINGS'] = str(self.settings_path)
+        environment[SETTINGS_VARIABLE] = str(self.settings_path)
         with self.log_path.open('ab') as log:
             self.process = subprocess.Popen(
                 [sys.executable, '-m', 'zinniaturn.platform'],
@@ -138,21 +139,12 @@
     ports: VmPorts,
 ) -> dict[str, Any]:
     """Return the settings of a VM as the platform renders them."""
-    return {
-        'node_name': name,
-        'role': 'gateway',
-        'ip': host,
-        'zone': 'dc-0',
-        'listen': {
-            'front': f'{host}:{ports.front}',
-            'readiness': f'{host}:{ports.readiness}',
-            'control': None,
-            'directory': f'{host}:{ports.directory}',
-        },
-        'port_range': [ports.first, ports.first + 5],
-        'bounds': {'grace_s': _STOP_SECONDS, 'budget_min_retries': 56},
-        'platform': {'address': f'127.0.0.1:{store_port}', 'form': 'kv'},
+    listen = {
+        'front': ports.front,
+        'readiness': ports.readiness,
+        'directory': ports.directory,
     }
+    return settings_document(host, name, store_port, listen, ports.first)
 
 
 def free_ports() -> VmPorts:
--- /dev/null
+++ b/zinniaturn/platform/standins/wire.py
@@ -0,0 +1,120 @@
+"""What stand-ins of callers, operators and the platform write and read."""
+
+__all__ = (
+    'CONFIG_KEY',
+    'addresses_of',
+    'config_document',
+    'lookup_bytes',
+    'mark_of',
+    'request_bytes',
+    'route_row',
+    'server_key',
+    'settings_document',
+)
+
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+import msgspec
+
+CONFIG_KEY = 'op/config'
+
+_COLUMNS = (
+    'name',
+    'host',
+    'prefix',
+    'kind',
+    'timeout_ms',
+    'target_latency_ms',
+    'priority',
+    'service',
+    'max_attempts',
+)
+_ROUTE_MS = 800
+_OBJECTIVE_MS = 300
+_ATTEMPTS = 2
+
+
+def server_key(name: str) -> str:
+    """Return the key of a server's entry."""
+    return f'servers/{name}'
+
+
+def request_bytes(
+    method: str,
+    path: str,
+    host: str,
+    request_id: str,
+    wait_ms: int,
+) -> bytes:
+    """Return a caller's request without a body."""
+    return (
+        f'{method} {path} HTTP/1.1\r\nHost: {host}\r\n'
+        f'X-Attempt-Id: {request_id}\r\n'
+        f'X-Request-Deadline-Ms: {wait_ms}\r\nContent-Length: 0\r\n\r\n'
+    ).encode()
+
+
+def mark_of(fields: Mapping[str, str]) -> str:
+    """Return the server's mark on an answer, by lower-case field names."""
+    return fields.get('x-upstream-signature', '')
+
+
+def lookup_bytes(host: str, data_center: str) -> bytes:
+    """Return a caller's question for addresses."""
+    return (
+        f'GET /resolve?name={host}&zone={data_center} HTTP/1.1\r\n'
+        f'Host: directory\r\n\r\n'
+    ).encode()
+
+
+def addresses_of(body: bytes) -> list[str]:
+    """Return the addresses of a look-up's answer; raises `ValueError`."""
+    return list(msgspec.json.decode(body)['addresses'])
+
+
+def route_row(name: str, host: str, pool: str, repeatable: bool) -> list[Any]:
+    """Return a route as a row of the operator's document."""
+    kind = 'idempotent' if repeatable else 'non_idempotent'
+    path = f'/{name}/'
+    times = (_ROUTE_MS, _OBJECTIVE_MS)
+    return [name, host, path, kind, *times, 1, pool, _ATTEMPTS]
+
+
+def config_document(
+    version: int,
+    rows: Iterable[list[Any]],
+    pool: str,
+) -> dict[str, Any]:
+    """Return the operator's document."""
+    return {
+        'version': f'{version:08x}',
+        'routes': {'columns': list(_COLUMNS), 'rows': list(rows)},
+        'services': {
+            'columns': ['name', 'health_path'],
+            'rows': [[pool, '/healthz']],
+        },
+    }
+
+
+def settings_document(
+    host: str,
+    name: str,
+    store_port: int,
+    listen: Mapping[str, int],
+    first_port: int,
+) -> dict[str, Any]:
+    """Return a VM's settings as the platform renders them."""
+    return {
+        'node_name': name,
+        'role': 'gateway',
+        'ip': host,
+        'zone': 'dc-0',
+        'listen': {
+            'control': None,
+            **{what: f'{host}:{port}' for what, port in listen.items()},
+        },
+        'port_range': [first_port, first_port + 5],
+        'bounds': {'grace_s': 6, 'budget_min_retries': 56},
+        'platform': {'address': f'127.0.0.1:{store_port}', 'form': 'kv'},
+    }
