--- a/features/explain_logs.feature
+++ b/features/explain_logs.feature
@@ -5,7 +5,7 @@
 
   Scenario: A request refused though a server was free
     When "request refused" is explained from the logs
-    Then it says "waited 392.9 ms, 11 servers were asked, it was sent to no server"
+    Then it says "waited 392.9 ms, 11 servers were probed, it was sent to no server"
     And it says "no server is free in time"
     And it says "leaving s-7"
     And it says nothing of "s-8"
--- a/features/fleet_knowledge.feature
+++ b/features/fleet_knowledge.feature
@@ -73,10 +73,10 @@
 
     Examples:
       | kind  | bytes                |
-      | beat  |                      |
-      | beat  | ff00                 |
-      | beat  | 9101                 |
-      | beat  | 9601c0c0c0c0c0       |
+      | heartbeat |                      |
+      | heartbeat | ff00                 |
+      | heartbeat | 9101                 |
+      | heartbeat | 9601c0c0c0c0c0       |
       | state |                      |
       | state | 9101                 |
       | state | 94010501c400         |
@@ -87,7 +87,7 @@
     Then each is read or refused, and nothing else happens
 
   Scenario: A message of another version is refused
-    When a beat of version 2 arrives
+    When a heartbeat of version 2 arrives
     Then they are refused
 
   Scenario: A state passes between VMs without loss
--- a/features/steps/fleet_knowledge_steps.py
+++ b/features/steps/fleet_knowledge_steps.py
@@ -17,8 +17,8 @@
 from zinniaturn.fleet.knowledge import StateParts
 from zinniaturn.fleet.messages import (
     PROTOCOL_VERSION,
-    Beat,
-    decode_beat,
+    Heartbeat,
+    decode_heartbeat,
     decode_state,
     encode_message,
     reading_of,
@@ -148,7 +148,7 @@
 
 
 def _refuse(context, raw, kind):
-    decode = {'beat': decode_beat, 'state': decode_state}[kind]
+    decode = {'heartbeat': decode_heartbeat, 'state': decode_state}[kind]
     try:
         decode(raw)
     except PeerMessageError as error:
@@ -157,15 +157,15 @@
         raise AssertionError('the bytes were read')
 
 
-def _beat(version=PROTOCOL_VERSION):
+def _heartbeat(version=PROTOCOL_VERSION):
     return encode_message(
-        Beat(version, build_record(), VmStage.READY, 5, 6, 7),
+        Heartbeat(version, build_record(), VmStage.READY, 5, 6, 7),
     )
 
 
-@when('a beat of version {version:d} arrives')
+@when('a heartbeat of version {version:d} arrives')
 def receive_version(context, version):
-    _refuse(context, _beat(version), 'beat')
+    _refuse(context, _heartbeat(version), 'heartbeat')
 
 
 @when('{count:d} random byte strings and {altered:d} altered messages arrive')
@@ -173,7 +173,7 @@
     source = random.Random(7)
     knowledge = build_knowledge()
     knowledge.install(build_reading(3, [build_registered()]), 100)
-    messages = (_beat(), encode_message(state_of(knowledge, StateParts())))
+    messages = (_heartbeat(), encode_message(state_of(knowledge, StateParts())))
     raws = [source.randbytes(source.randrange(60)) for _ in range(count)]
     for _ in range(altered):
         raw = bytearray(source.choice(messages))
@@ -182,7 +182,7 @@
     context.read = 0
     context.refused = 0
     for raw in raws:
-        for decode in (decode_beat, decode_state):
+        for decode in (decode_heartbeat, decode_state):
             try:
                 decode(raw)
             except PeerMessageError:
--- a/features/steps/placing_steps.py
+++ b/features/steps/placing_steps.py
@@ -16,10 +16,15 @@
 from zinniaturn.fleet.tables import FleetRoute, PoolShare
 from zinniaturn.fleet.vms import VmTable
 from zinniaturn.placing.allowance import SecondSends
-from zinniaturn.placing.asking import AskBudget, AskBudgets, Asking
 from zinniaturn.placing.expecting import WorkEstimates, expected_seconds
 from zinniaturn.placing.hedging import second_send_delay
-from zinniaturn.placing.line import Line, Offer, Waiting, best_concurrency
+from zinniaturn.placing.probing import ProbeBudget, ProbeBudgets, ProbeOrder
+from zinniaturn.placing.request_queue import (
+    Offer,
+    RequestQueue,
+    Waiting,
+    best_concurrency,
+)
 from zinniaturn.placing.spreading import Spreader
 
 _NOW = 100.0
@@ -31,7 +36,7 @@
 def _wait(context, name, **fields):
     """Let a request wait that is expected to take what is offered."""
     if not hasattr(context, 'line'):
-        context.line = Line()
+        context.queue = RequestQueue()
         context.ended = []
         context.requests = {}
     arrived = fields.get('arrived_at', _NOW)
@@ -46,7 +51,7 @@
         fields.get('excluded', set()),
     )
     context.requests[name] = waiting
-    context.line.join(waiting)
+    context.queue.join(waiting)
 
 
 def _offer(context, seconds, is_last_slot=False):
@@ -56,7 +61,7 @@
         build_report(),
         is_last_slot=is_last_slot,
     )
-    context.taken = context.line.match(offer, _NOW + 0.1)
+    context.taken = context.queue.match(offer, _NOW + 0.1)
 
 
 @given('requests "{old}" and "{new}" that arrived 0.1 s apart')
@@ -131,12 +136,12 @@
 @when('{count:d} rounds pass without a good server')
 def pass_rounds(context, count):
     for _ in range(count):
-        context.line.note_round()
+        context.queue.note_round()
 
 
 @when('the line gives up what is hopeless')
 def give_up(context):
-    context.line.refuse_hopeless(_NOW + 0.1)
+    context.queue.refuse_hopeless(_NOW + 0.1)
 
 
 @then('"{name}" gets it')
@@ -166,7 +171,7 @@
 
 @then('{count:d} requests wait and the {urgent:d} urgent ones are among them')
 def check_excess(context, count, urgent):
-    waiting = context.line.waiting
+    waiting = context.queue.waiting
     assert len(waiting) == count
     assert sum(each.priority == 1 for each in waiting) == urgent
 
@@ -302,7 +307,7 @@
 
 @given('a budget of {rate:d} questions a second')
 def ask_budget(context, rate):
-    context.budget = AskBudget(updated_at=0)
+    context.budget = ProbeBudget(updated_at=0)
     context.rate = rate
 
 
@@ -379,7 +384,7 @@
 @then('the first {count:d} that are asked are the others')
 def check_order(context, count):
     for seed in range(20):
-        asking = Asking(seeded(seed), 'vm-1', 'dc-a')
+        asking = ProbeOrder(seeded(seed), 'vm-1', 'dc-a')
         order = asking.order(context.candidates, _NOW)
         assert {each.name for each in order[:count]} <= context.good
 
@@ -394,7 +399,7 @@
     context.tables = [VmTable(record, clock) for record in records]
     for table in context.tables:
         for record in records:
-            table.note_beat(record, VmStage.READY)
+            table.note_heartbeat(record, VmStage.READY)
 
 
 @then('their places are 0 to {last:d}, each once')
@@ -421,8 +426,8 @@
     }
     context.vms = VmTable(context.records['a'], context.clock)
     context.vms.note_records(context.records.values())
-    context.vms.note_beat(context.records['b'], VmStage.READY)
-    context.vms.note_beat(context.records['c'], VmStage.STOPPING)
+    context.vms.note_heartbeat(context.records['b'], VmStage.READY)
+    context.vms.note_heartbeat(context.records['c'], VmStage.STOPPING)
 
 
 @when('"{name}" falls silent')
@@ -432,13 +437,13 @@
 
 @when('"{name}" says that it is ready')
 def say_ready(context, name):
-    context.vms.note_beat(context.records[name], VmStage.READY)
+    context.vms.note_heartbeat(context.records[name], VmStage.READY)
 
 
 @when('"{name}" starts anew and says that it is ready')
 def start_anew(context, name):
     record = build_record(name, incarnation=0, number=3)
-    context.vms.note_beat(record, VmStage.READY)
+    context.vms.note_heartbeat(record, VmStage.READY)
 
 
 def _check_named(context, *names):
@@ -511,7 +516,7 @@
 def check_near(context, count, most):
     asked = set()
     for seed in range(40):
-        asking = Asking(seeded(seed), 'vm-1', 'dc-a')
+        asking = ProbeOrder(seeded(seed), 'vm-1', 'dc-a')
         order = asking.order(context.candidates, _NOW)
         asked.update(each.name for each in order[:count])
     assert len(asked) == most
@@ -554,7 +559,7 @@
     async def check():
         for record in records:
             if record.name in context.heard:
-                context.vms.note_beat(record, VmStage.READY)
+                context.vms.note_heartbeat(record, VmStage.READY)
         context.vms.note_records(records)
         context.store.written.clear()
         context.registration.check(
@@ -616,12 +621,12 @@
 
 @given('the budgets of a VM that started a moment ago')
 def fresh_budgets(context):
-    context.budgets = AskBudgets(_NOW)
+    context.budgets = ProbeBudgets(_NOW)
     context.budgets.refill(4, {'pool': 14}, _NOW + 0.05)
 
 
 @then('it may ask {count:d} questions at once')
-def check_may_ask(context, count):
+def check_may_probe(context, count):
     assert context.budgets.take('pool', count)
 
 
@@ -635,7 +640,7 @@
     'for {seconds:d} s beside a quiet pool of {quiet:d} servers',
 )
 def ask_busily(context, pool, servers, wanted, seconds, quiet):
-    asking = AskBudgets(0)
+    asking = ProbeBudgets(0)
     sizes = {pool: servers, 'quiet': quiet}
     asked = 0
     for step in range(wanted * seconds):
@@ -656,7 +661,7 @@
     'stopping',
 )
 def say_stopping_late(context, name):
-    context.vms.note_beat(context.records[name], VmStage.STOPPING)
+    context.vms.note_heartbeat(context.records[name], VmStage.STOPPING)
 
 
 @when('its VM reports {ratio:g} times the usual slowness')
--- a/features/support/fleet_model.py
+++ b/features/support/fleet_model.py
@@ -22,7 +22,7 @@
 
 
 @dataclass(frozen=True)
-class ModelBeat:
+class ModelHeartbeat:
     """A heartbeat, and the state that a fetch after it would bring."""
 
     digest: int
@@ -51,7 +51,7 @@
         self.history = []
         self.knowledge = [build_knowledge(self.clock) for _ in range(vms)]
         self.replies = []
-        self.beats = []
+        self.heartbeats = []
         self.taught = 0
         for known in self.knowledge:
             known.install(self._read(), self.clock.monotonic())
@@ -65,9 +65,11 @@
             ('reply', number) for number in range(len(self.replies))
         )
         possible.extend(
-            ('beat', pair) for pair in itertools.permutations(vms, 2)
+            ('heartbeat', pair) for pair in itertools.permutations(vms, 2)
+        )
+        possible.extend(
+            ('hear', number) for number in range(len(self.heartbeats))
         )
-        possible.extend(('hear', number) for number in range(len(self.beats)))
         return possible
 
     def play(self, event):
@@ -116,33 +118,33 @@
         vm, asked_at, reading = self.replies[number]
         self.knowledge[vm].install(reading, asked_at)
 
-    def _beat(self, pair):
+    def _heartbeat(self, pair):
         sender, receiver = pair
         known = self.knowledge[sender]
-        beat = ModelBeat(
+        heartbeat = ModelHeartbeat(
             known.digest,
             known.revision,
             known.confirmed_at,
             state_of(known, self.knowledge[receiver].parts),
         )
-        self.beats.append((receiver, beat))
+        self.heartbeats.append((receiver, heartbeat))
 
     def _hear(self, number):
         """A heartbeat arrives, perhaps again, with the state behind it."""
-        receiver, beat = self.beats[number]
+        receiver, heartbeat = self.heartbeats[number]
         known = self.knowledge[receiver]
-        if beat.confirmed_at <= known.confirmed_at:
+        if heartbeat.confirmed_at <= known.confirmed_at:
             return
-        if beat.digest == known.digest or self.confirms_anything:
-            known.confirm(beat.revision, beat.confirmed_at)
-        elif beat.revision > known.revision:
-            self._fetch(known, beat)
+        if heartbeat.digest == known.digest or self.confirms_anything:
+            known.confirm(heartbeat.revision, heartbeat.confirmed_at)
+        elif heartbeat.revision > known.revision:
+            self._fetch(known, heartbeat)
 
-    def _fetch(self, known, beat):
-        packed = decode_state(encode_message(beat.state))
+    def _fetch(self, known, heartbeat):
+        packed = decode_state(encode_message(heartbeat.state))
         reading = reading_of(*packed, known)
         if reading is not None and reading.revision > known.revision:
-            change = known.install(reading, beat.confirmed_at)
+            change = known.install(reading, heartbeat.confirmed_at)
             self.taught += bool(change.leaving or change.gone)
 
 
@@ -169,7 +171,7 @@
         for _ in range(events):
             world.play(source.choice(world.events()))
             world.was_broken = world.was_broken or bool(world.broken())
-            del world.beats[:-4]
+            del world.heartbeats[:-4]
             del world.replies[:-3]
         worlds.append(world)
     return worlds
--- a/features/support/gateway.py
+++ b/features/support/gateway.py
@@ -17,8 +17,8 @@
 from zinniaturn.gateway.process import Gateway
 from zinniaturn.gateway.settings import FleetBounds, GatewaySettings
 from zinniaturn.http1.messages import Request
-from zinniaturn.placing.asking import Candidate
 from zinniaturn.placing.memory import ServerMemory
+from zinniaturn.placing.probing import Candidate
 from zinniaturn.platform.dialect import PlatformDialect
 from zinniaturn.platform.standins import StoreStandIn
 from zinniaturn.platform.store import PlatformStore
--- a/features/support/overload.py
+++ b/features/support/overload.py
@@ -5,7 +5,12 @@
 from dataclasses import dataclass, field
 
 from features.support.gateway import build_candidate, build_report, seeded
-from zinniaturn.placing.line import Line, Offer, Waiting, best_concurrency
+from zinniaturn.placing.request_queue import (
+    Offer,
+    RequestQueue,
+    Waiting,
+    best_concurrency,
+)
 
 
 @dataclass
@@ -34,7 +39,7 @@
     def play(self, a_second, seconds):
         """Return what came of the requests."""
         self.source = seeded()
-        self.line = Line()
+        self.queue = RequestQueue()
         self.running = [0 for _ in range(self.servers)]
         self.candidates = [
             build_candidate(f's-{number}', slots=self.slots)
@@ -65,8 +70,8 @@
             lambda: self._end(holder[0]),
         )
         holder.append(waiting)
-        self.line.join(waiting)
-        self.line.refuse_hopeless(self.now)
+        self.queue.join(waiting)
+        self.queue.refuse_hopeless(self.now)
         for number in range(self.servers):
             self._offer(number)
 
@@ -78,12 +83,12 @@
         if self.oldest_first:
             self._grant_oldest(candidate, report)
         else:
-            self.line.match(Offer(candidate, report), self.now)
+            self.queue.match(Offer(candidate, report), self.now)
 
     def _grant_oldest(self, candidate, report):
-        if self.line.waiting:
-            oldest = self.line.waiting.pop(0)
-            self.line.grants.append(self.now)
+        if self.queue.waiting:
+            oldest = self.queue.waiting.pop(0)
+            self.queue.grants.append(self.now)
             oldest.granted = Offer(candidate, report)
             oldest.on_end()
 
@@ -109,5 +114,5 @@
             self.result.late += 1
         else:
             self.result.held_past_deadline += 1
-        self.line.refuse_hopeless(self.now)
+        self.queue.refuse_hopeless(self.now)
         self._offer(number)
--- a/zinniaturn/explain/logs.py
+++ b/zinniaturn/explain/logs.py
@@ -140,7 +140,7 @@
         f'request {fields["request"]} of route {fields["route"]} ended as '
         f'"{fields["outcome"]}" with {fields["status"]} after '
         f'{fields["milliseconds"]} ms; it waited {fields["waited_ms"]} ms, '
-        f'{fields["asked"]} servers were asked, it was sent to {servers}. '
+        f'{fields["probed"]} servers were probed, it was sent to {servers}. '
         f'{_cause(fields)}'
     )
 
--- a/zinniaturn/fleet/messages.py
+++ b/zinniaturn/fleet/messages.py
@@ -6,10 +6,10 @@
 """
 
 __all__ = (
-    'Beat',
+    'Heartbeat',
     'StateContent',
     'StateMessage',
-    'decode_beat',
+    'decode_heartbeat',
     'decode_state',
     'encode_message',
     'reading_of',
@@ -35,7 +35,7 @@
 PROTOCOL_VERSION = 1
 
 
-class Beat(msgspec.Struct, array_like=True, frozen=True):
+class Heartbeat(msgspec.Struct, array_like=True, frozen=True):
     """
     A heartbeat with the state that its sender holds.
 
@@ -78,7 +78,7 @@
 
 
 _encoder = msgspec.msgpack.Encoder()
-_beats = msgspec.msgpack.Decoder(Beat)
+_heartbeats = msgspec.msgpack.Decoder(Heartbeat)
 _states = msgspec.msgpack.Decoder(StateMessage)
 _contents = msgspec.msgpack.Decoder(StateContent)
 _MILLISECONDS = 1000
@@ -86,20 +86,20 @@
 _MOST_BYTES = 64 * 1024 * 1024
 
 
-def encode_message(message: Beat | StateMessage) -> bytes:
+def encode_message(message: Heartbeat | StateMessage) -> bytes:
     """Return the bytes of a message."""
     return _encoder.encode(message)
 
 
-def decode_beat(raw: bytes) -> Beat:
+def decode_heartbeat(raw: bytes) -> Heartbeat:
     """Return a heartbeat; raises `PeerMessageError`."""
     try:
-        beat = _beats.decode(raw)
+        heartbeat = _heartbeats.decode(raw)
     except (msgspec.MsgspecError, ValueError) as error:
         raise PeerMessageError(str(error)) from error
-    if beat.version != PROTOCOL_VERSION:
-        raise PeerMessageError(f'version {beat.version} is unknown')
-    return beat
+    if heartbeat.version != PROTOCOL_VERSION:
+        raise PeerMessageError(f'version {heartbeat.version} is unknown')
+    return heartbeat
 
 
 def decode_state(raw: bytes) -> tuple[StateMessage, StateContent]:
--- a/zinniaturn/fleet/peers.py
+++ b/zinniaturn/fleet/peers.py
@@ -19,8 +19,8 @@
 from zinniaturn.fleet.knowledge import Knowledge, StateParts
 from zinniaturn.fleet.messages import (
     PROTOCOL_VERSION,
-    Beat,
-    decode_beat,
+    Heartbeat,
+    decode_heartbeat,
     decode_state,
     encode_message,
     reading_of,
@@ -73,31 +73,31 @@
     async def run(self) -> None:
         """Send heartbeats until cancelled."""
         while True:
-            self.send_beats()
-            await asyncio.sleep(self.vms.beat_seconds)
+            self.send_heartbeats()
+            await asyncio.sleep(self.vms.heartbeat_seconds)
 
-    def send_beats(self) -> None:
+    def send_heartbeats(self) -> None:
         """Tell every known VM what this one holds."""
-        payload = self._beat()
+        payload = self._heartbeat()
         for known in self.vms.vms.values():
             self._send(payload, known.record)
 
     async def say_stopping(self) -> None:
         """Tell it several times, as a datagram may be lost."""
         for _ in range(_STOP_REPEATS):
-            self.send_beats()
+            self.send_heartbeats()
             await asyncio.sleep(_TRANSIT_SECONDS)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Take a heartbeat."""
         try:
-            beat = decode_beat(data)
+            heartbeat = decode_heartbeat(data)
         except PeerMessageError as error:
             self.on_refused(f'{addr[0]}: {error.message}')
             return
-        if self.vms.note_beat(beat.record, beat.stage):
-            self._send(self._beat(), beat.record)
-        self._compare(beat)
+        if self.vms.note_heartbeat(heartbeat.record, heartbeat.stage):
+            self._send(self._heartbeat(), heartbeat.record)
+        self._compare(heartbeat)
 
     def error_received(self, exc: Exception) -> None:
         """Pass over a VM that is not there; its silence says the same."""
@@ -109,23 +109,23 @@
         if self.fetching is not None:
             self.fetching.cancel()
 
-    def _compare(self, beat: Beat) -> None:
+    def _compare(self, heartbeat: Heartbeat) -> None:
         """Be confirmed by a heartbeat, or fetch the newer state it names."""
-        age = beat.age_ms / _MILLISECONDS + _TRANSIT_SECONDS
+        age = heartbeat.age_ms / _MILLISECONDS + _TRANSIT_SECONDS
         asked_at = self.knowledge.clock.monotonic() - age
         if asked_at <= self.knowledge.confirmed_at:
             return
-        if beat.digest == self.knowledge.digest:
-            self.knowledge.confirm(beat.revision, asked_at)
-        elif beat.revision > self.knowledge.revision:
-            self._note_holder(beat)
+        if heartbeat.digest == self.knowledge.digest:
+            self.knowledge.confirm(heartbeat.revision, asked_at)
+        elif heartbeat.revision > self.knowledge.revision:
+            self._note_holder(heartbeat)
 
-    def _note_holder(self, beat: Beat) -> None:
+    def _note_holder(self, heartbeat: Heartbeat) -> None:
         """Remember who holds a newer state, and see that it is fetched."""
-        if beat.revision > self.wanted_revision:
-            self.wanted_revision = beat.revision
+        if heartbeat.revision > self.wanted_revision:
+            self.wanted_revision = heartbeat.revision
             self.holders.clear()
-        self.holders[beat.record.name] = beat.record
+        self.holders[heartbeat.record.name] = heartbeat.record
         if self.fetching is None:
             self.fetching = asyncio.ensure_future(self._fetch())
             self.fetching.add_done_callback(self._end_fetch)
@@ -192,17 +192,17 @@
         asked_at = self.knowledge.clock.monotonic() - age
         self.fetched += 1
         self.knowledge.install(reading, asked_at)
-        self.send_beats()
+        self.send_heartbeats()
 
     def _send(self, payload: bytes, record: VmRecord) -> None:
         if self.transport is not None:
             self.sent += 1
             self.transport.sendto(payload, record.exchange)
 
-    def _beat(self) -> bytes:
+    def _heartbeat(self) -> bytes:
         age = min(self.knowledge.age_seconds, 1e6)
         return encode_message(
-            Beat(
+            Heartbeat(
                 PROTOCOL_VERSION,
                 self.own,
                 self.stage(),
--- a/zinniaturn/fleet/vms.py
+++ b/zinniaturn/fleet/vms.py
@@ -15,9 +15,9 @@
 from zinniaturn.fleet.domain import VmRecord, VmStage
 
 _FORGET_SECONDS = 30.0
-_BEAT_SECONDS = 0.35
-_BEAT_SECONDS_A_VM = 0.01
-_BEATS_MISSED = 3.4
+_HEARTBEAT_SECONDS = 0.35
+_HEARTBEAT_SECONDS_A_VM = 0.01
+_HEARTBEATS_MISSED = 3.4
 _FORMER_KEPT = 8
 
 
@@ -72,7 +72,7 @@
             return True
         return not (record.is_at(known.record) or self.is_alive(known))
 
-    def note_beat(self, record: VmRecord, stage: VmStage) -> bool:
+    def note_heartbeat(self, record: VmRecord, stage: VmStage) -> bool:
         """Note a heartbeat; return whether the VM was not alive before."""
         if record.name == self.own.name:
             return False
@@ -92,14 +92,14 @@
         return not was_alive
 
     @property
-    def beat_seconds(self) -> float:
+    def heartbeat_seconds(self) -> float:
         """Return the time between two heartbeats of a VM."""
-        return max(_BEAT_SECONDS, _BEAT_SECONDS_A_VM * self.most())
+        return max(_HEARTBEAT_SECONDS, _HEARTBEAT_SECONDS_A_VM * self.most())
 
     def is_alive(self, known: KnownVm) -> bool:
         """Return whether a VM was heard a moment ago."""
         silent = self.clock.monotonic() - known.heard_at
-        return silent <= self.beat_seconds * _BEATS_MISSED
+        return silent <= self.heartbeat_seconds * _HEARTBEATS_MISSED
 
     def living(self) -> list[KnownVm]:
         """Return the VMs that are alive, without this one."""
--- a/zinniaturn/gateway/attempts.py
+++ b/zinniaturn/gateway/attempts.py
@@ -17,7 +17,7 @@
 
 Attempt = asyncio.Task[Response]
 
-_ASK_AGAIN_SECONDS = 0.1
+_TRY_AGAIN_SECONDS = 0.1
 
 
 @dataclass(slots=True)
@@ -65,7 +65,7 @@
                     await self._join_second(job, running)
                     break
                 now += delay
-                delay = _ASK_AGAIN_SECONDS
+                delay = _TRY_AGAIN_SECONDS
             return await _first_answer(job, running)
         finally:
             for attempt in running:
@@ -123,7 +123,7 @@
         return allowed and self._may_send_again(job)
 
     def _may_hedge(self, job: Job) -> bool:
-        if self.placer.line(job.pool.name).waiting:
+        if self.placer.queue(job.pool.name).waiting:
             job.second_send = 'others wait'
             return False
         is_allowed = self._may_send_again(job)
--- a/zinniaturn/gateway/dialect.py
+++ b/zinniaturn/gateway/dialect.py
@@ -40,7 +40,7 @@
     ) -> bytes:
         """Return the bytes of a request for one server."""
 
-    def load_question(self, path: str, host: str) -> bytes:
+    def load_probe(self, path: str, host: str) -> bytes:
         """Return the bytes of a request for a server's load."""
 
     def load_report(self, answer: Response) -> LoadReport | None:
--- a/zinniaturn/gateway/dispatch.py
+++ b/zinniaturn/gateway/dispatch.py
@@ -178,7 +178,7 @@
             ),
             servers=job.servers,
             second_send=job.second_send,
-            asked=job.asked,
+            probed=job.probed,
             load=report
             and [
                 report.busy,
--- a/zinniaturn/gateway/jobs.py
+++ b/zinniaturn/gateway/jobs.py
@@ -9,7 +9,7 @@
 from zinniaturn.http1.backend import BackendConnection
 from zinniaturn.http1.messages import Request
 from zinniaturn.outcomes import Verdict
-from zinniaturn.placing.asking import Candidate
+from zinniaturn.placing.probing import Candidate
 
 
 @dataclass(slots=True)
@@ -32,7 +32,7 @@
     idempotent: bool
     attempts: int = 0
     elapsed: float = 0
-    asked: int = 0
+    probed: int = 0
     first_sent_at: float | None = None
     tried: set[str] = field(default_factory=set)
     known: Verdict | None = None
--- a/zinniaturn/gateway/placer.py
+++ b/zinniaturn/gateway/placer.py
@@ -1,7 +1,7 @@
 """
 Finding the server for a request: asking a few and taking the best.
 
-A request for which none is good enough waits in its pool's line. The line is
+A request for which none is good enough waits in its pool's queue. The queue is
 fed by answers, which say that a slot has become free, and by further
 questions.
 """
@@ -14,20 +14,25 @@
 from zinniaturn.choosing.exceptions import RefusedError
 from zinniaturn.choosing.reports import LoadReport
 from zinniaturn.fleet.tables import FleetPool
-from zinniaturn.gateway.asker import Asked, Asker
 from zinniaturn.gateway.jobs import Job, Placement
+from zinniaturn.gateway.prober import ProbeAnswer, Prober
 from zinniaturn.gateway.state import GatewayState
 from zinniaturn.http1.backend import BackendConnection
-from zinniaturn.placing.asking import AskBudgets, Asking, Candidate
 from zinniaturn.placing.expecting import WorkEstimates, expected_seconds
-from zinniaturn.placing.line import Line, Offer, Waiting, best_concurrency
+from zinniaturn.placing.probing import Candidate, ProbeBudgets, ProbeOrder
+from zinniaturn.placing.request_queue import (
+    Offer,
+    RequestQueue,
+    Waiting,
+    best_concurrency,
+)
 from zinniaturn.placing.returning import ReturnTimes
 
 _UNHEALTHY_FACTOR = 3.0
 _GOOD_FACTOR = 1.4
 _USUAL_WORK = 0.1
 _POLL_SECONDS = 0.03
-_ASK_SAFETY = 0.9
+_PROBE_SAFETY = 0.9
 _SPARE_ROUNDS = 4
 
 
@@ -36,16 +41,16 @@
 
     def __init__(self, state: GatewayState) -> None:
         self.state = state
-        self.asker = Asker(state.connections, state.dialect)
-        self.asking = Asking(
+        self.prober = Prober(state.connections, state.dialect)
+        self.probe_order = ProbeOrder(
             state.source,
             state.settings.name,
             state.settings.data_center,
         )
         self.work = WorkEstimates()
         self.returns = ReturnTimes(state.source)
-        self.lines: dict[str, Line] = {}
-        self.budgets = AskBudgets(state.started_at)
+        self.queues: dict[str, RequestQueue] = {}
+        self.budgets = ProbeBudgets(state.started_at)
         self.polls: dict[str, asyncio.Task[None]] = {}
 
     async def place(self, job: Job) -> Placement:
@@ -58,7 +63,7 @@
         if not self.candidates(job.pool):
             raise self._refusal(work, 'no server is known')
         ended = loop.create_future()
-        line = self.line(job.pool.name)
+        queue = self.queue(job.pool.name)
         waiting = Waiting(
             work,
             job.arrived_at,
@@ -69,14 +74,14 @@
             lambda: _finish(ended),
             job.tried,
         )
-        line.join(waiting)
+        queue.join(waiting)
         try:
-            await self._find(job, line, waiting)
+            await self._find(job, queue, waiting)
             if waiting.granted is None and waiting.refused_seconds is None:
                 self._poll(job.pool)
                 await ended
         except asyncio.CancelledError:
-            line.leave(waiting)
+            queue.leave(waiting)
             if waiting.granted is not None:
                 self._return(waiting.granted)
             raise
@@ -98,9 +103,9 @@
             and not candidate.memory.is_replaced
         ]
 
-    def line(self, pool: str) -> Line:
-        """Return the line of a pool."""
-        return self.lines.setdefault(pool, Line())
+    def queue(self, pool: str) -> RequestQueue:
+        """Return the queue of a pool."""
+        return self.queues.setdefault(pool, RequestQueue())
 
     def offer_freed(
         self,
@@ -110,56 +115,60 @@
         now: float,
     ) -> bool:
         """Offer the slot that an answer has freed; return if it was taken."""
-        line = self.lines.get(pool)
+        queue = self.queues.get(pool)
         report = placement.candidate.memory.report
         candidate = placement.candidate
-        if line is None or not line.waiting or report is None:
+        if queue is None or not queue.waiting or report is None:
             return False
         if candidate.registered.server.leaving or not connection.is_usable(now):
             return False
         offer = _offer(candidate, report, connection)
-        return offer is not None and line.match(offer, now)
+        return offer is not None and queue.match(offer, now)
 
-    async def _find(self, job: Job, line: Line, waiting: Waiting) -> None:
-        """Ask servers until the request has one or all were asked."""
+    async def _find(
+        self, job: Job, queue: RequestQueue, waiting: Waiting
+    ) -> None:
+        """Probe servers until the request has one or all were probed."""
         loop = asyncio.get_running_loop()
         every = self.candidates(job.pool)
         untried = [each for each in every if each.name not in job.tried]
         if not untried:
             job.tried.clear()
-        order = self.asking.order(untried or every, loop.time())
-        first = order[: self.asking.first]
-        if self._may_ask(job.pool, len(first)):
-            job.asked += len(first)
-            answers = await self.asker.ask(first, job.pool.health_path)
+        order = self.probe_order.order(untried or every, loop.time())
+        first = order[: self.probe_order.first]
+        if self._may_probe(job.pool, len(first)):
+            job.probed += len(first)
+            answers = await self.prober.probe(first, job.pool.health_path)
             offers = self._offers(answers)
-            rest = order[self.asking.first :]
-            if not self._has_good(offers, waiting) and self._may_ask(
+            rest = order[self.probe_order.first :]
+            if not self._has_good(offers, waiting) and self._may_probe(
                 job.pool, len(rest)
             ):
-                job.asked += len(rest)
-                offers.extend(await self._ask_more(rest, job.pool, offers))
-            self._settle(line, offers)
+                job.probed += len(rest)
+                offers.extend(await self._probe_more(rest, job.pool, offers))
+            self._settle(queue, offers)
         if waiting.granted is not None:
             return
         if not any(each.memory.unanswered == 0 for each in order):
-            self._settle_blind(line, order)
+            self._settle_blind(queue, order)
 
-    async def _ask_more(
+    async def _probe_more(
         self,
         group: list[Candidate],
         pool: FleetPool,
         held: list[Offer],
     ) -> list[Offer]:
-        """Ask further servers while earlier offers are held."""
+        """Probe further servers while earlier offers are held."""
         try:
-            return self._offers(await self.asker.ask(group, pool.health_path))
+            return self._offers(
+                await self.prober.probe(group, pool.health_path)
+            )
         except asyncio.CancelledError:
             for offer in held:
                 self._return(offer)
             raise
 
-    def _offers(self, answers: Iterable[Asked]) -> list[Offer]:
+    def _offers(self, answers: Iterable[ProbeAnswer]) -> list[Offer]:
         """Return the servers with room; keep the others' connections."""
         offers = []
         for each in answers:
@@ -170,7 +179,7 @@
                 each.is_healthy,
             )
             if offer is None:
-                self.asker.give_back(each)
+                self.prober.give_back(each)
             else:
                 offers.append(offer)
         return offers
@@ -180,21 +189,23 @@
         good = waiting.work * _GOOD_FACTOR
         return any(waiting.expect(offer) <= good for offer in offers)
 
-    def _settle(self, line: Line, offers: list[Offer]) -> None:
+    def _settle(self, queue: RequestQueue, offers: list[Offer]) -> None:
         """Offer servers, the quickest first."""
         now = asyncio.get_running_loop().time()
         offers.sort(key=lambda offer: self._expect(_USUAL_WORK, offer, now))
         for offer in offers:
-            if not line.match(offer, now):
+            if not queue.match(offer, now):
                 self._return(offer)
 
-    def _settle_blind(self, line: Line, order: list[Candidate]) -> None:
+    def _settle_blind(
+        self, queue: RequestQueue, order: list[Candidate]
+    ) -> None:
         """Offer the server with the least of our own where none answered."""
         now = asyncio.get_running_loop().time()
         candidate = min(order, key=lambda each: each.memory.in_flight)
         slots = candidate.registered.server.slots
         report = LoadReport(candidate.memory.in_flight, 0, slots)
-        line.match(Offer(candidate, report), now)
+        queue.match(Offer(candidate, report), now)
 
     def _expect(self, work: float, offer: Offer, now: float) -> float:
         memory = offer.candidate.memory
@@ -206,38 +217,38 @@
     def _poll(self, pool: FleetPool) -> None:
         """Keep asking while requests wait."""
         if pool.name not in self.polls:
-            task = asyncio.ensure_future(self._keep_asking(pool))
+            task = asyncio.ensure_future(self._keep_probing(pool))
             self.polls[pool.name] = task
             task.add_done_callback(lambda ended: self._end_poll(pool, ended))
 
     def _end_poll(self, pool: FleetPool, task: 'asyncio.Task[None]') -> None:
         self.polls.pop(pool.name)
         if not task.cancelled() and task.exception() is not None:
-            self.state.note_fault('asking', task.exception())
-            if self.line(pool.name).waiting:
+            self.state.note_fault('probing', task.exception())
+            if self.queue(pool.name).waiting:
                 self._poll(pool)
 
-    async def _keep_asking(self, pool: FleetPool) -> None:
-        line = self.line(pool.name)
+    async def _keep_probing(self, pool: FleetPool) -> None:
+        queue = self.queue(pool.name)
         loop = asyncio.get_running_loop()
-        while line.waiting:
+        while queue.waiting:
             await asyncio.sleep(
                 self.state.source.uniform(0.6, 1.4) * _POLL_SECONDS,
             )
-            line.refuse_hopeless(loop.time())
+            queue.refuse_hopeless(loop.time())
             candidates = self.candidates(pool)
-            order = self.asking.order(candidates, loop.time())
-            group = order[: self.asking.first]
-            spare = self.asking.first * _SPARE_ROUNDS
-            if line.waiting and self._may_ask(pool, len(group), spare):
-                answers = await self.asker.ask(group, pool.health_path)
-                self._settle(line, self._offers(answers))
-                line.note_round()
+            order = self.probe_order.order(candidates, loop.time())
+            group = order[: self.probe_order.first]
+            spare = self.probe_order.first * _SPARE_ROUNDS
+            if queue.waiting and self._may_probe(pool, len(group), spare):
+                answers = await self.prober.probe(group, pool.health_path)
+                self._settle(queue, self._offers(answers))
+                queue.note_round()
 
-    def _may_ask(self, pool: FleetPool, count: int, spare: int = 0) -> bool:
+    def _may_probe(self, pool: FleetPool, count: int, spare: int = 0) -> bool:
         """Take questions from the budget; return whether there were any."""
         state = self.state
-        allowed = state.settings.bounds.asks_per_second * _ASK_SAFETY
+        allowed = state.settings.bounds.probes_per_second * _PROBE_SAFETY
         sizes = {name: len(each) for name, each in state.pools.items()}
         now = asyncio.get_running_loop().time()
         self.budgets.refill(allowed / state.vms.most(), sizes, now)
--- a/zinniaturn/gateway/asker.py
+++ b/zinniaturn/gateway/prober.py
@@ -1,6 +1,6 @@
-"""Asking servers for their load over kept connections."""
+"""ProbeOrder servers for their load over kept connections."""
 
-__all__ = ('Asked', 'Asker')
+__all__ = ('ProbeAnswer', 'Prober')
 
 import asyncio
 from collections.abc import Sequence
@@ -16,7 +16,7 @@
 )
 from zinniaturn.http1.exceptions import ConnectFailedError, ExchangeBrokenError
 from zinniaturn.http1.messages import Response
-from zinniaturn.placing.asking import Candidate
+from zinniaturn.placing.probing import Candidate
 
 _USUAL_WAIT_SECONDS = 0.012
 _LONGEST_WAIT_SECONDS = 0.06
@@ -25,7 +25,7 @@
 
 
 @dataclass(slots=True)
-class Asked:
+class ProbeAnswer:
     """A server's answer and the connection that brought it."""
 
     candidate: Candidate
@@ -36,11 +36,11 @@
 
 @dataclass(slots=True, eq=False)
 class _Round:
-    """The questions asked at once; `done` is set once enough are answered."""
+    """The probes probed at once; `done` is set once enough are answered."""
 
     open_questions: int
     done: asyncio.Future[None]
-    answers: list[Asked] = field(default_factory=list)
+    answers: list[ProbeAnswer] = field(default_factory=list)
     is_over: bool = False
 
     def close_one(self) -> None:
@@ -58,26 +58,26 @@
 
 
 @dataclass(slots=True)
-class Asker:
+class Prober:
     """
     Asks servers and hands over those that answered soon.
 
-    ``asked`` counts the questions.
+    ``probed`` counts the probes.
     """
 
     connections: Connections
     dialect: Dialect
-    asked: int = 0
+    probed: int = 0
 
-    async def ask(
+    async def probe(
         self,
         candidates: Sequence[Candidate],
         health_path: str,
-    ) -> list[Asked]:
+    ) -> list[ProbeAnswer]:
         """
         Return the answers that came in time.
 
-        Whoever gets them gives back their connections. A question that is
+        Whoever gets them gives back their connections. A probe that is
         answered later only refreshes what is remembered of the server.
         """
         loop = asyncio.get_running_loop()
@@ -85,7 +85,7 @@
             return []
         current = _Round(len(candidates), loop.create_future())
         for candidate in candidates:
-            self._ask_one(current, candidate, health_path, loop)
+            self._probe_one(current, candidate, health_path, loop)
         timers = (
             loop.call_later(_USUAL_WAIT_SECONDS, current.wake_if_answered),
             loop.call_later(_LONGEST_WAIT_SECONDS, current.wake),
@@ -101,16 +101,16 @@
                 timer.cancel()
         return current.answers
 
-    def _return_all(self, answers: list[Asked]) -> None:
-        for asked in answers:
-            self.give_back(asked)
+    def _return_all(self, answers: list[ProbeAnswer]) -> None:
+        for probed in answers:
+            self.give_back(probed)
 
-    def give_back(self, asked: Asked) -> None:
+    def give_back(self, probed: ProbeAnswer) -> None:
         """Keep the connection of an answer that is not used any further."""
-        server = asked.candidate.registered.server
-        self.connections.keep((server.host, server.port), asked.connection)
+        server = probed.candidate.registered.server
+        self.connections.keep((server.host, server.port), probed.connection)
 
-    def _ask_one(
+    def _probe_one(
         self,
         current: _Round,
         candidate: Candidate,
@@ -119,18 +119,18 @@
     ) -> None:
         server = candidate.registered.server
         address = server.host, server.port
-        self.asked += 1
-        payload = self.dialect.load_question(health_path, server.host)
+        self.probed += 1
+        payload = self.dialect.load_probe(health_path, server.host)
         connection = self.connections.take(address, loop.time())
         if connection is None:
             task = loop.create_task(
-                self._connect_and_ask(current, candidate, address, payload),
+                self._connect_and_probe(current, candidate, address, payload),
             )
             task.add_done_callback(_swallow)
         else:
             self._send(current, candidate, connection, payload)
 
-    async def _connect_and_ask(
+    async def _connect_and_probe(
         self,
         current: _Round,
         candidate: Candidate,
@@ -190,11 +190,13 @@
             report = LoadReport(0, 0, server.slots)
         candidate.memory.note_report(report, connection.loop.time())
         note_keep_alive(connection, reply)
-        asked = Asked(candidate, report, connection, reply.status == _HEALTHY)
+        probed = ProbeAnswer(
+            candidate, report, connection, reply.status == _HEALTHY
+        )
         if current.is_over or not connection.is_clean:
             self.connections.keep((server.host, server.port), connection)
         else:
-            current.answers.append(asked)
+            current.answers.append(probed)
         current.close_one()
 
 
--- a/zinniaturn/gateway/process.py
+++ b/zinniaturn/gateway/process.py
@@ -221,7 +221,7 @@
     def _follow_up(self, reading: FleetReading) -> None:
         """Compare a reading with this VM's record and tell the other VMs."""
         self.registration.check(reading.vms)
-        self.peers.send_beats()
+        self.peers.send_heartbeats()
         self.reports.note_reading(reading)
 
     async def _tick(self) -> None:
--- a/zinniaturn/gateway/settings.py
+++ b/zinniaturn/gateway/settings.py
@@ -16,7 +16,7 @@
     request, ``tables_seconds`` the time after which tables are in force.
     Second sends to a pool are ``second_send_ratio`` of its requests and
     ``second_send_fixed`` more in any ``second_send_window_seconds``.
-    ``asks_per_second`` bounds the questions to one server.
+    ``probes_per_second`` bounds the questions to one server.
     """
 
     leaving_seconds: float = 2.0
@@ -26,7 +26,7 @@
     second_send_ratio: float = 0.2
     second_send_fixed: float = 50.0
     second_send_window_seconds: float = 10.0
-    asks_per_second: float = 60.0
+    probes_per_second: float = 60.0
 
     @property
     def follow_seconds(self) -> float:
--- a/zinniaturn/gateway/state.py
+++ b/zinniaturn/gateway/state.py
@@ -16,8 +16,8 @@
 from zinniaturn.gateway.settings import GatewaySettings
 from zinniaturn.http1.connections import Connections
 from zinniaturn.placing.allowance import SecondSends
-from zinniaturn.placing.asking import Candidate
 from zinniaturn.placing.memory import ServerMemory
+from zinniaturn.placing.probing import Candidate
 from zinniaturn.tables.matching import RouteMatcher
 
 
--- a/zinniaturn/placing/asking.py
+++ b/zinniaturn/placing/probing.py
@@ -1,12 +1,12 @@
 """
-Whom to ask for its load before a request is sent.
+Whom to probe for its load before a request is sent.
 
 What a VM learns from answers alone is seconds old, since it sees few requests
 a second. So it asks a few servers right before it sends, and the others only
 where none of those can serve the request soon.
 """
 
-__all__ = ('AskBudget', 'AskBudgets', 'Asking', 'Candidate')
+__all__ = ('Candidate', 'ProbeBudget', 'ProbeBudgets', 'ProbeOrder')
 
 import random
 import zlib
@@ -38,13 +38,13 @@
 
 
 @dataclass(slots=True)
-class Asking:
+class ProbeOrder:
     """
-    Picks servers to ask, those in good standing first, then the near ones.
+    Picks servers to probe, those in good standing first, then the near ones.
 
     Near is a part of the servers in the VM's own data centre, the same ones
     each time, so that connections to them stay open; within it the order is
-    random. ``first`` are asked at once and up to ``more`` further ones if the
+    random. ``first`` are probed at once and up to ``more`` further ones if the
     first bring nothing good.
     """
 
@@ -60,7 +60,7 @@
         candidates: Sequence[Candidate],
         now: float,
     ) -> list[Candidate]:
-        """Return the servers in the order in which to ask them."""
+        """Return the servers in the order in which to probe them."""
         near = self._near(candidates)
         shuffled = list(candidates)
         self.source.shuffle(shuffled)
@@ -97,14 +97,14 @@
 
 
 @dataclass(slots=True)
-class AskBudget:
+class ProbeBudget:
     """
-    One VM's part of what the fleet may ask a pool's servers.
+    One VM's part of what the fleet may probe a pool's servers.
 
     The bound is a mean over a long time, so that what quiet times leave over
     may be used in a busy one, up to some seconds' worth.
 
-    >>> budget = AskBudget(updated_at=0)
+    >>> budget = ProbeBudget(updated_at=0)
     >>> budget.refill(10, 0.1), budget.take(2), budget.take(2)
     (None, False, False)
     >>> budget.refill(10, 1.0), budget.take(10)
@@ -121,49 +121,49 @@
         self.updated_at = now
 
     def take(self, count: int) -> bool:
-        """Take some questions; return whether there were as many."""
+        """Take some probes; return whether there were as many."""
         if not self.has(count):
             return False
         self.saved -= count
         return True
 
     def has(self, count: int) -> bool:
-        """Return whether so many questions may be asked."""
+        """Return whether so many probes may be sent."""
         return self.saved >= count
 
 
 @dataclass(slots=True)
-class AskBudgets:
+class ProbeBudgets:
     """
-    One VM's questions to the servers of all pools.
+    One VM's probes to the servers of all pools.
 
     The fleet's bound is a mean over all servers. A busy pool may use what
     quiet ones leave, up to twice its servers' own share. A process begins with
-    what the time before its start would have earned, in which it asked
+    what the time before its start would have earned, in which it sent
     nothing.
     """
 
     started_at: float
-    pools: dict[str, AskBudget] = field(default_factory=dict)
-    whole: AskBudget = field(init=False)
+    pools: dict[str, ProbeBudget] = field(default_factory=dict)
+    whole: ProbeBudget = field(init=False)
 
     def __post_init__(self) -> None:
         """Count the time before the start."""
         self.started_at -= _BEFORE_START_SECONDS
-        self.whole = AskBudget(self.started_at)
+        self.whole = ProbeBudget(self.started_at)
 
     def refill(
         self, a_server: float, sizes: Mapping[str, int], now: float
     ) -> None:
-        """Add what was earned, given the questions a second to a server."""
+        """Add what was earned, given the probes a second to a server."""
         self.whole.refill(a_server * sum(sizes.values()), now)
         for pool, servers in sizes.items():
-            budget = self.pools.setdefault(pool, AskBudget(self.started_at))
+            budget = self.pools.setdefault(pool, ProbeBudget(self.started_at))
             budget.refill(a_server * servers * _MOST_OF_SHARE, now)
 
     def take(self, pool: str, count: int, spare: int = 0) -> bool:
         """
-        Take some questions to a pool; return whether there were as many.
+        Take some probes to a pool; return whether there were as many.
 
         ``spare`` of the whole are left for more urgent ones.
         """
--- a/zinniaturn/placing/line.py
+++ b/zinniaturn/placing/request_queue.py
@@ -12,7 +12,7 @@
 late and still finds no server is told to come back after the worst.
 """
 
-__all__ = ('Line', 'Offer', 'Waiting', 'best_concurrency')
+__all__ = ('Offer', 'RequestQueue', 'Waiting', 'best_concurrency')
 
 from collections import deque
 from collections.abc import Callable
@@ -20,8 +20,8 @@
 from typing import Any
 
 from zinniaturn.choosing.reports import LoadReport
-from zinniaturn.placing.asking import Candidate
 from zinniaturn.placing.expecting import CROWDED_FACTOR, CROWDED_SHARE
+from zinniaturn.placing.probing import Candidate
 
 _MARGIN = 1.1
 _HOPELESS_SHARE = 0.9
@@ -38,7 +38,7 @@
     """
     A server with room for a request, as of a fresh report.
 
-    ``connection`` is whatever the caller of the line needs to use the server.
+    ``connection`` is whatever the caller of the queue needs to use the server.
     ``is_healthy`` is what the server says of itself, which may be false.
     ``is_last_slot`` says that it has room for no other request beside.
     """
@@ -57,7 +57,7 @@
 
     ``expect`` returns the seconds until the answer of a server that is
     offered. ``refused`` is set, with the seconds after which to come back,
-    where the line gives the request up.
+    where the queue gives the request up.
     """
 
     work: float
@@ -83,7 +83,7 @@
 
 
 @dataclass(slots=True)
-class Line:
+class RequestQueue:
     """The requests of one pool that wait at this VM."""
 
     waiting: list[Waiting] = field(default_factory=list)
--- a/zinniaturn/platform/dialect.py
+++ b/zinniaturn/platform/dialect.py
@@ -72,7 +72,7 @@
         fields.append((b'X-Expect-Instance', server.encode()))
         return request_bytes(request, fields)
 
-    def load_question(self, path: str, host: str) -> bytes:
+    def load_probe(self, path: str, host: str) -> bytes:
         """Return the bytes of a request for a server's load."""
         return b'GET %b HTTP/1.1\r\nHost: %b\r\n\r\n' % (
             path.encode(),
--- a/zinniaturn/platform/settings_file.py
+++ b/zinniaturn/platform/settings_file.py
@@ -103,5 +103,5 @@
         second_send_ratio=bounds.retry_budget_ratio,
         second_send_fixed=bounds.retry_min,
         second_send_window_seconds=bounds.budget_window_s,
-        asks_per_second=bounds.probes_per_s,
+        probes_per_second=bounds.probes_per_s,
     )
--- a/zinniaturn/platform/standins/server.py
+++ b/zinniaturn/platform/standins/server.py
@@ -49,7 +49,7 @@
     is_healthy: bool = True
     running: int = 0
     waiting: int = 0
-    asked: int = 0
+    probed: int = 0
     cancelled: int = 0
     arrivals: int = 0
     born_ms: int = 1
@@ -83,7 +83,7 @@
         """Serve a request or a question for the load."""
         request = exchange.request
         if request.target == _HEALTH_PATH:
-            self.asked += 1
+            self.probed += 1
             status = 200 if self.is_healthy else 503
             own = (b'X-Instance-Id', self.name.encode())
             return Response(status, b'', [own, self._load()])
