--- a/features/steps/placing_steps.py
+++ b/features/steps/placing_steps.py
@@ -35,7 +35,7 @@
 
 def _wait(context, name, **fields):
     """Let a request wait that is expected to take what is offered."""
-    if not hasattr(context, 'line'):
+    if not hasattr(context, 'queue'):
         context.queue = RequestQueue()
         context.ended = []
         context.requests = {}
