--- a/zinniaturn/gateway/placer.py
+++ b/zinniaturn/gateway/placer.py
@@ -3,7 +3,7 @@
 
 A request for which none is good enough waits in its pool's queue. The queue is
 fed by answers, which say that a slot has become free, and by further
-questions.
+probes.
 """
 
 __all__ = ('Placer',)
@@ -246,7 +246,7 @@
                 queue.note_round()
 
     def _may_probe(self, pool: FleetPool, count: int, spare: int = 0) -> bool:
-        """Take questions from the budget; return whether there were any."""
+        """Take probes from the budget; return whether there were any."""
         state = self.state
         allowed = state.settings.bounds.probes_per_second * _PROBE_SAFETY
         sizes = {name: len(each) for name, each in state.pools.items()}
--- a/zinniaturn/gateway/prober.py
+++ b/zinniaturn/gateway/prober.py
@@ -38,14 +38,14 @@
 class _Round:
     """The probes probed at once; `done` is set once enough are answered."""
 
-    open_questions: int
+    open_probes: int
     done: asyncio.Future[None]
     answers: list[ProbeAnswer] = field(default_factory=list)
     is_over: bool = False
 
     def close_one(self) -> None:
-        self.open_questions -= 1
-        if not self.open_questions:
+        self.open_probes -= 1
+        if not self.open_probes:
             self.wake()
 
     def wake(self) -> None:
--- a/zinniaturn/gateway/settings.py
+++ b/zinniaturn/gateway/settings.py
@@ -16,7 +16,7 @@
     request, ``tables_seconds`` the time after which tables are in force.
     Second sends to a pool are ``second_send_ratio`` of its requests and
     ``second_send_fixed`` more in any ``second_send_window_seconds``.
-    ``probes_per_second`` bounds the questions to one server.
+    ``probes_per_second`` bounds the probes of one server.
     """
 
     leaving_seconds: float = 2.0
--- a/zinniaturn/placing/memory.py
+++ b/zinniaturn/placing/memory.py
@@ -3,7 +3,7 @@
 
 Fresh reports tell the load; memory tells what reports don't: that requests
 fail there, that they take longer than the report lets expect, or that
-questions go unanswered. All of it fades, so that a server gets another try.
+probes go unanswered. All of it fades, so that a server gets another try.
 """
 
 __all__ = ('ServerMemory',)
@@ -66,7 +66,7 @@
         self.unanswered = 0
 
     def note_unanswered(self) -> None:
-        """Count a question that brought no answer in time."""
+        """Count a probe that brought no answer in time."""
         self.unanswered += 1
 
     def note_success(self, seconds: float, expected: float, now: float) -> None:
--- a/zinniaturn/placing/probing.py
+++ b/zinniaturn/placing/probing.py
@@ -2,7 +2,7 @@
 Whom to probe for its load before a request is sent.
 
 What a VM learns from answers alone is seconds old, since it sees few requests
-a second. So it asks a few servers right before it sends, and the others only
+a second. So it probes a few servers right before it sends, and the others only
 where none of those can serve the request soon.
 """
 
--- a/zinniaturn/platform/standins/server.py
+++ b/zinniaturn/platform/standins/server.py
@@ -80,7 +80,7 @@
         }
 
     def handle(self, exchange: CallerExchange) -> Reply:
-        """Serve a request or a question for the load."""
+        """Serve a request or a probe of the load."""
         request = exchange.request
         if request.target == _HEALTH_PATH:
             self.probed += 1
