Keep one address of a candidate and one age of the state

The age is now finite also for a VM that is asked for its state before it has one; that would have raised.

--- a/zinniaturn/fleet/following.py
+++ b/zinniaturn/fleet/following.py
@@ -36,7 +36,6 @@
     pacing: ReadPacing
     on_read: list[Listener] = field(default_factory=list)
     on_reply: list[Report] = field(default_factory=list)
-    reads: int = 0
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
@@ -54,7 +53,6 @@
 
     async def _read(self) -> None:
         asked_at = self.knowledge.clock.monotonic()
-        self.reads += 1
         try:
             reading = await self.store.read_fleet()
         except FleetStoreError as error:
--- a/zinniaturn/fleet/knowledge.py
+++ b/zinniaturn/fleet/knowledge.py
@@ -25,6 +25,8 @@
 
 _OUTAGE_SECONDS = 3.0
 _RETURN_SECONDS = 2.0
+_LONGEST_AGE_SECONDS = 1e6
+_MILLISECONDS = 1000
 
 Decoder = Callable[[TablesDocument], FleetTables]
 
@@ -97,6 +99,12 @@
         """Return for how long the state has not been confirmed."""
         return self.clock.monotonic() - self.confirmed_at
 
+    @property
+    def age_ms(self) -> int:
+        """Return the age as a finite number, also before the first state."""
+        age = min(_LONGEST_AGE_SECONDS, self.age_seconds)
+        return round(age * _MILLISECONDS)
+
     def install(self, reading: FleetReading, asked_at: float) -> Change:
         """
         Take over a reading that was asked for at ``asked_at``.
--- a/zinniaturn/fleet/messages.py
+++ b/zinniaturn/fleet/messages.py
@@ -81,7 +81,6 @@
 _heartbeats = msgspec.msgpack.Decoder(Heartbeat)
 _states = msgspec.msgpack.Decoder(StateMessage)
 _contents = msgspec.msgpack.Decoder(StateContent)
-_MILLISECONDS = 1000
 _LEVEL = 1
 _MOST_BYTES = 64 * 1024 * 1024
 
@@ -118,7 +117,7 @@
     return StateMessage(
         PROTOCOL_VERSION,
         knowledge.revision,
-        max(0, int(knowledge.age_seconds * _MILLISECONDS) + 1),
+        max(0, knowledge.age_ms) + 1,
         zlib.compress(_encoder.encode(_content_of(knowledge, held)), _LEVEL),
     )
 
--- a/zinniaturn/fleet/peers.py
+++ b/zinniaturn/fleet/peers.py
@@ -58,8 +58,6 @@
     source: random.Random = field(default_factory=random.Random)
     holders: dict[str, VmRecord] = field(default_factory=dict)
     wanted_revision: int = 0
-    fetched: int = 0
-    sent: int = field(default=0)
 
     async def start(self) -> None:
         """Listen for datagrams; raises `OSError`."""
@@ -190,17 +188,14 @@
             return
         age = state.age_ms / _MILLISECONDS + _TRANSIT_SECONDS
         asked_at = self.knowledge.clock.monotonic() - age
-        self.fetched += 1
         self.knowledge.install(reading, asked_at)
         self.send_heartbeats()
 
     def _send(self, payload: bytes, record: VmRecord) -> None:
         if self.transport is not None:
-            self.sent += 1
             self.transport.sendto(payload, record.exchange)
 
     def _heartbeat(self) -> bytes:
-        age = min(self.knowledge.age_seconds, 1e6)
         return encode_message(
             Heartbeat(
                 PROTOCOL_VERSION,
@@ -208,7 +203,7 @@
                 self.stage(),
                 self.knowledge.revision,
                 self.knowledge.digest,
-                max(0, int(age * _MILLISECONDS)) + 1,
+                max(0, self.knowledge.age_ms) + 1,
             ),
         )
 
--- a/zinniaturn/gateway/attempt.py
+++ b/zinniaturn/gateway/attempt.py
@@ -38,7 +38,7 @@
     returns true. Cancelling closes the connection, so the server stops.
     """
     server = placement.candidate.registered.server
-    address = server.host, server.port
+    address = placement.candidate.address
     connection = await _connection(state, address, placement)
     loop = connection.loop
     now = loop.time()
--- a/zinniaturn/gateway/dispatch.py
+++ b/zinniaturn/gateway/dispatch.py
@@ -82,7 +82,7 @@
                     await exchange.wait_for_turn()
                 answer = await self.attempts.run(job)
         except TimeoutError:
-            return self._give_up(job, Event.DEADLINE_PASSED)
+            return self._give_up(job)
         except RefusedError as error:
             return self._refuse(job, error)
         except asyncio.CancelledError:
@@ -107,9 +107,9 @@
         self.state.note_fault('a request', error)
         return self._final(job, 'internal', Outcome.UNKNOWN, None)
 
-    def _give_up(self, job: Job, event: Event) -> Response:
+    def _give_up(self, job: Job) -> Response:
         phase = Phase.SENT_WHOLE if job.attempts else Phase.NOT_SENT
-        job.known = combine(job.known, decide(phase, event))
+        job.known = combine(job.known, decide(phase, Event.DEADLINE_PASSED))
         return self._final(job, job.known.code, job.known.outcome, None)
 
     def _refuse(self, job: Job, error: RefusedError) -> Response:
@@ -191,9 +191,7 @@
             limit_ms=round((job.deadline - job.arrived_at) * _MILLISECONDS),
             detail=job.detail,
             tables_revision=self._tables_revision(),
-            state_age_ms=round(
-                min(1e6, self.state.knowledge.age_seconds) * _MILLISECONDS,
-            ),
+            state_age_ms=self.state.knowledge.age_ms,
         )
 
 
--- a/zinniaturn/gateway/placer.py
+++ b/zinniaturn/gateway/placer.py
@@ -215,7 +215,7 @@
         return expected
 
     def _poll(self, pool: FleetPool) -> None:
-        """Keep asking while requests wait."""
+        """Keep probing while requests wait."""
         if pool.name not in self.polls:
             task = asyncio.ensure_future(self._keep_probing(pool))
             self.polls[pool.name] = task
@@ -256,8 +256,7 @@
 
     def _return(self, offer: Offer) -> None:
         if offer.connection is not None:
-            server = offer.candidate.registered.server
-            address = server.host, server.port
+            address = offer.candidate.address
             self.state.connections.keep(address, offer.connection)
 
     def _refusal(self, seconds: float, detail: str) -> RefusedError:
--- a/zinniaturn/gateway/prober.py
+++ b/zinniaturn/gateway/prober.py
@@ -36,7 +36,7 @@
 
 @dataclass(slots=True, eq=False)
 class _Round:
-    """The probes probed at once; `done` is set once enough are answered."""
+    """The probes sent at once; `done` is set once enough are answered."""
 
     open_probes: int
     done: asyncio.Future[None]
@@ -59,15 +59,10 @@
 
 @dataclass(slots=True)
 class Prober:
-    """
-    Asks servers and hands over those that answered soon.
-
-    ``probed`` counts the probes.
-    """
+    """Probes servers and hands over those that answered soon."""
 
     connections: Connections
     dialect: Dialect
-    probed: int = 0
 
     async def probe(
         self,
@@ -93,7 +88,8 @@
         try:
             await current.done
         except asyncio.CancelledError:
-            self._return_all(current.answers)
+            for answer in current.answers:
+                self.give_back(answer)
             raise
         finally:
             current.is_over = True
@@ -101,14 +97,9 @@
                 timer.cancel()
         return current.answers
 
-    def _return_all(self, answers: list[ProbeAnswer]) -> None:
-        for probed in answers:
-            self.give_back(probed)
-
     def give_back(self, probed: ProbeAnswer) -> None:
         """Keep the connection of an answer that is not used any further."""
-        server = probed.candidate.registered.server
-        self.connections.keep((server.host, server.port), probed.connection)
+        self.connections.keep(probed.candidate.address, probed.connection)
 
     def _probe_one(
         self,
@@ -117,10 +108,8 @@
         health_path: str,
         loop: asyncio.AbstractEventLoop,
     ) -> None:
-        server = candidate.registered.server
-        address = server.host, server.port
-        self.probed += 1
-        payload = self.dialect.load_probe(health_path, server.host)
+        address = candidate.address
+        payload = self.dialect.load_probe(health_path, address[0])
         connection = self.connections.take(address, loop.time())
         if connection is None:
             task = loop.create_task(
@@ -194,7 +183,7 @@
             candidate, report, connection, reply.status == _HEALTHY
         )
         if current.is_over or not connection.is_clean:
-            self.connections.keep((server.host, server.port), connection)
+            self.connections.keep(candidate.address, connection)
         else:
             current.answers.append(probed)
         current.close_one()
--- a/zinniaturn/gateway/reporting.py
+++ b/zinniaturn/gateway/reporting.py
@@ -12,10 +12,8 @@
 from zinniaturn.gateway.dispatch import Dispatcher
 from zinniaturn.gateway.state import GatewayState
 
-_MILLISECONDS = 1000
 _SHOWN_ENTRIES = 5
 _SHOWN_SERVERS = 40
-_LONGEST_AGE_SECONDS = 1e6
 
 
 @dataclass(slots=True)
@@ -92,22 +90,16 @@
                 self.state.journal.write(
                     LogEvent.FLEET_STORE_LOST,
                     reason=error.message,
-                    state_age_ms=self._state_age_ms(),
+                    state_age_ms=self.state.knowledge.age_ms,
                 )
         elif self.store_failures:
             self.state.journal.write(
                 LogEvent.FLEET_STORE_BACK,
                 failures=self.store_failures,
-                state_age_ms=self._state_age_ms(),
+                state_age_ms=self.state.knowledge.age_ms,
             )
             self.store_failures = 0
 
-    def _state_age_ms(self) -> int:
-        return round(
-            min(_LONGEST_AGE_SECONDS, self.state.knowledge.age_seconds)
-            * _MILLISECONDS
-        )
-
     def note_refused(self, reason: str) -> None:
         """Count and log a message of a VM that can't be used."""
         self.state.counters.events['vm_message_refused'] += 1
--- a/zinniaturn/http1/connections.py
+++ b/zinniaturn/http1/connections.py
@@ -44,7 +44,6 @@
     def __init__(self, own_host: str = '') -> None:
         self.own = (own_host, 0) if own_host else None
         self.idle: dict[Address, list[BackendConnection]] = {}
-        self.opened = 0
 
     def take(self, address: Address, now: float) -> BackendConnection | None:
         """Return an idle connection that is still usable, if there is one."""
@@ -63,7 +62,6 @@
     ) -> BackendConnection:
         """Open a connection; raises `ConnectFailedError`."""
         loop = asyncio.get_running_loop()
-        self.opened += 1
         try:
             async with asyncio.timeout(timeout_seconds):
                 transport, protocol = await loop.create_connection(
--- a/zinniaturn/placing/probing.py
+++ b/zinniaturn/placing/probing.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field
 
 from zinniaturn.fleet.domain import RegisteredServer
+from zinniaturn.http1.connections import Address
 from zinniaturn.placing.memory import ServerMemory
 
 _UNANSWERED_OUT = 2
@@ -36,6 +37,11 @@
         """Return the server's name."""
         return self.registered.server.name
 
+    @property
+    def address(self) -> Address:
+        """Return where the server takes connections."""
+        return self.registered.server.host, self.registered.server.port
+
 
 @dataclass(slots=True)
 class ProbeOrder:
--- a/zinniaturn/platform/store.py
+++ b/zinniaturn/platform/store.py
@@ -65,7 +65,6 @@
     def __init__(self, address: Address, own_host: str) -> None:
         self.address = address
         self.connections = Connections(own_host)
-        self.calls = 0
 
     async def read_fleet(self) -> FleetReading:
         """Return everything that lies in the store."""
@@ -118,7 +117,6 @@
         payload = _request_bytes(method, path, self.address[0], body)
         loop = asyncio.get_running_loop()
         connection = self.connections.take(self.address, loop.time())
-        self.calls += 1
         try:
             async with asyncio.timeout(_CALL_SECONDS):
                 if connection is None:
