--- a/features/fleet_knowledge.feature
+++ b/features/fleet_knowledge.feature
@@ -109,3 +109,7 @@
     And another VM that holds revision 6 with server "a"
     When the other changes between its asking and the answer
     Then the answer is not taken over
+
+  Scenario: A VM that has no state yet can be asked for it
+    When a VM that has read nothing is asked for its state
+    Then it answers with an age that no bound allows
--- a/features/steps/fleet_knowledge_steps.py
+++ b/features/steps/fleet_knowledge_steps.py
@@ -317,3 +317,13 @@
 @then('the answer is not taken over')
 def check_not_taken(context):
     assert reading_of(*context.sent, context.other) is None
+
+
+@when('a VM that has read nothing is asked for its state')
+def ask_empty(context):
+    context.state = state_of(build_knowledge(), StateParts())
+
+
+@then('it answers with an age that no bound allows')
+def check_endless_age(context):
+    assert context.state.age_ms > 10**8
