Leave slow servers alone while others are quick

Late requests went to slow servers, where each kept a slot for four times its work, also after the server was quick again; those in time then waited, were refused and came back late.

Change: slow servers get requests only where no server has been quick for a second; late requests get quick slots, the last one only without pressure; probes go out in rounds of 3, 3 and 5, fewer when the budget is nearly spent, first to servers that had room a moment ago; late requests under pressure wait without probing.

The scenario of a quick server's last slot now says that a request in time has had to wait: without pressure the slot serves a late request better than none. The patience of five smaller rounds takes the place of three larger ones.

--- a/features/placing.feature
+++ b/features/placing.feature
@@ -22,7 +22,7 @@
 
   Scenario: After some rounds any server is better than none
     Given a request "new"
-    When 3 rounds pass without a good server
+    When 5 rounds pass without a good server
     And a slow server is offered
     Then "new" gets it
 
@@ -167,6 +167,7 @@
 
   Scenario: A quick server's last slot is kept for requests in time
     Given requests "late" that is past its objective and "new"
+    And a request in time has had to wait
     When the last slot of an idle server is offered
     Then "new" gets it
     When the last slot of an idle server is offered
@@ -194,3 +195,33 @@
     Then its estimate is not settled and under 0.03 s
     When 5 more of its requests take 0.002 s each
     Then its estimate is settled
+
+  Scenario: A slow server is left alone while another was quick a moment ago
+    Given requests "late" that is past its objective and "new"
+    And an idle server was offered a moment ago
+    When a slow server is offered
+    Then nobody gets it
+
+  Scenario: A quick server's last slot goes to a late request where none presses
+    Given a request "late" that has been late for 0.1 s
+    When the last slot of an idle server is offered
+    Then "late" gets it
+
+  Scenario: A burst does not outlast itself
+    Given 14 servers of 3 slots, slow by turns, and 80 requests a second
+    When 3 times as many come for 3 s
+    Then nine tenths of those that come 5 s later are in time
+
+  Scenario Outline: A request is as sparing with probes as the budget asks
+    Given a budget that has saved <saved> s of probes
+    Then a request may send rounds of <sizes>
+
+    Examples:
+      | saved | sizes   |
+      | 6.0   | 3, 3, 5 |
+      | 1.0   | 3       |
+      | 0.2   | 2       |
+
+  Scenario: Servers that had room a moment ago are probed first
+    Given 12 servers of which 2 had room, 2 were full and 2 were slow
+    Then the 2 with room are probed first and the full and slow ones last
--- a/features/steps/gateway_requests_steps.py
+++ b/features/steps/gateway_requests_steps.py
@@ -555,7 +555,7 @@
 @given('asking servers fails with a fault of the program')
 def break_asking(context):
     placer = context.gateway.dispatcher.attempts.placer
-    context.asker = placer.prober
+    context.asker = placer.search.prober
     context.sound_dialect = context.asker.dialect
     context.asker.dialect = None
 
--- a/features/steps/placing_steps.py
+++ b/features/steps/placing_steps.py
@@ -16,15 +16,14 @@
 from zinniaturn.fleet.tables import FleetRoute, PoolShare
 from zinniaturn.fleet.vms import VmTable
 from zinniaturn.placing.allowance import SecondSends
-from zinniaturn.placing.expecting import WorkEstimates, expected_seconds
-from zinniaturn.placing.hedging import second_send_delay
-from zinniaturn.placing.probing import ProbeBudget, ProbeBudgets, ProbeOrder
-from zinniaturn.placing.request_queue import (
-    Offer,
-    RequestQueue,
-    Waiting,
+from zinniaturn.placing.expecting import (
+    WorkEstimates,
     best_concurrency,
+    expected_seconds,
 )
+from zinniaturn.placing.hedging import second_send_delay
+from zinniaturn.placing.probing import ProbeBudget, ProbeBudgets, ProbeOrder
+from zinniaturn.placing.request_queue import Offer, RequestQueue, Waiting
 from zinniaturn.placing.spreading import Spreader
 
 _NOW = 100.0
@@ -136,7 +135,7 @@
 @when('{count:d} rounds pass without a good server')
 def pass_rounds(context, count):
     for _ in range(count):
-        context.queue.note_round()
+        context.queue.note_round(_NOW)
 
 
 @when('the line gives up what is hopeless')
--- /dev/null
+++ b/features/support/noisy_burst.py
@@ -0,0 +1,134 @@
+"""A burst at servers with noisy neighbours, played without a network."""
+
+import heapq
+import itertools
+import random
+
+from features.support.gateway import build_candidate, build_report, seeded
+from zinniaturn.placing.expecting import best_concurrency
+from zinniaturn.placing.request_queue import Offer, RequestQueue, Waiting
+
+_OBJECTIVE_SECONDS = 0.5
+_DEADLINE_SECONDS = 4.0
+_NOISE_SECONDS = 0.3
+_SLOW_SHARE = 0.42
+_SLOWNESS = 4.0
+_POLL_SECONDS = 0.03
+_SLOTS = 3
+
+
+class NoisyBurst:
+    """
+    Callers of one VM that come again, at servers that are slow by turns.
+
+    A server that is slow when a request begins stays so for the request.
+    """
+
+    def __init__(self, servers, work_seconds, rate):
+        self.work = work_seconds
+        self.rate = rate
+        self.source = seeded()
+        self.queue = RequestQueue()
+        self.running = [0 for _ in range(servers)]
+        self.candidates = [
+            build_candidate(f's-{number}', slots=_SLOTS)
+            for number in range(servers)
+        ]
+        self.ends = []
+        self.order = itertools.count()
+        self.events = []
+        self.now = 0
+
+    def play(self, burst_factor, burst_ends, seconds):
+        """Play a burst from the first second on, until the end."""
+        moment = 0
+        while moment < seconds:
+            factor = burst_factor if 1 < moment < burst_ends else 1
+            moment += self.source.expovariate(self.rate * factor)
+            self._at(moment, self._arrival(moment, seconds))
+        for number in range(int(seconds / _POLL_SECONDS)):
+            self._at(number * _POLL_SECONDS, self._poll)
+        while self.events:
+            entry = heapq.heappop(self.events)
+            self.now = entry[0]
+            entry[2]()
+
+    def share_in_time(self, begin, end):
+        """Return the share of the requests of a span that were in time."""
+        ends = [in_time for began, in_time in self.ends if begin <= began < end]
+        return sum(ends) / len(ends)
+
+    def _at(self, moment, event):
+        heapq.heappush(self.events, (moment, next(self.order), event))
+
+    def _arrival(self, began, until):
+        def arrive():
+            holder = []
+            waiting = Waiting(
+                self.work,
+                self.now,
+                began + _OBJECTIVE_SECONDS,
+                began + _DEADLINE_SECONDS,
+                1,
+                self._expect,
+                lambda: self._end(holder[0], began, arrive),
+            )
+            holder.append(waiting)
+            self.queue.join(waiting)
+            self._offer_all()
+            if waiting in self.queue.waiting:
+                self.queue.note_unserved(waiting, self.now)
+
+        return arrive
+
+    def _poll(self):
+        self.queue.refuse_hopeless(self.now)
+        self._offer_all()
+        self.queue.note_round(self.now)
+
+    def _offer_all(self):
+        numbers = sorted(range(len(self.running)), key=self._slowness)
+        for number in numbers:
+            self._offer(number)
+
+    def _offer(self, number):
+        running, best = self.running[number], best_concurrency(_SLOTS)
+        if running < best:
+            report = build_report(
+                running,
+                slots=_SLOTS,
+                slowness=self._slowness(number),
+            )
+            candidate = self.candidates[number]
+            is_last = running + 1 == best
+            offer = Offer(candidate, report, is_last_slot=is_last)
+            self.queue.match(offer, self.now)
+
+    def _slowness(self, number):
+        turn = int(self.now / _NOISE_SECONDS + number / len(self.running))
+        is_slow = random.Random(number * 9973 + turn).random() < _SLOW_SHARE
+        return _SLOWNESS if is_slow else 1.0
+
+    def _expect(self, offer):
+        return self.work * offer.report.slowness
+
+    def _end(self, waiting, began, arrive):
+        if waiting.granted is None:
+            again = self.now + waiting.refused_seconds
+            if again + self.work < began + _DEADLINE_SECONDS:
+                self._at(again, arrive)
+            else:
+                self.ends.append((began, False))
+            return
+        number = int(waiting.granted.candidate.name.split('-')[1])
+        self.running[number] += 1
+        in_time = self.now + waiting.expected <= waiting.objective_at
+        self.ends.append((began, in_time))
+        self._at(
+            self.now + waiting.expected,
+            lambda: self._answer(number),
+        )
+
+    def _answer(self, number):
+        self.running[number] -= 1
+        self._offer(number)
--- a/features/support/overload.py
+++ b/features/support/overload.py
@@ -5,12 +5,8 @@
 from dataclasses import dataclass, field
 
 from features.support.gateway import build_candidate, build_report, seeded
-from zinniaturn.placing.request_queue import (
-    Offer,
-    RequestQueue,
-    Waiting,
-    best_concurrency,
-)
+from zinniaturn.placing.expecting import best_concurrency
+from zinniaturn.placing.request_queue import Offer, RequestQueue, Waiting
 
 
 @dataclass
--- a/zinniaturn/placing/expecting.py
+++ b/zinniaturn/placing/expecting.py
@@ -6,12 +6,7 @@
 in a queue meet the usual one.
 """
 
-__all__ = (
-    'CROWDED_FACTOR',
-    'CROWDED_SHARE',
-    'WorkEstimates',
-    'expected_seconds',
-)
+__all__ = ('WorkEstimates', 'best_concurrency', 'expected_seconds')
 
 from dataclasses import dataclass, field
 
@@ -19,8 +14,8 @@
 from zinniaturn.placing.memory import ServerMemory
 
 _USUAL_SLOWNESS = 1.3
-CROWDED_SHARE = 0.8
-CROWDED_FACTOR = 1.6
+_CROWDED_SHARE = 0.8
+_CROWDED_FACTOR = 1.6
 _FAILURE_FACTOR = 4.0
 _WORK_WEIGHT = 0.08
 _FIRST_WEIGHT = 0.5
@@ -47,8 +42,8 @@
     slots = max(1, report.slots)
     running = report.busy + memory.sent_since(memory.reported_at)
     crowd = 1.0
-    if (running + 1) / slots > CROWDED_SHARE:
-        crowd = CROWDED_FACTOR
+    if (running + 1) / slots > _CROWDED_SHARE:
+        crowd = _CROWDED_FACTOR
     learned = memory.slowness_at(now)
     own = work_seconds * crowd * learned * report.slowness
     ahead = running + report.queued - slots + 1
@@ -59,6 +54,19 @@
     return own * (1 + failing * _FAILURE_FACTOR)
 
 
+def best_concurrency(slots: int) -> int:
+    """
+    Return how many requests at once a server gets most done with.
+
+    >>> [best_concurrency(slots) for slots in (1, 2, 3, 4, 8)]
+    [1, 2, 2, 3, 6]
+    """
+    uncrowded = int(slots * _CROWDED_SHARE)
+    if slots / _CROWDED_FACTOR > uncrowded:
+        return slots
+    return max(1, uncrowded)
+
+
 @dataclass(slots=True)
 class WorkEstimates:
     """
--- a/zinniaturn/placing/probing.py
+++ b/zinniaturn/placing/probing.py
@@ -6,21 +6,34 @@
 where none of those can serve the request soon.
 """
 
-__all__ = ('Candidate', 'ProbeBudget', 'ProbeBudgets', 'ProbeOrder')
+__all__ = (
+    'Candidate',
+    'ProbeBudget',
+    'ProbeBudgets',
+    'ProbeOrder',
+    'Thrift',
+    'is_promising',
+)
 
 import random
 import zlib
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
+from enum import Enum, IntEnum, auto
+from itertools import accumulate
 
 from zinniaturn.fleet.domain import RegisteredServer
 from zinniaturn.http1.connections import Address
+from zinniaturn.placing.expecting import best_concurrency
 from zinniaturn.placing.memory import ServerMemory
 
 _UNANSWERED_OUT = 2
 _SAVED_SECONDS = 6.0
-_REPORT_HOLDS_SECONDS = 0.12
+_REPORT_HOLDS_SECONDS = 0.25
 _SLOW = 1.5
+_FEWEST = 2
+_SCARCE_SECONDS = 0.5
+_AMPLE_SECONDS = 2.0
 _MOST_OF_SHARE = 2.0
 _BEFORE_START_SECONDS = 1.5
 
@@ -46,19 +59,18 @@
 @dataclass(slots=True)
 class ProbeOrder:
     """
-    Picks servers to probe, those in good standing first, then the near ones.
+    Picks servers to probe, in small rounds, until one of them will do.
 
-    Near is a part of the servers in the VM's own data centre, the same ones
-    each time, so that connections to them stay open; within it the order is
-    random. ``first`` are probed at once and up to ``more`` further ones if the
-    first bring nothing good.
+    Those in good standing come first, of these the ones that had room and were
+    quick a moment ago, then the near ones. Near is a part of the servers in the
+    VM's own data centre, the same ones each time, so that connections to them
+    stay open; beyond that the order is random.
     """
 
     source: random.Random
     vm: str
     data_center: str
-    first: int = 5
-    more: int = 6
+    round_sizes: tuple[int, ...] = (3, 3, 5)
     near: int = 8
 
     def order(
@@ -73,11 +85,32 @@
         shuffled.sort(
             key=lambda each: (
                 _standing(each.memory, now),
-                _seemed_slow(each.memory, now),
+                _outlook(each, now),
                 each.name not in near,
             ),
         )
-        return shuffled[: self.first + self.more]
+        return shuffled[: sum(self.round_sizes)]
+
+    def rounds(
+        self,
+        order: Sequence[Candidate],
+        thrift: 'Thrift',
+    ) -> list[Sequence[Candidate]]:
+        """Split servers into the rounds that thrift leaves."""
+        match thrift:
+            case Thrift.NONE:
+                sizes = self.round_sizes
+            case Thrift.SOME:
+                sizes = self.round_sizes[:1]
+            case Thrift.MOST:
+                sizes = (_FEWEST,)
+            case Thrift.ALL:
+                sizes = ()
+        ends = list(accumulate(sizes))
+        starts = [0, *ends]
+        spans = zip(starts, ends, strict=False)
+        rounds = [order[start:end] for start, end in spans]
+        return [each for each in rounds if each]
 
     def _near(self, candidates: Sequence[Candidate]) -> set[str]:
         own = [
@@ -89,12 +122,44 @@
         return set(own[: self.near])
 
 
-def _seemed_slow(memory: ServerMemory, now: float) -> bool:
-    """Return whether the server was slow or full a moment ago."""
+class Thrift(Enum):
+    """
+    How sparing a request must be with probes.
+
+    ``NONE`` is for an ample budget, ``SOME`` for a smaller and ``MOST`` for one
+    that is nearly spent. ``ALL``, no probes, is for a request that is late
+    while others need them.
+    """
+
+    NONE = auto()
+    SOME = auto()
+    MOST = auto()
+    ALL = auto()
+
+
+def is_promising(candidate: Candidate, now: float) -> bool:
+    """Return whether a server was quick and had room a moment ago."""
+    return _outlook(candidate, now) is _Outlook.GOOD
+
+
+class _Outlook(IntEnum):
+    """What the last report of a server lets expect, the best first."""
+
+    GOOD = 0
+    UNKNOWN = 1
+    BAD = 2
+
+
+def _outlook(candidate: Candidate, now: float) -> _Outlook:
+    memory = candidate.memory
     report = memory.report
     if report is None or now - memory.reported_at > _REPORT_HOLDS_SECONDS:
-        return False
-    return report.slowness > _SLOW or report.total >= report.slots
+        return _Outlook.UNKNOWN
+    running = report.total + memory.sent_since(memory.reported_at)
+    is_full = running >= best_concurrency(report.slots)
+    if is_full or report.slowness > _SLOW:
+        return _Outlook.BAD
+    return _Outlook.GOOD
 
 
 def _standing(memory: ServerMemory, now: float) -> int:
@@ -119,12 +184,14 @@
 
     updated_at: float
     saved: float = 0
+    a_second: float = 0
 
     def refill(self, a_second: float, now: float) -> None:
         """Add what has been earned at a rate since the last time."""
         earned = (now - self.updated_at) * a_second
         self.saved = min(a_second * _SAVED_SECONDS, self.saved + earned)
         self.updated_at = now
+        self.a_second = a_second
 
     def take(self, count: int) -> bool:
         """Take some probes; return whether there were as many."""
@@ -137,6 +204,10 @@
         """Return whether so many probes may be sent."""
         return self.saved >= count
 
+    def saved_seconds(self) -> float:
+        """Return how long it took to earn what is left."""
+        return self.saved / self.a_second if self.a_second else 0
+
 
 @dataclass(slots=True)
 class ProbeBudgets:
@@ -177,3 +248,13 @@
         if budget is None or not self.whole.has(count + spare):
             return False
         return budget.take(count) and self.whole.take(count)
+
+    def thrift(self, pool: str) -> Thrift:
+        """Return how sparing with probes to a pool a request must be."""
+        budget = self.pools.get(pool)
+        if budget is None:
+            return Thrift.MOST
+        saved = min(budget.saved_seconds(), self.whole.saved_seconds())
+        if saved < _SCARCE_SECONDS:
+            return Thrift.MOST
+        return Thrift.SOME if saved < _AMPLE_SECONDS else Thrift.NONE
--- a/zinniaturn/placing/request_queue.py
+++ b/zinniaturn/placing/request_queue.py
@@ -5,14 +5,15 @@
 objective is worth little and where servers that are nearly full serve less,
 not more. So servers are filled only up to where they are quickest, the rest
 waits here, and a free slot goes to the newest request that it can still serve
-in time. Those that are late already get slots that would be too slow for the
-others, the one with the least time left first; a quick server's last slot is
-kept for the next request that comes in time. What can't be served before its
-deadline any more is refused at once, and so is what is too much; one that is
-late and still finds no server is told to come back after the worst.
+in time. Slow servers are left alone while others are quick, and late requests
+get the slots of quick ones that nobody in time wants, the one with the least
+time left first. Under pressure a quick server's last slot is kept for the next
+request that comes in time. What can't be served before its deadline any more
+is refused at once, and so is what is too much; one that is late and still
+finds no server is told to come back after the worst.
 """
 
-__all__ = ('Offer', 'RequestQueue', 'Waiting', 'best_concurrency')
+__all__ = ('Offer', 'RequestQueue', 'Waiting')
 
 from collections import deque
 from collections.abc import Callable
@@ -20,14 +21,14 @@
 from typing import Any
 
 from zinniaturn.choosing.reports import LoadReport
-from zinniaturn.placing.expecting import CROWDED_FACTOR, CROWDED_SHARE
+from zinniaturn.placing.pressure import Pressure
 from zinniaturn.placing.probing import Candidate
 
 _MARGIN = 1.1
 _HOPELESS_SHARE = 0.9
 _RATE_SECONDS = 2.0
 _FEWEST_WAITING = 8
-_PATIENT_ROUNDS = 3
+_PATIENT_ROUNDS = 5
 _LATE_WAIT_SECONDS = 0.25
 _LATE_RETURN_SECONDS = 0.35
 _QUICK_FACTOR = 1.8
@@ -88,6 +89,7 @@
 
     waiting: list[Waiting] = field(default_factory=list)
     grants: deque[float] = field(default_factory=deque)
+    pressure: Pressure = field(default_factory=Pressure)
 
     def join(self, waiting: Waiting) -> None:
         """Let a request wait for an offer."""
@@ -108,7 +110,7 @@
             if name in waiting.excluded:
                 continue
             expected = waiting.expect(offer)
-            rank = _rank(waiting, offer, expected, now)
+            rank = self._rank(waiting, offer, expected, now)
             if rank is not None and (best is None or rank < best_rank):
                 best, best_rank, best_expected = waiting, rank, expected
         if best is None:
@@ -120,10 +122,20 @@
         best.on_end()
         return True
 
-    def note_round(self) -> None:
+    def has_hopeful(self, now: float) -> bool:
+        """Return whether a request waits that can still be in time."""
+        return any(not each.is_late(now) for each in self.waiting)
+
+    def note_round(self, now: float) -> None:
         """Count a round of offers that those still waiting went through."""
         for waiting in self.waiting:
-            waiting.rounds += 1
+            self.note_unserved(waiting, now)
+
+    def note_unserved(self, waiting: Waiting, now: float) -> None:
+        """Count a round of offers that brought a request nothing."""
+        waiting.rounds += 1
+        if not waiting.is_late(now):
+            self.pressure.note_waiting(now)
 
     def refuse_hopeless(self, now: float) -> int:
         """Give up what can't be served any more; return how many."""
@@ -143,6 +155,30 @@
             self.grants.popleft()
         return len(self.grants) / _RATE_SECONDS
 
+    def _rank(
+        self,
+        waiting: Waiting,
+        offer: Offer,
+        expected: float,
+        now: float,
+    ) -> tuple[int, int, float] | None:
+        """Return a request's place for an offer, or ``None`` for none."""
+        if now + expected * _MARGIN <= waiting.objective_at:
+            self.pressure.note_quick(now)
+            return waiting.priority, 0, -waiting.arrived_at
+        if now + expected > waiting.deadline:
+            return None
+        is_quick = expected < waiting.work * _QUICK_FACTOR
+        if is_quick and offer.is_last_slot and self.pressure.is_on(now):
+            return None
+        if not is_quick and self.pressure.has_quick(now):
+            return None
+        if waiting.is_late(now):
+            return waiting.priority, 1, waiting.deadline
+        if waiting.rounds >= _PATIENT_ROUNDS:
+            return waiting.priority, 2, waiting.deadline
+        return None
+
     def _refuse_excess(self, now: float) -> int:
         """Give up what is more than can be served within a second."""
         rate = self.rate(now)
@@ -165,37 +201,3 @@
         self.waiting.remove(waiting)
         waiting.refused_seconds = seconds
         waiting.on_end()
-
-
-def _rank(
-    waiting: Waiting,
-    offer: Offer,
-    expected: float,
-    now: float,
-) -> tuple[int, int, float] | None:
-    """Return a request's place for an offer, or ``None`` for none."""
-    if now + expected * _MARGIN <= waiting.objective_at:
-        return waiting.priority, 0, -waiting.arrived_at
-    if now + expected > waiting.deadline:
-        return None
-    is_quick = expected < waiting.work * _QUICK_FACTOR
-    if offer.is_last_slot and is_quick:
-        return None
-    if waiting.is_late(now):
-        return waiting.priority, 1, waiting.deadline
-    if waiting.rounds >= _PATIENT_ROUNDS:
-        return waiting.priority, 2, waiting.deadline
-    return None
-
-
-def best_concurrency(slots: int) -> int:
-    """
-    Return how many requests at once a server gets most done with.
-
-    >>> [best_concurrency(slots) for slots in (1, 2, 3, 4, 8)]
-    [1, 2, 2, 3, 6]
-    """
-    uncrowded = int(slots * CROWDED_SHARE)
-    if slots / CROWDED_FACTOR > uncrowded:
-        return slots
-    return max(1, uncrowded)
