Name the VMs that are good for the demand, and share probes by load

And every VM had an equal share of the probes, whatever it got.

Change: a VM's record says what it is good for, its heartbeats what it gets; look-ups name the largest VMs that carry the demand; three quarters of the probes go by the requests. Heartbeats lose their fields' names: 129 to 78 bytes, 10.5 KB/s at 106 VMs.

--- a/features/fleet_knowledge.feature
+++ b/features/fleet_knowledge.feature
@@ -87,7 +87,7 @@
     Then each is read or refused, and nothing else happens
 
   Scenario: A message of another version is refused
-    When a heartbeat of version 2 arrives
+    When a heartbeat of version 3 arrives
     Then they are refused
 
   Scenario: A state passes between VMs without loss
@@ -113,3 +113,17 @@
   Scenario: A VM that has no state yet can be asked for it
     When a VM that has read nothing is asked for its state
     Then it answers with an age that no bound allows
+
+  Scenario Outline: A heartbeat brings a VM's whole record
+    Given a VM that takes callers at "<front>" and the others at "10.1.0.5"
+    Then its heartbeat brings the same record
+
+    Examples:
+      | front         |
+      | 10.1.0.5:8641 |
+      | 10.1.9.9:8641 |
+      | none          |
+
+  Scenario: Heartbeats of 106 VMs cost each at most 11 KB/s
+    Given a VM that takes callers at "10.1.0.5:8641" and the others at "10.1.0.5"
+    Then its heartbeats to 105 others cost at most 11000 bytes a second
--- a/features/steps/fleet_knowledge_steps.py
+++ b/features/steps/fleet_knowledge_steps.py
@@ -12,12 +12,13 @@
     build_registered,
 )
 from zinniaturn.clock import ManualClock
-from zinniaturn.fleet.domain import VmStage
+from zinniaturn.fleet.domain import VmRecord, VmStage
 from zinniaturn.fleet.exceptions import BadDocumentError, PeerMessageError
 from zinniaturn.fleet.knowledge import StateParts
 from zinniaturn.fleet.messages import (
     PROTOCOL_VERSION,
     Heartbeat,
+    RecordRow,
     decode_heartbeat,
     decode_state,
     encode_message,
@@ -25,8 +26,10 @@
     state_of,
 )
 from zinniaturn.fleet.tables import FleetTables
+from zinniaturn.fleet.vms import VmTable
 
 _UNREADABLE = b'unreadable'
+_DATAGRAM_HEADER_BYTES = 28
 
 
 def _decode(document):
@@ -159,7 +162,15 @@
 
 def _heartbeat(version=PROTOCOL_VERSION):
     return encode_message(
-        Heartbeat(version, build_record(), VmStage.READY, 5, 6, 7),
+        Heartbeat(
+            version,
+            RecordRow.of(build_record()),
+            VmStage.READY,
+            5,
+            6,
+            7,
+            8,
+        ),
     )
 
 
@@ -327,3 +338,46 @@
 @then('it answers with an age that no bound allows')
 def check_endless_age(context):
     assert context.state.age_ms > 10**8
+
+
+@given('a VM that takes callers at "{front}" and the others at "{host}"')
+def sized_record(context, front, host):
+    context.record = VmRecord(
+        'front-ub-east-25',
+        2**62 + 5,
+        'ub-east',
+        '' if front == 'none' else front,
+        (host, 7620),
+        239,
+    )
+
+
+def _own_heartbeat(context):
+    return encode_message(
+        Heartbeat(
+            PROTOCOL_VERSION,
+            RecordRow.of(context.record),
+            VmStage.READY,
+            123_456,
+            2**31 + 7,
+            786,
+            120,
+        ),
+    )
+
+
+@then('its heartbeat brings the same record')
+def check_heartbeat(context):
+    raw = _own_heartbeat(context)
+    assert decode_heartbeat(raw).record == context.record
+
+
+@then(
+    'its heartbeats to {others:d} others cost at most {most:d} bytes a second'
+)
+def check_heartbeat_cost(context, others, most):
+    vms = VmTable(context.record, ManualClock(100))
+    vms.note_records([build_record(f'vm-{each}') for each in range(others)])
+    size = len(_own_heartbeat(context)) + _DATAGRAM_HEADER_BYTES
+    cost = size * others / vms.heartbeat_seconds
+    assert cost <= most, cost
--- /dev/null
+++ b/features/steps/look_up_steps.py
@@ -0,0 +1,99 @@
+"""Steps on what look-ups name and how the fleet's probes are shared."""
+
+import math
+
+from behave import given, then, when
+
+from features.support.gateway import build_record, seeded
+from zinniaturn.clock import ManualClock
+from zinniaturn.fleet.domain import VmStage
+from zinniaturn.fleet.vms import VmTable
+from zinniaturn.placing.demand import (
+    fleet_demand,
+    probe_share,
+    share_of_fleet,
+)
+from zinniaturn.placing.lookups import LookupAnswers, enough
+
+_NOW = 100.0
+
+
+@given('{count:d} VMs good for {capacity:d} requests a second')
+def sized_vms(context, count, capacity):
+    if not hasattr(context, 'records'):
+        context.records = []
+    context.records.extend(
+        build_record(f'vm-{capacity}-{number}', number=1, capacity=capacity)
+        for number in range(count)
+    )
+
+
+@when('callers send {demand:d} requests a second')
+def set_demand(context, demand):
+    context.demand = demand
+
+
+@when('the demand is not known')
+def unknown_demand(context):
+    context.demand = math.inf
+
+
+@then('look-ups name {count:d} VMs')
+def check_count(context, count):
+    assert len(enough(context.records, context.demand)) == count
+    addresses = LookupAnswers(seeded()).pick(context.records, context.demand)
+    assert len(addresses) == count
+
+
+@then('look-ups name the {count:d} VMs good for {capacity:d} requests a second')
+def check_large(context, count, capacity):
+    named = enough(context.records, context.demand)
+    assert [vm.capacity for vm in named] == [capacity for _ in range(count)]
+
+
+@then('they are the same where the VMs are listed in another order')
+def check_same(context):
+    named = enough(context.records, context.demand)
+    turned = enough(tuple(reversed(context.records)), context.demand)
+    assert {vm.name for vm in named} == {vm.name for vm in turned}
+
+
+@given(
+    'a fleet of {count:d} VMs of which {busy:d} get {load:d} requests a '
+    'second each',
+)
+def loaded_fleet(context, count, busy, load):
+    loads = [load if number < busy else 0 for number in range(count)]
+    context.shares = [
+        share_of_fleet(own, sum(loads) - own, count) for own in loads
+    ]
+
+
+@then('the shares of all add up to 1')
+def check_sum(context):
+    assert math.isclose(sum(context.shares), 1)
+
+
+@then('each of the {busy:d} has more than a sixth')
+def check_busy(context, busy):
+    assert sum(share > 1 / 6 for share in context.shares) == busy
+
+
+@given('a VM that lists {count:d} others and hears {heard:d} of them')
+def dark_vm(context, count, heard):
+    others = [build_record(f'vm-{number}') for number in range(count)]
+    vms = VmTable(build_record('own'), ManualClock(_NOW))
+    vms.note_records(others)
+    for record in others[:heard]:
+        vms.note_heartbeat(record, VmStage.READY, 50)
+    context.vms = vms
+
+
+@then('its share of the probes is a tenth')
+def check_tenth(context):
+    assert math.isclose(probe_share(context.vms, 30), 0.1)
+
+
+@then('it does not know the demand')
+def check_unknown(context):
+    assert fleet_demand(context.vms, 30) == math.inf
--- a/features/support/gateway.py
+++ b/features/support/gateway.py
@@ -52,11 +52,13 @@
     return FleetReading(revision, document, tuple(servers))
 
 
-def build_record(name='vm-1', incarnation=1, data_center='dc-a', number=1):
+def build_record(
+    name='vm-1', incarnation=1, data_center='dc-a', number=1, capacity=0
+):
     """Return a record of a VM."""
     front = f'127.0.0.{number}:8000'
     address = (f'127.0.0.{number}', 7000)
-    return VmRecord(name, incarnation, data_center, front, address)
+    return VmRecord(name, incarnation, data_center, front, address, capacity)
 
 
 def build_knowledge(clock=None, decode=None):
--- a/zinniaturn/fleet/domain.py
+++ b/zinniaturn/fleet/domain.py
@@ -57,7 +57,8 @@
     ``incarnation`` tells two processes of one VM apart; it is drawn at random,
     as a clock that was set back would tell the wrong order. Callers connect to
     ``front``; ``exchange`` takes datagrams, and the port above it connections,
-    of the other VMs.
+    of the other VMs. ``capacity`` is how many requests a second the VM is good
+    for, 0 where that is not known.
     """
 
     name: str
@@ -65,6 +66,7 @@
     data_center: str
     front: str
     exchange: Address
+    capacity: int = 0
 
     def is_at(self, other: 'VmRecord') -> bool:
         """Return whether both have the same place and addresses."""
--- a/zinniaturn/fleet/messages.py
+++ b/zinniaturn/fleet/messages.py
@@ -7,6 +7,7 @@
 
 __all__ = (
     'Heartbeat',
+    'RecordRow',
     'StateContent',
     'StateMessage',
     'decode_heartbeat',
@@ -30,9 +31,50 @@
 )
 from zinniaturn.fleet.exceptions import PeerMessageError
 from zinniaturn.fleet.knowledge import Knowledge, StateParts
+from zinniaturn.http1.connections import Address
 from zinniaturn.tables.domain import Server
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
+
+
+class RecordRow(msgspec.Struct, array_like=True, frozen=True):
+    """
+    A VM's record without the names of its fields, which are most of it.
+
+    Where ``front`` is on the host that takes the exchange, only its colon and
+    port are sent.
+    """
+
+    name: str
+    incarnation: int
+    data_center: str
+    front: str
+    exchange: Address
+    capacity: int
+
+    @classmethod
+    def of(cls, record: VmRecord) -> 'RecordRow':
+        """Return the row of a record."""
+        return cls(
+            record.name,
+            record.incarnation,
+            record.data_center,
+            record.front.removeprefix(record.exchange[0]),
+            record.exchange,
+            record.capacity,
+        )
+
+    def to_record(self) -> VmRecord:
+        """Return the record."""
+        host = self.exchange[0] if self.front.startswith(':') else ''
+        return VmRecord(
+            self.name,
+            self.incarnation,
+            self.data_center,
+            host + self.front,
+            self.exchange,
+            self.capacity,
+        )
 
 
 class Heartbeat(msgspec.Struct, array_like=True, frozen=True):
@@ -40,15 +82,22 @@
     A heartbeat with the state that its sender holds.
 
     ``digest`` and ``revision`` name the state, ``age_ms`` says for how long it
-    has not been confirmed.
+    has not been confirmed. ``load`` is the requests a second that callers have
+    lately sent to the VM.
     """
 
     version: int
-    record: VmRecord
+    row: RecordRow
     stage: VmStage
     revision: int
     digest: int
     age_ms: int
+    load: int
+
+    @property
+    def record(self) -> VmRecord:
+        """Return the sender's record."""
+        return self.row.to_record()
 
 
 class StateContent(msgspec.Struct, array_like=True, frozen=True):
--- a/zinniaturn/fleet/peers.py
+++ b/zinniaturn/fleet/peers.py
@@ -20,6 +20,7 @@
 from zinniaturn.fleet.messages import (
     PROTOCOL_VERSION,
     Heartbeat,
+    RecordRow,
     decode_heartbeat,
     decode_state,
     encode_message,
@@ -52,6 +53,7 @@
     vms: VmTable
     connections: Connections
     stage: Callable[[], VmStage]
+    load: Callable[[], int]
     on_refused: Callable[[str], None]
     transport: asyncio.DatagramTransport | None = None
     fetching: 'asyncio.Task[None] | None' = None
@@ -93,8 +95,9 @@
         except PeerMessageError as error:
             self.on_refused(f'{addr[0]}: {error.message}')
             return
-        if self.vms.note_heartbeat(heartbeat.record, heartbeat.stage):
-            self._send(self._heartbeat(), heartbeat.record)
+        record = heartbeat.record
+        if self.vms.note_heartbeat(record, heartbeat.stage, heartbeat.load):
+            self._send(self._heartbeat(), record)
         self._compare(heartbeat)
 
     def error_received(self, exc: Exception) -> None:
@@ -123,7 +126,8 @@
         if heartbeat.revision > self.wanted_revision:
             self.wanted_revision = heartbeat.revision
             self.holders.clear()
-        self.holders[heartbeat.record.name] = heartbeat.record
+        record = heartbeat.record
+        self.holders[record.name] = record
         if self.fetching is None:
             self.fetching = asyncio.ensure_future(self._fetch())
             self.fetching.add_done_callback(self._end_fetch)
@@ -199,11 +203,12 @@
         return encode_message(
             Heartbeat(
                 PROTOCOL_VERSION,
-                self.own,
+                RecordRow.of(self.own),
                 self.stage(),
                 self.knowledge.revision,
                 self.knowledge.digest,
                 max(0, self.knowledge.age_ms) + 1,
+                self.load(),
             ),
         )
 
--- a/zinniaturn/fleet/vms.py
+++ b/zinniaturn/fleet/vms.py
@@ -26,14 +26,15 @@
     """
     One VM; ``heard_at`` is minus infinity where it was never heard.
 
-    ``former`` are the incarnations before this one, whose heartbeats may
-    still be on their way.
+    ``load`` is the requests a second that it said to get. ``former`` are the
+    incarnations before this one, whose heartbeats may still be on their way.
     """
 
     record: VmRecord
     stage: VmStage = VmStage.STARTING
     heard_at: float = float('-inf')
     former: tuple[int, ...] = ()
+    load: int = 0
 
     def succeeded_by(self, record: VmRecord) -> 'KnownVm':
         """Return the VM with another process."""
@@ -72,7 +73,12 @@
             return True
         return not (record.is_at(known.record) or self.is_alive(known))
 
-    def note_heartbeat(self, record: VmRecord, stage: VmStage) -> bool:
+    def note_heartbeat(
+        self,
+        record: VmRecord,
+        stage: VmStage,
+        load: int = 0,
+    ) -> bool:
         """Note a heartbeat; return whether the VM was not alive before."""
         if record.name == self.own.name:
             return False
@@ -87,6 +93,7 @@
             self.vms[record.name] = known
         was_alive = self.is_alive(known)
         known.heard_at = self.clock.monotonic()
+        known.load = load
         if known.stage is not VmStage.STOPPING:
             known.stage = stage
         return not was_alive
@@ -105,15 +112,15 @@
         """Return the VMs that are alive, without this one."""
         return [known for known in self.vms.values() if self.is_alive(known)]
 
-    def fronts(self, own_is_ready: bool) -> list[str]:
+    def fronts(self, own_is_ready: bool) -> list[VmRecord]:
         """
-        Return the addresses that callers may connect to.
+        Return the VMs that callers may connect to.
 
         A VM that hears none of the others can't tell which of them live, so
         it names all but those that it knows to be stopping.
         """
         living = self.living()
-        fronts = [self.own.front] if own_is_ready else []
+        fronts = [self.own] if own_is_ready else []
         if living or not self.vms:
             ready = [each for each in living if each.stage is VmStage.READY]
         else:
@@ -122,7 +129,7 @@
                 for each in self.vms.values()
                 if each.stage is not VmStage.STOPPING
             ]
-        fronts.extend(each.record.front for each in ready)
+        fronts.extend(each.record for each in ready)
         return fronts
 
     def rank(self) -> int:
@@ -142,6 +149,10 @@
         """Return whether more than half of the known VMs are alive."""
         return len(self.living()) * 2 >= len(self.vms)
 
+    def load_of_others(self) -> int:
+        """Return the requests a second that the other living VMs get."""
+        return sum(each.load for each in self.living())
+
     def silent_since(self, name: str) -> float:
         """Return when a VM was last heard."""
         known = self.vms.get(name)
--- a/zinniaturn/gateway/dispatch.py
+++ b/zinniaturn/gateway/dispatch.py
@@ -72,6 +72,7 @@
         )
         if seconds is not None:
             job.elapsed = self.elapsed.elapsed(route.name, seconds)
+        self.state.arrivals.note(request.began_at)
         self.state.allowance(name).note_request(request.began_at)
         return self._serve(exchange, job)
 
--- a/zinniaturn/gateway/process.py
+++ b/zinniaturn/gateway/process.py
@@ -30,6 +30,7 @@
 from zinniaturn.gateway.state import GatewayState
 from zinniaturn.http1.connections import Address
 from zinniaturn.http1.listener import Listener
+from zinniaturn.placing.demand import capacity
 from zinniaturn.placing.lookups import LookupAnswers
 
 _INCARNATION_BITS = 53
@@ -64,6 +65,7 @@
             settings.data_center,
             '' if settings.front is None else '{}:{}'.format(*settings.front),
             (settings.host, settings.first_port),
+            capacity(settings.processor_share, settings.link_megabits),
         )
         self.knowledge = Knowledge(clock, store.decode_tables)
         self.vms = VmTable(record, clock)
@@ -98,6 +100,7 @@
             self.vms,
             self.state.connections,
             lambda: self.state.stage,
+            lambda: round(self.state.own_load()),
             self.reports.note_refused,
         )
         self.reader.on_read.append(self._follow_up)
--- a/zinniaturn/gateway/searching.py
+++ b/zinniaturn/gateway/searching.py
@@ -157,7 +157,7 @@
         allowed = state.settings.bounds.probes_per_second * _PROBE_SAFETY
         sizes = {name: len(each) for name, each in state.pools.items()}
         now = asyncio.get_running_loop().time()
-        self.budgets.refill(allowed / state.vms.most(), sizes, now)
+        self.budgets.refill(allowed * state.probe_share(), sizes, now)
 
 
 def offer_of(
--- a/zinniaturn/gateway/services.py
+++ b/zinniaturn/gateway/services.py
@@ -31,7 +31,8 @@
         if query is None:
             return Response(404, b'', [])
         own_is_ready = self.state.stage is VmStage.READY
-        fronts = self.answers.pick(self.state.vms.fronts(own_is_ready))
+        vms = self.state.vms.fronts(own_is_ready)
+        fronts = self.answers.pick(vms, self.state.demand())
         if not fronts:
             return Response(503, b'', [(b'Retry-After', b'0.1')])
         self.state.counters.events['lookup'] += 1
--- a/zinniaturn/gateway/settings.py
+++ b/zinniaturn/gateway/settings.py
@@ -42,6 +42,8 @@
     ``front``, ``readiness`` and ``directory`` are what it listens on, or
     ``None`` for what it doesn't serve; ``first_port`` is the first of the
     ports for traffic between VMs. ``metrics_port`` is 0 for none.
+    ``processor_share`` is what a thread gets of a core and ``link_megabits``
+    the link's, a second; both are 0 where they are not known.
     """
 
     name: str
@@ -53,4 +55,6 @@
     directory: Address | None = None
     first_port: int = 0
     metrics_port: int = 0
+    processor_share: float = 0
+    link_megabits: float = 0
     bounds: FleetBounds = field(default_factory=FleetBounds)
--- a/zinniaturn/gateway/state.py
+++ b/zinniaturn/gateway/state.py
@@ -2,6 +2,7 @@
 
 __all__ = ('GatewayState',)
 
+import asyncio
 import random
 from dataclasses import dataclass, field
 
@@ -16,6 +17,7 @@
 from zinniaturn.gateway.settings import GatewaySettings
 from zinniaturn.http1.connections import Connections
 from zinniaturn.placing.allowance import SecondSends
+from zinniaturn.placing.demand import ArrivalRate, fleet_demand, probe_share
 from zinniaturn.placing.memory import ServerMemory
 from zinniaturn.placing.probing import Candidate
 from zinniaturn.tables.matching import RouteMatcher
@@ -38,12 +40,25 @@
     matcher: RouteMatcher[FleetRoute] = field(default_factory=RouteMatcher)
     pools: dict[str, dict[str, Candidate]] = field(default_factory=dict)
     second_sends: dict[str, SecondSends] = field(default_factory=dict)
+    arrivals: ArrivalRate = field(default_factory=ArrivalRate)
 
     @property
     def is_stopping(self) -> bool:
         """Return whether the process was told to stop."""
         return self.stage is VmStage.STOPPING
 
+    def own_load(self) -> float:
+        """Return the requests a second that callers send to this VM."""
+        return self.arrivals.a_second(asyncio.get_running_loop().time())
+
+    def demand(self) -> float:
+        """Return the fleet's requests a second, infinite if not known."""
+        return fleet_demand(self.vms, self.own_load())
+
+    def probe_share(self) -> float:
+        """Return this VM's share of what the fleet may probe."""
+        return probe_share(self.vms, self.own_load())
+
     def install(self, change: Change) -> None:
         """Take over what the newest state brought."""
         tables = self.knowledge.tables
--- a/zinniaturn/platform/settings_file.py
+++ b/zinniaturn/platform/settings_file.py
@@ -43,6 +43,14 @@
     probes_per_s: float = 60
 
 
+class _Limits(msgspec.Struct):
+    """What a VM has."""
+
+    # Of each core; a thread gets no more.
+    cpu_share: float = 0
+    link_mbps: float = 0
+
+
 class _Store(msgspec.Struct):
     """Where the platform's store is."""
 
@@ -59,6 +67,7 @@
     port_range: tuple[int, int]
     platform: _Store
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 _decoder = msgspec.json.Decoder(_SettingsFile)
@@ -86,6 +95,8 @@
         directory=_address(file.listen.directory),
         first_port=file.port_range[0],
         metrics_port=metrics_port,
+        processor_share=file.limits.cpu_share,
+        link_megabits=file.limits.link_mbps,
         bounds=_bounds_of(file.bounds),
     )
 
