Tell of many VMs heard or silent in one line

Cause: at the start of a fleet of 102 VMs each logged 101 lines, up to its bound a second, and lost others for it. Now one line a second names 40 of them and says how many there were.

--- a/features/gateway_requests.feature
+++ b/features/gateway_requests.feature
@@ -210,3 +210,9 @@
     When the operator's document changes
     Then the gateway has it in force
     And the log tells of the fault
+
+  Scenario: Many VMs that are heard or fall silent at once take a line each time
+    When 60 other VMs are heard at once
+    Then the log tells in one line of 60 VMs by event 740 and names 40
+    When they all fall silent
+    Then the log tells in one line of 60 VMs by event 741 and names 40
--- a/features/steps/look_up_steps.py
+++ b/features/steps/look_up_steps.py
@@ -97,3 +97,30 @@
 @then('it does not know the demand')
 def check_unknown(context):
     assert fleet_demand(context.vms, 30) == math.inf
+
+
+@when('{count:d} other VMs are heard at once')
+def hear_many(context, count):
+    gateway = context.gateway
+    for number in range(count):
+        record = build_record(f'other-{number}')
+        gateway.vms.note_heartbeat(record, VmStage.READY)
+    gateway.reports.note_vms()
+
+
+@when('they all fall silent')
+def silence_all(context):
+    context.gateway.vms.vms.clear()
+    context.gateway.reports.note_vms()
+
+
+@then(
+    'the log tells in one line of {count:d} VMs by event {event:d} and names '
+    '{shown:d}',
+)
+def check_one_line(context, count, event, shown):
+    rows = [
+        row for row in context.gateway.journal.rows if row['event'] == event
+    ]
+    assert [row['count'] for row in rows] == [count], rows
+    assert len(rows[0]['others']) == shown
--- a/zinniaturn/gateway/reporting.py
+++ b/zinniaturn/gateway/reporting.py
@@ -14,6 +14,7 @@
 
 _SHOWN_ENTRIES = 5
 _SHOWN_SERVERS = 40
+_SHOWN_VMS = 40
 
 
 @dataclass(slots=True)
@@ -106,11 +107,17 @@
         self.state.journal.write(LogEvent.VM_MESSAGE_REFUSED, reason=reason)
 
     def note_vms(self) -> None:
-        """Log which VMs have come to be heard or have fallen silent."""
+        """Log which VMs are newly heard or have fallen silent, all in one."""
         living = self.state.vms.living()
         heard = frozenset(each.record.name for each in living)
-        for name in sorted(heard - self.heard):
-            self.state.journal.write(LogEvent.VM_ALIVE, other=name)
-        for name in sorted(self.heard - heard):
-            self.state.journal.write(LogEvent.VM_SILENT, other=name)
+        for event, names in (
+            (LogEvent.VM_ALIVE, heard - self.heard),
+            (LogEvent.VM_SILENT, self.heard - heard),
+        ):
+            if names:
+                self.state.journal.write(
+                    event,
+                    others=sorted(names)[:_SHOWN_VMS],
+                    count=len(names),
+                )
         self.heard = heard
