--- a/zinniaturn/placing/lookups.py
+++ b/zinniaturn/placing/lookups.py
@@ -11,8 +11,8 @@
 
 _MOST_ADDRESSES = 64
 _FEWEST_VMS = 6
-_ALIKE = 0.7
-_HEADROOM = 2.0
+_ALIKE_SHARE = 0.7
+_HEADROOM_FACTOR = 2.0
 
 
 @dataclass(slots=True)
@@ -54,8 +54,10 @@
     chosen: list[VmRecord] = []
     carried = 0
     for vm in ordered:
-        is_needed = len(chosen) < _FEWEST_VMS or carried < demand * _HEADROOM
-        if not is_needed and vm.capacity < largest * _ALIKE:
+        is_needed = (
+            len(chosen) < _FEWEST_VMS or carried < demand * _HEADROOM_FACTOR
+        )
+        if not is_needed and vm.capacity < largest * _ALIKE_SHARE:
             break
         chosen.append(vm)
         carried += vm.capacity
--- a/zinniaturn/placing/pressure.py
+++ b/zinniaturn/placing/pressure.py
@@ -12,7 +12,7 @@
 
 from dataclasses import dataclass
 
-_HOLDS_SECONDS = 1.0
+_SIGHT_HOLDS_SECONDS = 1.0
 _NEVER = float('-inf')
 
 
@@ -45,8 +45,8 @@
 
     def is_on(self, now: float) -> bool:
         """Return whether requests that could be in time have had to wait."""
-        return self.waiting_at > now - _HOLDS_SECONDS
+        return self.waiting_at > now - _SIGHT_HOLDS_SECONDS
 
     def has_quick(self, now: float) -> bool:
         """Return whether some server has lately been quick and had room."""
-        return self.quick_at > now - _HOLDS_SECONDS
+        return self.quick_at > now - _SIGHT_HOLDS_SECONDS
--- a/zinniaturn/placing/probing.py
+++ b/zinniaturn/placing/probing.py
@@ -31,7 +31,7 @@
 _SAVED_SECONDS = 6.0
 _REPORT_HOLDS_SECONDS = 0.25
 _SLOW = 1.5
-_FEWEST = 2
+_FEWEST_PROBES = 2
 _SCARCE_SECONDS = 0.5
 _AMPLE_SECONDS = 2.0
 _MOST_OF_SHARE = 2.0
@@ -56,6 +56,21 @@
         return self.registered.server.host, self.registered.server.port
 
 
+class Thrift(Enum):
+    """
+    How sparing a request must be with probes.
+
+    ``NONE`` is for an ample budget, ``SOME`` for a smaller and ``MOST`` for one
+    that is nearly spent. ``ALL``, no probes, is for a request that is late
+    while others need them.
+    """
+
+    NONE = auto()
+    SOME = auto()
+    MOST = auto()
+    ALL = auto()
+
+
 @dataclass(slots=True)
 class ProbeOrder:
     """
@@ -94,7 +109,7 @@
     def rounds(
         self,
         order: Sequence[Candidate],
-        thrift: 'Thrift',
+        thrift: Thrift,
     ) -> list[Sequence[Candidate]]:
         """Split servers into the rounds that thrift leaves."""
         match thrift:
@@ -103,7 +118,7 @@
             case Thrift.SOME:
                 sizes = self.round_sizes[:1]
             case Thrift.MOST:
-                sizes = (_FEWEST,)
+                sizes = (_FEWEST_PROBES,)
             case Thrift.ALL:
                 sizes = ()
         ends = list(accumulate(sizes))
@@ -122,21 +137,6 @@
         return set(own[: self.near])
 
 
-class Thrift(Enum):
-    """
-    How sparing a request must be with probes.
-
-    ``NONE`` is for an ample budget, ``SOME`` for a smaller and ``MOST`` for one
-    that is nearly spent. ``ALL``, no probes, is for a request that is late
-    while others need them.
-    """
-
-    NONE = auto()
-    SOME = auto()
-    MOST = auto()
-    ALL = auto()
-
-
 def is_promising(candidate: Candidate, now: float) -> bool:
     """Return whether a server was quick and had room a moment ago."""
     return _outlook(candidate, now) is _Outlook.GOOD
