--- a/features/gateway_requests.feature
+++ b/features/gateway_requests.feature
@@ -216,3 +216,9 @@
     Then the log tells in one line of 60 VMs by event 740 and names 40
     When they all fall silent
     Then the log tells in one line of 60 VMs by event 741 and names 40
+
+  Scenario: A look-up names the large VMs of an unlike fleet
+    Given the gateway is good for 239 requests a second
+    And it hears 5 VMs good for 239 requests a second and 20 good for 50
+    When a caller looks up where to connect
+    Then it is told 6 addresses, the gateway's among them
--- a/features/look_ups.feature
+++ b/features/look_ups.feature
@@ -45,3 +45,18 @@
     Given a VM that lists 9 others and hears 2 of them
     Then its share of the probes is a tenth
     And it does not know the demand
+
+  Scenario Outline: What a VM is good for follows from the platform's settings
+    Given a settings file whose limits are <limits>
+    Then the VM is good for <capacity> requests a second
+
+    Examples:
+      | limits                                                     | capacity |
+      | {"cpu_share": 0.717, "cores": 3, "link_mbps": 200}         | 239      |
+      | {"cpu_share": 0.43, "cores": 1, "link_mbps": 10}           | 50       |
+      | {"cpu_share": 0.86}                                        | 0        |
+      | {}                                                         | 0        |
+
+  Scenario: Limits that are no numbers are refused
+    Given a settings file whose limits are {"cpu_share": "much"}
+    Then the settings are refused
--- a/features/steps/look_up_steps.py
+++ b/features/steps/look_up_steps.py
@@ -1,29 +1,36 @@
 """Steps on what look-ups name and how the fleet's probes are shared."""
 
+import json
 import math
+import tempfile
+from dataclasses import replace
 
 from behave import given, then, when
 
-from features.support.gateway import build_record, seeded
+from features.support.gateway import build_record, call, seeded
 from zinniaturn.clock import ManualClock
 from zinniaturn.fleet.domain import VmStage
 from zinniaturn.fleet.vms import VmTable
 from zinniaturn.placing.demand import (
+    capacity,
     fleet_demand,
     probe_share,
     share_of_fleet,
 )
 from zinniaturn.placing.lookups import LookupAnswers, enough
+from zinniaturn.platform.exceptions import SettingsFileError
+from zinniaturn.platform.settings_file import read_settings
+from zinniaturn.platform.standins.wire import settings_document
 
 _NOW = 100.0
 
 
-@given('{count:d} VMs good for {capacity:d} requests a second')
-def sized_vms(context, count, capacity):
+@given('{count:d} VMs good for {requests:d} requests a second')
+def sized_vms(context, count, requests):
     if not hasattr(context, 'records'):
         context.records = []
     context.records.extend(
-        build_record(f'vm-{capacity}-{number}', number=1, capacity=capacity)
+        build_record(f'vm-{requests}-{number}', number=1, capacity=requests)
         for number in range(count)
     )
 
@@ -124,3 +131,65 @@
     ]
     assert [row['count'] for row in rows] == [count], rows
     assert len(rows[0]['others']) == shown
+
+
+@given('a settings file whose limits are {limits}')
+def limited_settings(context, limits):
+    document = settings_document('127.0.3.1', 'vm-1', 7, {}, 7000)
+    document['limits'] = json.loads(limits)
+    with tempfile.NamedTemporaryFile(suffix='.json') as file:
+        file.write(json.dumps(document).encode())
+        file.flush()
+        context.refused = False
+        try:
+            context.settings = read_settings(file.name)
+        except SettingsFileError:
+            context.refused = True
+
+
+@then('the VM is good for {amount:d} requests a second')
+def check_capacity(context, amount):
+    share = context.settings.processor_share
+    assert capacity(share, context.settings.link_megabits) == amount
+
+
+@then('the settings are refused')
+def check_settings_refused(context):
+    assert context.refused
+
+
+@given('the gateway is good for {requests:d} requests a second')
+def size_gateway(context, requests):
+    vms = context.gateway.vms
+    vms.own = replace(vms.own, capacity=requests)
+
+
+@given(
+    'it hears {large:d} VMs good for {most:d} requests a second and {small:d} '
+    'good for {least:d}',
+)
+def hear_unlike(context, large, most, small, least):
+    for number in range(large + small):
+        record = build_record(
+            f'other-{number}',
+            number=number + 100,
+            capacity=most if number < large else least,
+        )
+        context.gateway.vms.note_heartbeat(record, VmStage.READY)
+
+
+@when('a caller looks up where to connect')
+def look_up(context):
+    text = (
+        b'GET /resolve?name=shop.example&region=r&zone=dc-a HTTP/1.1\r\n'
+        b'Host: directory\r\n\r\n'
+    )
+    directory = context.gateway.settings.directory
+    context.answer = context.loop.run_until_complete(call(directory, text))
+
+
+@then("it is told {count:d} addresses, the gateway's among them")
+def check_told(context, count):
+    told = json.loads(context.answer[2])['addresses']
+    assert len(told) == len(set(told)) == count, told
+    assert context.gateway.vms.own.front in told
