--- a/zinniaturn/gateway/process.py
+++ b/zinniaturn/gateway/process.py
@@ -156,7 +156,12 @@
         )
 
     def apply(self, settings: GatewaySettings) -> None:
-        """Take over changed settings, but for the addresses listened on."""
+        """
+        Take over changed settings.
+
+        The addresses listened on and the VM's size stay as they were at the
+        start, since the VM's record names them.
+        """
         self.settings = settings
         self.state.settings = settings
         self.state.renew_allowances()
