Make one of what the placing has twice

Cause, from reading the whole change: the rate of the last two seconds stood in the request queue and for arrivals, and its window in the second sends; the order of VMs by a hash stood in the table of VMs and in look-ups; the tests' played time stood in both load plays, and the columns of the operator's routes in the stand-in and in the tests' builder. A request worked out its VM's share of the probes up to six times, each with two walks over all VMs.

Change: placing/recent.py, spread_order, features/support/simulated_time.py, ROUTE_COLUMNS; the share is worked out once when a search begins, with one walk. Two doc lines that said the wrong thing are mended. The cost saved was not measured.

--- a/features/steps/look_up_steps.py
+++ b/features/steps/look_up_steps.py
@@ -7,7 +7,7 @@
 
 from behave import given, then, when
 
-from features.support.gateway import build_record, call, seeded
+from features.support.gateway import HOST, build_record, call, seeded
 from zinniaturn.clock import ManualClock
 from zinniaturn.fleet.domain import VmStage
 from zinniaturn.fleet.vms import VmTable
@@ -20,7 +20,10 @@
 from zinniaturn.placing.lookups import LookupAnswers, enough
 from zinniaturn.platform.exceptions import SettingsFileError
 from zinniaturn.platform.settings_file import read_settings
-from zinniaturn.platform.standins.wire import settings_document
+from zinniaturn.platform.standins.wire import (
+    lookup_bytes,
+    settings_document,
+)
 
 _NOW = 100.0
 
@@ -180,10 +183,7 @@
 
 @when('a caller looks up where to connect')
 def look_up(context):
-    text = (
-        b'GET /resolve?name=shop.example&region=r&zone=dc-a HTTP/1.1\r\n'
-        b'Host: directory\r\n\r\n'
-    )
+    text = lookup_bytes(HOST, 'dc-a')
     directory = context.gateway.settings.directory
     context.answer = context.loop.run_until_complete(call(directory, text))
 
--- a/features/support/gateway.py
+++ b/features/support/gateway.py
@@ -21,6 +21,7 @@
 from zinniaturn.placing.probing import Candidate
 from zinniaturn.platform.dialect import PlatformDialect
 from zinniaturn.platform.standins import StoreStandIn
+from zinniaturn.platform.standins.wire import ROUTE_COLUMNS
 from zinniaturn.platform.store import PlatformStore
 from zinniaturn.tables.domain import Server
 
@@ -90,21 +91,12 @@
         build_route_row('reads', '/reads/', 'idempotent'),
         build_route_row('posts', '/posts/', 'non_idempotent'),
     ]
-    names = [
-        'name',
-        'host',
-        'prefix',
-        'kind',
-        'timeout_ms',
-        'target_latency_ms',
-        'priority',
-        'service',
-        'max_attempts',
-        'traffic_split',
-    ]
     document = {
         'version': version,
-        'routes': {'columns': names, 'rows': rows},
+        'routes': {
+            'columns': [*ROUTE_COLUMNS, 'traffic_split'],
+            'rows': rows,
+        },
         'services': {
             'columns': ['name', 'health_path', 'max_conns'],
             'rows': [[name, '/healthz', 220] for name in services],
--- a/features/support/noisy_burst.py
+++ b/features/support/noisy_burst.py
@@ -1,10 +1,9 @@
 """A burst at servers with noisy neighbours, played without a network."""
 
-import heapq
-import itertools
 import random
 
 from features.support.gateway import build_candidate, build_report, seeded
+from features.support.simulated_time import SimulatedTime
 from zinniaturn.placing.expecting import best_concurrency
 from zinniaturn.placing.request_queue import Offer, RequestQueue, Waiting
 
@@ -35,9 +34,7 @@
             for number in range(servers)
         ]
         self.ends = []
-        self.order = itertools.count()
-        self.events = []
-        self.now = 0
+        self.time = SimulatedTime()
 
     def play(self, burst_factor, burst_ends, seconds):
         """Play a burst from the first second on, until the end."""
@@ -45,28 +42,22 @@
         while moment < seconds:
             factor = burst_factor if 1 < moment < burst_ends else 1
             moment += self.source.expovariate(self.rate * factor)
-            self._at(moment, self._arrival(moment, seconds))
+            self.time.at(moment, self._arrival(moment, seconds))
         for number in range(int(seconds / _POLL_SECONDS)):
-            self._at(number * _POLL_SECONDS, self._poll)
-        while self.events:
-            entry = heapq.heappop(self.events)
-            self.now = entry[0]
-            entry[2]()
+            self.time.at(number * _POLL_SECONDS, self._poll)
+        self.time.run()
 
     def share_in_time(self, begin, end):
         """Return the share of the requests of a span that were in time."""
         ends = [in_time for began, in_time in self.ends if begin <= began < end]
         return sum(ends) / len(ends)
 
-    def _at(self, moment, event):
-        heapq.heappush(self.events, (moment, next(self.order), event))
-
     def _arrival(self, began, until):
         def arrive():
             holder = []
             waiting = Waiting(
                 self.work,
-                self.now,
+                self.time.now,
                 began + _OBJECTIVE_SECONDS,
                 began + _DEADLINE_SECONDS,
                 1,
@@ -77,14 +68,14 @@
             self.queue.join(waiting)
             self._offer_all()
             if waiting in self.queue.waiting:
-                self.queue.note_unserved(waiting, self.now)
+                self.queue.note_unserved(waiting, self.time.now)
 
         return arrive
 
     def _poll(self):
-        self.queue.refuse_hopeless(self.now)
+        self.queue.refuse_hopeless(self.time.now)
         self._offer_all()
-        self.queue.note_round(self.now)
+        self.queue.note_round(self.time.now)
 
     def _offer_all(self):
         numbers = sorted(range(len(self.running)), key=self._slowness)
@@ -102,10 +93,10 @@
             candidate = self.candidates[number]
             is_last = running + 1 == best
             offer = Offer(candidate, report, is_last_slot=is_last)
-            self.queue.match(offer, self.now)
+            self.queue.match(offer, self.time.now)
 
     def _slowness(self, number):
-        turn = int(self.now / _NOISE_SECONDS + number / len(self.running))
+        turn = int(self.time.now / _NOISE_SECONDS + number / len(self.running))
         is_slow = random.Random(number * 9973 + turn).random() < _SLOW_SHARE
         return _SLOWNESS if is_slow else 1.0
 
@@ -114,18 +105,18 @@
 
     def _end(self, waiting, began, arrive):
         if waiting.granted is None:
-            again = self.now + waiting.refused_seconds
+            again = self.time.now + waiting.refused_seconds
             if again + self.work < began + _DEADLINE_SECONDS:
-                self._at(again, arrive)
+                self.time.at(again, arrive)
             else:
                 self.ends.append((began, False))
             return
         number = int(waiting.granted.candidate.name.split('-')[1])
         self.running[number] += 1
-        in_time = self.now + waiting.expected <= waiting.objective_at
+        in_time = self.time.now + waiting.expected <= waiting.objective_at
         self.ends.append((began, in_time))
-        self._at(
-            self.now + waiting.expected,
+        self.time.at(
+            self.time.now + waiting.expected,
             lambda: self._answer(number),
         )
 
--- a/features/support/overload.py
+++ b/features/support/overload.py
@@ -1,10 +1,9 @@
 """A load beyond the slots, played against the line without a network."""
 
-import heapq
-import itertools
 from dataclasses import dataclass, field
 
 from features.support.gateway import build_candidate, build_report, seeded
+from features.support.simulated_time import SimulatedTime
 from zinniaturn.placing.expecting import best_concurrency
 from zinniaturn.placing.request_queue import Offer, RequestQueue, Waiting
 
@@ -29,7 +28,7 @@
     objective_seconds: float = 0.25
     deadline_seconds: float = 1.0
     oldest_first: bool = False
-    now: float = 0
+    time: SimulatedTime = field(default_factory=SimulatedTime)
     result: Result = field(default_factory=Result)
 
     def play(self, a_second, seconds):
@@ -41,33 +40,25 @@
             build_candidate(f's-{number}', slots=self.slots)
             for number in range(self.servers)
         ]
-        self.order = itertools.count()
-        self.events = []
         for number in range(int(a_second * seconds)):
-            self._at(number / a_second, self._arrive)
-        while self.events:
-            moment, _, event = heapq.heappop(self.events)
-            self.now = moment
-            event()
+            self.time.at(number / a_second, self._arrive)
+        self.time.run()
         return self.result
 
-    def _at(self, moment, event):
-        heapq.heappush(self.events, (moment, next(self.order), event))
-
     def _arrive(self):
         holder = []
         waiting = Waiting(
             self.work_seconds,
-            self.now,
-            self.now + self.objective_seconds,
-            self.now + self.deadline_seconds,
+            self.time.now,
+            self.time.now + self.objective_seconds,
+            self.time.now + self.deadline_seconds,
             1,
             lambda offer: self.work_seconds,
             lambda: self._end(holder[0]),
         )
         holder.append(waiting)
         self.queue.join(waiting)
-        self.queue.refuse_hopeless(self.now)
+        self.queue.refuse_hopeless(self.time.now)
         for number in range(self.servers):
             self._offer(number)
 
@@ -79,36 +70,36 @@
         if self.oldest_first:
             self._grant_oldest(candidate, report)
         else:
-            self.queue.match(Offer(candidate, report), self.now)
+            self.queue.match(Offer(candidate, report), self.time.now)
 
     def _grant_oldest(self, candidate, report):
         if self.queue.waiting:
             oldest = self.queue.waiting.pop(0)
-            self.queue.grants.append(self.now)
+            self.queue.grants.note(self.time.now)
             oldest.granted = Offer(candidate, report)
             oldest.on_end()
 
     def _end(self, waiting):
         if waiting.granted is None:
             self.result.refused += 1
-            if self.now > waiting.deadline:
+            if self.time.now > waiting.deadline:
                 self.result.held_past_deadline += 1
             return
         number = int(waiting.granted.candidate.name.split('-')[1])
         self.running[number] += 1
         seconds = self.work_seconds * self.source.uniform(0.7, 1.3)
-        self._at(
-            self.now + seconds,
+        self.time.at(
+            self.time.now + seconds,
             lambda: self._answer(waiting, number),
         )
 
     def _answer(self, waiting, number):
         self.running[number] -= 1
-        if self.now <= waiting.objective_at:
+        if self.time.now <= waiting.objective_at:
             self.result.in_time += 1
-        elif self.now <= waiting.deadline + self.work_seconds:
+        elif self.time.now <= waiting.deadline + self.work_seconds:
             self.result.late += 1
         else:
             self.result.held_past_deadline += 1
-        self.queue.refuse_hopeless(self.now)
+        self.queue.refuse_hopeless(self.time.now)
         self._offer(number)
--- a/zinniaturn/fleet/vms.py
+++ b/zinniaturn/fleet/vms.py
@@ -5,7 +5,7 @@
 heartbeats.
 """
 
-__all__ = ('KnownVm', 'VmTable')
+__all__ = ('KnownVm', 'VmTable', 'spread_order')
 
 import zlib
 from collections.abc import Collection
@@ -138,20 +138,30 @@
 
         The order follows a hash, so that it is spread over data centres.
         """
-        own = _order(self.own.name)
+        own = spread_order(self.own.name)
         return sum(
-            _order(each.record.name) < own
+            spread_order(each.record.name) < own
             for each in self.living()
             if each.stage is not VmStage.STOPPING
         )
 
     def hears_most(self) -> bool:
         """Return whether more than half of the known VMs are alive."""
-        return len(self.living()) * 2 >= len(self.vms)
+        return self._are_most(self.living())
 
-    def load_of_others(self) -> int:
-        """Return the requests a second that the other living VMs get."""
-        return sum(each.load for each in self.living())
+    def load_of_others(self) -> int | None:
+        """
+        Return the requests a second that the other living VMs get.
+
+        Returns ``None`` where this VM hears too few of them to tell.
+        """
+        living = self.living()
+        if not self._are_most(living):
+            return None
+        return sum(each.load for each in living)
+
+    def _are_most(self, living: list[KnownVm]) -> bool:
+        return len(living) * 2 >= len(self.vms)
 
     def silent_since(self, name: str) -> float:
         """Return when a VM was last heard."""
@@ -163,5 +173,6 @@
         return len(self.vms) + 1
 
 
-def _order(name: str) -> tuple[int, str]:
+def spread_order(name: str) -> tuple[int, str]:
+    """Return a VM's place in an order that is the same on all of them."""
     return zlib.crc32(name.encode()), name
--- a/zinniaturn/gateway/prober.py
+++ b/zinniaturn/gateway/prober.py
@@ -1,4 +1,4 @@
-"""ProbeOrder servers for their load over kept connections."""
+"""Probing servers for their load, over kept connections."""
 
 __all__ = ('ProbeAnswer', 'Prober')
 
--- a/zinniaturn/gateway/searching.py
+++ b/zinniaturn/gateway/searching.py
@@ -51,7 +51,7 @@
         ]
 
     def order_for(self, job: Job) -> list[Candidate]:
-        """Return the servers to probe; those that were tried come anew last."""
+        """Return the servers to probe: the untried, or all once more."""
         every = self.candidates(job.pool)
         untried = [each for each in every if each.name not in job.tried]
         if not untried:
@@ -105,7 +105,7 @@
         return [each for each in offers if each is not None]
 
     def thrift(self, pool: FleetPool) -> Thrift:
-        """Return how sparing with probes a request must be."""
+        """Return how sparing with probes a request must be, as of now."""
         self._refill_budgets()
         return self.budgets.thrift(pool.name)
 
@@ -149,7 +149,6 @@
 
     def _may_probe(self, pool: FleetPool, count: int, spare: int = 0) -> bool:
         """Take probes from the budget; return whether there were any."""
-        self._refill_budgets()
         return count > 0 and self.budgets.take(pool.name, count, spare)
 
     def _refill_budgets(self) -> None:
--- a/zinniaturn/gateway/state.py
+++ b/zinniaturn/gateway/state.py
@@ -17,9 +17,10 @@
 from zinniaturn.gateway.settings import GatewaySettings
 from zinniaturn.http1.connections import Connections
 from zinniaturn.placing.allowance import SecondSends
-from zinniaturn.placing.demand import ArrivalRate, fleet_demand, probe_share
+from zinniaturn.placing.demand import fleet_demand, probe_share
 from zinniaturn.placing.memory import ServerMemory
 from zinniaturn.placing.probing import Candidate
+from zinniaturn.placing.recent import RecentRate
 from zinniaturn.tables.matching import RouteMatcher
 
 
@@ -40,7 +41,7 @@
     matcher: RouteMatcher[FleetRoute] = field(default_factory=RouteMatcher)
     pools: dict[str, dict[str, Candidate]] = field(default_factory=dict)
     second_sends: dict[str, SecondSends] = field(default_factory=dict)
-    arrivals: ArrivalRate = field(default_factory=ArrivalRate)
+    arrivals: RecentRate = field(default_factory=RecentRate)
 
     @property
     def is_stopping(self) -> bool:
--- a/zinniaturn/placing/allowance.py
+++ b/zinniaturn/placing/allowance.py
@@ -13,6 +13,8 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from zinniaturn.placing.recent import forget_until
+
 _SAFETY = 0.9
 
 
@@ -54,5 +56,4 @@
     def _forget(self, now: float) -> None:
         oldest = now - self.window_seconds
         for times in (self.requests, self.spent):
-            while times and times[0] <= oldest:
-                times.popleft()
+            forget_until(times, oldest)
--- a/zinniaturn/placing/demand.py
+++ b/zinniaturn/placing/demand.py
@@ -7,7 +7,6 @@
 """
 
 __all__ = (
-    'ArrivalRate',
     'capacity',
     'fleet_demand',
     'probe_share',
@@ -15,47 +14,14 @@
 )
 
 import math
-from collections import deque
-from dataclasses import dataclass, field
 
 from zinniaturn.fleet.vms import VmTable
 
 _PROCESSOR_SECONDS_A_REQUEST = 0.003
 _MEGABITS_A_REQUEST = 0.2
-_WINDOW_SECONDS = 2.0
 _EQUAL_PART = 0.25
 
 
-@dataclass(slots=True)
-class ArrivalRate:
-    """
-    The requests a second that came in the last seconds.
-
-    >>> rate = ArrivalRate()
-    >>> for moment in (1.0, 2.0, 3.0, 3.5):
-    ...     rate.note(moment)
-    >>> rate.a_second(3.5)
-    1.5
-    """
-
-    arrivals: deque[float] = field(default_factory=deque)
-
-    def note(self, now: float) -> None:
-        """Count a request."""
-        self.arrivals.append(now)
-        self._forget(now)
-
-    def a_second(self, now: float) -> float:
-        """Return the mean rate."""
-        self._forget(now)
-        return len(self.arrivals) / _WINDOW_SECONDS
-
-    def _forget(self, now: float) -> None:
-        oldest = now - _WINDOW_SECONDS
-        while self.arrivals and self.arrivals[0] <= oldest:
-            self.arrivals.popleft()
-
-
 def capacity(processor_share: float, link_megabits: float) -> int:
     """
     Return how many requests a second a VM is good for, 0 if not known.
@@ -72,14 +38,16 @@
 
 def fleet_demand(vms: VmTable, own: float) -> float:
     """Return the fleet's requests a second, infinite if not known."""
-    return own + vms.load_of_others() if vms.hears_most() else math.inf
+    others = vms.load_of_others()
+    return math.inf if others is None else own + others
 
 
 def probe_share(vms: VmTable, own: float) -> float:
     """Return a VM's share of the probes, an equal one if it hears few."""
-    if not vms.hears_most():
+    others = vms.load_of_others()
+    if others is None:
         return 1 / vms.most()
-    return share_of_fleet(own, vms.load_of_others(), vms.most())
+    return share_of_fleet(own, others, vms.most())
 
 
 def share_of_fleet(own: float, others: float, vms: int) -> float:
--- a/zinniaturn/placing/lookups.py
+++ b/zinniaturn/placing/lookups.py
@@ -3,11 +3,11 @@
 __all__ = ('LookupAnswers', 'enough')
 
 import random
-import zlib
 from collections.abc import Sequence
 from dataclasses import dataclass
 
 from zinniaturn.fleet.domain import VmRecord
+from zinniaturn.fleet.vms import spread_order
 
 _MOST_ADDRESSES = 64
 _FEWEST_VMS = 6
@@ -49,7 +49,7 @@
     largest = max((vm.capacity for vm in vms), default=0)
     ordered = sorted(
         vms,
-        key=lambda vm: (-vm.capacity, zlib.crc32(vm.name.encode())),
+        key=lambda vm: (-vm.capacity, spread_order(vm.name)),
     )
     chosen: list[VmRecord] = []
     carried = 0
--- a/zinniaturn/placing/request_queue.py
+++ b/zinniaturn/placing/request_queue.py
@@ -15,7 +15,6 @@
 
 __all__ = ('Offer', 'RequestQueue', 'Waiting')
 
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -23,10 +22,10 @@
 from zinniaturn.choosing.reports import LoadReport
 from zinniaturn.placing.pressure import Pressure
 from zinniaturn.placing.probing import Candidate
+from zinniaturn.placing.recent import RecentRate
 
 _MARGIN = 1.1
 _HOPELESS_SHARE = 0.9
-_RATE_SECONDS = 2.0
 _FEWEST_WAITING = 8
 _PATIENT_ROUNDS = 5
 _LATE_WAIT_SECONDS = 0.25
@@ -88,7 +87,7 @@
     """The requests of one pool that wait at this VM."""
 
     waiting: list[Waiting] = field(default_factory=list)
-    grants: deque[float] = field(default_factory=deque)
+    grants: RecentRate = field(default_factory=RecentRate)
     pressure: Pressure = field(default_factory=Pressure)
 
     def join(self, waiting: Waiting) -> None:
@@ -116,7 +115,7 @@
         if best is None:
             return False
         self.waiting.remove(best)
-        self.grants.append(now)
+        self.grants.note(now)
         best.granted = offer
         best.expected = best_expected
         best.on_end()
@@ -149,12 +148,6 @@
                 refused += 1
         return refused + self._refuse_excess(now)
 
-    def rate(self, now: float) -> float:
-        """Return the requests a second that were given a server lately."""
-        while self.grants and self.grants[0] < now - _RATE_SECONDS:
-            self.grants.popleft()
-        return len(self.grants) / _RATE_SECONDS
-
     def _rank(
         self,
         waiting: Waiting,
@@ -181,7 +174,7 @@
 
     def _refuse_excess(self, now: float) -> int:
         """Give up what is more than can be served within a second."""
-        rate = self.rate(now)
+        rate = self.grants.a_second(now)
         excess = len(self.waiting) - max(_FEWEST_WAITING, int(rate))
         if excess <= 0:
             return 0
--- a/zinniaturn/platform/standins/wire.py
+++ b/zinniaturn/platform/standins/wire.py
@@ -2,6 +2,7 @@
 
 __all__ = (
     'CONFIG_KEY',
+    'ROUTE_COLUMNS',
     'addresses_of',
     'config_document',
     'lookup_bytes',
@@ -19,7 +20,7 @@
 
 CONFIG_KEY = 'op/config'
 
-_COLUMNS = (
+ROUTE_COLUMNS = (
     'name',
     'host',
     'prefix',
@@ -89,7 +90,7 @@
     """Return the operator's document."""
     return {
         'version': f'{version:08x}',
-        'routes': {'columns': list(_COLUMNS), 'rows': list(rows)},
+        'routes': {'columns': list(ROUTE_COLUMNS), 'rows': list(rows)},
         'services': {
             'columns': ['name', 'health_path'],
             'rows': [[pool, '/healthz']],
