Give each test run loopback addresses of its own

Cause: the gateways of the tests listened on 127.0.1.x and 127.0.3.x in every run, with fixed ports or ports that were free on 127.0.0.1 only. Two runs at a time collided, and a port from the kernel's range for outgoing connections could be taken by one of the VMs' own connections, so that a VM did not start. The scenario on the lifetime of an address answer gave its three requests 0.1 s.

Change: hosts are derived from the process id, ports are the same everywhere and lie below the kernel's range; the answers of that scenario are valid for 60 s. The new scenario in soak.feature fails on the code before it.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -3,6 +3,11 @@
   Scenario: A seed always gives the same plan of faults
     Then seed 7 gives the same plan twice and seed 8 a different one
 
+  Scenario: Two test runs on one machine do not share addresses or ports
+    Given the VMs of a test run in this process and of one in another process
+    Then no two of them have the same address
+    And their ports are none that the kernel gives to outgoing connections
+
   Scenario Outline: No guarantee is violated under random faults
     When the soak runs seed <seed> for <seconds> s
     Then at least <requests> requests succeeded and no guarantee was violated
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -18,10 +18,11 @@
     send_request,
     wait_until,
 )
+from zinniaturn.experiments.loopback import loopback_host
 from zinniaturn.experiments.soak.vms import (
+    VM_PORTS,
     VmProcess,
     build_settings,
-    find_free_ports,
     make_vms,
 )
 from zinniaturn.platform.standins import (
@@ -261,9 +262,9 @@
 
 @when('a gateway is started with {kind} settings')
 def start_with_bad_settings(context, kind):
-    ports = find_free_ports()
-    vm = VmProcess('vm-9', '127.0.3.9', ports, Path(context.folder))
-    settings = build_settings(vm.host, vm.name, context.store.port, ports)
+    folder = Path(context.folder)
+    vm = VmProcess('vm-9', loopback_host(9), VM_PORTS, folder)
+    settings = build_settings(vm.host, vm.name, context.store.port, VM_PORTS)
     contents = {
         'cut short': json.dumps(settings)[:80],
         'incomplete': json.dumps({**settings, 'ip': None}),
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -1,6 +1,10 @@
 """Steps for the soak test and its checks."""
 
 import asyncio
+import dataclasses
+import subprocess
+import sys
+import tempfile
 from pathlib import Path
 
 from behave import given, then, when
@@ -10,11 +14,42 @@
 from zinniaturn.experiments.soak.fleet import SoakFleet, SoakServer
 from zinniaturn.experiments.soak.plan import make_plan
 from zinniaturn.experiments.soak.run import run_seed
-from zinniaturn.experiments.soak.vms import VmPorts, VmProcess
+from zinniaturn.experiments.soak.vms import (
+    VM_PORTS,
+    VmPorts,
+    VmProcess,
+    make_vms,
+)
 from zinniaturn.platform.standins import ServerStandIn
 
 _PLAN_SECONDS = 20
 _PORTS = VmPorts(1, 2, 3, 4)
+_EPHEMERAL_PORTS = Path('/proc/sys/net/ipv4/ip_local_port_range')
+_PRINT_HOSTS = (
+    'from zinniaturn.experiments.loopback import loopback_host as host;'
+    'print(host(1), host(2), host(3))'
+)
+
+
+@given('the VMs of a test run in this process and of one in another process')
+def make_two_runs(context):
+    with tempfile.TemporaryDirectory() as folder:
+        own_hosts = [vm.host for vm in make_vms(3, 1, Path(folder))]
+    printed = subprocess.check_output([sys.executable, '-c', _PRINT_HOSTS])
+    context.hosts = [*own_hosts, *printed.decode().split()]
+
+
+@then('no two of them have the same address')
+def check_hosts_differ(context):
+    assert len(context.hosts) == 6
+    assert len(set(context.hosts)) == 6, context.hosts
+
+
+@then('their ports are none that the kernel gives to outgoing connections')
+def check_ports(context):
+    first_ephemeral_port = int(_EPHEMERAL_PORTS.read_text().split()[0])
+    ports = dataclasses.astuple(VM_PORTS)
+    assert max(ports) + 1 < first_ephemeral_port, ports
 
 
 @then(
--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -13,7 +13,7 @@
 
 from features.support.byte_caller import ByteCaller
 from features.support.requests import head, receive
-from features.support.small_fleet import SmallFleet
+from features.support.small_fleet import SmallFleet, has_long_lifetime
 from features.support.stepped_server import (
     Pause,
     ReadBody,
@@ -50,7 +50,21 @@
 @given('{count:d} entries that stop gracefully')
 @given('{count:d} entry that stops gracefully')
 def start_entries(context, count):
-    fleet = SmallFleet(servers=2, entries=count, script=_answer_download)
+    _start_entries(context, count)
+
+
+@given(
+    '{count:d} entries that stop gracefully, with addresses valid for '
+    '{seconds:d} s'
+)
+def start_entries_with_lifetime(context, count, seconds):
+    _start_entries(context, count, address_lifetime_seconds=seconds)
+
+
+def _start_entries(context, count, **entry_settings):
+    fleet = SmallFleet(
+        servers=2, entries=count, script=_answer_download, **entry_settings
+    )
     context.fleet = fleet
     context.vm_list = VmListStandIn(lag_seconds=0)
     context.loop.run_until_complete(context.vm_list.start())
@@ -137,10 +151,15 @@
     context.stopping_entry = entry
     context.loop.run_until_complete(begin())
 
-    async def finish():
-        await context.stopping
+    context.closers.append(lambda: _finish_stopping(context, entry))
 
-    context.closers.append(finish)
+
+async def _finish_stopping(context, entry):
+    if has_long_lifetime(entry):
+        context.stopping.cancel()
+        await context.fleet.stop_entry(entry)
+    else:
+        await context.stopping
 
 
 @when('the download, the upload and the head continue')
--- a/features/stopping.feature
+++ b/features/stopping.feature
@@ -19,7 +19,7 @@
     And entry 0 has stopped
 
   Scenario: an address answer stays valid for its lifetime
-    Given 2 entries that stop gracefully
+    Given 2 entries that stop gracefully, with addresses valid for 60 s
     When entry 0 is told to stop
     Then entry 0 still serves a caller that has its address
     And entry 0 issues no more keys
--- a/features/support/gateway.py
+++ b/features/support/gateway.py
@@ -5,6 +5,7 @@
 
 from zinniaturn.choosing.reports import LoadReport
 from zinniaturn.clock import ManualClock
+from zinniaturn.experiments.loopback import loopback_host
 from zinniaturn.fleet.domain import (
     FleetSnapshot,
     RegisteredServer,
@@ -182,7 +183,7 @@
         self.store.write(f'servers/{server.name}', server.entry())
 
     async def add_gateway(self, name='vm-1', data_center='dc-a', **bounds):
-        host = f'127.0.1.{len(self.gateways) + 1}'
+        host = loopback_host(len(self.gateways) + 1)
         settings = GatewaySettings(
             name=name,
             host=host,
--- a/features/support/small_fleet.py
+++ b/features/support/small_fleet.py
@@ -17,6 +17,8 @@
 from zinniaturn.store import HttpStore
 from zinniaturn.tables import Pool, Route, Server
 
+_LONGEST_AWAITED_LIFETIME_SECONDS = 1
+
 
 class SmallFleet:
     """
@@ -94,7 +96,7 @@
 
     async def stop(self):
         for entry in self.entries:
-            await entry.stop()
+            await self.stop_entry(entry)
         for proxy in self.proxies:
             await proxy.stop()
         for backend in self.backends:
@@ -102,5 +104,18 @@
         await self.store.close()
         await self.store_stand_in.stop()
 
+    async def stop_entry(self, entry):
+        """Stop an entry, at once if its addresses are valid for long."""
+        if has_long_lifetime(entry):
+            await entry.force_close()
+        else:
+            await entry.stop()
+
     def executions(self, request_id):
         return sum(backend.executions[request_id] for backend in self.backends)
+
+
+def has_long_lifetime(entry):
+    """Return whether a test cannot wait until the addresses expire."""
+    lifetime = entry.settings.address_lifetime_seconds
+    return lifetime > _LONGEST_AWAITED_LIFETIME_SECONDS
--- a/zinniaturn/experiments/soak/vms.py
+++ b/zinniaturn/experiments/soak/vms.py
@@ -1,29 +1,27 @@
 """Gateway processes on loopback addresses of their own."""
 
 __all__ = (
+    'VM_PORTS',
     'VmPorts',
     'VmProcess',
     'build_settings',
-    'find_free_ports',
     'make_vms',
 )
 
-import contextlib
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
+from zinniaturn.experiments.loopback import loopback_host
 from zinniaturn.http1.connections import Address
 from zinniaturn.platform.settings_file import SETTINGS_VARIABLE
 from zinniaturn.platform.standins.wire import build_settings_document
 
-_PORT_COUNT = 4
 _KILL_WAIT_SECONDS = 10
 
 
@@ -41,6 +39,11 @@
     range_start: int
 
 
+# Every VM has an address of its own, so that all use the same ports. They lie
+# below the ports that the kernel gives to outgoing connections.
+VM_PORTS = VmPorts(front=8641, readiness=8640, directory=8644, range_start=7620)
+
+
 @dataclass(slots=True)
 class VmProcess:
     """
@@ -124,12 +127,11 @@
 
 def make_vms(count: int, store_port: int, folder: Path) -> list[VmProcess]:
     """Write the settings of VMs and return the VMs, not started yet."""
-    ports = find_free_ports()
     vms = []
     for number in range(1, count + 1):
-        host = f'127.0.3.{number}'
-        vm = VmProcess(f'vm-{number}', host, ports, folder)
-        settings = build_settings(host, vm.name, store_port, ports)
+        host = loopback_host(number)
+        vm = VmProcess(f'vm-{number}', host, VM_PORTS, folder)
+        settings = build_settings(host, vm.name, store_port, VM_PORTS)
         settings['zone'] = f'dc-{number % 3}'
         vm.settings_path.write_text(json.dumps(settings))
         vms.append(vm)
@@ -151,15 +153,3 @@
     return build_settings_document(
         host, name, store_port, listen, ports.range_start
     )
-
-
-def find_free_ports() -> VmPorts:
-    """Return ports that are free on 127.0.0.1 at the moment."""
-    with contextlib.ExitStack() as exit_stack:
-        sockets = [
-            exit_stack.enter_context(socket.socket())
-            for _ in range(_PORT_COUNT)
-        ]
-        for opened_socket in sockets:
-            opened_socket.bind(('127.0.0.1', 0))
-        return VmPorts(*(int(bound.getsockname()[1]) for bound in sockets))
