Spread the retry budget over seconds, urgent routes first; keep look-ups ready

Requests sent since a server's report were counted up to 8 only. Each look-up sorted all VMs anew. A rejection's line did not tell how many waited, nor that slow servers were avoided, and no line told which VMs look-ups name.

A counter since the report replaces the list of send times. Look-ups select VMs only when the VMs or the demand (in steps of a quarter) have changed, and event 743 tells the selection. Event 710 has queued and avoids_slow.

--- a/features/gateway_requests.feature
+++ b/features/gateway_requests.feature
@@ -228,3 +228,6 @@
     And it hears 5 VMs with a capacity of 239 requests per second and 20 with 50
     When a caller looks up where to connect
     Then it gets 6 addresses, the gateway's among them
+    And the log has 1 line about look-ups, with 6 VMs of 26 in all
+    When a caller looks up where to connect
+    Then the log has 1 line about look-ups, with 6 VMs of 26 in all
--- a/features/placing.feature
+++ b/features/placing.feature
@@ -282,3 +282,23 @@
   Scenario: The backoff after a long outage is bounded
     Given a VM whose last 5000 reads failed
     Then it reads again after at most 2 s
+
+  Scenario: A pool that sheds for long gets its retries in every second, the urgent first
+    Given 100 urgent and 240 other requests per second to servers that shed 55 % of them
+    When they arrive for 8 s
+    Then at least 60 % of the urgent ones are served in each 2 s
+    And at least 42 % of the others are served in each 2 s
+    And the retry budget is used
+
+  Scenario: Retries after a few failures are allowed at once
+    Given 100 urgent and 240 other requests per second to servers that shed 4 % of them
+    When they arrive for 8 s
+    Then at least 98 % of the urgent ones are served in each 2 s
+    And at least 98 % of the others are served in each 2 s
+
+  Scenario: Every request sent since a server's report counts
+    Given a server that reported 0 of 4 busy a moment ago
+    When 20 more requests are sent to it
+    Then 20 of them count as sent since the report
+    When it reports again
+    Then 0 of them count as sent since the report
--- a/features/steps/look_up_steps.py
+++ b/features/steps/look_up_steps.py
@@ -15,6 +15,7 @@
     send_request,
 )
 from zinniaturn.clock import ManualClock
+from zinniaturn.events.catalogue import LogEvent
 from zinniaturn.fleet.vms import VmTable
 from zinniaturn.placing.address_selection import AddressSelector, vms_for_demand
 from zinniaturn.placing.demand import (
@@ -55,10 +56,9 @@
 
 @then('look-ups return {count:d} VMs')
 def check_count(context, count):
-    assert len(vms_for_demand(context.records, context.demand)) == count
-    addresses = AddressSelector(seeded_random()).select(
-        context.records, context.demand
-    )
+    selected = vms_for_demand(context.records, context.demand)
+    assert len(selected) == count
+    addresses = AddressSelector(seeded_random()).select(selected)
     assert len(addresses) == count
 
 
@@ -209,3 +209,18 @@
     addresses = json.loads(context.answer[2])['addresses']
     assert len(addresses) == len(set(addresses)) == count, addresses
     assert context.gateway.vms.own.front in addresses
+
+
+@then(
+    'the log has {lines:d} line about look-ups, with {count:d} VMs of {size:d} '
+    'in all'
+)
+def check_lookup_lines(context, lines, count, size):
+    rows = [
+        row
+        for row in context.gateway.event_log.rows
+        if row['event'] == LogEvent.LOOKUPS_CHANGED
+    ]
+    assert len(rows) == lines, rows
+    assert (rows[-1]['count'], rows[-1]['alive'] + 1) == (count, size)
+    assert len(rows[-1]['others']) == count
--- a/features/steps/placing_steps.py
+++ b/features/steps/placing_steps.py
@@ -202,7 +202,7 @@
 @when('{count:d} requests are sent to it')
 def send_requests(context, count):
     for _ in range(count):
-        context.stats.begin(_NOW + 0.01)
+        context.stats.begin()
 
 
 @when('a request to it fails')
--- a/features/steps/probing_steps.py
+++ b/features/steps/probing_steps.py
@@ -124,7 +124,7 @@
 )
 def use_servers(context, busy, silent):
     for candidate in context.candidates[:busy]:
-        candidate.stats.begin(_NOW)
+        candidate.stats.begin()
     for candidate in context.candidates[busy : busy + silent]:
         candidate.stats.note_unanswered()
 
@@ -180,3 +180,19 @@
         first_round = probe_order.rounds(order, ProbeEffort.FIRST_ROUND)[0]
         probed.update(candidate.name for candidate in first_round)
     assert len(probed) <= most, probed
+
+
+@when('{count:d} more requests are sent to it')
+def send_more(context, count):
+    for _ in range(count):
+        context.stats.begin()
+
+
+@when('it reports again')
+def report_again(context):
+    context.stats.note_report(build_report(), _NOW)
+
+
+@then('{count:d} of them count as sent since the report')
+def check_sent(context, count):
+    assert context.stats.sent_since_report == count
--- a/zinniaturn/events/catalogue.py
+++ b/zinniaturn/events/catalogue.py
@@ -58,6 +58,7 @@
     VM_ALIVE = 740
     VM_SILENT = 741
     VM_MESSAGE_REFUSED = 742
+    LOOKUPS_CHANGED = 743
 
 
 _INFO = logging.INFO
@@ -200,5 +201,9 @@
             _WARNING,
             'rejected an unusable message from another VM',
         ),
+        LogEvent.LOOKUPS_CHANGED: (
+            _INFO,
+            'look-ups return other VMs than before',
+        ),
     }
 )
--- a/zinniaturn/fleet/vms.py
+++ b/zinniaturn/fleet/vms.py
@@ -29,7 +29,8 @@
     Known VMs by name, without this one.
 
     Sums over the VMs that are alive are kept up to date, so that neither a
-    request nor a change costs more in a larger fleet.
+    request nor a change costs more in a larger fleet. ``change_count`` grows
+    with each change but those of loads.
     """
 
     own: VmRecord
@@ -39,6 +40,7 @@
     listed: set[str] = field(default_factory=set)
     listed_size: int = 0
     last_heard_at: float = float('-inf')
+    change_count: int = 0
     alive: AliveVms = field(init=False)
 
     def __post_init__(self) -> None:
@@ -57,6 +59,7 @@
         for record in records:
             if record.name != self.own.name and self._is_new(record):
                 self.vms[record.name] = PeerVm(record)
+                self.change_count += 1
         self._forget_silent()
 
     def set_own(self, stage: VmStage, load: int) -> bool:
@@ -81,11 +84,14 @@
             self.vms[status.name] = peer
         if not status.supersedes(peer.version, peer.stage):
             return False
+        record = status.record or peer.record
+        is_same = status.stage is peer.stage and record == peer.record
+        self.change_count += not (is_same and peer.version)
         self.alive.discard(peer)
         peer.version = status.version
         peer.stage = status.stage
         peer.load = status.load
-        peer.record = status.record or peer.record
+        peer.record = record
         peer.changed_at = self.clock.monotonic()
         self.alive.add(peer)
         return True
@@ -195,6 +201,7 @@
                 continue
             if max(peer.heard_at, peer.changed_at) < oldest:
                 self.vms.pop(name)
+                self.change_count += 1
 
 
 def list_statuses(vms: VmTable) -> list[VmStatus]:
--- a/zinniaturn/gateway/attempt.py
+++ b/zinniaturn/gateway/attempt.py
@@ -50,7 +50,7 @@
         context.seconds_left(now),
     )
     stats = placement.candidate.stats
-    stats.begin(now)
+    stats.begin()
     try:
         response = await connection.send(
             Exchange(
--- a/zinniaturn/gateway/attempt_runner.py
+++ b/zinniaturn/gateway/attempt_runner.py
@@ -143,7 +143,9 @@
             return False
         retry_budget = self.state.retry_budget(context.pool.name)
         now = asyncio.get_running_loop().time()
-        return retry_budget.try_withdraw(now, self.state.vms.max_size())
+        return retry_budget.try_withdraw(
+            now, self.state.vms.max_size(), context.route.priority
+        )
 
 
 async def _first_response(
--- a/zinniaturn/gateway/dispatch.py
+++ b/zinniaturn/gateway/dispatch.py
@@ -207,6 +207,8 @@
             servers=context.server_names,
             second_send=context.second_send,
             probed=context.probe_count,
+            queued=context.queue_length,
+            avoids_slow=context.avoids_slow_servers,
             load=report
             and [
                 report.busy,
--- a/zinniaturn/gateway/endpoints.py
+++ b/zinniaturn/gateway/endpoints.py
@@ -2,26 +2,41 @@
 
 __all__ = ('LookupEndpoint', 'MetricsEndpoint', 'ReadinessEndpoint')
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from zinniaturn.fleet.domain import VmStage
+from zinniaturn.events.catalogue import LogEvent
+from zinniaturn.fleet.domain import VmRecord, VmStage
 from zinniaturn.fleet.vms import serving_vms
 from zinniaturn.gateway.state import GatewayState
 from zinniaturn.http1.exchanges import CallerExchange
 from zinniaturn.http1.limits import CallerLimits
 from zinniaturn.http1.messages import Response
-from zinniaturn.placing.address_selection import AddressSelector
+from zinniaturn.placing.address_selection import (
+    AddressSelector,
+    demand_step,
+    vms_for_demand,
+)
 
+_MAX_LOGGED_VMS = 64
 _METRICS_TYPE = (b'Content-Type', b'text/plain; version=0.0.4')
 
 
 @dataclass(slots=True)
 class LookupEndpoint:
-    """Answers callers' look-ups with the addresses of gateways to use."""
+    """
+    Answers callers' look-ups with the addresses of gateways to use.
+
+    ``selected`` are the VMs for the situation ``selected_for``. They are
+    selected anew, and logged if they differ, only when the VMs or the demand
+    have changed.
+    """
 
     state: GatewayState
     address_selector: AddressSelector
+    selected: list[VmRecord] = field(default_factory=list)
+    selected_for: tuple[int, bool, float] | None = None
     limits: CallerLimits = field(default_factory=CallerLimits)
     is_stopping: bool = False
 
@@ -31,11 +46,8 @@
         query = wire_format.lookup_query(exchange.request)
         if query is None:
             return Response(404, b'', [])
-        own_is_ready = self.state.stage is VmStage.READY
-        vms = serving_vms(self.state.vms, own_is_ready)
-        fronts = self.address_selector.select(
-            vms, self.state.fleet_request_rate()
-        )
+        self._update_selected()
+        fronts = self.address_selector.select(self.selected)
         if not fronts:
             return Response(503, b'', [(b'Retry-After', b'0.1')])
         self.state.counters.events['lookup'] += 1
@@ -43,6 +55,25 @@
             fronts, self.address_selector.lifetime_seconds
         )
 
+    def _update_selected(self) -> None:
+        own_is_ready = self.state.stage is VmStage.READY
+        vms = self.state.vms
+        demand = demand_step(self.state.fleet_request_rate())
+        situation = vms.change_count, own_is_ready, demand
+        if situation == self.selected_for:
+            return
+        self.selected_for = situation
+        selected = vms_for_demand(serving_vms(vms, own_is_ready), demand)
+        if selected != self.selected:
+            self.state.event_log.write(
+                LogEvent.LOOKUPS_CHANGED,
+                others=[vm.name for vm in selected[:_MAX_LOGGED_VMS]],
+                count=len(selected),
+                demand=demand if math.isfinite(demand) else None,
+                alive=len(vms.alive_vms()),
+            )
+        self.selected = selected
+
 
 @dataclass(slots=True)
 class ReadinessEndpoint:
--- a/zinniaturn/gateway/request_context.py
+++ b/zinniaturn/gateway/request_context.py
@@ -42,6 +42,8 @@
     load_report: LoadReport | None = None
     expected_seconds: float = 0
     detail: str = ''
+    queue_length: int = 0
+    avoids_slow_servers: bool = False
     second_send: str = ''
 
     @property
--- a/zinniaturn/gateway/scheduler.py
+++ b/zinniaturn/gateway/scheduler.py
@@ -91,6 +91,10 @@
                 self.search.release(queued.granted)
             raise
         if queued.granted is None:
+            context.queue_length = len(queue.waiting)
+            context.avoids_slow_servers = queue.contention.has_fast_server(
+                loop.time()
+            )
             raise self._rejection(
                 queued.retry_after_seconds or service_seconds,
                 'no server is free in time',
--- a/zinniaturn/gateway/searching.py
+++ b/zinniaturn/gateway/searching.py
@@ -204,7 +204,7 @@
 ) -> Offer | None:
     """Return an offer for a server if it has a free slot."""
     stats = candidate.stats
-    running = report.total + stats.sent_since(stats.reported_at)
+    running = report.total + stats.sent_since_report
     limit = best_concurrency(report.slots)
     if running >= limit:
         return None
--- a/zinniaturn/placing/address_selection.py
+++ b/zinniaturn/placing/address_selection.py
@@ -1,7 +1,8 @@
 """Selects the VM addresses that a look-up returns to a caller."""
 
-__all__ = ('AddressSelector', 'vms_for_demand')
+__all__ = ('AddressSelector', 'demand_step', 'vms_for_demand')
 
+import math
 import random
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -14,6 +15,7 @@
 # VMs with at least this share of the largest capacity count as equally large.
 _EQUAL_CAPACITY_SHARE = 0.7
 _CAPACITY_TO_DEMAND_RATIO = 2.0
+_DEMAND_STEP = 1.25
 
 
 @dataclass(slots=True)
@@ -29,12 +31,25 @@
     lifetime_seconds: float = 2.0
     max_addresses: int = _MOST_ADDRESSES
 
-    def select(self, vms: Sequence[VmRecord], demand: float) -> list[str]:
+    def select(self, vms: Sequence[VmRecord]) -> list[str]:
         """Return at most ``max_addresses`` addresses in random order."""
-        fronts = [vm.front for vm in vms_for_demand(vms, demand)]
-        return self.random_source.sample(
-            fronts, min(self.max_addresses, len(fronts))
+        chosen = self.random_source.sample(
+            vms, min(self.max_addresses, len(vms))
         )
+        return [vm.front for vm in chosen]
+
+
+def demand_step(demand: float) -> float:
+    """
+    Return the demand, rounded up to a step of a quarter.
+
+    >>> [round(demand_step(demand), 1) for demand in (0, 100, 105, 130)]
+    [0, 116.4, 116.4, 145.5]
+    """
+    if not demand or math.isinf(demand):
+        return demand
+    steps = math.ceil(math.log(demand, _DEMAND_STEP))
+    return float(_DEMAND_STEP**steps)
 
 
 def vms_for_demand(vms: Sequence[VmRecord], demand: float) -> list[VmRecord]:
--- a/zinniaturn/placing/candidates.py
+++ b/zinniaturn/placing/candidates.py
@@ -58,7 +58,7 @@
     report = stats.report
     if report is None or now - stats.reported_at > _REPORT_LIFETIME_SECONDS:
         return ReportRating.UNKNOWN
-    running = report.total + stats.sent_since(stats.reported_at)
+    running = report.total + stats.sent_since_report
     is_full = running >= best_concurrency(report.slots)
     if is_full or report.slowness > _SLOW_ABOVE_SLOWNESS:
         return ReportRating.BAD
--- a/zinniaturn/placing/latency_estimates.py
+++ b/zinniaturn/placing/latency_estimates.py
@@ -49,7 +49,7 @@
     0.4
     """
     slots = max(1, report.slots)
-    running = report.busy + stats.sent_since(stats.reported_at)
+    running = report.busy + stats.sent_since_report
     crowd_factor = 1.0
     if (running + 1) / slots > _CROWDED_SLOTS_SHARE:
         crowd_factor = _CROWDED_LATENCY_FACTOR
--- a/zinniaturn/placing/server_stats.py
+++ b/zinniaturn/placing/server_stats.py
@@ -9,8 +9,7 @@
 
 __all__ = ('ServerStats',)
 
-from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from zinniaturn.choosing.reports import LoadReport
 
@@ -23,7 +22,6 @@
 _FAILURES_TO_EJECT = 2
 _FIRST_EJECTION_SECONDS = 1.0
 _LONGEST_EJECTION_SECONDS = 8.0
-_SEND_TIMES_KEPT = 8
 
 
 @dataclass(slots=True)
@@ -34,7 +32,8 @@
     ``latency_ratio`` is the smoothed ratio of actual to expected latency and
     ``failure_share`` the smoothed share of failures, both as of
     ``updated_at``. ``ejections`` counts those since the last success and
-    ``unanswered`` the probes without an answer since the last report.
+    ``unanswered`` the probes without an answer since the last report, as
+    ``sent_since_report`` counts the requests sent since then.
     ``is_replaced`` is set once another server answers at the address.
     """
 
@@ -49,31 +48,23 @@
     is_replaced: bool = False
     report: LoadReport | None = None
     reported_at: float = float('-inf')
-    sent_at: deque[float] = field(
-        default_factory=lambda: deque(maxlen=_SEND_TIMES_KEPT)
-    )
+    sent_since_report: int = 0
 
-    def begin(self, now: float) -> None:
+    def begin(self) -> None:
         """Count a request that is sent."""
         self.in_flight += 1
-        self.sent_at.append(now)
+        if self.report is not None:
+            self.sent_since_report += 1
 
     def end(self) -> None:
         """Count a request that has ended."""
         self.in_flight -= 1
 
-    def sent_since(self, time: float) -> int:
-        """
-        Return how many requests were sent after a time.
-
-        It counts at most the last 8, whose send times are kept.
-        """
-        return sum(sent > time for sent in self.sent_at)
-
     def note_report(self, report: LoadReport, now: float) -> None:
         """Store a new load report."""
         self.report = report
         self.reported_at = now
+        self.sent_since_report = 0
         self.unanswered = 0
 
     def note_unanswered(self) -> None:
--- a/zinniaturn/placing/unprobed.py
+++ b/zinniaturn/placing/unprobed.py
@@ -30,7 +30,7 @@
         if report is None or stats.reported_at < oldest:
             continue
         reported += 1
-        running = report.total + stats.sent_since(stats.reported_at)
+        running = report.total + stats.sent_since_report
         full += running >= best_concurrency(report.slots)
     return full > reported * _FULL_SHARE
 
