Let callers whose request was shed come back while they can be in time

Change: placing/retry_after decides: a pool that sheds without being full has the same chance at any time, so the caller is told to return within 0.08 s as long as it can still meet its objective; behind a full server after the time of a request. The new scenario in gateway_requests fails on the commit before.

--- a/features/gateway_requests.feature
+++ b/features/gateway_requests.feature
@@ -80,6 +80,12 @@
       | STALE    |
       | UNFRAMED |
 
+  Scenario: A caller whose request was shed may come back while it can be in time
+    Given every request meets the fault "SHED"
+    When a caller posts with a timeout of 0.6 s
+    Then it gets a status of 503
+    And it is told to retry within 0.15 s
+
   Scenario: Without probe budget requests go to servers that may be free
     Given the gateway may not probe
     When a caller reads
--- a/features/steps/gateway_requests_steps.py
+++ b/features/steps/gateway_requests_steps.py
@@ -116,6 +116,12 @@
         return self.shared_faults.pop(0)
 
 
+@then('it is told to retry within {seconds:g} s')
+def check_retry_after(context, seconds):
+    _, fields, _ = context.response
+    assert 0 < float(fields['retry-after']) <= seconds, fields
+
+
 @given('the gateway may not probe')
 def forbid_probes(context):
     state = context.gateway.state
--- a/zinniaturn/gateway/attempt_runner.py
+++ b/zinniaturn/gateway/attempt_runner.py
@@ -14,6 +14,7 @@
 from zinniaturn.http1.messages import Response
 from zinniaturn.outcomes import Outcome, combine_verdicts, verdict_for
 from zinniaturn.placing.hedging import hedge_delay
+from zinniaturn.placing.retry_after import seconds_after_shedding
 
 Attempt = asyncio.Task[Response]
 
@@ -44,7 +45,26 @@
                     continue
                 if error.response is not None:
                     return error.response
-                raise RejectedError(error.message, 'no-server') from error
+                raise self._rejection(context, placement, error) from error
+
+    def _rejection(
+        self,
+        context: RequestContext,
+        placement: Placement,
+        error: AttemptError,
+    ) -> RejectedError:
+        """Return the rejection after the last attempt allowed has failed."""
+        now = asyncio.get_running_loop().time()
+        report = placement.candidate.stats.report
+        seconds = seconds_after_shedding(
+            context.objective_at - now,
+            placement.service_seconds,
+            is_full=report is not None and report.total >= report.slots,
+        )
+        jitter = self.scheduler.retry_after_jitter
+        return RejectedError(
+            error.message, 'no-server', jitter.seconds(seconds)
+        )
 
     async def _attempt_with_hedge(
         self, context: RequestContext, placement: Placement
