--- a/features/steps/gateway_requests_steps.py
+++ b/features/steps/gateway_requests_steps.py
@@ -117,7 +117,7 @@
 
 
 @then('it is told to retry within {seconds:g} s')
-def check_retry_after(context, seconds):
+def check_retry_limit(context, seconds):
     _, fields, _ = context.response
     assert 0 < float(fields['retry-after']) <= seconds, fields
 
