Decode and log what servers say of the requests that they want

Change: the adapter decodes Server-Limit, Server-Leaving and the Retry-After of a rejection into one typed statement, together with load, health and name; events 731 and 732 and two counters tell what is learnt, from whom, and what has no meaning. Nothing decides by it yet.

--- a/features/support/gateway.py
+++ b/features/support/gateway.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+from zinniaturn.admission.admission import Admission, ServerNotice
 from zinniaturn.choosing.reports import LoadReport
 from zinniaturn.clock import ManualClock
 from zinniaturn.experiments.loopback import loopback_host
@@ -88,7 +89,9 @@
 
 def build_candidate(name='s-1', **fields):
     """Return a candidate server without statistics."""
-    return Candidate(build_registered(name, **fields), ServerStats())
+    registered = build_registered(name, **fields)
+    notice = ServerNotice(name, registered.started_ms)
+    return Candidate(registered, ServerStats(), Admission(notice))
 
 
 def build_report(busy=0, queued=0, slots=4, slowness=1.0):
--- a/zinniaturn/events/catalogue.py
+++ b/zinniaturn/events/catalogue.py
@@ -55,6 +55,8 @@
     FLEET_STORE_LOST = 724
     FLEET_STORE_BACK = 725
     SERVER_OUT = 730
+    SERVER_STATEMENT = 731
+    SERVER_STATEMENT_UNREADABLE = 732
     VM_ALIVE = 740
     VM_SILENT = 741
     VM_MESSAGE_REFUSED = 742
@@ -192,6 +194,15 @@
             _WARNING,
             'a failing backend server was ejected for a limited time',
         ),
+        LogEvent.SERVER_STATEMENT: (
+            _INFO,
+            'a backend server has named, changed or ended a limit, its leaving '
+            'or a pause',
+        ),
+        LogEvent.SERVER_STATEMENT_UNREADABLE: (
+            _WARNING,
+            'what a backend server says of itself cannot be decoded',
+        ),
         LogEvent.VM_ALIVE: (_INFO, 'other VMs are known to be alive'),
         LogEvent.VM_SILENT: (
             _WARNING,
--- a/zinniaturn/gateway/attempt.py
+++ b/zinniaturn/gateway/attempt.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
+from zinniaturn.admission.admission import ResponseKind
 from zinniaturn.gateway.exceptions import AttemptError
 from zinniaturn.gateway.request_context import Placement, RequestContext
 from zinniaturn.gateway.state import GatewayState
@@ -128,9 +129,9 @@
     wire_format = state.wire_format
     stats = placement.candidate.stats
     name = placement.candidate.name
-    report = wire_format.load_report(response)
-    if report is not None:
-        stats.note_report(report, now)
+    statement = wire_format.statement(response)
+    if statement.load is not None:
+        stats.note_report(statement.load, now)
     if wire_format.is_misdirected(response):
         stats.is_replaced = True
         raise AttemptError(
@@ -139,14 +140,26 @@
             Event.SERVER_SHED,
         )
     if wire_format.is_not_run(response):
+        state.learn(
+            placement.candidate,
+            statement,
+            ResponseKind.REJECTION,
+            elapsed_seconds,
+        )
         raise AttemptError(
             f'{name} did not take the request',
             Phase.SENT_WHOLE,
             Event.SERVER_SHED,
         )
-    if response.status in _SUCCESS_STATUSES and not wire_format.is_authentic(
-        response
-    ):
+    is_authentic = wire_format.is_authentic(response)
+    if is_authentic:
+        state.learn(
+            placement.candidate,
+            statement,
+            ResponseKind.REQUEST,
+            elapsed_seconds,
+        )
+    if response.status in _SUCCESS_STATUSES and not is_authentic:
         _count_failure(state, placement, 'no genuine answer', now)
         raise AttemptError(
             f'{name}: the answer is not genuine',
--- a/zinniaturn/gateway/prober.py
+++ b/zinniaturn/gateway/prober.py
@@ -3,9 +3,11 @@
 __all__ = ('ProbeResult', 'Prober')
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
+from zinniaturn.admission.admission import ResponseKind
+from zinniaturn.admission.statement import ServerStatement
 from zinniaturn.choosing.reports import LoadReport
 from zinniaturn.gateway.wire_format import WireFormat
 from zinniaturn.http1.backend import BackendConnection, Exchange
@@ -21,7 +23,10 @@
 _FIRST_RESULT_WAIT_SECONDS = 0.012
 _MAX_WAIT_SECONDS = 0.06
 _PROBE_TIMEOUT_SECONDS = 0.3
-_HEALTHY_STATUS = 200
+
+LearnStatement = Callable[
+    [Candidate, ServerStatement, ResponseKind, float], None
+]
 
 
 @dataclass(slots=True)
@@ -59,10 +64,15 @@
 
 @dataclass(slots=True)
 class Prober:
-    """Sends rounds of probes and returns the servers that answered in time."""
+    """
+    Sends rounds of probes and returns the servers that answered in time.
+
+    ``on_statement`` is called with what each server says of itself.
+    """
 
     connections: ConnectionPool
     wire_format: WireFormat
+    on_statement: LearnStatement
 
     async def probe(
         self,
@@ -154,9 +164,10 @@
         field_name = self.wire_format.response_id_field
         response_future = connection.send(Exchange(payload, field_name))
         timer = loop.call_later(_PROBE_TIMEOUT_SECONDS, connection.close)
+        sent_at = loop.time()
         response_future.add_done_callback(
             lambda future: self._on_response(
-                probe_round, candidate, connection, future, timer
+                probe_round, candidate, connection, future, timer, sent_at
             ),
         )
 
@@ -167,6 +178,7 @@
         connection: BackendConnection,
         response_future: 'asyncio.Future[Response]',
         timer: asyncio.TimerHandle,
+        sent_at: float,
     ) -> None:
         timer.cancel()
         if (
@@ -177,22 +189,25 @@
             probe_round.note_probe_ended()
             return
         response = response_future.result()
-        report = self.wire_format.load_report(response)
+        statement = self.wire_format.statement(response)
         server = candidate.registered.server
-        if self.wire_format.responding_server(response) not in {
-            None,
-            server.name,
-        }:
+        if statement.server not in {None, server.name}:
             candidate.stats.is_replaced = True
             connection.close()
             probe_round.note_probe_ended()
             return
-        if report is None:
-            report = LoadReport(0, 0, server.slots)
+        if statement.server is not None:
+            self.on_statement(
+                candidate,
+                statement,
+                ResponseKind.PROBE,
+                connection.loop.time() - sent_at,
+            )
+        report = statement.load or LoadReport(0, 0, server.slots)
         candidate.stats.note_report(report, connection.loop.time())
         apply_keep_alive(connection, response)
         result = ProbeResult(
-            candidate, report, connection, response.status == _HEALTHY_STATUS
+            candidate, report, connection, statement.is_healthy
         )
         if probe_round.is_closed or not connection.is_clean:
             self.connections.keep_idle(candidate.address, connection)
--- a/zinniaturn/gateway/searching.py
+++ b/zinniaturn/gateway/searching.py
@@ -30,7 +30,7 @@
 
     def __init__(self, state: GatewayState) -> None:
         self.state = state
-        self.prober = Prober(state.connections, state.wire_format)
+        self.prober = Prober(state.connections, state.wire_format, state.learn)
         self.probe_order = ProbeOrder(
             state.random_source,
             state.settings.name,
--- a/zinniaturn/gateway/state.py
+++ b/zinniaturn/gateway/state.py
@@ -6,6 +6,12 @@
 import random
 from dataclasses import dataclass, field
 
+from zinniaturn.admission.admission import (
+    Admission,
+    ResponseKind,
+    ServerNotice,
+)
+from zinniaturn.admission.statement import ServerStatement
 from zinniaturn.events.catalogue import LogEvent
 from zinniaturn.fleet.domain import VmStage
 from zinniaturn.fleet.fleet_state import FleetState, StateChange
@@ -18,11 +24,15 @@
 from zinniaturn.http1.connections import ConnectionPool
 from zinniaturn.placing.candidates import Candidate
 from zinniaturn.placing.demand import fleet_demand, probe_share
+from zinniaturn.placing.rate_limit import RateLimit
 from zinniaturn.placing.recent_rate import RecentRate
 from zinniaturn.placing.retry_budget import FleetRetryBudget
 from zinniaturn.placing.server_stats import ServerStats
 from zinniaturn.tables.matching import RouteMatcher
 
+_MILLISECONDS_PER_SECOND = 1000
+_UNREADABLE_REPORT_SECONDS = 10.0
+
 
 @dataclass(slots=True)
 class GatewayState:
@@ -47,6 +57,9 @@
     pools: dict[str, dict[str, Candidate]] = field(default_factory=dict)
     retry_budgets: dict[str, FleetRetryBudget] = field(default_factory=dict)
     arrival_rate: RecentRate = field(default_factory=RecentRate)
+    unreadable_reports: RateLimit = field(
+        default_factory=lambda: RateLimit(_UNREADABLE_REPORT_SECONDS)
+    )
 
     @property
     def is_stopping(self) -> bool:
@@ -86,14 +99,55 @@
             name = registered.server.name
             previous_candidate = previous.get(name)
             stats = ServerStats()
+            admission = Admission(ServerNotice(name, registered.started_ms))
             if (
                 previous_candidate
                 and previous_candidate.registered.started_ms
                 == registered.started_ms
             ):
                 stats = previous_candidate.stats
+                admission = previous_candidate.admission
             candidates = self.pools.setdefault(registered.pool, {})
-            candidates[name] = Candidate(registered, stats)
+            candidates[name] = Candidate(registered, stats, admission)
+
+    def learn(
+        self,
+        candidate: Candidate,
+        statement: ServerStatement,
+        kind: ResponseKind,
+        elapsed_seconds: float,
+    ) -> None:
+        """
+        Apply what a genuine response says of its server; log what is new.
+
+        ``elapsed_seconds`` is the time since the response's request was sent.
+        """
+        now = self.fleet_state.clock.monotonic()
+        admission = candidate.admission
+        if statement.unreadable:
+            self.counters.events['server_statement_unreadable'] += 1
+            if self.unreadable_reports.admit(now):
+                self.event_log.write(
+                    LogEvent.SERVER_STATEMENT_UNREADABLE,
+                    server=candidate.name,
+                    fields=statement.unreadable,
+                )
+        if admission.learn(statement, kind, now - elapsed_seconds, now):
+            self.log_admission(admission, now)
+
+    def log_admission(self, admission: Admission, now: float) -> None:
+        """Count and log what a server says of the requests that it wants."""
+        notice = admission.notice
+        self.counters.events['server_statement'] += 1
+        self.event_log.write(
+            LogEvent.SERVER_STATEMENT,
+            server=notice.server,
+            limit=notice.limit,
+            leaving=notice.is_leaving,
+            pause_seconds=round(max(0, admission.paused_until - now), 3),
+            source=notice.source or self.settings.name,
+            age_ms=round((now - notice.said_at) * _MILLISECONDS_PER_SECOND),
+        )
 
     def log_ejection(
         self,
--- a/zinniaturn/gateway/wire_format.py
+++ b/zinniaturn/gateway/wire_format.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from zinniaturn.choosing.reports import LoadReport
+from zinniaturn.admission.statement import ServerStatement
 from zinniaturn.http1.messages import Fields, Request, Response
 
 
@@ -44,11 +44,8 @@
     def load_probe_request(self, path: str, host: str) -> bytes:
         """Return a request that probes a server for its load."""
 
-    def load_report(self, response: Response) -> LoadReport | None:
-        """Return the load report that a response carries, if any."""
-
-    def responding_server(self, response: Response) -> str | None:
-        """Return the name of the server that sent a response, if stated."""
+    def statement(self, response: Response) -> ServerStatement:
+        """Return what a response says of the server that sent it."""
 
     def is_not_run(self, response: Response) -> bool:
         """Return whether the server states that the request did not run."""
--- a/zinniaturn/placing/candidates.py
+++ b/zinniaturn/placing/candidates.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
+from zinniaturn.admission.admission import Admission
 from zinniaturn.fleet.domain import RegisteredServer
 from zinniaturn.http1.connections import Address
 from zinniaturn.placing.latency_estimates import best_concurrency
@@ -23,10 +24,11 @@
 
 @dataclass(slots=True)
 class Candidate:
-    """A server that a request may go to, and what was observed of it."""
+    """A server, what was observed of it, and what it said it wants."""
 
     registered: RegisteredServer
     stats: ServerStats
+    admission: Admission
 
     @property
     def name(self) -> str:
--- a/zinniaturn/platform/standins/server.py
+++ b/zinniaturn/platform/standins/server.py
@@ -37,7 +37,9 @@
     which the VM stretches ``work_seconds``. With ``echoes_request_id`` each
     body begins with its request's id, so that a response to another request is
     detected. ``cancelled`` counts the requests whose connection was closed
-    while they ran.
+    while they ran. ``limit`` is the text of the requests per second that the
+    server names, ``pause`` that of the seconds that it asks a VM to wait when
+    it sheds a request. ``request_times`` are the times of all arrivals.
     """
 
     name: str = ''
@@ -60,6 +62,10 @@
     requests: list[Request] = field(default_factory=list)
     faults: deque[ServerFault] = field(default_factory=deque)
     default_fault: ServerFault | None = None
+    limit: bytes | None = None
+    is_leaving: bool = False
+    pause: bytes | None = None
+    request_times: list[float] = field(default_factory=list)
     slot_semaphore: asyncio.Semaphore = field(init=False)
 
     async def start(self, port: int = 0) -> None:
@@ -89,12 +95,14 @@
             status = 200 if self.is_healthy else 503
             instance_field = (b'X-Instance-Id', self.name.encode())
             return Response(
-                status, b'', [instance_field, self._load_report_field()]
+                status, b'', [instance_field, *self._statement_fields()]
             )
         self.arrivals += 1
         self.requests.append(request)
         request_id = find_field(request.fields, b'x-attempt-id') or b''
-        self.arrived_at[request_id] = asyncio.get_running_loop().time()
+        now = asyncio.get_running_loop().time()
+        self.arrived_at[request_id] = now
+        self.request_times.append(now)
         expected_server = find_field(request.fields, b'x-expect-instance')
         fault = self.faults.popleft() if self.faults else self.default_fault
         if (
@@ -104,9 +112,7 @@
             return Response(421, b'', [(b'X-Instance-Id', b'another')])
         is_full = self.running + self.waiting >= self.slots + self.queue
         if fault is ServerFault.SHED or is_full:
-            return Response(
-                503, b'', [(b'X-Not-Executed', b'1'), self._load_report_field()]
-            )
+            return self._build_rejection()
         return self._run_request(exchange, fault)
 
     async def _run_request(
@@ -210,10 +216,25 @@
         fields: Fields = [
             (b'X-Attempt-Id', request_id),
             (_SIGNATURE, b'by-%b' % self.name.encode()),
-            self._load_report_field(),
+            *self._statement_fields(),
         ]
         return Response(status, b'', fields, body)
 
+    def _build_rejection(self) -> Response:
+        fields: Fields = [(b'X-Not-Executed', b'1'), *self._statement_fields()]
+        if self.pause is not None:
+            fields.append((b'Retry-After', self.pause))
+        return Response(503, b'', fields)
+
+    def _statement_fields(self) -> Fields:
+        """Return the fields by which the server tells of itself."""
+        fields = [self._load_report_field()]
+        if self.limit is not None:
+            fields.append((b'Server-Limit', self.limit))
+        if self.is_leaving:
+            fields.append((b'Server-Leaving', b'1'))
+        return fields
+
     def _load_report_field(self) -> tuple[bytes, bytes]:
         figures = (
             self.running,
--- a/zinniaturn/platform/wire_format.py
+++ b/zinniaturn/platform/wire_format.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from zinniaturn.choosing.reports import LoadReport
+from zinniaturn.admission.statement import ServerStatement
 from zinniaturn.gateway.wire_format import LookupQuery
 from zinniaturn.http1.messages import (
     Fields,
@@ -16,6 +16,10 @@
     end_to_end_fields,
     find_field,
 )
+from zinniaturn.platform.statements import (
+    STATEMENT_FIELDS,
+    decode_statement,
+)
 
 # The id that a caller gives one attempt; the server echoes it.
 _REQUEST_ID = b'x-attempt-id'
@@ -23,25 +27,17 @@
 _TIME_LEFT = b'x-request-deadline-ms'
 # The server that a request is meant for; any other server responds with 421.
 _EXPECTED_SERVER = b'x-expect-instance'
-_RESPONDING_SERVER = b'x-instance-id'
 _NOT_RUN = b'x-not-executed'
-# Running requests, queued requests, slots and, optionally, the VM's slowness in
-# hundredths.
-_LOAD_REPORT = b'x-upstream-load'
 # The server's signature of a response, which is forwarded to the caller.
 _SIGNATURE = b'x-upstream-signature'
 
 _REPLACED_REQUEST_FIELDS = frozenset(
     (_TIME_LEFT, _EXPECTED_SERVER, b'accept-encoding', b'content-length'),
 )
-_DROPPED_RESPONSE_FIELDS = frozenset(
-    (_LOAD_REPORT, _RESPONDING_SERVER, b'content-length')
-)
+_DROPPED_RESPONSE_FIELDS = STATEMENT_FIELDS | {b'content-length'}
 _NOTHING: frozenset[bytes] = frozenset()
 _MISDIRECTED = 421
 _MILLISECONDS_PER_SECOND = 1000
-_SLOWNESS_SCALE = 100
-_REQUIRED_LOAD_FIGURES = 3
 _JSON_CONTENT_TYPE = (b'Content-Type', b'application/json')
 
 
@@ -82,27 +78,9 @@
             host.encode(),
         )
 
-    def load_report(self, response: Response) -> LoadReport | None:
-        """Return the load report that a response carries, if it can be read."""
-        text = find_field(response.fields, _LOAD_REPORT)
-        if text is None:
-            return None
-        try:
-            figures = [int(figure) for figure in text.split(b',')]
-        except ValueError:
-            return None
-        if len(figures) < _REQUIRED_LOAD_FIGURES or figures[2] < 1:
-            return None
-        slowness = _SLOWNESS_SCALE
-        if len(figures) > _REQUIRED_LOAD_FIGURES:
-            slowness = figures[_REQUIRED_LOAD_FIGURES]
-        busy, queued, slots = figures[:_REQUIRED_LOAD_FIGURES]
-        return LoadReport(busy, queued, slots, slowness / _SLOWNESS_SCALE)
-
-    def responding_server(self, response: Response) -> str | None:
-        """Return the name of the server that sent a response, if stated."""
-        name = find_field(response.fields, _RESPONDING_SERVER)
-        return None if name is None else name.decode('latin-1')
+    def statement(self, response: Response) -> ServerStatement:
+        """Return what a response says of the server that sent it."""
+        return decode_statement(response)
 
     def is_not_run(self, response: Response) -> bool:
         """Return whether the server states that the request did not run."""
