Share a server's limit by permits from the one VM it belongs to

Cause: no decision knew of the limit. Each VM sent what its own callers asked for, and nothing of what a server says of itself but its load was decoded. Change: a server with a limit belongs to one VM by consistent hashing over the ready VMs; the others ask it by datagram for a permit before each request. All sends pass the same check: first ones, hedges, retries, queued ones. A pool at its limits rejects at once and spreads its callers' return. The same admission holds for a server that says that it leaves or asks for a pause, and what one VM hears the others learn by gossip.

--- a/features/server_limits.feature
+++ b/features/server_limits.feature
@@ -12,3 +12,43 @@
       | other        |
       | none         |
       | a limit of 3 |
+
+  Scenario Outline: A server that says it leaves gets no request from any VM, store or no store
+    Given 3 gateways and the servers "s-1" and "s-2"
+    And <store>
+    And the answers of "s-1" say that it leaves
+    When each gateway gets 10 reads a second for 1 s
+    And each gateway gets 10 reads a second for 2 s
+    Then "s-1" got no request in the last 2 s
+    And every read got 200 or was told when to come back
+
+    Examples:
+      | store                          |
+      | the store responds             |
+      | the store gives no response    |
+
+  Scenario: A server that no longer says that it leaves is used again
+    Given 3 gateways and the servers "s-1" and "s-2"
+    And the answers of "s-1" say that it leaves
+    When each gateway gets 10 reads a second for 1 s
+    And the answers of "s-1" no longer say so
+    And each gateway gets 10 reads a second for 7 s
+    And each gateway gets 10 reads a second for 1 s
+    Then "s-1" got requests in the last 1 s
+
+  Scenario: An answer without a signature takes no server out of use
+    Given 3 gateways and the servers "s-1" and "s-2"
+    And each answer of "s-1" lacks its signature and says that it leaves
+    When each gateway gets 10 reads a second for 1 s
+    Then no gateway takes "s-1" for leaving
+
+  Scenario: A server that asks for a pause gets nothing until its end, not even probes
+    Given 3 gateways and the servers "s-1" and "s-2"
+    And server "s-1" rejects all requests with a pause of "3"
+    When each gateway gets 10 reads a second for 1 s
+    And server "s-1" takes requests again
+    And the time is noted
+    And each gateway gets 10 reads a second for 1.5 s
+    Then "s-1" got no request and no probe since the noted time
+    When each gateway gets 10 reads a second for 2.5 s
+    Then "s-1" got requests in the last 2.5 s
--- a/features/steps/server_limit_steps.py
+++ b/features/steps/server_limit_steps.py
@@ -15,7 +15,11 @@
     allowed_in_window,
     most_in_window,
 )
-from zinniaturn.platform.standins import ServerStandIn
+from zinniaturn.platform.standins import (
+    ServerFault,
+    ServerStandIn,
+    StoreFault,
+)
 
 _SUCCESS = 200
 _NOT_RUN = 503
@@ -68,7 +72,7 @@
     _server(context, other).limit = other_limit.encode()
 
 
-@when('each gateway gets {rate:d} reads a second for {seconds:d} s')
+@when('each gateway gets {rate:d} reads a second for {seconds:g} s')
 def read_everywhere(context, rate, seconds):
     async def read(gateway, number):
         return await send_request(
@@ -79,7 +83,7 @@
     async def run():
         context.started_at = asyncio.get_running_loop().time()
         reads = []
-        for number in range(rate * seconds):
+        for number in range(round(rate * seconds)):
             reads.extend(
                 asyncio.ensure_future(read(gateway, number))
                 for gateway in context.platform.gateways
@@ -114,3 +118,83 @@
     for status, fields, _ in context.responses:
         is_told = status == _NOT_RUN and float(fields['retry-after']) > 0
         assert status == _SUCCESS or is_told, (status, fields)
+
+
+@given('the store responds')
+def keep_store(context):
+    """Leave the store as it is."""
+
+
+@given('the store gives no response')
+def silence_store(context):
+    context.platform.store.faults[''] = StoreFault.SILENT
+
+
+@given('the answers of "{name}" say that it leaves')
+def say_leaving(context, name):
+    _server(context, name).is_leaving = True
+
+
+@when('the answers of "{name}" no longer say so')
+def say_staying(context, name):
+    _server(context, name).is_leaving = False
+
+
+@given('each answer of "{name}" lacks its signature and says that it leaves')
+def garble_leaving(context, name):
+    server = _server(context, name)
+    server.is_leaving = True
+    server.states_in_probes = False
+    server.default_fault = ServerFault.UNSIGNED
+
+
+@given('server "{name}" rejects all requests with a pause of "{seconds}"')
+def reject_with_pause(context, name, seconds):
+    server = _server(context, name)
+    server.default_fault = ServerFault.SHED
+    server.pause = seconds.encode()
+
+
+@when('server "{name}" takes requests again')
+def stop_rejecting(context, name):
+    server = _server(context, name)
+    assert server.arrivals, 'the server rejected no request'
+    server.default_fault = None
+
+
+@when('the time is noted')
+def note_time(context):
+    context.noted = {
+        server.name: (server.arrivals, server.probed)
+        for server in context.platform.servers
+    }
+
+
+@then('"{name}" got no request and no probe since the noted time')
+def check_untouched(context, name):
+    server = _server(context, name)
+    assert (server.arrivals, server.probed) == context.noted[name]
+
+
+def _last_requests(context, name, seconds):
+    times = _server(context, name).request_times
+    since = context.started_at
+    assert abs(context.seconds - seconds) < seconds, context.seconds
+    return [time for time in times if time >= since]
+
+
+@then('"{name}" got no request in the last {seconds:g} s')
+def check_no_request(context, name, seconds):
+    assert not _last_requests(context, name, seconds)
+
+
+@then('"{name}" got requests in the last {seconds:g} s')
+def check_requests(context, name, seconds):
+    assert _last_requests(context, name, seconds)
+
+
+@then('no gateway takes "{name}" for leaving')
+def check_not_leaving(context, name):
+    for gateway in context.platform.gateways:
+        admissions = gateway.state.admissions.admissions
+        assert not admissions[name].notice.is_leaving
--- a/features/support/gateway.py
+++ b/features/support/gateway.py
@@ -5,7 +5,7 @@
 
 from zinniaturn.admission.admission import Admission, ServerNotice
 from zinniaturn.choosing.reports import LoadReport
-from zinniaturn.clock import ManualClock
+from zinniaturn.clock import BootClock, ManualClock
 from zinniaturn.experiments.loopback import loopback_host
 from zinniaturn.experiments.soak.vms import VM_PORTS
 from zinniaturn.fleet.domain import (
@@ -91,7 +91,7 @@
     """Return a candidate server without statistics."""
     registered = build_registered(name, **fields)
     notice = ServerNotice(name, registered.started_ms)
-    return Candidate(registered, ServerStats(), Admission(notice))
+    return Candidate(registered, ServerStats(), Admission(BootClock(), notice))
 
 
 def build_report(busy=0, queued=0, slots=4, slowness=1.0):
--- a/zinniaturn/admission/admission.py
+++ b/zinniaturn/admission/admission.py
@@ -1,15 +1,20 @@
 """Whether this VM may send requests to one backend server at present."""
 
-__all__ = ('Admission', 'ResponseKind', 'ServerNotice')
+__all__ = ('Admission', 'ResponseKind', 'ServerNotice', 'Withholding')
 
 import enum
+import math
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from types import MappingProxyType
 
+from zinniaturn.admission.permits import PermitBook
 from zinniaturn.admission.statement import ServerStatement
+from zinniaturn.clock import Clock
+from zinniaturn.placing.rate_limit import RateLimit
 
 _NEVER = float('-inf')
+_RENEWAL_SECONDS = 5.0
 
 
 class ResponseKind(enum.Enum):
@@ -25,6 +30,14 @@
     PROBE = 'probe'
 
 
+class Withholding(enum.Enum):
+    """Why no request may be sent to a server at present."""
+
+    LEAVING = 'leaving'
+    PAUSE = 'pause'
+    LIMIT = 'limit'
+
+
 # What ends if a response of a kind doesn't mention it.
 _ENDED_BY_SILENCE: Mapping[ResponseKind, frozenset[str]] = MappingProxyType(
     {
@@ -53,6 +66,11 @@
     said_at: float = _NEVER
     source: str = ''
 
+    @property
+    def is_active(self) -> bool:
+        """Return whether requests to the server are restricted."""
+        return self.limit is not None or self.is_leaving
+
     def says_same(self, other: 'ServerNotice') -> bool:
         """Return whether two notices tell the same, whenever it was said."""
         return (self.limit, self.is_leaving) == (other.limit, other.is_leaving)
@@ -63,19 +81,54 @@
     """
     What a server has said of the requests that it wants; see `ServerNotice`.
 
-    ``paused_until`` is the end of the pause that it asked this VM for. Times
-    are those of a clock that counts the time in which the VM is suspended.
+    ``clock`` counts the time in which the VM is suspended, too.
+    ``paused_until`` is the end of the pause that the server asked this VM for.
+    ``permits`` are those for a server with a limit, and ``renewals`` limits how
+    often an unchanged notice is passed on.
     """
 
+    clock: Clock
     notice: ServerNotice
     paused_until: float = _NEVER
+    permits: PermitBook = field(default_factory=PermitBook)
+    renewals: RateLimit = field(
+        default_factory=lambda: RateLimit(_RENEWAL_SECONDS)
+    )
+
+    @property
+    def is_limited(self) -> bool:
+        """Return whether each request needs a permit."""
+        return self.notice.limit is not None
+
+    def withholding(self) -> Withholding | None:
+        """Return why no request may be sent now, ``None`` if one may."""
+        if self.notice.is_leaving:
+            return Withholding.LEAVING
+        is_paused = self.paused_until > _NEVER
+        if is_paused and self.paused_until > self.clock.monotonic():
+            return Withholding.PAUSE
+        if self.is_limited and not self.permits.held(self.clock.monotonic()):
+            return Withholding.LIMIT
+        return None
+
+    def take(self) -> float | None:
+        """
+        Take the permission for one request.
+
+        Returns the time until which the request may be sent, ``None`` if none
+        may be sent.
+        """
+        if self.withholding() is not None:
+            return None
+        if self.is_limited:
+            return self.permits.take(self.clock.monotonic())
+        return math.inf
 
     def learn(
         self,
         statement: ServerStatement,
         kind: ResponseKind,
         sent_at: float,
-        now: float,
     ) -> bool:
         """
         Apply a genuine response; return whether anything has changed.
@@ -84,6 +137,7 @@
         sent before a limit or the leaving was known may be older than these,
         so that its silence doesn't end them.
         """
+        now = self.clock.monotonic()
         was_paused_until = self.paused_until
         if statement.pause_seconds:
             self.paused_until = max(
--- /dev/null
+++ b/zinniaturn/admission/grantor.py
@@ -0,0 +1,140 @@
+"""
+Grants permits for the requests to servers that name a limit.
+
+Each server with a limit belongs to one VM, and all others ask that VM for
+permits, one for each request. So the fleet keeps to the limit whichever VMs the
+callers choose, and the whole of it can be used by any of them. The load that
+this answers: a server that takes fewer requests a second than there are VMs,
+while the callers move from some VMs to others.
+"""
+
+__all__ = ('Grant', 'PermitGrantor', 'PermitRequest')
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+# Limits below this one are raised to it: a server that gets no request at all
+# could not say that its limit has ended.
+_LOWEST_LIMIT_PER_SECOND = 0.2
+# A bucket holds one token and those of this time.
+_BUCKET_SECONDS = 0.2
+_MOST_BUCKETS = 4096
+_MOST_REPLIES_KEPT = 64
+
+
+@dataclass(frozen=True, slots=True)
+class PermitRequest:
+    """
+    A VM's request for ``count`` permits for a server.
+
+    ``limit`` is the server's limit per second as the VM heard it at
+    ``said_at``. A request that is repeated has the same ``sequence``.
+    """
+
+    vm: str
+    sequence: int
+    server: str
+    started_ms: int
+    count: int
+    limit: float
+    said_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """
+    The permits granted, at most as many as were requested.
+
+    If there are none, the next is expected after ``wait_seconds``.
+    """
+
+    count: int
+    wait_seconds: float = 0
+
+
+@dataclass(slots=True)
+class _Bucket:
+    """
+    The tokens of one server, which start at none.
+
+    The VM that the server belonged to before may have granted a bucket's
+    content a moment ago. ``replies`` are the last grant to each VM, by sequence
+    number, for requests that are repeated because a reply was lost.
+    """
+
+    started_ms: int
+    limit: float
+    said_at: float
+    updated_at: float
+    tokens: float = 0
+    replies: 'OrderedDict[str, tuple[int, Grant]]' = field(
+        default_factory=OrderedDict
+    )
+
+    def refill(self, share: float, now: float) -> None:
+        """Add the tokens since the last call at ``share`` of the limit."""
+        added = (now - self.updated_at) * self.rate(share)
+        most = 1 + self.rate(1) * _BUCKET_SECONDS
+        self.tokens = min(most, self.tokens + added)
+        self.updated_at = now
+
+    def rate(self, share: float) -> float:
+        """Return the tokens per second."""
+        return share * max(_LOWEST_LIMIT_PER_SECOND, self.limit)
+
+    def take(self, count: int, share: float) -> Grant:
+        """Take up to ``count`` tokens."""
+        granted = min(count, int(self.tokens))
+        if granted:
+            self.tokens -= granted
+            return Grant(granted)
+        return Grant(0, (1 - self.tokens) / self.rate(share))
+
+    def keep_reply(self, vm: str, sequence: int, grant: Grant) -> None:
+        """Keep a reply; the oldest is dropped when there are too many."""
+        self.replies[vm] = sequence, grant
+        self.replies.move_to_end(vm)
+        if len(self.replies) > _MOST_REPLIES_KEPT:
+            self.replies.popitem(last=False)
+
+
+@dataclass(slots=True)
+class PermitGrantor:
+    """
+    The token buckets of the servers that belong to this VM.
+
+    Each request takes the same time, whatever the number of VMs and servers.
+    """
+
+    buckets: 'OrderedDict[str, _Bucket]' = field(default_factory=OrderedDict)
+
+    def grant(self, request: PermitRequest, share: float, now: float) -> Grant:
+        """
+        Return the permits granted for a request.
+
+        ``share`` is the part of each limit that this VM may grant.
+        """
+        bucket = self._bucket(request, now)
+        kept = bucket.replies.get(request.vm)
+        if kept is not None and kept[0] == request.sequence:
+            return kept[1]
+        bucket.refill(share, now)
+        grant = bucket.take(request.count, share)
+        bucket.keep_reply(request.vm, request.sequence, grant)
+        return grant
+
+    def _bucket(self, request: PermitRequest, now: float) -> _Bucket:
+        """Return the server's bucket with the newest limit that is known."""
+        bucket = self.buckets.get(request.server)
+        if bucket is None or bucket.started_ms < request.started_ms:
+            bucket = _Bucket(
+                request.started_ms, request.limit, request.said_at, now
+            )
+            self.buckets[request.server] = bucket
+            if len(self.buckets) > _MOST_BUCKETS:
+                self.buckets.popitem(last=False)
+        self.buckets.move_to_end(request.server)
+        if request.said_at > bucket.said_at:
+            bucket.limit = request.limit
+            bucket.said_at = request.said_at
+        return bucket
--- a/zinniaturn/experiments/gossip_model.py
+++ b/zinniaturn/experiments/gossip_model.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
+from zinniaturn.admission.table import AdmissionTable
 from zinniaturn.clock import ManualClock
 from zinniaturn.fleet.domain import VmRecord, VmStage
 from zinniaturn.fleet.failure_detection import PING_INTERVAL_SECONDS
@@ -143,13 +144,16 @@
             FleetState(self.clock, lambda document: FleetTables()),
             table,
             ConnectionPool(),
+            AdmissionTable(self.clock),
             lambda: self.stages[record.name],
             int,
             lambda error: None,
+            lambda admission: None,
             random.Random(self.random_source.random()),
         )
         vm = ModelVm(record, gossip)
         gossip.call_later = self.schedule
+        gossip.permits.call_later = self.schedule
         gossip.sender.transport = _Wire(self, vm)  # type: ignore[assignment]
         gossip.fetcher = _TableFetcher(self, vm)  # type: ignore[assignment]
         return vm
--- /dev/null
+++ b/zinniaturn/experiments/limit_model.py
@@ -0,0 +1,170 @@
+"""
+Model of servers with limits and of the VMs that share them, in virtual time.
+
+The permits, the notices and the gossip are the product's own code. Played are
+the network, the servers, the callers of each VM, and a request's way to a
+server: it asks for permits as the gateway does and is dropped without one.
+"""
+
+__all__ = ('LimitModel', 'LimitedServer')
+
+import random
+from bisect import bisect_left, bisect_right
+from collections.abc import Collection
+from dataclasses import dataclass, field
+
+from zinniaturn.admission.admission import Admission, ResponseKind
+from zinniaturn.admission.statement import ServerStatement
+from zinniaturn.experiments.gossip_model import GossipModel, ModelVm
+
+_SEND_SECONDS = 0.001
+_WORK_SECONDS = 0.1
+_REPLY_WAIT_SECONDS = 0.02
+_GROUP_SIZES = (1, 2)
+_STARTED_MS = 1
+
+
+@dataclass(slots=True)
+class LimitedServer:
+    """
+    A server that states its limit in each response.
+
+    ``arrivals`` are the times and VMs of its requests, in order, and
+    ``changes`` the times and values of its limits.
+    """
+
+    name: str
+    limit: float | None = None
+    arrivals: list[tuple[float, str]] = field(default_factory=list)
+    changes: list[tuple[float, float | None]] = field(default_factory=list)
+
+    def set_limit(self, limit: float | None, now: float) -> None:
+        """Name another limit from now on."""
+        self.limit = limit
+        self.changes.append((now, limit))
+
+    def count(self, start: float, end: float) -> int:
+        """Return the arrivals from ``start`` up to ``end``."""
+        times = [time for time, _ in self.arrivals]
+        return bisect_right(times, end) - bisect_left(times, start)
+
+
+class LimitModel:
+    """
+    A fleet before a pool of servers.
+
+    ``rates`` are the callers' requests per second at each VM, by its name.
+    """
+
+    def __init__(
+        self, size: int, servers: int, seed: int, loss: float = 0
+    ) -> None:
+        self.fleet = GossipModel(size, seed, loss)
+        self.random_source = random.Random(seed)
+        self.servers = [
+            LimitedServer(f's-{number}') for number in range(servers)
+        ]
+        self.rates: dict[str, float] = {}
+        self.playing: set[str] = set()
+
+    def set_rates(self, vms: Collection[ModelVm], total: float) -> None:
+        """Let these VMs get all requests, and the others none."""
+        self.rates = {vm.name: total / len(vms) for vm in vms}
+        for vm in vms:
+            if vm.name not in self.playing:
+                self.playing.add(vm.name)
+                self._schedule_arrival(vm)
+
+    def name_limit(self, server: LimitedServer, limit: float | None) -> None:
+        """Let a server name another limit."""
+        server.set_limit(limit, self.fleet.clock.monotonic())
+
+    def run(self, seconds: float) -> None:
+        """Advance the virtual time."""
+        self.fleet.run(seconds)
+
+    def _schedule_arrival(self, vm: ModelVm) -> None:
+        rate = self.rates.get(vm.name, 0)
+        if not rate:
+            self.playing.discard(vm.name)
+            return
+        self.fleet.schedule(
+            self.random_source.expovariate(rate), lambda: self._arrive(vm)
+        )
+
+    def _arrive(self, vm: ModelVm) -> None:
+        self._schedule_arrival(vm)
+        if not self._can_run(vm):
+            return
+        usable = [
+            server
+            for server in self.servers
+            if self._admission(vm, server).withholding() is None
+        ]
+        if usable:
+            self._send(vm, self.random_source.choice(usable))
+            return
+        order = list(self.servers)
+        self.random_source.shuffle(order)
+        self._try_groups(vm, order, _GROUP_SIZES)
+
+    def _try_groups(
+        self,
+        vm: ModelVm,
+        order: list[LimitedServer],
+        sizes: tuple[int, ...],
+    ) -> None:
+        """Request permits for the next group of servers, and use one."""
+        if not sizes or not order or not self._can_run(vm):
+            return
+        group, rest = order[: sizes[0]], order[sizes[0] :]
+        is_expected = False
+        for server in group:
+            admission = self._admission(vm, server)
+            is_expected |= vm.gossip.permits.request(admission)
+
+        def use_permit() -> None:
+            for server in group:
+                if self._can_run(vm) and self._send(vm, server):
+                    return
+            self._try_groups(vm, rest, sizes[1:])
+
+        wait = _REPLY_WAIT_SECONDS if is_expected else 0
+        self.fleet.schedule(wait, use_permit)
+
+    def _send(self, vm: ModelVm, server: LimitedServer) -> bool:
+        """Send a request if the server's admission allows it."""
+        if self._admission(vm, server).take() is None:
+            return False
+        gossip = vm.gossip
+        sent_at = self.fleet.clock.monotonic()
+
+        def arrive() -> None:
+            now = self.fleet.clock.monotonic()
+            server.arrivals.append((now, vm.name))
+            self.fleet.schedule(_WORK_SECONDS, respond)
+
+        def respond() -> None:
+            if vm.gossip is gossip and vm.is_running:
+                self._learn(vm, server, sent_at)
+
+        self.fleet.schedule(_SEND_SECONDS, arrive)
+        return True
+
+    def _learn(
+        self, vm: ModelVm, server: LimitedServer, sent_at: float
+    ) -> None:
+        admission = self._admission(vm, server)
+        changed = admission.learn(
+            ServerStatement(limit=server.limit), ResponseKind.REQUEST, sent_at
+        )
+        vm.gossip.admissions.update_active(admission)
+        if changed:
+            vm.gossip.sender.pass_on_notice(server.name)
+
+    def _admission(self, vm: ModelVm, server: LimitedServer) -> Admission:
+        return vm.gossip.admissions.of_process(server.name, _STARTED_MS)
+
+    def _can_run(self, vm: ModelVm) -> bool:
+        is_paused = vm.paused_until > self.fleet.clock.monotonic()
+        return vm.is_running and not is_paused
--- a/zinniaturn/fleet/alive_vms.py
+++ b/zinniaturn/fleet/alive_vms.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from zinniaturn.fleet.domain import VmRecord, VmStage, VmStatus
+from zinniaturn.fleet.owner_ring import OwnerRing
 
 _ALIVE_STAGES = frozenset((VmStage.STARTING, VmStage.READY, VmStage.STOPPING))
 
@@ -57,8 +58,10 @@
     The alive VMs in no particular order, without the VM called ``own_name``.
 
     ``load`` is the sum of their loads, ``checksum`` doesn't depend on their
-    order, and ``rank`` is the number of those that come before the own VM. Each
-    change takes the same time, however many VMs there are.
+    order, and ``rank`` is the number of those that come before the own VM.
+    ``ready`` also holds the own VM while it is ready. Each change takes the
+    same time, however many VMs there are, but for the insertion into a sorted
+    list of eight points a VM.
     """
 
     own_name: str
@@ -67,6 +70,7 @@
     checksum: int = 0
     peers: list[PeerVm] = field(default_factory=list)
     positions: dict[str, int] = field(default_factory=dict)
+    ready: OwnerRing = field(default_factory=OwnerRing)
 
     def add(self, peer: PeerVm) -> None:
         """Add a VM that is alive; nothing happens with any other."""
@@ -75,6 +79,8 @@
         self.positions[peer.name] = len(self.peers)
         self.peers.append(peer)
         self._count(peer, 1)
+        if peer.stage is VmStage.READY:
+            self.ready.add(peer.name)
 
     def discard(self, peer: PeerVm) -> None:
         """Remove a VM before its status changes, if it is in the set."""
@@ -86,6 +92,8 @@
             self.peers[position] = last
             self.positions[last.name] = position
         self._count(peer, -1)
+        if peer.stage is VmStage.READY:
+            self.ready.discard(peer.name)
 
     def sample(self, random_source: random.Random, count: int) -> list[PeerVm]:
         """Return up to ``count`` different VMs at random."""
--- a/zinniaturn/fleet/datagrams.py
+++ b/zinniaturn/fleet/datagrams.py
@@ -8,7 +8,11 @@
 __all__ = (
     'PROTOCOL_VERSION',
     'Datagram',
+    'DatagramExtras',
     'DatagramKind',
+    'NoticeRow',
+    'PermitGrantRow',
+    'PermitRequestRow',
     'StateClaim',
     'decode_datagram',
     'decode_statuses',
@@ -18,7 +22,9 @@
 
 import enum
 import zlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
 
@@ -32,19 +38,28 @@
 _MAX_STATUSES_BYTES = 8 * 1024 * 1024
 
 
+Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=10**12)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=10**6)]
+Limit = Annotated[float, msgspec.Meta(ge=0, le=10**9)]
+
+
 class DatagramKind(enum.Enum):
     """
     The purpose of a datagram.
 
     ``PING`` asks for an ``ACK`` with the same sequence number. ``PING_REQUEST``
     asks the receiver to ping a third VM and to pass on its acknowledgement.
-    ``PUSH`` only carries news.
+    ``PUSH`` only carries news. ``PERMIT_REQUEST`` asks the VM that a server
+    belongs to for permits, and ``PERMIT_GRANT`` with the same sequence number
+    is the reply.
     """
 
     PING = 0
     ACK = 1
     PING_REQUEST = 2
     PUSH = 3
+    PERMIT_REQUEST = 4
+    PERMIT_GRANT = 5
 
 
 class RecordRow(msgspec.Struct, array_like=True, frozen=True):
@@ -129,12 +144,55 @@
     vms_checksum: int
 
 
+class NoticeRow(msgspec.Struct, array_like=True, frozen=True):
+    """
+    What a server has said of the requests that it wants.
+
+    ``limit`` is in requests per second, ``None`` if the server names none.
+    ``age_ms`` is the time since the server said so.
+    """
+
+    server: str
+    started_ms: int
+    limit: Limit | None
+    is_leaving: bool
+    age_ms: Milliseconds
+
+
+class PermitRequestRow(msgspec.Struct, array_like=True, frozen=True):
+    """
+    The server for which ``count`` permits are requested.
+
+    ``limit`` is its limit per second, as heard ``age_ms`` ago.
+    """
+
+    server: str
+    started_ms: int
+    count: Count
+    limit: Limit
+    age_ms: Milliseconds
+
+
+class PermitGrantRow(msgspec.Struct, array_like=True, frozen=True):
+    """
+    The number of permits granted for a server.
+
+    If it is 0, the next permit is expected after ``wait_ms``.
+    """
+
+    server: str
+    started_ms: int
+    count: Count
+    wait_ms: Milliseconds
+
+
 class Datagram(msgspec.Struct, array_like=True, frozen=True):
     """
     A message between two VMs.
 
     ``target`` is the VM that a ping request is about. ``news`` are the statuses
-    of other VMs.
+    of other VMs, and ``notices`` is what servers have said. Older processes
+    send no more than ``target``.
     """
 
     version: int
@@ -144,6 +202,9 @@
     state: StateClaim
     news: tuple[StatusRow, ...] = ()
     target: str = ''
+    notices: tuple[NoticeRow, ...] = ()
+    permit_request: PermitRequestRow | None = None
+    permit_grant: PermitGrantRow | None = None
 
     @property
     def sender_status(self) -> VmStatus:
@@ -155,6 +216,16 @@
         return [row.to_status() for row in self.news]
 
 
+@dataclass(frozen=True, slots=True)
+class DatagramExtras:
+    """The parts of a datagram that few datagrams have; see `Datagram`."""
+
+    target: str = ''
+    notices: Sequence[NoticeRow] = ()
+    permit_request: PermitRequestRow | None = None
+    permit_grant: PermitGrantRow | None = None
+
+
 _encoder = msgspec.msgpack.Encoder()
 _datagram_decoder = msgspec.msgpack.Decoder(Datagram)
 _statuses_decoder = msgspec.msgpack.Decoder(tuple[StatusRow, ...])
@@ -166,9 +237,10 @@
     sender: VmStatus,
     state: StateClaim,
     news: Iterable[VmStatus] = (),
-    target: str = '',
+    extras: DatagramExtras | None = None,
 ) -> bytes:
     """Return an encoded datagram."""
+    extras = extras or DatagramExtras()
     return _encoder.encode(
         Datagram(
             PROTOCOL_VERSION,
@@ -177,7 +249,10 @@
             StatusRow.of(sender),
             state,
             tuple(StatusRow.of(status) for status in news),
-            target,
+            extras.target,
+            tuple(extras.notices),
+            extras.permit_request,
+            extras.permit_grant,
         ),
     )
 
--- a/zinniaturn/fleet/gossip.py
+++ b/zinniaturn/fleet/gossip.py
@@ -18,6 +18,8 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from zinniaturn.admission.admission import Admission, ServerNotice
+from zinniaturn.admission.table import AdmissionTable
 from zinniaturn.fleet.alive_vms import PeerVm
 from zinniaturn.fleet.datagrams import (
     Datagram,
@@ -32,6 +34,7 @@
 )
 from zinniaturn.fleet.fleet_state import FleetState
 from zinniaturn.fleet.gossip_sender import GossipSender
+from zinniaturn.fleet.permit_exchange import PermitExchange
 from zinniaturn.fleet.relays import PingRelays
 from zinniaturn.fleet.state_exchange import NETWORK_DELAY_SECONDS, StateFetcher
 from zinniaturn.fleet.table_sync import TableSync
@@ -67,17 +70,20 @@
     Exchanges datagrams with the other VMs.
 
     ``on_peer_error`` is called with the description of each invalid message
-    and failed fetch. ``call_later`` schedules pushes; `start` sets it to that
-    of the event loop.
+    and failed fetch, and ``on_notice`` with each admission that another VM has
+    changed. ``call_later`` schedules pushes; `start` sets it to that of the
+    event loop.
     """
 
     own: VmRecord
     fleet_state: FleetState
     vms: VmTable
     connections: ConnectionPool
+    admissions: AdmissionTable
     stage: Callable[[], VmStage]
     load: Callable[[], int]
     on_peer_error: Callable[[str], None]
+    on_notice: Callable[[Admission], None]
     random_source: random.Random = field(default_factory=random.Random)
     call_later: CallLater | None = None
     push_timer: PushTimer | None = None
@@ -86,10 +92,14 @@
     detector: FailureDetector = field(init=False)
     fetcher: StateFetcher = field(init=False)
     table_sync: TableSync = field(init=False)
+    permits: PermitExchange = field(init=False)
 
     def __post_init__(self) -> None:
         """Build the parts that share the tables."""
-        self.sender = GossipSender(self.fleet_state, self.vms)
+        self.sender = GossipSender(self.fleet_state, self.vms, self.admissions)
+        self.permits = PermitExchange(
+            self.vms, self.admissions, self.sender, self.random_source
+        )
         self.detector = FailureDetector(self.vms, self.random_source)
         self.table_sync = TableSync(self.vms)
         self.fetcher = StateFetcher(
@@ -107,6 +117,7 @@
         """Listen for datagrams; raises `OSError`."""
         loop = asyncio.get_running_loop()
         self.call_later = loop.call_later
+        self.permits.call_later = loop.call_later
         transport, _ = await loop.create_datagram_endpoint(
             lambda: self,
             local_addr=self.own.exchange,
@@ -123,6 +134,7 @@
         """Send the pings of one interval and declare dead VMs."""
         now = self.vms.clock.monotonic()
         self._update_own_status()
+        self.permits.tick()
         rounds, dead = self.detector.tick(now)
         for name in dead:
             if self.vms.declare_dead(name):
@@ -162,6 +174,7 @@
         sender = datagram.sender_status
         self._learn((sender, *datagram.news_statuses()))
         peer = self.vms.note_heard(sender.name, sender.version)
+        self._learn_notices(datagram)
         self._compare_state(datagram)
         self._compare_tables(datagram, peer)
         self._respond(datagram, peer, addr)
@@ -178,6 +191,7 @@
         if self.push_timer is not None:
             self.push_timer.cancel()
         self.fetcher.close()
+        self.permits.close()
 
     def _respond(
         self, datagram: Datagram, peer: PeerVm | None, addr: Address
@@ -196,6 +210,10 @@
             case DatagramKind.PUSH:
                 if peer is not None and peer.is_unaware:
                     self.sender.send(DatagramKind.PUSH, 0, addr, peer)
+            case DatagramKind.PERMIT_REQUEST:
+                self.permits.receive_request(datagram, peer, addr)
+            case DatagramKind.PERMIT_GRANT:
+                self.permits.receive_grant(datagram)
 
     def _ping_for_other(self, datagram: Datagram, requester: Address) -> None:
         target = self.vms.vms.get(datagram.target)
@@ -227,6 +245,23 @@
             if is_own or status.stage in _URGENT_STAGES:
                 self._schedule_push()
 
+    def _learn_notices(self, datagram: Datagram) -> None:
+        """Apply what servers have told the sender or others."""
+        now = self.vms.clock.monotonic()
+        for row in datagram.notices:
+            notice = ServerNotice(
+                row.server,
+                row.started_ms,
+                row.limit,
+                row.is_leaving,
+                now - row.age_ms / _MS_PER_SECOND - NETWORK_DELAY_SECONDS,
+                datagram.sender.name,
+            )
+            changed = self.admissions.adopt(notice)
+            if changed is not None:
+                self.sender.pass_on_notice(row.server)
+                self.on_notice(changed)
+
     def apply_table(self, statuses: list[VmStatus]) -> None:
         """Apply another VM's table, which the others already know."""
         for status in statuses:
--- a/zinniaturn/fleet/gossip_sender.py
+++ b/zinniaturn/fleet/gossip_sender.py
@@ -5,12 +5,16 @@
 import asyncio
 from dataclasses import dataclass, field, replace
 
+from zinniaturn.admission.table import AdmissionTable
 from zinniaturn.fleet.alive_vms import PeerVm
 from zinniaturn.fleet.datagrams import (
+    DatagramExtras,
     DatagramKind,
+    NoticeRow,
     StateClaim,
     encode_datagram,
 )
+from zinniaturn.fleet.domain import VmStage
 from zinniaturn.fleet.failure_detection import PingRound
 from zinniaturn.fleet.fleet_state import FleetState
 from zinniaturn.fleet.status_queue import StatusQueue
@@ -18,6 +22,12 @@
 from zinniaturn.http1.connections import Address
 
 _MOST_NEWS = 40
+_MOST_NOTICES = 5
+_MOST_NOTICES_TO_STARTING_VM = 30
+_MS_PER_SECOND = 1000
+
+
+_NO_EXTRAS = DatagramExtras()
 
 
 @dataclass(slots=True)
@@ -25,18 +35,25 @@
     """
     Sends datagrams while it has a ``transport``.
 
-    ``queue`` holds the VMs whose statuses are passed on.
+    ``queue`` holds the VMs whose statuses are passed on, and ``notice_queue``
+    the servers whose notices are.
     """
 
     fleet_state: FleetState
     vms: VmTable
+    admissions: AdmissionTable
     transport: asyncio.DatagramTransport | None = None
     queue: StatusQueue = field(default_factory=StatusQueue)
+    notice_queue: StatusQueue = field(default_factory=StatusQueue)
 
     def pass_on(self, name: str) -> None:
         """Add a VM's status to the news of the next datagrams."""
         self.queue.add(name, self.vms.max_size())
 
+    def pass_on_notice(self, server: str) -> None:
+        """Add what a server has said to the next datagrams."""
+        self.notice_queue.add(server, self.vms.max_size())
+
     def send_round(self, ping_round: PingRound) -> None:
         """Send a ping, and requests to others to send it too."""
         target = ping_round.target
@@ -48,7 +65,7 @@
                 sequence,
                 helper.record.exchange,
                 helper,
-                target.record.name,
+                DatagramExtras(target.record.name),
             )
 
     def send(
@@ -57,7 +74,7 @@
         sequence: int,
         address: Address,
         receiver: PeerVm | None,
-        target: str = '',
+        extras: DatagramExtras = _NO_EXTRAS,
     ) -> None:
         """
         Send a datagram with the latest news.
@@ -79,11 +96,45 @@
             news.append(receiver.status())
         self.transport.sendto(
             encode_datagram(
-                kind, sequence, sender, self._claim(), news, target
+                kind,
+                sequence,
+                sender,
+                self._claim(),
+                news,
+                replace(extras, notices=self._notice_rows(receiver)),
             ),
             address,
         )
 
+    def _notice_rows(self, receiver: PeerVm | None) -> list[NoticeRow]:
+        """
+        Return the notices for a datagram.
+
+        A VM that is starting has missed the earlier ones, so it is sent some of
+        all that are in force; it hears several VMs at its start.
+        """
+        servers = self.notice_queue.take(_MOST_NOTICES)
+        if receiver is not None and receiver.stage is VmStage.STARTING:
+            servers = list(self.admissions.active)
+            servers = servers[-_MOST_NOTICES_TO_STARTING_VM:]
+        now = self.vms.clock.monotonic()
+        return [
+            self._notice_row(server, now)
+            for server in servers
+            if server in self.admissions.admissions
+        ]
+
+    def _notice_row(self, server: str, now: float) -> NoticeRow:
+        notice = self.admissions.admissions[server].notice
+        age = max(0, now - notice.said_at)
+        return NoticeRow(
+            server,
+            notice.started_ms,
+            notice.limit,
+            notice.is_leaving,
+            round(age * _MS_PER_SECOND),
+        )
+
     def _claim(self) -> StateClaim:
         return StateClaim(
             self.fleet_state.revision,
--- a/zinniaturn/fleet/vms.py
+++ b/zinniaturn/fleet/vms.py
@@ -67,6 +67,10 @@
         own = self.own_status
         if (own.stage, own.load) == (stage, load):
             return False
+        if own.stage is not stage:
+            self.alive.ready.discard(own.name)
+            if stage is VmStage.READY:
+                self.alive.ready.add(own.name)
         self.own_status = replace(
             own, version=own.version + 1, stage=stage, load=load
         )
--- a/zinniaturn/gateway/attempt.py
+++ b/zinniaturn/gateway/attempt.py
@@ -43,6 +43,13 @@
     server = placement.candidate.registered.server
     address = placement.candidate.address
     connection = await _acquire_connection(state, address, placement)
+    if state.admissions.clock.monotonic() >= placement.send_before:
+        state.connections.keep_idle(address, connection)
+        raise AttemptError(
+            f'{server.name}: the permit expired before the request was sent',
+            Phase.NOT_SENT,
+            Event.CONNECT_FAILED,
+        )
     loop = connection.loop
     now = loop.time()
     payload = state.wire_format.server_request(
--- a/zinniaturn/gateway/dispatch.py
+++ b/zinniaturn/gateway/dispatch.py
@@ -45,6 +45,10 @@
         """Return whether connections should be closed after the response."""
         return self.state.is_stopping
 
+    def probe_leaving_servers(self) -> None:
+        """Probe the servers that said they leave; call it twice a second."""
+        self.attempt_runner.scheduler.search.probe_leaving()
+
     def handle(
         self,
         exchange: CallerExchange,
@@ -209,6 +213,7 @@
             probed=context.probe_count,
             queued=context.queue_length,
             avoids_slow=context.avoids_slow_servers,
+            withheld=context.withheld,
             load=report
             and [
                 report.busy,
--- a/zinniaturn/gateway/prober.py
+++ b/zinniaturn/gateway/prober.py
@@ -111,6 +111,14 @@
                 timer.cancel()
         return probe_round.results
 
+    def probe_in_background(
+        self, candidate: Candidate, health_path: str
+    ) -> None:
+        """Probe a server; the response only updates what is known of it."""
+        loop = asyncio.get_running_loop()
+        probe_round = _ProbeRound(1, loop.create_future(), is_closed=True)
+        self._start_probe(probe_round, candidate, health_path, loop)
+
     def release(self, result: ProbeResult) -> None:
         """Return the connection of an unused result to the pool."""
         self.connections.keep_idle(result.candidate.address, result.connection)
--- a/zinniaturn/gateway/process.py
+++ b/zinniaturn/gateway/process.py
@@ -7,6 +7,7 @@
 import signal
 from collections.abc import Callable, Coroutine
 
+from zinniaturn.admission.table import AdmissionTable
 from zinniaturn.clock import BootClock
 from zinniaturn.events.catalogue import LogEvent
 from zinniaturn.fleet.domain import FleetSnapshot, VmRecord, VmStage
@@ -74,11 +75,13 @@
         )
         self.fleet_state = FleetState(clock, store.decode_tables)
         self.vms = VmTable(record, clock)
+        admissions = AdmissionTable(clock)
         self.state = GatewayState(
             settings,
             wire_format,
             self.fleet_state,
             self.vms,
+            admissions,
             event_log,
             random_source,
             asyncio.get_running_loop().time(),
@@ -106,10 +109,13 @@
             self.fleet_state,
             self.vms,
             self.state.connections,
+            admissions,
             lambda: self.state.stage,
             lambda: round(self.state.own_request_rate()),
             self.reporter.note_rejected_message,
+            self.state.log_admission,
         )
+        self.state.gossip = self.peers
         now = clock.monotonic()
         self.joiner = FleetJoiner(
             store,
@@ -265,6 +271,7 @@
         while True:
             await asyncio.sleep(_MAINTENANCE_INTERVAL_SECONDS)
             self.state.connections.close_stale(loop.time())
+            self.dispatcher.probe_leaving_servers()
             self.reporter.log_vm_changes()
             if self.fleet_state.document is not None:
                 self.registration.reconcile(self.fleet_state.vms)
--- a/zinniaturn/gateway/request_context.py
+++ b/zinniaturn/gateway/request_context.py
@@ -22,7 +22,8 @@
     the next attempt avoids. ``elapsed_before`` is for how many seconds the
     caller had been trying before this request. ``verdict`` combines what is
     known from failed attempts. ``second_send`` is logged and says whether a
-    hedged request was sent, or why not.
+    hedged request was sent, or why not. ``withheld`` names a few servers that
+    wanted no request when the last server was chosen, with the reason.
     """
 
     request: Request
@@ -45,6 +46,7 @@
     queue_length: int = 0
     avoids_slow_servers: bool = False
     second_send: str = ''
+    withheld: list[str] = field(default_factory=list)
 
     @property
     def objective_at(self) -> float:
@@ -67,7 +69,8 @@
     has to get one. ``service_seconds`` is the estimated service time on an
     idle server and ``expected_seconds`` the estimated time to the response.
     Until ``is_estimate_settled``, the server's statistics count each
-    latency as the expected one.
+    latency as the expected one. The request may be sent until ``send_before``
+    by the boot clock.
     """
 
     candidate: Candidate
@@ -76,3 +79,4 @@
     expected_seconds: float
     load_report: LoadReport | None = None
     is_estimate_settled: bool = True
+    send_before: float = float('inf')
--- a/zinniaturn/gateway/scheduler.py
+++ b/zinniaturn/gateway/scheduler.py
@@ -13,6 +13,7 @@
 from zinniaturn.choosing.exceptions import RejectedError
 from zinniaturn.choosing.reports import LoadReport
 from zinniaturn.fleet.tables import FleetPool
+from zinniaturn.gateway.permit_search import PoolSurvey
 from zinniaturn.gateway.request_context import Placement, RequestContext
 from zinniaturn.gateway.searching import ServerSearch, offer_if_free
 from zinniaturn.gateway.state import GatewayState
@@ -25,6 +26,7 @@
 from zinniaturn.placing.probe_order import ProbeEffort
 from zinniaturn.placing.request_queue import Offer, QueuedRequest, RequestQueue
 from zinniaturn.placing.retry_after import RetryAfterJitter
+from zinniaturn.placing.return_schedule import ReturnSchedule
 
 _UNHEALTHY_PENALTY_FACTOR = 3.0
 _GOOD_ENOUGH_FACTOR = 1.4
@@ -38,8 +40,9 @@
     """
     Assigns requests to servers, with one queue for each pool.
 
-    ``service_times`` holds the estimated service time of each route, and
-    ``poll_tasks`` the task that keeps probing for a pool's queue.
+    ``service_times`` holds the estimated service time of each route,
+    ``poll_tasks`` the task that keeps probing for a pool's queue, and
+    ``return_schedules`` when the callers that a pool's limits bar come back.
     """
 
     def __init__(self, state: GatewayState) -> None:
@@ -49,6 +52,7 @@
         self.retry_after_jitter = RetryAfterJitter(state.random_source)
         self.queues: dict[str, RequestQueue] = {}
         self.poll_tasks: dict[str, asyncio.Task[None]] = {}
+        self.return_schedules: dict[str, ReturnSchedule] = {}
 
     async def place(self, context: RequestContext) -> Placement:
         """
@@ -62,8 +66,7 @@
             context.route.name,
             context.route.objective_seconds,
         )
-        if not self.search.candidates(context.pool):
-            raise self._rejection(service_seconds, 'no server is known')
+        await self._ensure_usable(context, service_seconds)
         decided = loop.create_future()
         queue = self.queue(context.pool.name)
         queued = QueuedRequest(
@@ -100,11 +103,46 @@
                 'no server is free in time',
             )
         placement = _build_placement(queued, queued.granted)
+        placement.send_before = queued.send_before
         placement.is_estimate_settled = self.service_times.is_settled(
             context.route.name
         )
         return placement
 
+    async def _ensure_usable(
+        self, context: RequestContext, service_seconds: float
+    ) -> None:
+        """
+        Make sure that some server may get a request.
+
+        Raises `RejectedError` if none may, also after requests for permits.
+        """
+        permits = self.search.permits
+        survey = permits.survey(context.pool)
+        context.withheld = survey.describe_withheld()
+        if survey.usable:
+            permits.request_ahead(survey)
+            return
+        if not survey.limited:
+            raise self._rejection(service_seconds, 'no server is known')
+        if await permits.obtain(survey):
+            return
+        seconds = self._seconds_at_limits(
+            context.pool, survey, context.route.priority
+        )
+        raise self._rejection(seconds, 'all servers are at their limits')
+
+    def _seconds_at_limits(
+        self, pool: FleetPool, survey: PoolSurvey, priority: int
+    ) -> float:
+        """Return when a caller should return that all servers' limits bar."""
+        schedule = self.return_schedules.setdefault(pool.name, ReturnSchedule())
+        return schedule.seconds(
+            self.search.permits.returns_per_second(survey),
+            priority,
+            asyncio.get_running_loop().time(),
+        )
+
     def queue(self, pool: str) -> RequestQueue:
         """Return the queue of a pool, which is created on first use."""
         return self.queues.setdefault(pool, RequestQueue())
@@ -161,7 +199,7 @@
             self._match_offers(
                 queue, self.search.unprobed_offers(context.pool, probe_order)
             )
-        if not any(
+        if probe_order and not any(
             candidate.stats.unanswered == 0 for candidate in probe_order
         ):
             self._offer_least_loaded(queue, probe_order)
@@ -247,13 +285,23 @@
                 * _POLL_INTERVAL_SECONDS,
             )
             queue.reject_unservable(loop.time())
-            if queue.waiting:
+            if queue.waiting and not self._reject_at_limits(pool, queue):
                 reserve = self._reserved_probes(queue)
                 offers = await self.search.poll_candidates(pool, reserve)
                 if offers is not None:
                     self._match_offers(queue, offers)
                     queue.note_offer_round(loop.time())
 
+    def _reject_at_limits(self, pool: FleetPool, queue: RequestQueue) -> bool:
+        """Reject all waiting requests if every server is at its limit."""
+        survey = self.search.permits.survey(pool)
+        if survey.usable or not survey.limited:
+            return False
+        queue.reject_all(
+            lambda priority: self._seconds_at_limits(pool, survey, priority)
+        )
+        return True
+
     def _reserved_probes(self, queue: RequestQueue) -> int:
         """Return how many probes to leave to new requests."""
         now = asyncio.get_running_loop().time()
--- a/zinniaturn/gateway/searching.py
+++ b/zinniaturn/gateway/searching.py
@@ -8,6 +8,7 @@
 
 from zinniaturn.choosing.reports import LoadReport
 from zinniaturn.fleet.tables import FleetPool
+from zinniaturn.gateway.permit_search import PermitSearch
 from zinniaturn.gateway.prober import Prober, ProbeResult
 from zinniaturn.gateway.request_context import RequestContext
 from zinniaturn.gateway.state import GatewayState
@@ -37,15 +38,11 @@
             state.settings.data_center,
         )
         self.budgets = ProbeBudgets(state.started_at)
+        self.permits = PermitSearch(state)
 
     def candidates(self, pool: FleetPool) -> list[Candidate]:
         """Return the servers of a pool that accept new requests."""
-        return [
-            candidate
-            for candidate in self.state.pools.get(pool.name, {}).values()
-            if not candidate.registered.server.leaving
-            and not candidate.stats.is_replaced
-        ]
+        return self.permits.survey(pool).usable
 
     def probe_order_for(self, context: RequestContext) -> list[Candidate]:
         """
@@ -98,7 +95,9 @@
         Returns ``None`` if the budget has too few probes. ``reserve`` probes
         are left in the budget for new requests.
         """
-        order = self._order(self.candidates(pool))
+        survey = self.permits.survey(pool)
+        self.permits.request_ahead(survey)
+        order = self._order(survey.usable)
         rounds = self.probe_order.rounds(order, self.probe_effort(pool))
         group = list(chain(*rounds[:_ROUNDS_PER_POLL]))
         if not self._take_probes(pool, len(group), reserve):
@@ -140,6 +139,32 @@
         self._refill_budgets()
         return self.budgets.probe_effort(pool.name)
 
+    def probe_leaving(self) -> None:
+        """
+        Probe the servers that told this VM that they leave.
+
+        They get no requests, so that only a probe shows whether one of them
+        stays after all; each is probed once in a few seconds.
+        """
+        now = self.state.admissions.clock.monotonic()
+        for name, admission in self.state.admissions.active.items():
+            notice = admission.notice
+            if not notice.is_leaving or notice.source:
+                continue
+            if admission.renewals.admit(now):
+                self._probe_once(name)
+
+    def _probe_once(self, name: str) -> None:
+        registered = self.state.fleet_state.servers.get(name)
+        tables = self.state.fleet_state.tables
+        if registered is None or tables is None:
+            return
+        pool = tables.pools.get(registered.pool)
+        candidate = self.state.pools[registered.pool][name]
+        if pool is None or candidate.stats.is_replaced:
+            return
+        self.prober.probe_in_background(candidate, pool.health_path)
+
     def release(self, offer: Offer) -> None:
         """Return the connection of an unused offer to the pool."""
         if offer.connection is not None:
--- a/zinniaturn/gateway/state.py
+++ b/zinniaturn/gateway/state.py
@@ -9,12 +9,13 @@
 from zinniaturn.admission.admission import (
     Admission,
     ResponseKind,
-    ServerNotice,
 )
 from zinniaturn.admission.statement import ServerStatement
+from zinniaturn.admission.table import AdmissionTable
 from zinniaturn.events.catalogue import LogEvent
 from zinniaturn.fleet.domain import VmStage
 from zinniaturn.fleet.fleet_state import FleetState, StateChange
+from zinniaturn.fleet.gossip import GossipProtocol
 from zinniaturn.fleet.tables import FleetRoute
 from zinniaturn.fleet.vms import VmTable
 from zinniaturn.gateway.counters import Counters
@@ -40,16 +41,18 @@
     The routes, servers, statistics and lifecycle stage of one process.
 
     ``pools`` holds the servers of each pool by name, with the statistics that
-    this process has gathered of them.
+    this process has gathered of them. ``gossip`` is set once it is built.
     """
 
     settings: GatewaySettings
     wire_format: WireFormat
     fleet_state: FleetState
     vms: VmTable
+    admissions: AdmissionTable
     event_log: EventLog
     random_source: random.Random
     started_at: float
+    gossip: GossipProtocol = field(init=False)
     stage: VmStage = VmStage.STARTING
     connections: ConnectionPool = field(default_factory=ConnectionPool)
     counters: Counters = field(default_factory=Counters)
@@ -99,16 +102,19 @@
             name = registered.server.name
             previous_candidate = previous.get(name)
             stats = ServerStats()
-            admission = Admission(ServerNotice(name, registered.started_ms))
             if (
                 previous_candidate
                 and previous_candidate.registered.started_ms
                 == registered.started_ms
             ):
                 stats = previous_candidate.stats
-                admission = previous_candidate.admission
             candidates = self.pools.setdefault(registered.pool, {})
-            candidates[name] = Candidate(registered, stats, admission)
+            candidates[name] = Candidate(
+                registered,
+                stats,
+                self.admissions.of_process(name, registered.started_ms),
+            )
+        self.admissions.retain(self.fleet_state.servers)
 
     def learn(
         self,
@@ -122,7 +128,7 @@
 
         ``elapsed_seconds`` is the time since the response's request was sent.
         """
-        now = self.fleet_state.clock.monotonic()
+        now = self.admissions.clock.monotonic()
         admission = candidate.admission
         if statement.unreadable:
             self.counters.events['server_statement_unreadable'] += 1
@@ -132,11 +138,19 @@
                     server=candidate.name,
                     fields=statement.unreadable,
                 )
-        if admission.learn(statement, kind, now - elapsed_seconds, now):
-            self.log_admission(admission, now)
+        changed = admission.learn(statement, kind, now - elapsed_seconds)
+        self.admissions.update_active(admission)
+        is_renewal = admission.notice.is_active and admission.renewals.admit(
+            now
+        )
+        if changed or is_renewal:
+            self.gossip.sender.pass_on_notice(candidate.name)
+        if changed:
+            self.log_admission(admission)
 
-    def log_admission(self, admission: Admission, now: float) -> None:
+    def log_admission(self, admission: Admission) -> None:
         """Count and log what a server says of the requests that it wants."""
+        now = self.admissions.clock.monotonic()
         notice = admission.notice
         self.counters.events['server_statement'] += 1
         self.event_log.write(
--- a/zinniaturn/placing/request_queue.py
+++ b/zinniaturn/placing/request_queue.py
@@ -70,6 +70,7 @@
     ``expect`` returns the expected seconds until the response of an offered
     server. ``on_end`` is called once ``granted`` is set to an offer, with its
     ``expected`` seconds, or ``retry_after_seconds`` to the rejection's time.
+    A granted request may be sent until ``send_before`` by the boot clock.
     A lower ``priority`` is more urgent. Servers in ``excluded`` are not used.
     """
 
@@ -83,6 +84,7 @@
     excluded: set[str] = field(default_factory=set)
     granted: Offer | None = None
     expected: float = 0
+    send_before: float = float('inf')
     retry_after_seconds: float | None = None
     offer_rounds: int = 0
 
@@ -129,6 +131,10 @@
                 best, best_rank, best_expected = request, rank, expected
         if best is None:
             return False
+        send_before = offer.candidate.admission.take()
+        if send_before is None:
+            return False
+        best.send_before = send_before
         self.waiting.remove(best)
         self.grants.note(now)
         best.granted = offer
@@ -171,6 +177,17 @@
                 rejected += 1
         return rejected + self._reject_excess(now)
 
+    def reject_all(self, seconds: Callable[[int], float]) -> None:
+        """
+        Reject all requests, the most urgent first.
+
+        ``seconds`` returns the retry-after time of one with a priority.
+        """
+        for request in sorted(
+            self.waiting, key=lambda request: request.priority
+        ):
+            self._reject(request, seconds(request.priority))
+
     def _rank(
         self,
         request: QueuedRequest,
--- a/zinniaturn/platform/standins/server.py
+++ b/zinniaturn/platform/standins/server.py
@@ -39,7 +39,8 @@
     detected. ``cancelled`` counts the requests whose connection was closed
     while they ran. ``limit`` is the text of the requests per second that the
     server names, ``pause`` that of the seconds that it asks a VM to wait when
-    it sheds a request. ``request_times`` are the times of all arrivals.
+    it sheds a request. Responses to probes tell the limit and the leaving only
+    with ``states_in_probes``. ``request_times`` are the times of all arrivals.
     """
 
     name: str = ''
@@ -65,6 +66,7 @@
     limit: bytes | None = None
     is_leaving: bool = False
     pause: bytes | None = None
+    states_in_probes: bool = True
     request_times: list[float] = field(default_factory=list)
     slot_semaphore: asyncio.Semaphore = field(init=False)
 
@@ -94,9 +96,10 @@
             self.probed += 1
             status = 200 if self.is_healthy else 503
             instance_field = (b'X-Instance-Id', self.name.encode())
-            return Response(
-                status, b'', [instance_field, *self._statement_fields()]
-            )
+            statement_fields = [self._load_report_field()]
+            if self.states_in_probes:
+                statement_fields = self._statement_fields()
+            return Response(status, b'', [instance_field, *statement_fields])
         self.arrivals += 1
         self.requests.append(request)
         request_id = find_field(request.fields, b'x-attempt-id') or b''
