Don't take as fresh what waited while the VM was paused

Cause: the ages in datagrams and in fetched states were counted from when they were read. Change: a guard that ticks with the gossip notices pauses by the boot clock; until 0.2 s after one, ages in datagrams are not used, and an owner grants no permits until 0.5 s after one. A fetched state counts from the request for it.

--- a/features/fleet_knowledge.feature
+++ b/features/fleet_knowledge.feature
@@ -97,6 +97,11 @@
     When another VM installs its state
     Then both hold the same state
 
+  Scenario: A state whose transfer took long counts as old as the request for it
+    Given a VM that holds revision 7 with server "a"
+    When another VM fetches its state and 3 s pass before the response arrives
+    Then the state that it fetched is at least 3 s old
+
   Scenario: Only the parts that the requester lacks are transferred
     Given a VM that holds revision 7 with server "a"
     And another VM that holds revision 6 with server "a"
--- a/features/gossip.feature
+++ b/features/gossip.feature
@@ -96,3 +96,25 @@
     When the cut heals
     And the fleet runs for 6 s
     Then every VM returns all others in look-ups
+
+  Scenario: A paused VM takes no datagram that waited for it as fresh
+    Given a VM that holds the same state as another one
+    When it is paused for 3 s
+    And a datagram arrives that says the state was confirmed 0.1 s ago
+    Then its state was not confirmed
+    When it runs for 0.1 s
+    And a datagram arrives that says the state was confirmed 0.1 s ago
+    Then its state was not confirmed
+    When it runs for 0.3 s
+    And a datagram arrives that says the state was confirmed 0.1 s ago
+    Then its state was confirmed
+
+  Scenario: A paused VM takes no notice of a server that waited for it as the newest
+    Given a VM that holds the same state as another one
+    And it heard 1 s ago that server "s-1" names a limit of 2
+    When it is paused for 3 s
+    And a datagram arrives that says "s-1" named a limit of 50 0.1 s ago
+    Then it holds a limit of 2 for "s-1"
+    When it runs for 0.3 s
+    And a datagram arrives that says "s-1" named a limit of 50 0.1 s ago
+    Then it holds a limit of 50 for "s-1"
--- a/features/steps/fleet_knowledge_steps.py
+++ b/features/steps/fleet_knowledge_steps.py
@@ -31,7 +31,10 @@
     encode_message,
     snapshot_from_message,
 )
+from zinniaturn.fleet.state_exchange import StateFetcher
 from zinniaturn.fleet.tables import FleetTables
+from zinniaturn.fleet.vms import VmTable
+from zinniaturn.http1.messages import Response
 
 _INVALID_DOCUMENT = b'unreadable'
 _DATAGRAM_HEADER_BYTES = 28
@@ -154,6 +157,58 @@
     context.other.install(snapshot, context.clock.monotonic())
 
 
+class _SlowConnections:
+    """Connections whose one response arrives after some time has passed."""
+
+    def __init__(self, clock, seconds, response):
+        self.clock = clock
+        self.seconds = seconds
+        self.response = response
+
+    def take_idle(self, address, now):
+        return self
+
+    async def send(self, exchange):
+        self.clock.advance(self.seconds)
+        return self.response
+
+    def release(self, address, connection, response):
+        """Keep nothing."""
+
+
+@when(
+    'another VM fetches its state and {seconds:g} s pass before the response '
+    'arrives'
+)
+def fetch_slowly(context, seconds):
+    context.other = build_fleet_state(context.clock)
+    raw = encode_message(
+        build_state_message(context.fleet_state, context.other.fingerprint)
+    )
+    fetcher = StateFetcher(
+        build_record('vm-2'),
+        context.other,
+        VmTable(build_record('vm-2'), context.clock),
+        _SlowConnections(context.clock, seconds, Response(200, b'', [], raw)),
+        random.Random(1),
+        lambda: None,
+        lambda statuses: None,
+        lambda error: None,
+    )
+
+    async def fetch():
+        fetcher.want_state(context.fleet_state.revision, build_record())
+        await fetcher.state_task
+
+    context.loop.run_until_complete(fetch())
+
+
+@then('the state that it fetched is at least {seconds:g} s old')
+def check_fetched_age(context, seconds):
+    assert context.other.revision == context.fleet_state.revision
+    assert context.other.age_seconds >= seconds, context.other.age_seconds
+
+
 @when('a VM receives the bytes "{text}" as {kind}')
 def receive_bytes(context, text, kind):
     _decode_invalid(context, bytes.fromhex(text), kind)
--- a/features/steps/server_limit_model_steps.py
+++ b/features/steps/server_limit_model_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from features.support.limit_rule import find_violation
+from zinniaturn.experiments.limit_days import find_violation
 from zinniaturn.experiments.limit_model import LimitModel
 
 _LOSS = 0.05
--- a/features/steps/server_limit_steps.py
+++ b/features/steps/server_limit_steps.py
@@ -10,10 +10,10 @@
     send_request,
     wait_until,
 )
-from features.support.limit_rule import (
+from features.support.limit_rule import most_in_window
+from zinniaturn.experiments.limit_days import (
     CONTACT_SECONDS,
     allowed_in_window,
-    most_in_window,
 )
 from zinniaturn.platform.standins import (
     ServerFault,
--- a/zinniaturn/experiments/gossip_model.py
+++ b/zinniaturn/experiments/gossip_model.py
@@ -91,7 +91,11 @@
 
 @dataclass(slots=True)
 class ModelVm:
-    """One VM; ``paused_until`` is the time at which it runs again."""
+    """
+    One VM; ``paused_until`` is the time at which it runs again.
+
+    ``starts`` counts its processes.
+    """
 
     record: VmRecord
     gossip: GossipProtocol
@@ -101,6 +105,7 @@
     bytes_sent: int = 0
     transfers: int = 0
     side: int = 0
+    starts: int = 1
 
     @property
     def name(self) -> str:
@@ -208,6 +213,7 @@
             [other.record for other in self.vms if other is not vm]
         )
         vm.is_running = True
+        vm.starts += 1
         vm.gossip.join()
         self._start_ticking(vm)
 
--- a/zinniaturn/experiments/limit_model.py
+++ b/zinniaturn/experiments/limit_model.py
@@ -8,6 +8,7 @@
 
 __all__ = ('LimitModel', 'LimitedServer')
 
+import math
 import random
 from bisect import bisect_left, bisect_right
 from collections.abc import Collection
@@ -22,6 +23,11 @@
 _REPLY_WAIT_SECONDS = 0.02
 _GROUP_SIZES = (1, 2)
 _STARTED_MS = 1
+# A VM counts as told from this time after its first answer with a limit.
+_TOLD_SECONDS = 0.5
+
+# A VM's name and the number of its process.
+Process = tuple[str, int]
 
 
 @dataclass(slots=True)
@@ -29,24 +35,43 @@
     """
     A server that states its limit in each response.
 
-    ``arrivals`` are the times and VMs of its requests, in order, and
-    ``changes`` the times and values of its limits.
+    ``arrivals`` are the times of its requests, in order, and ``told_arrivals``
+    those of requests from processes that had got an answer with the limit half
+    a second before. ``changes`` are the times and values of its limits, and
+    ``told_at`` is when each process first got an answer with the present one.
     """
 
     name: str
     limit: float | None = None
-    arrivals: list[tuple[float, str]] = field(default_factory=list)
+    arrivals: list[float] = field(default_factory=list)
+    told_arrivals: list[float] = field(default_factory=list)
     changes: list[tuple[float, float | None]] = field(default_factory=list)
+    told_at: dict[Process, float] = field(default_factory=dict)
 
     def set_limit(self, limit: float | None, now: float) -> None:
         """Name another limit from now on."""
         self.limit = limit
+        if limit is None:
+            self.told_at.clear()
         self.changes.append((now, limit))
 
+    def note_arrival(self, process: Process, now: float) -> None:
+        """Count a request of a VM's process."""
+        self.arrivals.append(now)
+        told_at = self.told_at.get(process, math.inf)
+        if told_at + _TOLD_SECONDS <= now:
+            self.told_arrivals.append(now)
+
+    def note_answer(self, process: Process, now: float) -> None:
+        """Note that a process gets an answer."""
+        if self.limit is not None:
+            self.told_at.setdefault(process, now)
+
     def count(self, start: float, end: float) -> int:
         """Return the arrivals from ``start`` up to ``end``."""
-        times = [time for time, _ in self.arrivals]
-        return bisect_right(times, end) - bisect_left(times, start)
+        return bisect_right(self.arrivals, end) - bisect_left(
+            self.arrivals, start
+        )
 
 
 class LimitModel:
@@ -136,16 +161,16 @@
         """Send a request if the server's admission allows it."""
         if self._admission(vm, server).take() is None:
             return False
-        gossip = vm.gossip
+        process = vm.name, vm.starts
         sent_at = self.fleet.clock.monotonic()
 
         def arrive() -> None:
             now = self.fleet.clock.monotonic()
-            server.arrivals.append((now, vm.name))
+            server.note_arrival(process, now)
             self.fleet.schedule(_WORK_SECONDS, respond)
 
         def respond() -> None:
-            if vm.gossip is gossip and vm.is_running:
+            if process == (vm.name, vm.starts) and vm.is_running:
                 self._learn(vm, server, sent_at)
 
         self.fleet.schedule(_SEND_SECONDS, arrive)
@@ -155,6 +180,7 @@
         self, vm: ModelVm, server: LimitedServer, sent_at: float
     ) -> None:
         admission = self._admission(vm, server)
+        server.note_answer((vm.name, vm.starts), self.fleet.clock.monotonic())
         changed = admission.learn(
             ServerStatement(limit=server.limit), ResponseKind.REQUEST, sent_at
         )
--- a/zinniaturn/experiments/registry.py
+++ b/zinniaturn/experiments/registry.py
@@ -56,6 +56,16 @@
         'CPU time until ready and peak memory of a gateway process',
         'zinniaturn.experiments.start:run_start',
     ),
+    Experiment(
+        'limits',
+        '20 random days of servers with limits before 13 VMs, from --seed on',
+        'zinniaturn.experiments.limit_days:run_limit_days',
+    ),
+    Experiment(
+        'limits-large',
+        '2 random days of servers with limits before 97 VMs, from --seed on',
+        'zinniaturn.experiments.limit_days:run_large_limit_days',
+    ),
     Experiment(
         'soak',
         'gateway processes under random injected faults, by --seed',
--- a/zinniaturn/fleet/gossip.py
+++ b/zinniaturn/fleet/gossip.py
@@ -34,6 +34,7 @@
 )
 from zinniaturn.fleet.fleet_state import FleetState
 from zinniaturn.fleet.gossip_sender import GossipSender
+from zinniaturn.fleet.pause_guard import PauseGuard
 from zinniaturn.fleet.permit_exchange import PermitExchange
 from zinniaturn.fleet.relays import PingRelays
 from zinniaturn.fleet.state_exchange import NETWORK_DELAY_SECONDS, StateFetcher
@@ -92,13 +93,19 @@
     detector: FailureDetector = field(init=False)
     fetcher: StateFetcher = field(init=False)
     table_sync: TableSync = field(init=False)
+    pause_guard: PauseGuard = field(init=False)
     permits: PermitExchange = field(init=False)
 
     def __post_init__(self) -> None:
         """Build the parts that share the tables."""
         self.sender = GossipSender(self.fleet_state, self.vms, self.admissions)
+        self.pause_guard = PauseGuard(self.vms.clock.monotonic())
         self.permits = PermitExchange(
-            self.vms, self.admissions, self.sender, self.random_source
+            self.vms,
+            self.admissions,
+            self.sender,
+            self.pause_guard,
+            self.random_source,
         )
         self.detector = FailureDetector(self.vms, self.random_source)
         self.table_sync = TableSync(self.vms)
@@ -134,6 +141,7 @@
         """Send the pings of one interval and declare dead VMs."""
         now = self.vms.clock.monotonic()
         self._update_own_status()
+        self.pause_guard.tick(now)
         self.permits.tick()
         rounds, dead = self.detector.tick(now)
         for name in dead:
@@ -174,8 +182,9 @@
         sender = datagram.sender_status
         self._learn((sender, *datagram.news_statuses()))
         peer = self.vms.note_heard(sender.name, sender.version)
-        self._learn_notices(datagram)
-        self._compare_state(datagram)
+        if not self.pause_guard.is_after_pause(self.vms.clock.monotonic()):
+            self._learn_notices(datagram)
+            self._compare_state(datagram)
         self._compare_tables(datagram, peer)
         self._respond(datagram, peer, addr)
 
--- a/zinniaturn/fleet/permit_exchange.py
+++ b/zinniaturn/fleet/permit_exchange.py
@@ -26,6 +26,7 @@
     PermitRequestRow,
 )
 from zinniaturn.fleet.gossip_sender import GossipSender
+from zinniaturn.fleet.pause_guard import PauseGuard
 from zinniaturn.fleet.server_owners import grantable_share, owner_of
 from zinniaturn.fleet.vms import VmTable
 from zinniaturn.http1.connections import Address
@@ -38,8 +39,6 @@
 _FAILED_WAIT_SECONDS = 0.1
 _SHORTEST_WAIT_SECONDS = 0.05
 _LONGEST_WAIT_SECONDS = 1.0
-# An owner that hears itself tick less often than this was paused.
-_LONGEST_TICK_GAP_SECONDS = 0.4
 # After a pause an owner grants nothing until others could tell it of changes.
 _CATCH_UP_SECONDS = 0.5
 _SEQUENCE_BITS = 31
@@ -74,13 +73,13 @@
 
     ``pending`` are the requests without a reply, and ``blocked_until`` the
     times before which no further permit is requested, both by server.
-    ``waiters`` are futures that are resolved at the next reply. ``grants_from``
-    is the time from which this VM grants permits after a pause.
+    ``waiters`` are futures that are resolved at the next reply.
     """
 
     vms: VmTable
     admissions: AdmissionTable
     sender: GossipSender
+    pause_guard: PauseGuard
     random_source: random.Random
     call_later: CallLater | None = None
     grantor: PermitGrantor = field(default_factory=PermitGrantor)
@@ -88,8 +87,6 @@
     blocked_until: dict[str, float] = field(default_factory=dict)
     waiters: list['asyncio.Future[None]'] = field(default_factory=list)
     budget: TokenBucket = field(init=False)
-    ticked_at: float = field(init=False)
-    grants_from: float = float('-inf')
     requested: int = 0
     granted: int = 0
     refused: int = 0
@@ -97,15 +94,11 @@
     def __post_init__(self) -> None:
         """Start the budget of requests."""
         now = self.vms.clock.monotonic()
-        self.ticked_at = now
         self.budget = TokenBucket(_REQUESTS_PER_SECOND, _REQUEST_BURST, now)
 
     def tick(self) -> None:
-        """Note that the process runs, and whether it was paused before."""
+        """Drop what has expired; call it ten times a second."""
         now = self.vms.clock.monotonic()
-        if now - self.ticked_at > _LONGEST_TICK_GAP_SECONDS:
-            self.grants_from = now + _CATCH_UP_SECONDS
-        self.ticked_at = now
         self.blocked_until = {
             server: until
             for server, until in self.blocked_until.items()
@@ -251,8 +244,8 @@
     def _grant(self, request: PermitRequest, now: float) -> Grant:
         """Grant permits if this VM takes itself for the server's owner."""
         is_owner = owner_of(self.vms, request.server) == self.vms.own.name
-        is_late = now - self.ticked_at > _LONGEST_TICK_GAP_SECONDS
-        if not is_owner or is_late or now < self.grants_from:
+        is_unsure = self.pause_guard.is_after_pause(now, _CATCH_UP_SECONDS)
+        if not is_owner or is_unsure:
             return Grant(0, _FAILED_WAIT_SECONDS)
         return self.grantor.grant(request, grantable_share(self.vms), now)
 
--- a/zinniaturn/fleet/state_exchange.py
+++ b/zinniaturn/fleet/state_exchange.py
@@ -120,9 +120,10 @@
             held.servers,
             held.vms,
         )
+        sent_at = self.fleet_state.clock.monotonic()
         response = await self._request(record, target)
         if response is not None:
-            self._install_state(response)
+            self._install_state(response, sent_at)
 
     async def _fetch_vms(self, record: VmRecord) -> None:
         response = await self._request(record, _VMS_PATH)
@@ -187,7 +188,13 @@
         self.connections.release(address, connection, response)
         return response
 
-    def _install_state(self, response: Response) -> None:
+    def _install_state(self, response: Response, sent_at: float) -> None:
+        """
+        Install a state that was requested at ``sent_at``.
+
+        The state's age is as of when it was sent, which was then or later; the
+        response may have waited since, while this VM was paused.
+        """
         try:
             state, content = decode_state(response.body)
         except PeerMessageError as error:
@@ -199,8 +206,7 @@
         if snapshot is None:
             return
         age = state.age_ms / _MS_PER_SECOND + NETWORK_DELAY_SECONDS
-        requested_at = self.fleet_state.clock.monotonic() - age
-        self.fleet_state.install(snapshot, requested_at)
+        self.fleet_state.install(snapshot, sent_at - age)
         self.on_state()
 
 
