Follow a store that comes back from an older copy

Cause: states were ordered by the store's revision alone.

Change: the adapter joins Store-Era and revision into one number, so that the order holds in tables, claims, fetches and digests. In a new era a document of an earlier version is not used, servers that had gone stay so for ten seconds, those that the copy lacks have two seconds, and the VM's own record is checked at once. A read whose pages are of two eras fails.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -88,6 +88,9 @@
     Then it granted between 19 and 21 permits
     And in no second more than 3
 
+  Scenario: No permit is requested for a server whose limit has just ended
+    Then a VM requests no permit for it
+
   Scenario: A repeated request gets the same permits, not further ones
     When a VM repeats a request for permits 5 times
     Then it got the same reply each time and the owner granted 1 permit
--- a/features/fleet_model.feature
+++ b/features/fleet_model.feature
@@ -23,3 +23,18 @@
     Given VMs that take any heartbeat as a confirmation
     When 2 VMs and 2 servers are run through every sequence of 6 events
     Then some VM confirmed a state that misses a leaving server
+
+  Scenario: No short sequence with a store that goes back violates an invariant
+    Given a store that goes back, and writes that are made again
+    When 1 VMs and 1 servers are run through every sequence of 6 events
+    Then no VM confirmed a state that misses a leaving server
+
+  Scenario Outline: No long sequence with a store that goes back violates an invariant
+    Given a store that goes back, and writes that are made again
+    When 2 VMs and 2 servers are run through <count> random sequences of 30 events with seed <seed>
+    Then no VM confirmed a state that misses a leaving server
+
+    Examples:
+      | count | seed |
+      | 300   | 1    |
+      | 300   | 2    |
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -7,6 +7,7 @@
 from zinniaturn.admission.statement import ServerStatement
 from zinniaturn.admission.table import AdmissionTable
 from zinniaturn.clock import ManualClock
+from zinniaturn.experiments.gossip_model import GossipModel
 from zinniaturn.placing.return_schedule import ReturnSchedule
 
 _SERVER = 's-1'
@@ -265,3 +266,10 @@
 @then('none returns later than after {seconds:g} s')
 def check_latest(context, seconds):
     assert max(context.returns[1]) <= seconds
+
+
+@then('a VM requests no permit for it')
+def check_no_request(context):
+    vm = GossipModel(2, 1).vms[0]
+    assert not vm.gossip.permits.request(context.admission)
+    assert not vm.datagrams_sent
--- a/features/steps/fleet_model_steps.py
+++ b/features/steps/fleet_model_steps.py
@@ -2,6 +2,7 @@
 
 from behave import given, then, when
 
+from features.support.drill_model import DrillModel
 from features.support.fleet_model import (
     FleetModel,
     run_random,
@@ -10,19 +11,30 @@
 from features.support.gateway import seeded_random
 
 
+def _build(context, vms, servers):
+    if getattr(context, 'goes_back', False):
+        return DrillModel(vms, servers)
+    confirms_anything = getattr(context, 'confirms_anything', False)
+    return FleetModel(vms, servers, confirms_anything)
+
+
 @given('VMs that take any heartbeat as a confirmation')
 def confirm_anything(context):
     context.confirms_anything = True
 
 
+@given('a store that goes back, and writes that are made again')
+def let_store_go_back(context):
+    context.goes_back = True
+
+
 @when(
     '{vms:d} VMs and {servers:d} servers are run through every sequence of '
     '{depth:d} events',
 )
 def run_every_sequence(context, vms, servers, depth):
-    confirms_anything = getattr(context, 'confirms_anything', False)
     context.is_violated = violates_invariant(
-        FleetModel(vms, servers, confirms_anything), depth
+        _build(context, vms, servers), depth
     )
 
 
@@ -32,7 +44,7 @@
 )
 def run_random_sequences(context, vms, servers, count, events, seed):
     context.models = run_random(
-        lambda: FleetModel(vms, servers),
+        lambda: _build(context, vms, servers),
         count,
         events,
         seeded_random(seed),
--- a/features/steps/gossip_pause_steps.py
+++ b/features/steps/gossip_pause_steps.py
@@ -24,8 +24,10 @@
 def build_pair(context):
     context.model = GossipModel(2, 1)
     context.clock = context.model.clock
-    context.receiver, context.sender = context.model.vms
-    for vm in context.model.vms:
+    vms = context.model.vms
+    context.receiver = vms[0]
+    context.sender = vms[1]
+    for vm in vms:
         vm.gossip.fleet_state.install(
             build_snapshot(3, [build_registered('s-1')]), context.clock.now
         )
--- a/features/support/fleet_model.py
+++ b/features/support/fleet_model.py
@@ -41,7 +41,7 @@
     has two seconds to register again, and is exempt until then.
     """
 
-    def __init__(self, vms, servers, confirms_anything=False):
+    def __init__(self, vms, servers, confirms_anything=False, decode=None):
         self.clock = ManualClock(100)
         self.confirms_anything = confirms_anything
         self.revision = 1
@@ -50,7 +50,9 @@
             for number in range(servers)
         }
         self.history = []
-        self.vm_states = [build_fleet_state(self.clock) for _ in range(vms)]
+        self.vm_states = [
+            build_fleet_state(self.clock, decode) for _ in range(vms)
+        ]
         self.replies = []
         self.heartbeats = []
         self.learned_from_peers = 0
--- a/zinniaturn/events/catalogue.py
+++ b/zinniaturn/events/catalogue.py
@@ -54,6 +54,7 @@
     SERVERS_UNREADABLE = 723
     FLEET_STORE_LOST = 724
     FLEET_STORE_BACK = 725
+    STORE_WENT_BACK = 726
     SERVER_OUT = 730
     SERVER_STATEMENT = 731
     SERVER_STATEMENT_UNREADABLE = 732
@@ -190,6 +191,10 @@
             _INFO,
             'the store responds to this VM again',
         ),
+        LogEvent.STORE_WENT_BACK: (
+            _WARNING,
+            'the store came back from an older copy',
+        ),
         LogEvent.SERVER_OUT: (
             _WARNING,
             'a failing backend server was ejected for a limited time',
--- a/zinniaturn/experiments/limit_days.py
+++ b/zinniaturn/experiments/limit_days.py
@@ -90,8 +90,8 @@
     model = LimitModel(size, source.randint(1, _MOST_SERVERS), seed, _LOSS)
     model.run(1)
     model.set_rates(model.fleet.vms, _REQUESTS_PER_SECOND)
-    for server in model.servers:
-        model.name_limit(server, _random_limit(source))
+    for limited in model.servers:
+        model.name_limit(limited, _random_limit(source))
     end = model.fleet.clock.monotonic() + _DAY_SECONDS
     while model.fleet.clock.monotonic() < end:
         model.run(source.uniform(0.2, 3))
--- a/zinniaturn/fleet/fleet_state.py
+++ b/zinniaturn/fleet/fleet_state.py
@@ -3,9 +3,15 @@
 
 The state only moves forward: a snapshot of an older revision changes nothing,
 and a server that was seen leaving stays leaving until it is seen restarted.
+
+A store that comes back from an older copy begins a new era, whose revisions are
+higher than all before. Until the operators have written their document again,
+the copy may hold an earlier version of it; the later one stays in force.
+Servers that had gone stay so although the copy lists them, and those that it
+lacks have time to register again.
 """
 
-__all__ = ('FleetState', 'StateChange', 'StateFingerprint')
+__all__ = ('FleetState', 'StateFingerprint')
 
 import zlib
 from collections.abc import Callable, Iterable
@@ -21,7 +27,10 @@
     TablesDocument,
 )
 from zinniaturn.fleet.exceptions import BadDocumentError
+from zinniaturn.fleet.gone_servers import GoneServers
+from zinniaturn.fleet.revisions import era_of
 from zinniaturn.fleet.server_changes import ServerChanges, changed_names
+from zinniaturn.fleet.state_change import StateChange, describe_servers
 from zinniaturn.fleet.tables import FleetTables
 
 _OUTAGE_THRESHOLD_SECONDS = 3.0
@@ -32,29 +41,6 @@
 TablesDecoder = Callable[[TablesDocument], FleetTables]
 
 
-@dataclass(frozen=True, slots=True)
-class StateChange:
-    """
-    The difference that a snapshot made to the state.
-
-    ``refused`` says why the snapshot or its document was not used.
-    """
-
-    revision: int
-    tables_revision: int | None = None
-    joined: tuple[str, ...] = ()
-    leaving: tuple[str, ...] = ()
-    gone: tuple[str, ...] = ()
-    refused: str = ''
-    listed_vms_changed: bool = False
-
-    def __bool__(self) -> bool:
-        """Return whether anything has changed."""
-        changed = self.joined or self.leaving or self.gone or self.refused
-        has_tables = self.tables_revision is not None
-        return bool(changed) or has_tables or self.listed_vms_changed
-
-
 @dataclass(frozen=True, slots=True)
 class StateFingerprint:
     """
@@ -84,7 +70,8 @@
     of the newest document that could be decoded. ``grace_until`` holds the
     servers that were missing from the store after an outage, with the time
     until which they are kept; ``shared_servers`` are all others, which other
-    VMs may get from this one.
+    VMs may get from this one. ``outdated_revision`` is that of a document which
+    is not used because a later version is in force.
     """
 
     clock: Clock
@@ -99,6 +86,8 @@
     fingerprint: StateFingerprint = field(default_factory=StateFingerprint)
     shared_servers: dict[str, RegisteredServer] = field(default_factory=dict)
     server_changes: ServerChanges = field(default_factory=ServerChanges)
+    gone_servers: GoneServers = field(default_factory=GoneServers)
+    outdated_revision: int = 0
     observers: list[Callable[[StateChange], None]] = field(default_factory=list)
 
     @property
@@ -138,6 +127,8 @@
             requested_at - self.confirmed_at > _OUTAGE_THRESHOLD_SECONDS
         )
         now = self.clock.monotonic()
+        store_went_back = self._note_era(snapshot.revision)
+        after_outage = after_outage or store_went_back
         self.revision = snapshot.revision
         self.confirmed_at = max(self.confirmed_at, requested_at)
         tables_revision, refused = self._install_document(snapshot.document)
@@ -146,24 +137,29 @@
         previous = self.servers
         self.servers = self._merge_servers(snapshot.servers, after_outage, now)
         self._update_fingerprint()
-        return self._notify(
-            StateChange(
-                snapshot.revision,
-                tables_revision,
-                joined=_joined(previous, self.servers),
-                leaving=_newly_leaving(previous, self.servers),
-                gone=tuple(
-                    name for name in previous if name not in self.servers
-                ),
-                refused=refused,
-                listed_vms_changed=listed_vms_changed,
-            ),
+        change = StateChange(
+            snapshot.revision,
+            tables_revision,
+            refused=refused,
+            listed_vms_changed=listed_vms_changed,
+            store_went_back=store_went_back,
         )
+        return self._notify(describe_servers(change, previous, self.servers))
 
     def confirm(self, revision: int, requested_at: float) -> None:
         """Record that the state was also the store's at a later revision."""
+        store_went_back = self._note_era(revision)
         self.revision = max(self.revision, revision)
         self.confirmed_at = max(self.confirmed_at, requested_at)
+        if store_went_back:
+            self._notify(StateChange(revision, store_went_back=True))
+
+    def _note_era(self, revision: int) -> bool:
+        """Return whether a revision shows that the store has gone back."""
+        store_went_back = 0 < era_of(self.revision) < era_of(revision)
+        if store_went_back:
+            self.gone_servers.went_back_at = self.clock.monotonic()
+        return store_went_back
 
     def drop_expired_servers(self) -> None:
         """Remove servers that didn't register again after an outage."""
@@ -173,7 +169,7 @@
         ]
         for name in expired:
             self.grace_until.pop(name)
-            self.servers.pop(name, None)
+            self.gone_servers.note_gone(self.servers.pop(name), now)
         if expired:
             self._update_fingerprint()
             self._notify(StateChange(self.revision, gone=tuple(expired)))
@@ -186,13 +182,29 @@
         held = self.document.revision if self.document else 0
         if document is None or document.revision <= held:
             return None, ''
-        self.document = document
+        if document.revision == self.outdated_revision:
+            return None, ''
         try:
-            self.tables = self.decode(document)
+            tables = self.decode(document)
         except BadDocumentError as error:
+            self.document = document
             return None, error.message
+        if self._is_reverted(document, tables):
+            self.outdated_revision = document.revision
+            return None, ''
+        self.document = document
+        self.tables = tables
         return document.revision, ''
 
+    def _is_reverted(
+        self, document: TablesDocument, tables: FleetTables
+    ) -> bool:
+        """Return whether a new era's document is an earlier version."""
+        if self.document is None or self.tables is None:
+            return False
+        is_new_era = era_of(document.revision) > era_of(self.document.revision)
+        return is_new_era and tables.version < self.tables.version
+
     def _merge_servers(
         self,
         servers: Iterable[RegisteredServer],
@@ -209,6 +221,9 @@
         merged = {}
         for registered in servers:
             name = registered.server.name
+            if self.gone_servers.is_revived(registered, now):
+                continue
+            self.gone_servers.note_listed(registered)
             merged[name] = _keep_leaving(self.servers.get(name), registered)
             self.grace_until.pop(name, None)
         for name, known in self.servers.items():
@@ -220,6 +235,7 @@
                 merged[name] = known
             else:
                 self.grace_until.pop(name, None)
+                self.gone_servers.note_gone(known, now)
         return merged
 
     def _update_fingerprint(self) -> None:
@@ -276,29 +292,5 @@
     return registered
 
 
-def _joined(
-    previous: dict[str, RegisteredServer],
-    servers: dict[str, RegisteredServer],
-) -> tuple[str, ...]:
-    return tuple(
-        name
-        for name, registered in servers.items()
-        if name not in previous
-        or previous[name].started_ms != registered.started_ms
-    )
-
-
-def _newly_leaving(
-    previous: dict[str, RegisteredServer],
-    servers: dict[str, RegisteredServer],
-) -> tuple[str, ...]:
-    return tuple(
-        name
-        for name, registered in servers.items()
-        if registered.server.leaving
-        and not (name in previous and previous[name].server.leaving)
-    )
-
-
 def _digest(rows: object) -> int:
     return zlib.crc32(msgspec.msgpack.encode(rows))
--- a/zinniaturn/fleet/permit_exchange.py
+++ b/zinniaturn/fleet/permit_exchange.py
@@ -114,6 +114,8 @@
 
         Returns whether a reply is to be expected.
         """
+        if not admission.is_limited:
+            return False
         server = admission.notice.server
         now = self.vms.clock.monotonic()
         count = admission.permits.shortage(now)
--- a/zinniaturn/fleet/registration.py
+++ b/zinniaturn/fleet/registration.py
@@ -65,6 +65,10 @@
             self._start_write(self.store.unregister(dead))
             return
 
+    def forget_writes(self) -> None:
+        """Note that the store may have lost what was written to it."""
+        self.written_at = float('-inf')
+
     def _may_register(self, now: float, listed: Sequence[StoredVm]) -> bool:
         """
         Return whether this VM knows enough of the others to write its record.
--- a/zinniaturn/fleet/tables.py
+++ b/zinniaturn/fleet/tables.py
@@ -53,9 +53,15 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetTables:
-    """Routes, pools and caller limits of one revision of the document."""
+    """
+    Routes, pools and caller limits of one revision of the document.
+
+    ``version`` is the operators' own number of their document. It grows with
+    each one that they write, also across the eras of the store.
+    """
 
     revision: int = 0
     routes: Mapping[str, FleetRoute] = field(default_factory=dict)
     pools: Mapping[str, FleetPool] = field(default_factory=dict)
     caller_limits: CallerLimits = field(default_factory=CallerLimits)
+    version: int = 0
--- a/zinniaturn/gateway/process.py
+++ b/zinniaturn/gateway/process.py
@@ -20,6 +20,7 @@
 )
 from zinniaturn.fleet.poll_schedule import PollSchedule
 from zinniaturn.fleet.registration import VmRegistration
+from zinniaturn.fleet.state_change import StateChange
 from zinniaturn.fleet.state_exchange import StateService
 from zinniaturn.fleet.store import FleetStore
 from zinniaturn.fleet.store_poller import StorePoller
@@ -89,6 +90,7 @@
         self.dispatcher = Dispatcher(self.state)
         self.reporter = StateReporter(self.state, self.dispatcher)
         self.fleet_state.observers.append(self.reporter.apply_change)
+        self.fleet_state.observers.append(self._on_change)
         self.store_poller = StorePoller(
             store,
             self.fleet_state,
@@ -260,6 +262,12 @@
     def _in_flight(self) -> int:
         return sum(listener.in_flight for listener in self.listeners)
 
+    def _on_change(self, change: StateChange) -> None:
+        """Check this VM's record at once when the store may have lost it."""
+        if change.store_went_back:
+            self.registration.forget_writes()
+            self.registration.reconcile(self.fleet_state.vms)
+
     def _on_fleet_read(self, snapshot: FleetSnapshot) -> None:
         """Check this VM's record in a new snapshot and tell other VMs."""
         self.registration.reconcile(snapshot.vms)
--- a/zinniaturn/gateway/reporting.py
+++ b/zinniaturn/gateway/reporting.py
@@ -8,7 +8,8 @@
 from zinniaturn.events.catalogue import LogEvent
 from zinniaturn.fleet.domain import FleetSnapshot, VmStage
 from zinniaturn.fleet.exceptions import FleetStoreError
-from zinniaturn.fleet.fleet_state import StateChange
+from zinniaturn.fleet.revisions import era_of, number_of
+from zinniaturn.fleet.state_change import StateChange
 from zinniaturn.gateway.dispatch import Dispatcher
 from zinniaturn.gateway.state import GatewayState
 
@@ -39,6 +40,8 @@
             [vm.record for vm in self.state.fleet_state.vms]
         )
         self.state.apply_change(change)
+        if change.store_went_back:
+            self._log_store_went_back(change)
         if change.refused:
             self.state.event_log.write(
                 LogEvent.TABLES_REFUSED,
@@ -62,6 +65,15 @@
             gc.collect()
             gc.freeze()
 
+    def _log_store_went_back(self, change: StateChange) -> None:
+        tables = self.state.fleet_state.tables
+        self.state.event_log.write(
+            LogEvent.STORE_WENT_BACK,
+            era=era_of(change.revision),
+            revision=number_of(change.revision),
+            tables_version=tables.version if tables else 0,
+        )
+
     def _log_tables(self, change: StateChange) -> None:
         tables = self.state.fleet_state.tables
         assert tables is not None
--- a/zinniaturn/gateway/state.py
+++ b/zinniaturn/gateway/state.py
@@ -14,8 +14,9 @@
 from zinniaturn.admission.table import AdmissionTable
 from zinniaturn.events.catalogue import LogEvent
 from zinniaturn.fleet.domain import VmStage
-from zinniaturn.fleet.fleet_state import FleetState, StateChange
+from zinniaturn.fleet.fleet_state import FleetState
 from zinniaturn.fleet.gossip import GossipProtocol
+from zinniaturn.fleet.state_change import StateChange
 from zinniaturn.fleet.tables import FleetRoute
 from zinniaturn.fleet.vms import VmTable
 from zinniaturn.gateway.counters import Counters
--- a/zinniaturn/platform/documents.py
+++ b/zinniaturn/platform/documents.py
@@ -19,6 +19,8 @@
 # The kinds of routes whose requests may run more than once.
 _IDEMPOTENT_KINDS = frozenset(('idempotent', 'download'))
 _MILLISECONDS_PER_SECOND = 1000
+# Versions are written in hexadecimal digits.
+_VERSION_BASE = 16
 
 
 class _ColumnTable(msgspec.Struct):
@@ -84,6 +86,7 @@
     """Return the tables of a document; raises `BadDocumentError`."""
     try:
         decoded = _document_decoder.decode(document.raw)
+        version = int(decoded.version, _VERSION_BASE)
         routes = [
             _build_route(row) for row in _decode_rows(decoded.routes, _Route)
         ]
@@ -97,6 +100,7 @@
         {route.name: route for route in routes},
         {pool.name: pool for pool in pools},
         _build_limits(decoded.limits),
+        version,
     )
 
 
--- a/zinniaturn/platform/standins/store.py
+++ b/zinniaturn/platform/standins/store.py
@@ -44,7 +44,8 @@
     A key-value store with leases and revisions.
 
     ``faults`` holds the fault for the calls of each host; the key ``''``
-    applies to all hosts. ``calls`` counts the calls by path, and
+    applies to all hosts. ``era`` rises each time that the store comes back from
+    an older copy. ``calls`` counts the calls by path, and
     ``reads_by_host`` the range reads of each host.
     """
 
@@ -55,6 +56,7 @@
     calls: dict[str, int] = field(default_factory=dict)
     page_items: int = _ITEMS_PER_PAGE
     reads_by_host: Counter[str] = field(default_factory=Counter)
+    era: int = 1
     lease_ids: 'itertools.count[int]' = field(
         default_factory=lambda: itertools.count(1),
     )
@@ -71,6 +73,13 @@
         if self.keys.pop(key, None) is not None:
             self.revision += 1
 
+    def go_back(self, keys: dict[str, _StoredValue], revision: int) -> None:
+        """Come back from a copy of the keys; leases are lost."""
+        self.keys = dict(keys)
+        self.leases.clear()
+        self.revision = revision
+        self.era += 1
+
     def handle(self, exchange: CallerExchange) -> Reply:
         """Serve a call, or apply the fault that is set for its host."""
         path, _, query = exchange.request.target.decode().partition('?')
@@ -87,6 +96,7 @@
         if fault is StoreFault.SILENT:
             return _never_reply()
         reply = self._serve(exchange, path, parse_qs(query))
+        reply.fields.append((b'Store-Era', b'%d' % self.era))
         if fault is StoreFault.LOST:
             return _never_reply()
         return reply
--- a/zinniaturn/platform/store.py
+++ b/zinniaturn/platform/store.py
@@ -23,11 +23,12 @@
     VmRecord,
 )
 from zinniaturn.fleet.exceptions import FleetStoreError
+from zinniaturn.fleet.revisions import join_revision
 from zinniaturn.fleet.tables import FleetTables
 from zinniaturn.http1.backend import Exchange
 from zinniaturn.http1.connections import Address, ConnectionPool
 from zinniaturn.http1.exceptions import ConnectFailedError, ExchangeBrokenError
-from zinniaturn.http1.messages import Response
+from zinniaturn.http1.messages import Response, find_field
 from zinniaturn.platform.documents import decode_document
 from zinniaturn.platform.server_entries import decode_server
 
@@ -36,6 +37,9 @@
 _VM_PREFIX = 'zinniaturn/vms/'
 _CALL_TIMEOUT_SECONDS = 0.7
 _NO_ID_FIELD = b'-'
+# Rises each time that the store has come back from an older copy.
+_ERA = b'store-era'
+_HIGHEST_ERA = 2**20
 _OK_STATUS = 200
 
 
@@ -48,11 +52,16 @@
 
 
 class _Page(msgspec.Struct):
-    """Items in the order of their keys, as of ``current_rev`` or later."""
+    """
+    Items in the order of their keys, as of ``current_rev`` or later.
+
+    ``era`` is not part of the body; a header of the reply tells it.
+    """
 
     items: list[_Item]
     more_pages: bool
     current_rev: int
+    era: int = 0
 
 
 _page_decoder = msgspec.json.Decoder(_Page)
@@ -69,25 +78,28 @@
     async def read_snapshot(self) -> FleetSnapshot:
         """Read all keys of the store, page by page."""
         items: list[_Item] = []
-        revision = 0
+        first: _Page | None = None
         after = ''
         while True:
             page = await self._read_page(after)
-            revision = revision or page.current_rev
+            first = first or page
+            if page.era != first.era:
+                raise FleetStoreError(
+                    f'the era changed from {first.era} to {page.era} in a read'
+                )
             items.extend(page.items)
             if not (page.more_pages and page.items):
-                return _build_snapshot(revision, items)
+                return _build_snapshot(first, items)
             after = page.items[-1].key
 
     async def list_vms(self) -> tuple[StoredVm, ...]:
         """Return the records of VMs; the copy may be seconds old."""
-        page = _decode(
-            _page_decoder,
+        page = _decode_page(
             await self._call(
                 b'GET', f'/kv-range?prefix={quote(_VM_PREFIX)}&serializable=1'
             ),
         )
-        return _build_snapshot(page.current_rev, page.items).vms
+        return _build_snapshot(page, page.items).vms
 
     def decode_tables(self, document: TablesDocument) -> FleetTables:
         """Return the tables of a document; raises `BadDocumentError`."""
@@ -116,7 +128,7 @@
     async def _read_page(self, after: str) -> _Page:
         query = f'?prefix=&after={quote(after)}' if after else '?prefix='
         reply = await self._call(b'GET', f'/kv-range{query}')
-        return _decode(_page_decoder, reply)
+        return _decode_page(reply)
 
     async def _call(
         self,
@@ -170,22 +182,27 @@
     raise FleetStoreError(f'{path}: status {reply.status}')
 
 
-def _decode(decoder: Any, reply: Response) -> Any:
+def _decode_page(reply: Response) -> _Page:
     try:
-        return decoder.decode(reply.body)
-    except msgspec.MsgspecError as error:
+        page = _page_decoder.decode(reply.body)
+        page.era = int(find_field(reply.fields, _ERA) or 0)
+    except ValueError as error:
         raise FleetStoreError(f'unreadable reply: {error}') from error
+    if not 0 <= page.era <= _HIGHEST_ERA:
+        raise FleetStoreError(f'the era {page.era} is out of range')
+    return page
 
 
-def _build_snapshot(revision: int, items: list[_Item]) -> FleetSnapshot:
-    decoded = _DecodedItems()
+def _build_snapshot(first: _Page, items: list[_Item]) -> FleetSnapshot:
+    """Return the snapshot of pages whose first one is given."""
+    decoded = _DecodedItems(first.era)
     for item in items:
         try:
             decoded.add(item)
         except (msgspec.MsgspecError, ValueError) as error:
             decoded.unreadable.append(f'{item.key}: {error}')
     return FleetSnapshot(
-        revision,
+        join_revision(first.era, first.current_rev),
         decoded.document,
         tuple(decoded.servers),
         tuple(decoded.vms),
@@ -197,6 +214,7 @@
 class _DecodedItems:
     """The store's items that were decoded, and the errors of the others."""
 
+    era: int
     document: TablesDocument | None = None
     servers: list[RegisteredServer] = field(default_factory=list)
     vms: list[StoredVm] = field(default_factory=list)
@@ -206,7 +224,8 @@
         """Decode an item by its key; raises `ValueError`."""
         raw = base64.b64decode(item.value)
         if item.key == _CONFIG_KEY:
-            self.document = TablesDocument(item.revision, raw)
+            revision = join_revision(self.era, item.revision)
+            self.document = TablesDocument(revision, raw)
         elif item.key.startswith(_SERVER_PREFIX):
             name = item.key.removeprefix(_SERVER_PREFIX)
             self.servers.append(decode_server(name, raw))
