Never pass on a server's word that a request was not run unless it says so

What callers could see: 503, 429 or 408 for a request that had run. Callers take these as a promise and send a non-idempotent request again. Cause: a server's own response with such a status, without the field that states that it did not run the request, was forwarded as it was. A late copy of a probe's 503, which carries no request id, could be taken for one too. Change: such a response counts as a bad answer; the caller gets 502.

--- a/zinniaturn/gateway/attempt.py
+++ b/zinniaturn/gateway/attempt.py
@@ -7,6 +7,7 @@
 
 from zinniaturn.admission.admission import ResponseKind
 from zinniaturn.gateway.exceptions import AttemptError
+from zinniaturn.gateway.rejections import NOT_RUN_STATUSES
 from zinniaturn.gateway.request_context import Placement, RequestContext
 from zinniaturn.gateway.state import GatewayState
 from zinniaturn.http1.backend import BackendConnection, Exchange
@@ -130,8 +131,9 @@
     Update the server's statistics from a response.
 
     Raises `AttemptError` for a misdirected request, one that did not run, a
-    success that is unsigned or encoded, and a 5xx response. The error holds the
-    5xx response, in case no further attempt is made.
+    success that is unsigned or encoded, a 5xx response, and a status that would
+    tell the caller that the request was not run. The error holds the 5xx
+    response, in case no further attempt is made.
     """
     wire_format = state.wire_format
     stats = placement.candidate.stats
@@ -158,6 +160,13 @@
             Phase.SENT_WHOLE,
             Event.SERVER_SHED,
         )
+    if response.status in NOT_RUN_STATUSES:
+        _count_failure(state, placement, f'status {response.status}', now)
+        raise AttemptError(
+            f'{name} answered {response.status} but may have run the request',
+            Phase.SENT_WHOLE,
+            Event.BAD_ANSWER,
+        )
     is_authentic = wire_format.is_authentic(response)
     if is_authentic:
         state.learn(
--- a/zinniaturn/gateway/rejections.py
+++ b/zinniaturn/gateway/rejections.py
@@ -1,6 +1,6 @@
 """Responses that the gateway itself gives instead of a server's."""
 
-__all__ = ('rejection_response',)
+__all__ = ('NOT_RUN_STATUSES', 'rejection_response')
 
 from http import HTTPStatus
 
@@ -9,7 +9,8 @@
 from zinniaturn.http1.messages import Response
 from zinniaturn.outcomes import Outcome, rejection_for
 
-_NOT_RUN_STATUSES = frozenset(
+# Callers take these statuses to mean that the request was not run.
+NOT_RUN_STATUSES = frozenset(
     (
         HTTPStatus.REQUEST_TIMEOUT,
         HTTPStatus.MISDIRECTED_REQUEST,
@@ -38,7 +39,7 @@
     if outcome is Outcome.NOT_RUN:
         if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
             status = HTTPStatus.SERVICE_UNAVAILABLE
-    elif status in _NOT_RUN_STATUSES:
+    elif status in NOT_RUN_STATUSES:
         status = HTTPStatus.BAD_GATEWAY
     fields = [(b'Content-Type', b'application/json')]
     if status is HTTPStatus.SERVICE_UNAVAILABLE:
--- a/zinniaturn/platform/standins/faults.py
+++ b/zinniaturn/platform/standins/faults.py
@@ -43,5 +43,16 @@
     UNSIGNED = 'unsigned'
     # A success that is marked as encoded though the request does not allow it.
     ENCODED = 'encoded'
+    # Run, and answered with 503, 429 or 408 without a word that it was not run.
+    FALSE_503 = 'false-503'
+    FALSE_429 = 'false-429'
+    FALSE_408 = 'false-408'
+    # A response whose head, body or interim responses never end.
+    ENDLESS_HEAD = 'endless-head'
+    ENDLESS_LINE = 'endless-line'
+    ENDLESS_INTERIM = 'endless-interim'
+    ENDLESS_BODY = 'endless-body'
+    # A body without an end that comes at one byte a second.
+    TRICKLED_BODY = 'trickled-body'
     # Another server has taken over the address.
     REPLACED = 'replaced'
--- a/zinniaturn/platform/standins/server.py
+++ b/zinniaturn/platform/standins/server.py
@@ -17,6 +17,10 @@
     find_field,
 )
 from zinniaturn.platform.standins.connection_reset import reset_connection
+from zinniaturn.platform.standins.endless import (
+    ENDLESS_FAULTS,
+    send_without_end,
+)
 from zinniaturn.platform.standins.faults import ServerFault
 from zinniaturn.platform.standins.loopback import LoopbackService
 
@@ -162,6 +166,8 @@
     ) -> Response:
         transport = exchange.connection.transport
         assert transport is not None
+        if fault in ENDLESS_FAULTS:
+            await send_without_end(transport, request_id, fault)
         body = self._body_for(request_id)
         response = self._build_response(request_id, 200, body)
         complete_response = encode_response(response)
@@ -198,6 +204,12 @@
         match fault:
             case ServerFault.ERROR:
                 response.status = 500
+            case ServerFault.FALSE_503:
+                response.status = 503
+            case ServerFault.FALSE_429:
+                response.status = 429
+            case ServerFault.FALSE_408:
+                response.status = 408
             case ServerFault.UNSIGNED:
                 response.fields = [
                     row for row in response.fields if row[0] != _SIGNATURE
