Bound the bytes of heads and of the bodies that are being received

Change: what arrives beside a body is bounded by 64 KiB (a caller's: the limit of heads) and 16 times the body so far; a server's connection is closed and the request ends as a bad answer, a caller gets 431 or 413. All bodies that a process receives at a time share 64 MiB: a caller beyond it gets 503 with Retry-After before anything has run, a server's response counts as bad. Both kinds of connections use one buffer for bodies.

--- a/features/gateway_requests.feature
+++ b/features/gateway_requests.feature
@@ -49,9 +49,9 @@
       | ERROR        | 500         |
       | SHED         | 503         |
       | REPLACED     | 503         |
-      | FALSE_503    | 502         |
-      | FALSE_429    | 502         |
-      | FALSE_408    | 502         |
+      | FALSE_UNAVAILABLE    | 502         |
+      | FALSE_TOO_MANY    | 502         |
+      | FALSE_TIMEOUT    | 502         |
 
   Scenario Outline: An idempotent request is retried at another server
     Given the first request meets the fault "<fault>"
--- a/zinniaturn/events/catalogue.py
+++ b/zinniaturn/events/catalogue.py
@@ -58,6 +58,7 @@
     SERVER_OUT = 730
     SERVER_STATEMENT = 731
     SERVER_STATEMENT_UNREADABLE = 732
+    BODIES_REFUSED = 733
     VM_ALIVE = 740
     VM_SILENT = 741
     VM_MESSAGE_REFUSED = 742
@@ -208,6 +209,10 @@
             _WARNING,
             'what a backend server says of itself cannot be decoded',
         ),
+        LogEvent.BODIES_REFUSED: (
+            _WARNING,
+            'bodies were refused as too many bytes were being received',
+        ),
         LogEvent.VM_ALIVE: (_INFO, 'other VMs are known to be alive'),
         LogEvent.VM_SILENT: (
             _WARNING,
--- a/zinniaturn/gateway/process.py
+++ b/zinniaturn/gateway/process.py
@@ -37,7 +37,8 @@
 from zinniaturn.gateway.settings import GatewaySettings
 from zinniaturn.gateway.state import GatewayState
 from zinniaturn.gateway.wire_format import WireFormat
-from zinniaturn.http1.connections import Address
+from zinniaturn.http1.byte_budget import ByteBudget
+from zinniaturn.http1.connections import Address, ConnectionPool
 from zinniaturn.http1.listener import Listener
 from zinniaturn.placing.address_selection import AddressSelector
 from zinniaturn.placing.demand import capacity
@@ -74,6 +75,7 @@
             (settings.host, settings.first_port),
             capacity(settings.processor_share, settings.link_megabits),
         )
+        self.byte_budget = ByteBudget()
         self.fleet_state = FleetState(clock, store.decode_tables)
         self.vms = VmTable(record, clock)
         admissions = AdmissionTable(clock)
@@ -86,6 +88,7 @@
             event_log,
             random_source,
             asyncio.get_running_loop().time(),
+            connections=ConnectionPool(byte_budget=self.byte_budget),
         )
         self.dispatcher = Dispatcher(self.state)
         self.reporter = StateReporter(self.state, self.dispatcher)
@@ -240,7 +243,10 @@
         await self.store_poller.run()
 
     async def _listen(self, address: tuple[str, int], endpoint: object) -> None:
-        listener = Listener(endpoint)  # type: ignore[arg-type]
+        listener = Listener(
+            endpoint,  # type: ignore[arg-type]
+            self.byte_budget,
+        )
         await listener.start(*address)
         self.listeners.append(listener)
 
@@ -280,6 +286,7 @@
             await asyncio.sleep(_MAINTENANCE_INTERVAL_SECONDS)
             self.state.connections.close_stale(loop.time())
             self.dispatcher.probe_leaving_servers()
+            self.reporter.log_refused_bodies(self.byte_budget)
             self.reporter.log_vm_changes()
             if self.fleet_state.document is not None:
                 self.registration.reconcile(self.fleet_state.vms)
--- a/zinniaturn/gateway/reporting.py
+++ b/zinniaturn/gateway/reporting.py
@@ -12,6 +12,7 @@
 from zinniaturn.fleet.state_change import StateChange
 from zinniaturn.gateway.dispatch import Dispatcher
 from zinniaturn.gateway.state import GatewayState
+from zinniaturn.http1.byte_budget import ByteBudget
 
 _MAX_LOGGED_ENTRIES = 5
 _MAX_LOGGED_SERVERS = 40
@@ -24,7 +25,8 @@
     Applies changes of the fleet's state to the process and logs them.
 
     ``alive`` holds the VMs that were alive at the last check, and
-    ``reported_unreadable`` the unreadable entries that were last logged.
+    ``reported_unreadable`` the unreadable entries that were last logged, and
+    ``reported_refusals`` the number of refused bodies.
     """
 
     state: GatewayState
@@ -32,6 +34,7 @@
     consecutive_store_failures: int = 0
     reported_unreadable: tuple[str, ...] = ()
     alive: frozenset[str] = frozenset()
+    reported_refusals: int = 0
 
     def apply_change(self, change: StateChange) -> None:
         """Apply a change of tables, servers or VMs, and log it."""
@@ -119,6 +122,20 @@
         self.state.counters.events['vm_message_refused'] += 1
         self.state.event_log.write(LogEvent.VM_MESSAGE_REFUSED, reason=reason)
 
+    def log_refused_bodies(self, byte_budget: ByteBudget) -> None:
+        """Count and log the bodies refused since the last call, if any."""
+        refused = byte_budget.refused - self.reported_refusals
+        if not refused:
+            return
+        self.reported_refusals = byte_budget.refused
+        self.state.counters.events['body_refused'] += refused
+        self.state.event_log.write(
+            LogEvent.BODIES_REFUSED,
+            count=refused,
+            held_bytes=byte_budget.held,
+            most_bytes=byte_budget.most,
+        )
+
     def log_vm_changes(self) -> None:
         """Log newly alive and newly silent VMs, one line for each kind."""
         alive_vms = self.state.vms.alive_vms()
--- a/zinniaturn/http1/backend.py
+++ b/zinniaturn/http1/backend.py
@@ -12,6 +12,7 @@
 
 import httptools
 
+from zinniaturn.http1.byte_budget import BodyBuffer, ByteBudget
 from zinniaturn.http1.exceptions import BadMessageError, ExchangeBrokenError
 from zinniaturn.http1.messages import Fields, Response, find_field
 
@@ -19,6 +20,8 @@
 _FIRST_STATUS_WITHOUT_ID = 300
 _BODYLESS_STATUSES = frozenset((204, 304))
 _MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+# The heads of interim and final responses together.
+_MAX_HEAD_BYTES = 64 * 1024
 
 
 @dataclass(slots=True)
@@ -44,8 +47,11 @@
     ``is_clean`` is true as long as another exchange may follow.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, byte_budget: ByteBudget
+    ) -> None:
         self.loop = loop
+        self.body = BodyBuffer(byte_budget)
         self.transport: asyncio.Transport | None = None
         self.is_clean = True
         self.last_used_at = loop.time()
@@ -68,6 +74,7 @@
         """
         assert self.transport is not None
         self.exchange = exchange
+        self.body.clear()
         self.response = self.loop.create_future()
         self.transport.write(exchange.payload)
         return self.response
@@ -93,12 +100,15 @@
         if self.exchange is None:
             self.close()
             return
+        self.body.received_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
             self._fail(BadMessageError(str(error)))
         except httptools.HttpParserUpgrade:
             self._fail(BadMessageError('the server switched protocols'))
+        if self.exchange is not None and self.body.has_excess(_MAX_HEAD_BYTES):
+            self._fail(BadMessageError('the head of the answer is too long'))
 
     def eof_received(self) -> bool:
         """Complete a response whose body ends with the connection."""
@@ -144,9 +154,11 @@
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body."""
-        self.body_parts.append(body)
-        self.body_bytes += len(body)
-        if self.body_bytes > _MAX_RESPONSE_BYTES:
+        if self.exchange is None:
+            return
+        if not self.body.add(body):
+            self._fail(BadMessageError('too many bytes are being received'))
+        elif self.body.size > _MAX_RESPONSE_BYTES:
             self._fail(BadMessageError('the answer is too long'))
 
     def on_message_complete(self) -> None:
@@ -164,11 +176,10 @@
         self._reset_response()
 
     def _reset_response(self) -> None:
+        self.body.drop_body()
         self.status = 0
         self.reason = b''
         self.fields: Fields = []
-        self.body_parts: list[bytes] = []
-        self.body_bytes = 0
         self.head_read = False
         self.ends_with_connection = False
 
@@ -184,15 +195,11 @@
         self.exchange = None
         self.response = None
         self.last_used_at = self.loop.time()
+        complete = Response(
+            self.status, self.reason, self.fields, self.body.take_all()
+        )
         if not response.done():
-            response.set_result(
-                Response(
-                    self.status,
-                    self.reason,
-                    self.fields,
-                    b''.join(self.body_parts),
-                ),
-            )
+            response.set_result(complete)
 
     def _is_still_sending(self) -> bool:
         transport = self.transport
@@ -209,6 +216,7 @@
         response = self.response
         self.exchange = None
         self.response = None
+        self.body.clear()
         if response is not None and not response.done():
             response.set_exception(error)
         if self.transport is not None:
--- a/zinniaturn/http1/callers.py
+++ b/zinniaturn/http1/callers.py
@@ -9,9 +9,11 @@
 
 import asyncio
 from collections import deque
+from types import MappingProxyType
 
 import httptools
 
+from zinniaturn.http1.byte_budget import BodyBuffer, ByteBudget
 from zinniaturn.http1.exchanges import CallerExchange, Service
 from zinniaturn.http1.limits import CallerLimits
 from zinniaturn.http1.messages import (
@@ -23,6 +25,16 @@
 
 _MAX_PIPELINED_REQUESTS = 32
 _STALLED_READER_SECONDS = 30.0
+_OVERLOADED = 503
+# What is rejected if too much else than a body arrives, by whether the head has
+# been read.
+_EXCESS_REJECTIONS = MappingProxyType(
+    {
+        False: (431, b'the head is too large'),
+        True: (413, b'the framing of the body is too large'),
+    }
+)
+_RETRY_AFTER_SECONDS = b'0.5'
 
 
 class CallerConnection(asyncio.Protocol):
@@ -33,6 +45,7 @@
         loop: asyncio.AbstractEventLoop,
         service: Service,
         connections: 'set[CallerConnection]',
+        byte_budget: ByteBudget,
     ) -> None:
         self.loop = loop
         self.service = service
@@ -48,9 +61,7 @@
         self.started_at = loop.time()
         self.target = b''
         self.fields: Fields = []
-        self.partial_head_bytes = 0
-        self.body_parts: list[bytes] = []
-        self.body_bytes = 0
+        self.body = BodyBuffer(byte_budget)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection."""
@@ -61,6 +72,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the requests of a caller that has disconnected."""
         self.connections.discard(self)
+        self.body.clear()
         self._cancel_exchanges()
 
     def data_received(self, data: bytes) -> None:
@@ -68,16 +80,18 @@
         if self.is_closing:
             return
         self.last_progress_at = self.loop.time()
-        was_in_head = self.receiving and not self.head_done
+        if self.receiving:
+            self.body.received_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._reject(400, b'upgrades are not supported')
         except httptools.HttpParserError as error:
             self._reject(400, str(error).encode())
-        if was_in_head and self.receiving and not self.head_done:
-            self.partial_head_bytes += len(data)
-            self._check_head_size()
+        if self.receiving and self.body.has_excess(
+            self.service.limits.header_bytes
+        ):
+            self._reject(*_EXCESS_REJECTIONS[self.head_done])
 
     def on_message_begin(self) -> None:
         """Start a request."""
@@ -86,9 +100,7 @@
         self.started_at = self.loop.time()
         self.target = b''
         self.fields = []
-        self.partial_head_bytes = 0
-        self.body_parts = []
-        self.body_bytes = 0
+        self.body.clear()
 
     def on_url(self, url: bytes) -> None:
         """Collect the request target."""
@@ -110,11 +122,12 @@
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body."""
-        self.body_bytes += len(body)
-        if self.body_bytes > self.service.limits.body_bytes:
+        if self.is_closing:
+            return
+        if self.body.size + len(body) > self.service.limits.body_bytes:
             self._reject(413, b'the body is too large')
-        else:
-            self.body_parts.append(body)
+        elif not self.body.add(body):
+            self._reject(503, b'too many bodies are being received')
 
     def on_message_complete(self) -> None:
         """Dispatch a complete request."""
@@ -126,7 +139,7 @@
             self.parser.get_method(),
             self.target,
             self.fields,
-            b''.join(self.body_parts),
+            self.body.take_all(),
             self.parser.should_keep_alive(),
             self.started_at,
         )
@@ -170,10 +183,9 @@
             self._reject(408, b'the request took too long')
 
     def _check_head_size(self) -> None:
-        collected_bytes = len(self.target) + sum(
+        head_bytes = len(self.target) + sum(
             len(name) + len(text) for name, text in self.fields
         )
-        head_bytes = max(collected_bytes, self.partial_head_bytes)
         if head_bytes > self.service.limits.header_bytes:
             self._reject(431, b'the head is too large')
 
@@ -183,9 +195,13 @@
             return
         self.is_closing = True
         self.receiving = False
+        self.body.clear()
         request = Request(b'', b'', [], b'', False, self.loop.time())
         exchange = CallerExchange(request, self)
-        exchange.response = Response(status, b'', [], detail, closes=True)
+        fields: Fields = []
+        if status == _OVERLOADED:
+            fields.append((b'Retry-After', _RETRY_AFTER_SECONDS))
+        exchange.response = Response(status, b'', fields, detail, closes=True)
         self.exchanges.append(exchange)
         self.flush()
 
--- a/zinniaturn/http1/connections.py
+++ b/zinniaturn/http1/connections.py
@@ -7,6 +7,7 @@
 import socket
 
 from zinniaturn.http1.backend import BackendConnection
+from zinniaturn.http1.byte_budget import ByteBudget
 from zinniaturn.http1.exceptions import ConnectFailedError
 from zinniaturn.http1.messages import Response, find_field
 
@@ -38,10 +39,14 @@
     """
     Idle connections by address, reused in last-in, first-out order.
 
-    Connections are opened from ``own_host`` if it is given.
+    Connections are opened from ``own_host`` if it is given. ``byte_budget``
+    bounds the bodies that all of them receive at a time.
     """
 
-    def __init__(self, own_host: str = '') -> None:
+    def __init__(
+        self, own_host: str = '', byte_budget: ByteBudget | None = None
+    ) -> None:
+        self.byte_budget = byte_budget or ByteBudget()
         self.local_address = (own_host, 0) if own_host else None
         self.idle: dict[Address, list[BackendConnection]] = {}
 
@@ -67,7 +72,7 @@
         try:
             async with asyncio.timeout(timeout_seconds):
                 transport, protocol = await loop.create_connection(
-                    lambda: BackendConnection(loop),
+                    lambda: BackendConnection(loop, self.byte_budget),
                     *address,
                     local_addr=self.local_address,
                 )
--- a/zinniaturn/http1/listener.py
+++ b/zinniaturn/http1/listener.py
@@ -5,6 +5,7 @@
 import asyncio
 from dataclasses import dataclass, field
 
+from zinniaturn.http1.byte_budget import ByteBudget
 from zinniaturn.http1.callers import CallerConnection
 from zinniaturn.http1.exchanges import Service
 
@@ -14,9 +15,14 @@
 
 @dataclass(slots=True)
 class Listener:
-    """A listening address and its open connections."""
+    """
+    A listening address and its open connections.
+
+    ``byte_budget`` bounds the bodies that all of them receive at a time.
+    """
 
     service: Service
+    byte_budget: ByteBudget = field(default_factory=ByteBudget)
     connections: set[CallerConnection] = field(default_factory=set)
     server: asyncio.Server | None = None
     sweep_task: 'asyncio.Task[None] | None' = None
@@ -25,7 +31,9 @@
         """Listen; raises `OSError`."""
         loop = asyncio.get_running_loop()
         self.server = await loop.create_server(
-            lambda: CallerConnection(loop, self.service, self.connections),
+            lambda: CallerConnection(
+                loop, self.service, self.connections, self.byte_budget
+            ),
             host,
             port,
             backlog=_ACCEPT_BACKLOG,
--- a/zinniaturn/platform/standins/faults.py
+++ b/zinniaturn/platform/standins/faults.py
@@ -44,9 +44,9 @@
     # A success that is marked as encoded though the request does not allow it.
     ENCODED = 'encoded'
     # Run, and answered with 503, 429 or 408 without a word that it was not run.
-    FALSE_503 = 'false-503'
-    FALSE_429 = 'false-429'
-    FALSE_408 = 'false-408'
+    FALSE_UNAVAILABLE = 'false-503'
+    FALSE_TOO_MANY = 'false-429'
+    FALSE_TIMEOUT = 'false-408'
     # A response whose head, body or interim responses never end.
     ENDLESS_HEAD = 'endless-head'
     ENDLESS_LINE = 'endless-line'
--- a/zinniaturn/platform/standins/server.py
+++ b/zinniaturn/platform/standins/server.py
@@ -204,11 +204,11 @@
         match fault:
             case ServerFault.ERROR:
                 response.status = 500
-            case ServerFault.FALSE_503:
+            case ServerFault.FALSE_UNAVAILABLE:
                 response.status = 503
-            case ServerFault.FALSE_429:
+            case ServerFault.FALSE_TOO_MANY:
                 response.status = 429
-            case ServerFault.FALSE_408:
+            case ServerFault.FALSE_TIMEOUT:
                 response.status = 408
             case ServerFault.UNSIGNED:
                 response.fields = [
