Keep a restarted VM and probes of leaving servers true to what was said

Cause: a probe's response with status 503 that doesn't repeat the leaving ended it; renewals of notices and checks of leaving servers shared one clock, so that one of the two was left out. Change: only a healthy server's probe response ends its leaving; checks and renewals are counted apart. That scenario no longer depends on time; scenarios for the end of a pause, for a VM that starts while a server leaves and for a permit that runs out before the send.

--- a/features/server_limits.feature
+++ b/features/server_limits.feature
@@ -42,13 +42,33 @@
     When each gateway gets 10 reads a second for 1 s
     Then no gateway takes "s-1" for leaving
 
-  Scenario: A server that asks for a pause gets nothing until its end, not even probes
+  Scenario: A server that asks for a pause gets nothing meanwhile, not even probes
     Given 3 gateways and the servers "s-1" and "s-2"
-    And server "s-1" rejects all requests with a pause of "3"
-    When each gateway gets 10 reads a second for 1 s
+    And server "s-1" rejects all requests with a pause of "30"
+    When reads arrive until every gateway knows that "s-1" wants a pause
     And server "s-1" takes requests again
     And the time is noted
     And each gateway gets 10 reads a second for 1.5 s
     Then "s-1" got no request and no probe since the noted time
-    When each gateway gets 10 reads a second for 2.5 s
-    Then "s-1" got requests in the last 2.5 s
+
+  Scenario: A server is used again after its pause
+    Given 3 gateways and the servers "s-1" and "s-2"
+    And server "s-1" rejects all requests with a pause of "0.5"
+    When reads arrive until every gateway knows that "s-1" wants a pause
+    And server "s-1" takes requests again
+    And the time is noted
+    Then reads arrive until "s-1" has got another request
+
+  Scenario: A VM that starts again knows which servers said that they leave
+    Given 3 gateways and the servers "s-1" and "s-2"
+    And the answers of "s-1" say that it leaves
+    When each gateway gets 10 reads a second for 1 s
+    And a fourth gateway starts
+    Then the fourth gateway takes "s-1" for leaving without having asked it
+
+  Scenario: Nothing is sent with a permit that expired while the VM was paused
+    Given 1 gateways and the servers "s-1" and "s-2"
+    And server "s-1" names a limit of "2" and "s-2" names none
+    When each gateway gets 10 reads a second for 1 s
+    And the gateway's clock jumps by 5 s between a placement and its send
+    Then the request was not sent to the server of the placement
--- a/features/steps/server_limit_steps.py
+++ b/features/steps/server_limit_steps.py
@@ -6,15 +6,21 @@
 
 from features.support.gateway import (
     SmallPlatform,
+    build_request,
     build_request_bytes,
     send_request,
     wait_until,
 )
 from features.support.limit_rule import most_in_window
+from zinniaturn.clock import ManualClock
 from zinniaturn.experiments.limit_days import (
     CONTACT_SECONDS,
     allowed_in_window,
 )
+from zinniaturn.gateway.attempt import send_attempt
+from zinniaturn.gateway.exceptions import AttemptError
+from zinniaturn.gateway.request_context import Placement, RequestContext
+from zinniaturn.outcomes import Phase
 from zinniaturn.platform.standins import (
     ServerFault,
     ServerStandIn,
@@ -24,6 +30,7 @@
 _SUCCESS = 200
 _NOT_RUN = 503
 _WORK_SECONDS = 0.03
+_LONGEST_SECONDS = 20
 
 
 def _server(context, name):
@@ -198,3 +205,90 @@
     for gateway in context.platform.gateways:
         admissions = gateway.state.admissions.admissions
         assert not admissions[name].notice.is_leaving
+
+
+@when('a fourth gateway starts')
+def start_another(context):
+    async def start():
+        gateway = await context.platform.add_gateway('vm-late')
+        await wait_until(lambda: gateway.state.pools)
+        return gateway
+
+    context.late_gateway = context.loop.run_until_complete(start())
+
+
+@then('the fourth gateway takes "{name}" for leaving without having asked it')
+def check_knows_leaving(context, name):
+    admissions = context.late_gateway.state.admissions
+    notice = admissions.active[name].notice
+    assert notice.is_leaving
+    assert notice.source, 'the gateway has asked the server itself'
+
+
+def _read_until(context, condition):
+    async def read():
+        async with asyncio.timeout(_LONGEST_SECONDS):
+            while not condition():
+                for gateway in context.platform.gateways:
+                    await send_request(
+                        gateway.settings.front, build_request_bytes()
+                    )
+
+    context.loop.run_until_complete(read())
+
+
+@when('reads arrive until every gateway knows that "{name}" wants a pause')
+def read_until_paused(context, name):
+    def admission_of(gateway):
+        return gateway.state.admissions.admissions[name]
+
+    _read_until(
+        context,
+        lambda: all(
+            admission_of(gateway).paused_until > 0
+            for gateway in context.platform.gateways
+        ),
+    )
+
+
+@then('reads arrive until "{name}" has got another request')
+def read_until_used(context, name):
+    before = context.noted[name][0]
+    _read_until(context, lambda: _server(context, name).arrivals > before)
+
+
+@when(
+    "the gateway's clock jumps by {seconds:g} s between a placement and its "
+    'send'
+)
+def send_late(context, seconds):
+    gateway = context.platform.gateways[0]
+    state = gateway.state
+    now = state.admissions.clock.monotonic()
+    candidate = state.pools['pool']['s-1']
+    placement = Placement(
+        candidate, None, 0.1, 0.1, send_before=now + seconds - 1
+    )
+    state.admissions.clock = ManualClock(now + seconds)
+    request = RequestContext(
+        build_request(),
+        'late',
+        gateway.fleet_state.tables.routes['reads'],
+        gateway.fleet_state.tables.pools['pool'],
+        context.loop.time(),
+        context.loop.time() + 1,
+        idempotent=True,
+    )
+    context.arrivals_before = _server(context, 's-1').arrivals
+    try:
+        context.loop.run_until_complete(
+            send_attempt(state, request, placement, lambda connection: False)
+        )
+    except AttemptError as error:
+        context.attempt_error = error
+
+
+@then('the request was not sent to the server of the placement')
+def check_not_sent(context):
+    assert context.attempt_error.phase is Phase.NOT_SENT
+    assert _server(context, 's-1').arrivals == context.arrivals_before
--- a/zinniaturn/admission/admission.py
+++ b/zinniaturn/admission/admission.py
@@ -15,6 +15,7 @@
 
 _NEVER = float('-inf')
 _RENEWAL_SECONDS = 5.0
+_LEAVING_CHECK_SECONDS = 3.0
 
 
 class ResponseKind(enum.Enum):
@@ -22,7 +23,8 @@
     What a response answers.
 
     Only an answer to a request that ran says by its silence that a limit has
-    ended, and neither a rejection nor a failed probe says that of anything.
+    ended. A rejection says that of nothing, and a probe's response is one if
+    the server is not healthy.
     """
 
     REQUEST = 'request'
@@ -83,8 +85,9 @@
 
     ``clock`` counts the time in which the VM is suspended, too.
     ``paused_until`` is the end of the pause that the server asked this VM for.
-    ``permits`` are those for a server with a limit, and ``renewals`` limits how
-    often an unchanged notice is passed on.
+    ``permits`` are those for a server with a limit. ``renewals`` limits how
+    often an unchanged notice is passed on, and ``checks`` how often a leaving
+    server is probed.
     """
 
     clock: Clock
@@ -94,6 +97,9 @@
     renewals: RateLimit = field(
         default_factory=lambda: RateLimit(_RENEWAL_SECONDS)
     )
+    checks: RateLimit = field(
+        default_factory=lambda: RateLimit(_LEAVING_CHECK_SECONDS)
+    )
 
     @property
     def is_limited(self) -> bool:
--- a/zinniaturn/gateway/prober.py
+++ b/zinniaturn/gateway/prober.py
@@ -208,7 +208,9 @@
             self.on_statement(
                 candidate,
                 statement,
-                ResponseKind.PROBE,
+                ResponseKind.PROBE
+                if statement.is_healthy
+                else ResponseKind.REJECTION,
                 connection.loop.time() - sent_at,
             )
         report = statement.load or LoadReport(0, 0, server.slots)
--- a/zinniaturn/gateway/searching.py
+++ b/zinniaturn/gateway/searching.py
@@ -151,7 +151,7 @@
             notice = admission.notice
             if not notice.is_leaving or notice.source:
                 continue
-            if admission.renewals.admit(now):
+            if admission.checks.admit(now):
                 self._probe_once(name)
 
     def _probe_once(self, name: str) -> None:
--- a/zinniaturn/platform/standins/server.py
+++ b/zinniaturn/platform/standins/server.py
@@ -98,7 +98,7 @@
         request = exchange.request
         if request.target == _HEALTH_PATH:
             self.probed += 1
-            status = 200 if self.is_healthy else 503
+            status = 200 if self.is_healthy and not self.is_leaving else 503
             instance_field = (b'X-Instance-Id', self.name.encode())
             statement_fields = [self._load_report_field()]
             if self.states_in_probes:
