Explain from logs why a server got a request or none

Cause: the way from a server's complaint to the VMs that sent it, and from a refused request to the limits that barred it, was not in the tools. Result: two scenarios of explain_logs.

--- a/features/explain_logs.feature
+++ b/features/explain_logs.feature
@@ -24,6 +24,16 @@
     Then it says "request lost of route posts"
     And it says "server s-3, pool pool, reason reset by peer"
 
+  Scenario: A request that was not sent to a server at its limit
+    When "request limited" is explained from the logs
+    Then it says "Not sent to s-9: limit 1.9/s, s-5: leaving."
+    And it says "server s-9, limit 1.9"
+
+  Scenario: A server that says that it got too much
+    When "server s-9" is explained from the logs
+    Then it says "limit 1.9, leaving False"
+    And it says "request limited of route posts"
+
   Scenario: A request that is in no log
     When "request nobody" is explained from the logs
     Then the status is 1
--- a/features/steps/explain_logs_steps.py
+++ b/features/steps/explain_logs_steps.py
@@ -53,7 +53,27 @@
     context.folder = folder.name
     context.logs = []
     changed = {'event': 722, 'message': 'changed', 'revision': 5}
+    limited = [
+        _row(
+            99.5,
+            'vm-1',
+            event=731,
+            message='said',
+            server='s-9',
+            limit=1.9,
+            leaving=False,
+            source='vm-2',
+            age_ms=40,
+        ),
+        _request(
+            100.0,
+            'vm-1',
+            'limited',
+            withheld=['s-9: limit 1.9/s', 's-5: leaving'],
+        ),
+    ]
     first = [
+        *limited,
         _row(95.0, 'vm-1', **changed, joined=[], leaving=['s-8'], gone=[]),
         _row(99.0, 'vm-1', **changed, joined=[], leaving=['s-7'], gone=[]),
         _request(
--- a/zinniaturn/explain/logs.py
+++ b/zinniaturn/explain/logs.py
@@ -31,6 +31,8 @@
         LogEvent.SERVERS_CHANGED,
         LogEvent.FLEET_STORE_LOST,
         LogEvent.FLEET_STORE_BACK,
+        LogEvent.STORE_WENT_BACK,
+        LogEvent.SERVER_STATEMENT,
         LogEvent.SERVER_OUT,
         LogEvent.VM_SILENT,
         LogEvent.GATEWAY_STOPPING,
@@ -123,9 +125,16 @@
             continue
         if value == name or (isinstance(value, list) and name in value):
             return True
+    if name in _withheld_servers(row.fields):
+        return True
     return row.vm == name and row.event in _STATE_EVENTS
 
 
+def _withheld_servers(fields: dict[str, Any]) -> list[str]:
+    """Return the servers that a request was not sent to; see event 710."""
+    return [text.partition(':')[0] for text in fields.get('withheld') or ()]
+
+
 def _describe_row(row: LogRow) -> str:
     if row.event == LogEvent.REQUEST_ENDED and 'waited_ms' in row.fields:
         return _describe_request(row.fields)
@@ -166,6 +175,10 @@
             fields['milliseconds'] > fields.get('expected_ms', 0) * 2,
             'Its server became slow after it was chosen.',
         ),
+        (
+            bool(fields.get('withheld')),
+            f'Not sent to {", ".join(fields.get("withheld") or ())}.',
+        ),
         (len(fields['servers']) > 1, 'A second server was tried.'),
         (
             fields.get('second_send') == 'not allowed',
--- a/zinniaturn/gateway/metrics.py
+++ b/zinniaturn/gateway/metrics.py
@@ -35,6 +35,11 @@
     from aioprometheus.formats import text
 
     age = min(_MAX_AGE_SECONDS, state.fleet_state.age_seconds)
+    permits = state.gossip.permits
+    events = state.counters.events
+    events['permits_requested'] = permits.requested
+    events['permits_granted'] = permits.granted
+    events['permits_refused'] = permits.refused
     snapshot = MetricsSnapshot(state.counters, age, len(state.vms.alive_vms()))
     return text.TextFormatter().marshall(build_registry(snapshot))
 
