Let the soak play what servers and the store say of themselves

Cause: the soak knew no limits, no leaving in answers, no pauses, no responses without end and no store that comes back from a copy. The store stand-in writes again what the operator and the servers had written. What servers get beyond a limit is checked in virtual time only.

--- a/zinniaturn/experiments/soak/faults.py
+++ b/zinniaturn/experiments/soak/faults.py
@@ -15,6 +15,11 @@
     SoakServer,
 )
 from zinniaturn.experiments.soak.plan import Fault, FaultKind
+from zinniaturn.experiments.soak.statement_faults import (
+    STATEMENT_KINDS,
+    go_back,
+    play_statement,
+)
 from zinniaturn.experiments.soak.vms import VmProcess
 from zinniaturn.platform.standins import ServerFault, StoreFault
 from zinniaturn.platform.standins.wire import server_key
@@ -91,6 +96,12 @@
             FaultKind.LINK_SLOW: self._delay_link,
             FaultKind.LINK_LOSES_ANSWERS: self._lose_responses,
             FaultKind.TABLES_CHANGE: self._change_tables,
+            **dict.fromkeys(
+                STATEMENT_KINDS,
+                lambda fault: play_statement(
+                    self._target_server(fault).server, fault
+                ),
+            ),
         }
         await handlers.get(fault.kind, self._fail_store)(fault)
 
@@ -139,6 +150,9 @@
         self.fleet.store_disturbed_until = max(
             self.fleet.store_disturbed_until, until
         )
+        if fault.kind is FaultKind.STORE_GOES_BACK:
+            await go_back(self.fleet.store, fault.duration_seconds)
+            return
         self.fleet.store.faults[''] = _STORE_FAULTS[fault.kind]
         await asyncio.sleep(fault.duration_seconds)
         self.fleet.store.faults.pop('', None)
--- a/zinniaturn/experiments/soak/plan.py
+++ b/zinniaturn/experiments/soak/plan.py
@@ -4,6 +4,7 @@
 
 import enum
 import random
+from collections.abc import Sequence
 from dataclasses import dataclass
 from types import MappingProxyType
 
@@ -34,8 +35,22 @@
     LINK_SLOW = 'link-slow'
     LINK_LOSES_ANSWERS = 'link-loses-answers'
     TABLES_CHANGE = 'tables-change'
-
-
+    STORE_GOES_BACK = 'store-goes-back'
+    SERVER_NAMES_LIMIT = 'server-names-limit'
+    SERVER_SAYS_IT_LEAVES = 'server-says-it-leaves'
+    SERVER_ASKS_FOR_PAUSE = 'server-asks-for-pause'
+    SERVER_NEVER_ENDS = 'server-never-ends'
+
+
+# Kinds that are drawn apart, so that the others of a seed stay the same.
+_ADDED_KINDS = (
+    FaultKind.STORE_GOES_BACK,
+    FaultKind.SERVER_NAMES_LIMIT,
+    FaultKind.SERVER_SAYS_IT_LEAVES,
+    FaultKind.SERVER_ASKS_FOR_PAUSE,
+    FaultKind.SERVER_NEVER_ENDS,
+)
+_MAX_ADDED_GAP_SECONDS = 4.0
 _WEIGHTS = MappingProxyType(
     {
         FaultKind.TABLES_CHANGE: 3,
@@ -70,8 +85,25 @@
     >>> make_plan(1, 20) == make_plan(1, 20)
     True
     """
-    random_source = random.Random(seed)
-    kinds = list(FaultKind)
+    first_kinds = [kind for kind in FaultKind if kind not in _ADDED_KINDS]
+    plan = _draw(random.Random(seed), first_kinds, _MAX_GAP_SECONDS, seconds)
+    plan.extend(
+        _draw(
+            random.Random(f'added {seed}'),
+            _ADDED_KINDS,
+            _MAX_ADDED_GAP_SECONDS,
+            seconds,
+        )
+    )
+    return sorted(plan, key=lambda fault: fault.start_seconds)
+
+
+def _draw(
+    random_source: random.Random,
+    kinds: Sequence[FaultKind],
+    max_gap_seconds: float,
+    seconds: float,
+) -> list[Fault]:
     weights = [_WEIGHTS.get(kind, 1) for kind in kinds]
     plan = []
     start_seconds = 1.0
@@ -85,6 +117,6 @@
             ),
         )
         start_seconds += random_source.uniform(
-            _MIN_GAP_SECONDS, _MAX_GAP_SECONDS
+            _MIN_GAP_SECONDS, max_gap_seconds
         )
     return plan
--- a/zinniaturn/platform/standins/__init__.py
+++ b/zinniaturn/platform/standins/__init__.py
@@ -5,8 +5,15 @@
 inject the faults that its documentation lists.
 """
 
-__all__ = ('ServerFault', 'ServerStandIn', 'StoreFault', 'StoreStandIn')
+__all__ = (
+    'ENDLESS_FAULTS',
+    'ServerFault',
+    'ServerStandIn',
+    'StoreFault',
+    'StoreStandIn',
+)
 
+from zinniaturn.platform.standins.endless import ENDLESS_FAULTS
 from zinniaturn.platform.standins.faults import ServerFault, StoreFault
 from zinniaturn.platform.standins.server import ServerStandIn
 from zinniaturn.platform.standins.store import StoreStandIn
--- a/zinniaturn/platform/standins/store.py
+++ b/zinniaturn/platform/standins/store.py
@@ -80,6 +80,29 @@
         self.revision = revision
         self.era += 1
 
+    def write_again(
+        self,
+        written: dict[str, _StoredValue],
+        copy: dict[str, _StoredValue],
+    ) -> None:
+        """
+        Write what the operator and the servers had written and is lost.
+
+        What has been written since the store came back from ``copy`` stays.
+        """
+        for key in sorted({*written, *copy}):
+            is_unchanged = self.keys.get(key) is copy.get(key)
+            is_lost = written.get(key) is not copy.get(key)
+            if not (is_lost and is_unchanged):
+                continue
+            if not key.startswith(_READ_ONLY_PREFIXES):
+                continue
+            lost = written.get(key)
+            if lost is None:
+                self.remove(key)
+            else:
+                self._put(key, lost.value, 0)
+
     def handle(self, exchange: CallerExchange) -> Reply:
         """Serve a call, or apply the fault that is set for its host."""
         path, _, query = exchange.request.target.decode().partition('?')
