Serve callers that have just connected when a planned stop ends listening

What callers saw: a connection that was accepted and then closed without an answer to the request that they were sending. Cause: a connection without a request so far counted as idle, so that the end of listening closed it at once. Requests that wait in the accept queue while the loop is held up were served before, too.

--- /dev/null
+++ b/features/steps/planned_stop_steps.py
@@ -0,0 +1,98 @@
+"""Steps of requests that arrive at the end of listening in a planned stop."""
+
+import asyncio
+import socket
+import time
+from dataclasses import replace
+
+from behave import given, then, when
+
+from features.support.gateway import build_request_bytes
+
+_SERVE_SHARE = 0.72
+_HELD_UP_SECONDS = 0.1
+_BEFORE_CLOSING_SECONDS = 0.03
+_TIMEOUT_SECONDS = 5
+_SUCCESS = 200
+
+
+@given('the gateway has {seconds:g} s for a planned stop')
+def set_stop_seconds(context, seconds):
+    gateway = context.gateway
+    gateway.settings = replace(
+        gateway.settings,
+        bounds=replace(gateway.settings.bounds, stop_seconds=seconds),
+    )
+    context.closes_after = seconds * _SERVE_SHARE
+
+
+def _connect_and_send(address, count):
+    """Connect without the event loop, so that it has accepted nothing yet."""
+    sockets = []
+    for number in range(count):
+        connection = socket.create_connection(address)
+        connection.sendall(build_request_bytes(request_id=f'late-{number}'))
+        sockets.append(connection)
+    return sockets
+
+
+async def _read_status(connection):
+    reader, writer = await asyncio.open_connection(sock=connection)
+    try:
+        async with asyncio.timeout(_TIMEOUT_SECONDS):
+            head = await reader.readuntil(b'\r\n\r\n')
+    except (ConnectionError, asyncio.IncompleteReadError) as error:
+        return repr(error)
+    finally:
+        writer.transport.abort()
+    return int(head.split()[1])
+
+
+@when(
+    'it stops, and {count:d} callers connect and send while its loop is held up'
+)
+def stop_held_up(context, count):
+    sockets = []
+
+    def hold_up():
+        until = time.monotonic() + _HELD_UP_SECONDS
+        sockets.extend(_connect_and_send(context.front, count))
+        time.sleep(max(0, until - time.monotonic()))
+
+    async def stop():
+        loop = asyncio.get_running_loop()
+        loop.call_later(context.closes_after - _BEFORE_CLOSING_SECONDS, hold_up)
+        await context.gateway.stop()
+        return await asyncio.gather(*map(_read_status, sockets))
+
+    context.statuses = context.loop.run_until_complete(stop())
+    assert len(context.statuses) == count
+
+
+@when(
+    'it stops, and {count:d} callers that have just connected send '
+    '{seconds:g} s later'
+)
+def stop_before_send(context, count, seconds):
+    async def send_later():
+        await asyncio.sleep(context.closes_after - _BEFORE_CLOSING_SECONDS)
+        sockets = [
+            socket.create_connection(context.front) for _ in range(count)
+        ]
+        await asyncio.sleep(seconds)
+        for number, connection in enumerate(sockets):
+            payload = build_request_bytes(request_id=f'new-{number}')
+            connection.sendall(payload)
+        return await asyncio.gather(*map(_read_status, sockets))
+
+    async def stop():
+        statuses = asyncio.ensure_future(send_later())
+        await context.gateway.stop()
+        return await statuses
+
+    context.statuses = context.loop.run_until_complete(stop())
+
+
+@then('each of them gets {status:d}')
+def check_statuses(context, status):
+    assert set(context.statuses) == {status}, context.statuses
--- a/zinniaturn/http1/callers.py
+++ b/zinniaturn/http1/callers.py
@@ -25,6 +25,7 @@
 
 _MAX_PIPELINED_REQUESTS = 32
 _STALLED_READER_SECONDS = 30.0
+_FIRST_REQUEST_SECONDS = 0.3
 _OVERLOADED = 503
 # What is rejected if too much else than a body arrives, by whether the head has
 # been read.
@@ -58,6 +59,8 @@
         self.unsent_bytes = 0
         self.receiving = False
         self.head_done = False
+        self.accepted_at = loop.time()
+        self.has_begun = False
         self.started_at = loop.time()
         self.target = b''
         self.fields: Fields = []
@@ -95,6 +98,7 @@
 
     def on_message_begin(self) -> None:
         """Start a request."""
+        self.has_begun = True
         self.receiving = True
         self.head_done = False
         self.started_at = self.loop.time()
@@ -146,7 +150,15 @@
         self._dispatch(request)
 
     def is_idle(self) -> bool:
-        """Return whether nothing is being received, served or sent."""
+        """
+        Return whether nothing is being received, served or sent.
+
+        The first request of a caller that has just connected counts as being
+        received: the caller is about to send it.
+        """
+        if not self.has_begun:
+            seconds = self.loop.time() - self.accepted_at
+            return seconds >= _FIRST_REQUEST_SECONDS
         transport = self.transport
         is_sent = transport is None or not transport.get_write_buffer_size()
         return is_sent and not (self.exchanges or self.receiving)
