--- a/features/server_limits_model.feature
+++ b/features/server_limits_model.feature
@@ -86,3 +86,7 @@
     When callers send 400 requests a second for 3 s
     Then no server got more than the rule allows
     And the servers got at least 0.7 of their limits in the last 2 s
+
+  Scenario: The cost of each decision is measured at every size
+    When the costs of the decisions are measured
+    Then there is a positive figure for 13 to 7192 VMs and 33 to 26000 servers
--- a/features/steps/server_limit_model_steps.py
+++ b/features/steps/server_limit_model_steps.py
@@ -4,6 +4,7 @@
 
 from behave import given, then, when
 
+from zinniaturn.experiments.decision_cost import measure_costs
 from zinniaturn.experiments.limit_days import find_violation
 from zinniaturn.experiments.limit_model import LimitModel
 
@@ -173,3 +174,22 @@
     now = context.model.fleet.clock.monotonic()
     server = context.model.servers[0]
     assert server.count(now - seconds, now) <= most
+
+
+@when('the costs of the decisions are measured')
+def measure(context):
+    context.costs = measure_costs()
+
+
+@then(
+    'there is a positive figure for {few_vms:d} to {many_vms:d} VMs and '
+    '{few:d} to {many:d} servers'
+)
+def check_costs(context, few_vms, many_vms, few, many):
+    counts = [tuple(cost.microseconds) for cost in context.costs]
+    assert {(sizes[0], sizes[-1]) for sizes in counts} == {
+        (few_vms, many_vms),
+        (few, many),
+    }
+    for cost in context.costs:
+        assert min(cost.microseconds.values()) > 0, cost
--- a/zinniaturn/experiments/registry.py
+++ b/zinniaturn/experiments/registry.py
@@ -56,6 +56,11 @@
         'CPU time until ready and peak memory of a gateway process',
         'zinniaturn.experiments.start:run_start',
     ),
+    Experiment(
+        'decision-cost',
+        'microseconds of the decisions about limited servers, by fleet size',
+        'zinniaturn.experiments.decision_cost:run_decision_cost',
+    ),
     Experiment(
         'limits',
         '20 random days of servers with limits before 13 VMs, from --seed on',
