Skip notices of a restarted server; honour a pause of any 503

Cause: a queued notice of a server whose next process had said nothing yet had an age without end, so that each datagram raised OverflowError until it was used up; and a pause in a 503 without the mark of not having run was ignored. Change: only what a server's present process has said is sent; the pause of such a 503 holds.

--- a/features/gossip.feature
+++ b/features/gossip.feature
@@ -118,3 +118,9 @@
     When it runs for 0.3 s
     And a datagram arrives that says "s-1" named a limit of 50 0.1 s ago
     Then it holds a limit of 50 for "s-1"
+
+  Scenario: A notice of a server that was started again meanwhile is not passed on
+    Given a VM that holds the same state as another one
+    And it heard 1 s ago that server "s-1" names a limit of 2
+    When its notice of "s-1" is queued and "s-1" is registered with a later start
+    Then it sends a datagram without a notice
--- a/features/server_limits.feature
+++ b/features/server_limits.feature
@@ -51,6 +51,15 @@
     And each gateway gets 10 reads a second for 1.5 s
     Then "s-1" got no request and no probe since the noted time
 
+  Scenario: A pause counts also where a rejection lacks its mark
+    Given 3 gateways and the servers "s-1" and "s-2"
+    And server "s-1" answers all requests with an unmarked 503 and a pause of "30"
+    When reads arrive until every gateway knows that "s-1" wants a pause
+    And server "s-1" takes requests again
+    And the time is noted
+    And each gateway gets 10 reads a second for 1.5 s
+    Then "s-1" got no request and no probe since the noted time
+
   Scenario: A server is used again after its pause
     Given 3 gateways and the servers "s-1" and "s-2"
     And server "s-1" rejects all requests with a pause of "0.5"
--- a/features/steps/gossip_pause_steps.py
+++ b/features/steps/gossip_pause_steps.py
@@ -12,6 +12,7 @@
     DatagramKind,
     NoticeRow,
     StateClaim,
+    decode_datagram,
     encode_datagram,
 )
 
@@ -121,3 +122,32 @@
 @then('its state was confirmed')
 def check_confirmed(context):
     assert _state(context).confirmed_at > context.confirmed_at
+
+
+@when(
+    'its notice of "{server}" is queued and "{same}" is registered with a '
+    'later start'
+)
+def restart_server(context, server, same):
+    gossip = context.receiver.gossip
+    gossip.sender.pass_on_notice(server)
+    gossip.admissions.of_process(same, _STARTED_MS + 1)
+
+
+class _ListedTransport:
+    """A transport that keeps what is sent in a list."""
+
+    def __init__(self, sent):
+        self.sent = sent
+
+    def sendto(self, raw, address):
+        self.sent.append(raw)
+
+
+@then('it sends a datagram without a notice')
+def check_without_notice(context):
+    sent = []
+    gossip = context.receiver.gossip
+    gossip.sender.transport = _ListedTransport(sent)
+    gossip.push()
+    assert [decode_datagram(raw).notices for raw in sent] == [()]
--- a/features/steps/server_limit_steps.py
+++ b/features/steps/server_limit_steps.py
@@ -162,6 +162,16 @@
     server.pause = seconds.encode()
 
 
+@given(
+    'server "{name}" answers all requests with an unmarked 503 and a pause of '
+    '"{seconds}"'
+)
+def answer_unmarked(context, name, seconds):
+    server = _server(context, name)
+    server.default_fault = ServerFault.FALSE_UNAVAILABLE
+    server.pause = seconds.encode()
+
+
 @when('server "{name}" takes requests again')
 def stop_rejecting(context, name):
     server = _server(context, name)
--- a/zinniaturn/admission/admission.py
+++ b/zinniaturn/admission/admission.py
@@ -73,6 +73,11 @@
         """Return whether requests to the server are restricted."""
         return self.limit is not None or self.is_leaving
 
+    @property
+    def is_heard(self) -> bool:
+        """Return whether the server has said anything."""
+        return self.said_at > _NEVER
+
     def says_same(self, other: 'ServerNotice') -> bool:
         """Return whether two notices tell the same, whenever it was said."""
         return (self.limit, self.is_leaving) == (other.limit, other.is_leaving)
--- a/zinniaturn/admission/table.py
+++ b/zinniaturn/admission/table.py
@@ -37,6 +37,11 @@
             self.active.pop(server, None)
         return admission
 
+    def has_notice(self, server: str) -> bool:
+        """Return whether a server's present process has said anything."""
+        admission = self.admissions.get(server)
+        return admission is not None and admission.notice.is_heard
+
     def retain(self, listed: Collection[str]) -> None:
         """Note which servers the store lists."""
         for server in self.admissions:
--- a/zinniaturn/fleet/gossip_sender.py
+++ b/zinniaturn/fleet/gossip_sender.py
@@ -121,7 +121,7 @@
         return [
             self._notice_row(server, now)
             for server in servers
-            if server in self.admissions.admissions
+            if self.admissions.has_notice(server)
         ]
 
     def _notice_row(self, server: str, now: float) -> NoticeRow:
--- a/zinniaturn/gateway/attempt.py
+++ b/zinniaturn/gateway/attempt.py
@@ -161,6 +161,12 @@
             Event.SERVER_SHED,
         )
     if response.status in NOT_RUN_STATUSES:
+        state.learn(
+            placement.candidate,
+            statement,
+            ResponseKind.REJECTION,
+            elapsed_seconds,
+        )
         _count_failure(state, placement, f'status {response.status}', now)
         raise AttemptError(
             f'{name} answered {response.status} but may have run the request',
--- a/zinniaturn/platform/standins/server.py
+++ b/zinniaturn/platform/standins/server.py
@@ -206,6 +206,7 @@
                 response.status = 500
             case ServerFault.FALSE_UNAVAILABLE:
                 response.status = 503
+                response.fields.extend(self._pause_fields())
             case ServerFault.FALSE_TOO_MANY:
                 response.status = 429
             case ServerFault.FALSE_TIMEOUT:
@@ -236,10 +237,18 @@
         return Response(status, b'', fields, body)
 
     def _build_rejection(self) -> Response:
-        fields: Fields = [(b'X-Not-Executed', b'1'), *self._statement_fields()]
-        if self.pause is not None:
-            fields.append((b'Retry-After', self.pause))
-        return Response(503, b'', fields)
+        return Response(
+            503,
+            b'',
+            [
+                (b'X-Not-Executed', b'1'),
+                *self._statement_fields(),
+                *self._pause_fields(),
+            ],
+        )
+
+    def _pause_fields(self) -> Fields:
+        return [] if self.pause is None else [(b'Retry-After', self.pause)]
 
     def _statement_fields(self) -> Fields:
         """Return the fields by which the server tells of itself."""
