Record and log which pools respond to a VM, and test with links cut by VM

Callers saw VMs that had lost their links turn them away, and no log told whether a probe had failed to connect, had been silent, or had been answered. Each VM now keeps per pool what was tried since the last response (probes and connections; requests are left out, as their time depends on the work), and logs events 750 and 751. No decision reads it.

Connections to servers are opened from the VM's own address, so that the proxies of tests can cut one VM off and leave the others: silently, by resets, or for new connections only. The two copies of reset_connection are one.

--- a/features/support/gateway.py
+++ b/features/support/gateway.py
@@ -28,6 +28,7 @@
 from zinniaturn.platform.standins.wire import ROUTE_COLUMNS
 from zinniaturn.platform.store import PlatformStore
 from zinniaturn.platform.wire_format import PlatformWireFormat
+from zinniaturn.standins.vm_links import LinkProxy, VmLinks
 from zinniaturn.tables.domain import Server
 
 HOST = 'shop.example'
@@ -174,13 +175,20 @@
 
 
 class SmallPlatform:
-    """A store, servers and gateways on loopback addresses in this process."""
+    """
+    A store, servers and gateways on loopback addresses in this process.
+
+    With `add_proxied_server` a server stands behind a proxy, so that ``links``
+    can cut single VMs off from it.
+    """
 
     def __init__(self, context):
         self.context = context
         self.store = StoreStandIn()
         self.servers = []
         self.gateways = []
+        self.links = VmLinks()
+        self.proxies = {}
 
     async def start(self, servers, config=None):
         await self.store.start()
@@ -195,6 +203,18 @@
         self.servers.append(server)
         self.store.write(f'servers/{server.name}', server.entry())
 
+    async def add_proxied_server(self, server):
+        await server.start()
+        self.context.closers.append(server.stop)
+        proxy = LinkProxy(('127.0.0.1', server.port), self.links)
+        await proxy.start()
+        self.context.closers.append(proxy.stop)
+        self.servers.append(server)
+        self.proxies[server.name] = proxy
+        entry = server.entry()
+        entry['address'] = f'127.0.0.1:{proxy.port}'
+        self.store.write(f'servers/{server.name}', entry)
+
     async def add_gateway(
         self,
         name='vm-1',
--- a/zinniaturn/events/catalogue.py
+++ b/zinniaturn/events/catalogue.py
@@ -63,6 +63,8 @@
     VM_SILENT = 741
     VM_MESSAGE_REFUSED = 742
     LOOKUPS_CHANGED = 743
+    POOL_SILENT = 750
+    POOL_RESPONDS = 751
 
 
 _INFO = logging.INFO
@@ -226,5 +228,13 @@
             _INFO,
             'look-ups return other VMs than before',
         ),
+        LogEvent.POOL_SILENT: (
+            _WARNING,
+            'no backend server of a pool responds to this VM',
+        ),
+        LogEvent.POOL_RESPONDS: (
+            _INFO,
+            'a backend server of the pool responds to this VM again',
+        ),
     }
 )
--- a/zinniaturn/gateway/attempt.py
+++ b/zinniaturn/gateway/attempt.py
@@ -70,6 +70,7 @@
             ),
         )
     except ExchangeBrokenError as error:
+        _note_broken(state, placement, loop.time() - now)
         _count_failure(state, placement, error.message, loop.time())
         raise AttemptError(
             f'{server.name}: {error.message}',
@@ -85,6 +86,7 @@
         raise
     finally:
         stats.end()
+    state.reach.note_response(placement.candidate.registered.pool)
     apply_keep_alive(connection, response)
     try:
         _check_response(
@@ -107,17 +109,33 @@
     pooled = state.connections.take_idle(address, loop.time())
     if pooled is not None:
         return pooled
+    pool, name = placement.candidate.registered.pool, placement.candidate.name
+    tried_at = state.reach.note_tried(pool, name)
     try:
-        return await state.connections.connect(
+        connection = await state.connections.connect(
             address, _CONNECT_TIMEOUT_SECONDS
         )
     except ConnectFailedError as error:
+        state.reach.note_unconnected(pool, name, tried_at)
         _count_failure(state, placement, error.message, loop.time())
         raise AttemptError(
             error.message,
             Phase.NOT_SENT,
             Event.CONNECT_FAILED,
         ) from error
+    state.reach.note_connected(pool)
+    return connection
+
+
+def _note_broken(
+    state: GatewayState, placement: Placement, elapsed_seconds: float
+) -> None:
+    """Record that a connection broke before a response was complete."""
+    state.reach.note_failed(
+        placement.candidate.registered.pool,
+        placement.candidate.name,
+        state.reach.clock.monotonic() - elapsed_seconds,
+    )
 
 
 def _check_response(
--- a/zinniaturn/gateway/prober.py
+++ b/zinniaturn/gateway/prober.py
@@ -19,6 +19,7 @@
 from zinniaturn.http1.exceptions import ConnectFailedError, ExchangeBrokenError
 from zinniaturn.http1.messages import Response
 from zinniaturn.placing.candidates import Candidate
+from zinniaturn.reach.own_reach import OwnReach
 
 _FIRST_RESULT_WAIT_SECONDS = 0.012
 _MAX_WAIT_SECONDS = 0.06
@@ -67,12 +68,14 @@
     """
     Sends rounds of probes and returns the servers that answered in time.
 
-    ``on_statement`` is called with what each server says of itself.
+    ``on_statement`` is called with what each server says of itself, and
+    ``reach`` is told which servers respond.
     """
 
     connections: ConnectionPool
     wire_format: WireFormat
     on_statement: LearnStatement
+    reach: OwnReach
 
     async def probe(
         self,
@@ -131,6 +134,7 @@
         loop: asyncio.AbstractEventLoop,
     ) -> None:
         address = candidate.address
+        self.reach.note_tried(candidate.registered.pool, candidate.name)
         payload = self.wire_format.load_probe_request(health_path, address[0])
         connection = self.connections.take_idle(address, loop.time())
         if connection is None:
@@ -150,15 +154,19 @@
         address: Address,
         payload: bytes,
     ) -> None:
+        pool = candidate.registered.pool
+        tried_at = self.reach.clock.monotonic()
         try:
             connection = await self.connections.connect(
                 address,
                 _PROBE_TIMEOUT_SECONDS,
             )
         except ConnectFailedError:
+            self.reach.note_unconnected(pool, candidate.name, tried_at)
             candidate.stats.note_unanswered()
             probe_round.note_probe_ended()
             return
+        self.reach.note_connected(pool)
         self._send(probe_round, candidate, connection, payload)
 
     def _send(
@@ -189,13 +197,18 @@
         sent_at: float,
     ) -> None:
         timer.cancel()
+        pool = candidate.registered.pool
         if (
             response_future.cancelled()
             or response_future.exception() is not None
         ):
+            elapsed_seconds = connection.loop.time() - sent_at
+            tried_at = self.reach.clock.monotonic() - elapsed_seconds
+            self.reach.note_failed(pool, candidate.name, tried_at)
             candidate.stats.note_unanswered()
             probe_round.note_probe_ended()
             return
+        self.reach.note_response(pool)
         response = response_future.result()
         statement = self.wire_format.statement(response)
         server = candidate.registered.server
--- a/zinniaturn/gateway/process.py
+++ b/zinniaturn/gateway/process.py
@@ -88,7 +88,7 @@
             event_log,
             random_source,
             asyncio.get_running_loop().time(),
-            connections=ConnectionPool(byte_budget=self.byte_budget),
+            connections=ConnectionPool(settings.host, self.byte_budget),
         )
         self.dispatcher = Dispatcher(self.state)
         self.reporter = StateReporter(self.state, self.dispatcher)
@@ -288,6 +288,7 @@
             self.dispatcher.probe_leaving_servers()
             self.reporter.log_refused_bodies(self.byte_budget)
             self.reporter.log_vm_changes()
+            self.reporter.log_silent_pools()
             if self.fleet_state.document is not None:
                 self.registration.reconcile(self.fleet_state.vms)
 
--- a/zinniaturn/gateway/searching.py
+++ b/zinniaturn/gateway/searching.py
@@ -33,7 +33,9 @@
 
     def __init__(self, state: GatewayState) -> None:
         self.state = state
-        self.prober = Prober(state.connections, state.wire_format, state.learn)
+        self.prober = Prober(
+            state.connections, state.wire_format, state.learn, state.reach
+        )
         self.probe_order = ProbeOrder(
             state.random_source,
             state.settings.name,
--- a/zinniaturn/gateway/state.py
+++ b/zinniaturn/gateway/state.py
@@ -30,6 +30,7 @@
 from zinniaturn.placing.recent_rate import RecentRate
 from zinniaturn.placing.retry_budget import FleetRetryBudget
 from zinniaturn.placing.server_stats import ServerStats
+from zinniaturn.reach.own_reach import OwnReach
 from zinniaturn.tables.matching import RouteMatcher
 
 _MILLISECONDS_PER_SECOND = 1000
@@ -54,6 +55,7 @@
     random_source: random.Random
     started_at: float
     gossip: GossipProtocol = field(init=False)
+    reach: OwnReach = field(init=False)
     stage: VmStage = VmStage.STARTING
     connections: ConnectionPool = field(default_factory=ConnectionPool)
     counters: Counters = field(default_factory=Counters)
@@ -65,6 +67,10 @@
         default_factory=lambda: RateLimit(_UNREADABLE_REPORT_SECONDS)
     )
 
+    def __post_init__(self) -> None:
+        """Begin without observations."""
+        self.reach = OwnReach(self.vms.clock)
+
     @property
     def is_stopping(self) -> bool:
         """Return whether the process is shutting down."""
@@ -116,6 +122,7 @@
                 self.admissions.of_process(name, registered.started_ms),
             )
         self.admissions.retain(self.fleet_state.servers)
+        self.reach.retain(self.usable_server_counts())
 
     def learn(
         self,
--- a/zinniaturn/platform/standins/server.py
+++ b/zinniaturn/platform/standins/server.py
@@ -16,13 +16,13 @@
     encode_response,
     find_field,
 )
-from zinniaturn.platform.standins.connection_reset import reset_connection
 from zinniaturn.platform.standins.endless import (
     ENDLESS_FAULTS,
     send_without_end,
 )
 from zinniaturn.platform.standins.faults import ServerFault
 from zinniaturn.platform.standins.loopback import LoopbackService
+from zinniaturn.standins.connection_reset import reset_connection
 
 _MILLISECONDS_PER_SECOND = 1000
 _RESET_DELAY_SECONDS = 0.02
--- a/zinniaturn/platform/standins/store.py
+++ b/zinniaturn/platform/standins/store.py
@@ -17,9 +17,9 @@
 
 from zinniaturn.http1.exchanges import CallerExchange, Reply
 from zinniaturn.http1.messages import Response
-from zinniaturn.platform.standins.connection_reset import reset_connection
 from zinniaturn.platform.standins.faults import StoreFault
 from zinniaturn.platform.standins.loopback import LoopbackService
+from zinniaturn.standins.connection_reset import reset_connection
 
 _ITEMS_PER_PAGE = 500
 _RANGE_PATH = '/kv-range'
--- /dev/null
+++ b/zinniaturn/reach/own_reach.py
@@ -0,0 +1,76 @@
+"""What this VM has seen of all pools."""
+
+__all__ = ('OwnReach',)
+
+from dataclasses import dataclass, field
+
+from zinniaturn.clock import Clock
+from zinniaturn.reach.observation import PoolObservation
+
+
+@dataclass(slots=True)
+class OwnReach:
+    """
+    The observations of the pools that this VM has used.
+
+    ``sizes`` are the numbers of servers of all pools. ``unanswered`` holds the
+    pools with a server that was tried since the last response, so that looking
+    for silent ones costs nothing while all respond.
+    """
+
+    clock: Clock
+    sizes: dict[str, int] = field(default_factory=dict)
+    pools: dict[str, PoolObservation] = field(default_factory=dict)
+    unanswered: dict[str, PoolObservation] = field(default_factory=dict)
+
+    def of(self, pool: str) -> PoolObservation:
+        """Return the observation of a pool, which is created on first use."""
+        return self.pools.setdefault(pool, PoolObservation())
+
+    def retain(self, sizes: dict[str, int]) -> None:
+        """Forget the pools that are gone; apply the sizes of the others."""
+        self.sizes = sizes
+        for pool in self.pools.keys() - sizes.keys():
+            self.pools.pop(pool)
+            self.unanswered.pop(pool, None)
+
+    def note_tried(self, pool: str, server: str) -> float:
+        """Record that a probe or a connection was begun; return the time."""
+        now = self.clock.monotonic()
+        observation = self.of(pool)
+        observation.note_tried(server, now)
+        self.unanswered[pool] = observation
+        return now
+
+    def note_failed(self, pool: str, server: str, tried_at: float) -> None:
+        """Record that a connection that was used from ``tried_at`` broke."""
+        observation = self.of(pool)
+        observation.note_failed(server, tried_at)
+        if observation.tried:
+            self.unanswered[pool] = observation
+
+    def note_unconnected(self, pool: str, server: str, tried_at: float) -> None:
+        """Record that a connection could not be established."""
+        self.of(pool).note_unconnected(server, tried_at)
+
+    def note_connected(self, pool: str) -> None:
+        """Record that a connection to a server was established."""
+        self.of(pool).note_connected()
+
+    def note_response(self, pool: str) -> None:
+        """Record a response of a server, whatever it says."""
+        self.of(pool).note_response(self.clock.monotonic())
+        self.unanswered.pop(pool, None)
+
+    def is_silent(self, pool: str) -> bool:
+        """Return whether no server of a pool responds to this VM."""
+        observation = self.unanswered.get(pool)
+        if observation is None:
+            return False
+        return observation.is_silent(
+            self.clock.monotonic(), self.sizes.get(pool, 0)
+        )
+
+    def silent_pools(self) -> list[str]:
+        """Return the pools of which no server responds to this VM."""
+        return [pool for pool in self.unanswered if self.is_silent(pool)]
--- a/zinniaturn/standins/fault_proxy.py
+++ b/zinniaturn/standins/fault_proxy.py
@@ -13,11 +13,10 @@
 __all__ = ('FaultProxy',)
 
 import asyncio
-import socket
-import struct
 from collections import Counter
 from collections.abc import Callable
 
+from zinniaturn.standins.connection_reset import reset_connection
 from zinniaturn.standins.faults import (
     BlackHole,
     CutAnswer,
@@ -34,8 +33,6 @@
 
 Address = tuple[str, int]
 
-_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
-
 
 def _choose_no_fault() -> Fault:
     return NoFault()
@@ -127,7 +124,7 @@
                 *self.proxy.target,
             )
         except OSError:
-            _reset_connection(self.caller)
+            reset_connection(self.caller)
             return
         self.server = transport
         for chunk in self.pending_chunks:
@@ -137,9 +134,9 @@
             transport.close()
 
     def reset_both_sides(self) -> None:
-        _reset_connection(self.caller)
+        reset_connection(self.caller)
         if self.server is not None:
-            _reset_connection(self.server)
+            reset_connection(self.server)
 
     def count_fault(self) -> None:
         if not self.is_fault_counted:
@@ -182,7 +179,7 @@
         if self.fault is fault and not self.has_response_begun:
             self.count_fault()
             self.discards_response = True
-            _reset_connection(self.caller)
+            reset_connection(self.caller)
 
     def forward_response(self, chunk: bytes) -> None:
         self.has_response_begun = True
@@ -223,7 +220,7 @@
     def end_response(self, reset: bool) -> None:
         self.discards_response = True
         if reset:
-            _reset_connection(self.caller)
+            reset_connection(self.caller)
         else:
             self.caller.close()
 
@@ -251,7 +248,7 @@
         """Close or reset the caller's connection as the server did its own."""
         self.proxy.connections.discard(self)
         if reason is not None and isinstance(self.fault, NoFault):
-            _reset_connection(self.caller)
+            reset_connection(self.caller)
             return
         match self.fault:
             case BlackHole() | LoseAnswer() | HalfClose():
@@ -290,15 +287,3 @@
 
     def connection_lost(self, reason: Exception | None) -> None:
         self.connection.on_server_lost(reason)
-
-
-def _reset_connection(transport: asyncio.Transport) -> None:
-    if transport.is_closing():
-        return
-    tcp_socket = transport.get_extra_info('socket')
-    tcp_socket.setsockopt(
-        socket.SOL_SOCKET,
-        socket.SO_LINGER,
-        _RESET_ON_CLOSE,
-    )
-    transport.abort()
