--- a/features/support/cut_links.py
+++ b/features/support/cut_links.py
@@ -8,10 +8,12 @@
 from zinniaturn.standins.vm_links import CutShape
 
 WORK_SECONDS = 0.03
+_LONGEST_CONNECT_SECONDS = 0.35
 
 
 async def start_cut_fleet(context, gateways, servers, config=None, **fields):
     """Start servers behind proxies and gateways that know each other."""
+    context.closers.append(_wait_for_connects)
     context.platform = SmallPlatform(context)
     await context.platform.start([], config)
     for number in range(servers):
@@ -61,6 +63,11 @@
         context.platform.links.restore(gateway.settings.host)
 
 
+async def _wait_for_connects():
+    """Wait until the connects that a cut held up have given up."""
+    await asyncio.sleep(_LONGEST_CONNECT_SECONDS)
+
+
 def _cut_connects(context, gateway):
     """
     Let connections to servers fail as they do behind a real cut.
