--- a/zinniaturn/events/catalogue.py
+++ b/zinniaturn/events/catalogue.py
@@ -65,6 +65,8 @@
     LOOKUPS_CHANGED = 743
     POOL_SILENT = 750
     POOL_RESPONDS = 751
+    PATH_LOST = 752
+    PATH_RESTORED = 753
 
 
 _INFO = logging.INFO
@@ -236,5 +238,13 @@
             _INFO,
             'a backend server of the pool responds to this VM again',
         ),
+        LogEvent.PATH_LOST: (
+            _WARNING,
+            'this VM has lost its path to a pool and passes its requests on',
+        ),
+        LogEvent.PATH_RESTORED: (
+            _INFO,
+            'this VM has its path to a pool back',
+        ),
     }
 )
--- a/zinniaturn/experiments/gossip_model.py
+++ b/zinniaturn/experiments/gossip_model.py
@@ -23,6 +23,7 @@
 from zinniaturn.fleet.tables import FleetTables
 from zinniaturn.fleet.vms import VmTable, list_statuses
 from zinniaturn.http1.connections import Address, ConnectionPool
+from zinniaturn.reach.reach_table import ReachTable
 
 _DATA_CENTERS = 5
 _NEAR_DELAY_SECONDS = 0.0002
@@ -86,7 +87,7 @@
     def _finish(self, source: 'ModelVm') -> None:
         self.is_fetching = False
         if source.is_running and self.vm.is_running:
-            self.vm.gossip.apply_table(list_statuses(source.gossip.vms))
+            self.vm.gossip.news.apply_table(list_statuses(source.gossip.vms))
 
 
 @dataclass(slots=True)
@@ -150,6 +151,7 @@
             table,
             ConnectionPool(),
             AdmissionTable(self.clock),
+            ReachTable(self.clock, record.name, lambda: len(table.alive_vms())),
             lambda: self.stages[record.name],
             int,
             lambda error: None,
--- a/zinniaturn/fleet/alive_vms.py
+++ b/zinniaturn/fleet/alive_vms.py
@@ -27,6 +27,7 @@
     version: int = 0
     stage: VmStage = VmStage.STARTING
     load: int = 0
+    cut_off: int = 0
     heard_at: float = float('-inf')
     own_version: int = 0
     changed_at: float = float('-inf')
@@ -49,7 +50,13 @@
 
     def status(self) -> VmStatus:
         """Return the VM's status without its record."""
-        return VmStatus(self.name, self.version, self.stage, self.load)
+        return VmStatus(
+            self.name,
+            self.version,
+            self.stage,
+            self.load,
+            cut_off=self.cut_off,
+        )
 
 
 @dataclass(slots=True)
--- a/zinniaturn/fleet/datagrams.py
+++ b/zinniaturn/fleet/datagrams.py
@@ -13,6 +13,8 @@
     'NoticeRow',
     'PermitGrantRow',
     'PermitRequestRow',
+    'ReachRow',
+    'ResponseRow',
     'StateClaim',
     'decode_datagram',
     'decode_statuses',
@@ -105,6 +107,7 @@
     stage: VmStage
     load: int
     record: RecordRow | None = None
+    cut_off: Count = 0
 
     @classmethod
     def of(cls, status: VmStatus) -> 'StatusRow':
@@ -116,6 +119,7 @@
             status.stage,
             status.load,
             None if record is None else RecordRow.of(record),
+            status.cut_off,
         )
 
     def to_status(self) -> VmStatus:
@@ -127,6 +131,7 @@
             self.stage,
             self.load,
             None if record is None else record.to_record(self.name),
+            self.cut_off,
         )
 
 
@@ -186,13 +191,36 @@
     wait_ms: Milliseconds
 
 
+class ResponseRow(msgspec.Struct, array_like=True, frozen=True):
+    """A server of ``pool`` responded to ``vm`` ``age_ms`` ago."""
+
+    pool: str
+    vm: str
+    age_ms: Milliseconds
+
+
+class ReachRow(msgspec.Struct, array_like=True, frozen=True):
+    """
+    What the sender knows of the paths to pools.
+
+    No server of the pools in ``questions`` responds to it. ``responses`` are
+    about the pools that others have asked about.
+    """
+
+    questions: tuple[str, ...] = ()
+    responses: tuple[ResponseRow, ...] = ()
+
+
+_NO_REACH = ReachRow()
+
+
 class Datagram(msgspec.Struct, array_like=True, frozen=True):
     """
     A message between two VMs.
 
     ``target`` is the VM that a ping request is about. ``news`` are the statuses
     of other VMs, and ``notices`` is what servers have said. Older processes
-    send no more than ``target``.
+    send no more than ``target``, or nothing of ``reach``.
     """
 
     version: int
@@ -205,6 +233,7 @@
     notices: tuple[NoticeRow, ...] = ()
     permit_request: PermitRequestRow | None = None
     permit_grant: PermitGrantRow | None = None
+    reach: ReachRow = _NO_REACH
 
     @property
     def sender_status(self) -> VmStatus:
@@ -224,6 +253,7 @@
     notices: Sequence[NoticeRow] = ()
     permit_request: PermitRequestRow | None = None
     permit_grant: PermitGrantRow | None = None
+    reach: ReachRow = _NO_REACH
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -253,6 +283,7 @@
             tuple(extras.notices),
             extras.permit_request,
             extras.permit_grant,
+            extras.reach,
         ),
     )
 
--- a/zinniaturn/fleet/domain.py
+++ b/zinniaturn/fleet/domain.py
@@ -82,7 +82,8 @@
     The status of one VM as of one version.
 
     ``load`` is the rate of callers' requests at the VM, per second. ``record``
-    is left out where the receiver is expected to know it.
+    is left out where the receiver is expected to know it. ``cut_off`` is the
+    number of pools whose servers respond to other VMs but not to this one.
     """
 
     name: str
@@ -90,6 +91,7 @@
     stage: VmStage
     load: int = 0
     record: VmRecord | None = None
+    cut_off: int = 0
 
     def supersedes(self, version: int, stage: VmStage) -> bool:
         """Return whether this status is newer than another one."""
--- a/zinniaturn/fleet/gossip.py
+++ b/zinniaturn/fleet/gossip.py
@@ -14,11 +14,11 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from zinniaturn.admission.admission import Admission, ServerNotice
+from zinniaturn.admission.admission import Admission
 from zinniaturn.admission.table import AdmissionTable
 from zinniaturn.fleet.alive_vms import PeerVm
 from zinniaturn.fleet.datagrams import (
@@ -26,7 +26,7 @@
     DatagramKind,
     decode_datagram,
 )
-from zinniaturn.fleet.domain import VmRecord, VmStage, VmStatus
+from zinniaturn.fleet.domain import VmRecord, VmStage
 from zinniaturn.fleet.exceptions import PeerMessageError
 from zinniaturn.fleet.failure_detection import (
     PING_INTERVAL_SECONDS,
@@ -34,6 +34,7 @@
 )
 from zinniaturn.fleet.fleet_state import FleetState
 from zinniaturn.fleet.gossip_sender import GossipSender
+from zinniaturn.fleet.news import NewsReceiver
 from zinniaturn.fleet.pause_guard import PauseGuard
 from zinniaturn.fleet.permit_exchange import PermitExchange
 from zinniaturn.fleet.relays import PingRelays
@@ -41,10 +42,12 @@
 from zinniaturn.fleet.table_sync import TableSync
 from zinniaturn.fleet.vms import VmTable
 from zinniaturn.http1.connections import Address, ConnectionPool
+from zinniaturn.reach.reach_table import ReachTable
 
 _PUSH_FANOUT = 4
 _PUSH_DELAY_SECONDS = 0.01
 _JOIN_PINGS = 8
+_ASKED_VMS = 6
 # A state whose confirmation is newer by this much is pushed on.
 _PUSHED_CONFIRMATION_SECONDS = 0.3
 _STOPPING_PUSHES = 3
@@ -52,7 +55,6 @@
 _LOAD_CHANGE_SHARE = 0.25
 _LOAD_CHANGE = 2
 _MS_PER_SECOND = 1000
-_URGENT_STAGES = frozenset((VmStage.STOPPING, VmStage.DEAD))
 
 
 class PushTimer(Protocol):
@@ -81,6 +83,7 @@
     vms: VmTable
     connections: ConnectionPool
     admissions: AdmissionTable
+    reach: ReachTable
     stage: Callable[[], VmStage]
     load: Callable[[], int]
     on_peer_error: Callable[[str], None]
@@ -90,6 +93,7 @@
     push_timer: PushTimer | None = None
     relays: PingRelays = field(default_factory=PingRelays)
     sender: GossipSender = field(init=False)
+    news: NewsReceiver = field(init=False)
     detector: FailureDetector = field(init=False)
     fetcher: StateFetcher = field(init=False)
     table_sync: TableSync = field(init=False)
@@ -98,7 +102,10 @@
 
     def __post_init__(self) -> None:
         """Build the parts that share the tables."""
-        self.sender = GossipSender(self.fleet_state, self.vms, self.admissions)
+        self.sender = GossipSender(
+            self.fleet_state, self.vms, self.admissions, self.reach
+        )
+        self.reach.ask_now = self.ask_others
         self.pause_guard = PauseGuard(self.vms.clock.monotonic())
         self.permits = PermitExchange(
             self.vms,
@@ -109,6 +116,15 @@
         )
         self.detector = FailureDetector(self.vms, self.random_source)
         self.table_sync = TableSync(self.vms)
+        self.news = NewsReceiver(
+            self.vms,
+            self.admissions,
+            self.reach,
+            self.sender,
+            self.table_sync,
+            self._schedule_push,
+            self.on_notice,
+        )
         self.fetcher = StateFetcher(
             self.own,
             self.fleet_state,
@@ -116,7 +132,7 @@
             self.connections,
             self.random_source,
             self._schedule_push,
-            self.apply_table,
+            self.news.apply_table,
             self.on_peer_error,
         )
 
@@ -152,6 +168,11 @@
             self.sender.send_round(ping_round)
         self.relays.discard_old(now)
 
+    def ask_others(self) -> None:
+        """Ping a few VMs, which tell in reply what this one asks about."""
+        for peer in self.detector.sample_alive(_ASKED_VMS):
+            self.sender.send(DatagramKind.PING, 0, peer.record.exchange, peer)
+
     def join(self) -> None:
         """Ping several listed VMs, to be known to the fleet soon."""
         silent = self.vms.silent_vms()
@@ -180,10 +201,11 @@
             self.on_peer_error(f'{addr[0]}: {error.message}')
             return
         sender = datagram.sender_status
-        self._learn((sender, *datagram.news_statuses()))
+        self.news.learn_statuses((sender, *datagram.news_statuses()))
         peer = self.vms.note_heard(sender.name, sender.version)
         if not self.pause_guard.is_after_pause(self.vms.clock.monotonic()):
-            self._learn_notices(datagram)
+            self.news.learn_notices(datagram)
+            self.news.learn_reach(datagram)
             self._compare_state(datagram)
         self._compare_tables(datagram, peer)
         self._respond(datagram, peer, addr)
@@ -242,42 +264,6 @@
                 DatagramKind.ACK, relay.sequence, relay.requester, None
             )
 
-    def _learn(self, statuses: Iterable[VmStatus]) -> None:
-        """Apply statuses, pass on what is new and push what is urgent."""
-        for status in statuses:
-            if not self.vms.apply(status):
-                if status.name not in self.vms.vms:
-                    self.table_sync.note_unknown(status, self.own.name)
-                continue
-            self.sender.pass_on(status.name)
-            is_own = status.name == self.own.name
-            if is_own or status.stage in _URGENT_STAGES:
-                self._schedule_push()
-
-    def _learn_notices(self, datagram: Datagram) -> None:
-        """Apply what servers have told the sender or others."""
-        now = self.vms.clock.monotonic()
-        for row in datagram.notices:
-            notice = ServerNotice(
-                row.server,
-                row.started_ms,
-                row.limit,
-                row.is_leaving,
-                now - row.age_ms / _MS_PER_SECOND - NETWORK_DELAY_SECONDS,
-                datagram.sender.name,
-            )
-            changed = self.admissions.adopt(notice)
-            if changed is not None:
-                self.sender.pass_on_notice(row.server)
-                self.on_notice(changed)
-
-    def apply_table(self, statuses: list[VmStatus]) -> None:
-        """Apply another VM's table, which the others already know."""
-        for status in statuses:
-            changed = self.vms.apply(status)
-            if changed and status.name == self.own.name:
-                self.sender.pass_on(status.name)
-
     def _update_own_status(self) -> None:
         """Pass on this VM's stage and load when they have changed."""
         own = self.vms.own_status
@@ -286,8 +272,11 @@
         change = abs(load - own.load)
         if change <= max(_LOAD_CHANGE, own.load * _LOAD_CHANGE_SHARE):
             load = own.load
-        if self.vms.set_own(stage, load):
+        cut_off = len(self.reach.cut_off)
+        if self.vms.set_own(stage, load, cut_off):
             self.sender.pass_on(own.name)
+        if own.cut_off != cut_off:
+            self._schedule_push()
 
     def _compare_state(self, datagram: Datagram) -> None:
         """Confirm the own state by the sender's, or fetch the newer state."""
--- a/zinniaturn/fleet/gossip_sender.py
+++ b/zinniaturn/fleet/gossip_sender.py
@@ -11,6 +11,8 @@
     DatagramExtras,
     DatagramKind,
     NoticeRow,
+    ReachRow,
+    ResponseRow,
     StateClaim,
     encode_datagram,
 )
@@ -20,6 +22,7 @@
 from zinniaturn.fleet.status_queue import StatusQueue
 from zinniaturn.fleet.vms import VmTable
 from zinniaturn.http1.connections import Address
+from zinniaturn.reach.reach_table import ReachTable
 
 _MOST_NEWS = 40
 _MOST_NOTICES = 5
@@ -42,6 +45,7 @@
     fleet_state: FleetState
     vms: VmTable
     admissions: AdmissionTable
+    reach: ReachTable
     transport: asyncio.DatagramTransport | None = None
     queue: StatusQueue = field(default_factory=StatusQueue)
     notice_queue: StatusQueue = field(default_factory=StatusQueue)
@@ -101,7 +105,11 @@
                 sender,
                 self._claim(),
                 news,
-                replace(extras, notices=self._notice_rows(receiver)),
+                replace(
+                    extras,
+                    notices=self._notice_rows(receiver),
+                    reach=self._reach_row(),
+                ),
             ),
             address,
         )
@@ -135,6 +143,22 @@
             round(age * _MS_PER_SECOND),
         )
 
+    def _reach_row(self) -> ReachRow:
+        now = self.vms.clock.monotonic()
+        return ReachRow(
+            self.reach.questions_to_send(),
+            tuple(
+                ResponseRow(
+                    response.pool,
+                    response.vm,
+                    max(
+                        0, round((now - response.responded_at) * _MS_PER_SECOND)
+                    ),
+                )
+                for response in self.reach.responses_to_send()
+            ),
+        )
+
     def _claim(self) -> StateClaim:
         return StateClaim(
             self.fleet_state.revision,
--- a/zinniaturn/fleet/vms.py
+++ b/zinniaturn/fleet/vms.py
@@ -9,7 +9,7 @@
 than its predecessor's, whatever its clock says.
 """
 
-__all__ = ('VmTable', 'list_statuses', 'serving_vms')
+__all__ = ('VmTable', 'cut_off_vms', 'list_statuses', 'serving_vms')
 
 import zlib
 from collections.abc import Collection
@@ -62,17 +62,22 @@
                 self.change_count += 1
         self._forget_silent()
 
-    def set_own(self, stage: VmStage, load: int) -> bool:
-        """Set this VM's own stage and load; return whether they changed."""
+    def set_own(self, stage: VmStage, load: int, cut_off: int = 0) -> bool:
+        """Set this VM's own status; return whether it changed."""
         own = self.own_status
-        if (own.stage, own.load) == (stage, load):
+        if (own.stage, own.load, own.cut_off) == (stage, load, cut_off):
             return False
         if own.stage is not stage:
             self.alive.ready.discard(own.name)
             if stage is VmStage.READY:
                 self.alive.ready.add(own.name)
+        self.change_count += own.cut_off != cut_off
         self.own_status = replace(
-            own, version=own.version + 1, stage=stage, load=load
+            own,
+            version=own.version + 1,
+            stage=stage,
+            load=load,
+            cut_off=cut_off,
         )
         return True
 
@@ -89,12 +94,17 @@
         if not status.supersedes(peer.version, peer.stage):
             return False
         record = status.record or peer.record
-        is_same = status.stage is peer.stage and record == peer.record
+        is_same = (
+            status.stage is peer.stage
+            and record == peer.record
+            and status.cut_off == peer.cut_off
+        )
         self.change_count += not (is_same and peer.version)
         self.alive.discard(peer)
         peer.version = status.version
         peer.stage = status.stage
         peer.load = status.load
+        peer.cut_off = status.cut_off
         peer.record = record
         peer.changed_at = self.clock.monotonic()
         self.alive.add(peer)
@@ -239,3 +249,11 @@
         ]
     serving.extend(peer.record for peer in ready)
     return serving
+
+
+def cut_off_vms(vms: VmTable) -> set[str]:
+    """Return the VMs, this one too, that have lost their path to some pool."""
+    names = {peer.name for peer in vms.alive_vms() if peer.cut_off}
+    if vms.own_status.cut_off:
+        names.add(vms.own.name)
+    return names
--- a/zinniaturn/gateway/attempt.py
+++ b/zinniaturn/gateway/attempt.py
@@ -86,7 +86,7 @@
         raise
     finally:
         stats.end()
-    state.reach.note_response(placement.candidate.registered.pool)
+    state.reach.own.note_response(placement.candidate.registered.pool)
     apply_keep_alive(connection, response)
     try:
         _check_response(
@@ -110,20 +110,20 @@
     if pooled is not None:
         return pooled
     pool, name = placement.candidate.registered.pool, placement.candidate.name
-    tried_at = state.reach.note_tried(pool, name)
+    tried_at = state.reach.own.note_tried(pool, name)
     try:
         connection = await state.connections.connect(
             address, _CONNECT_TIMEOUT_SECONDS
         )
     except ConnectFailedError as error:
-        state.reach.note_unconnected(pool, name, tried_at)
+        state.reach.own.note_unconnected(pool, name, tried_at)
         _count_failure(state, placement, error.message, loop.time())
         raise AttemptError(
             error.message,
             Phase.NOT_SENT,
             Event.CONNECT_FAILED,
         ) from error
-    state.reach.note_connected(pool)
+    state.reach.own.note_connected(pool)
     return connection
 
 
@@ -131,7 +131,7 @@
     state: GatewayState, placement: Placement, elapsed_seconds: float
 ) -> None:
     """Record that a connection broke before a response was complete."""
-    state.reach.note_failed(
+    state.reach.own.note_failed(
         placement.candidate.registered.pool,
         placement.candidate.name,
         state.reach.clock.monotonic() - elapsed_seconds,
--- a/zinniaturn/gateway/attempt_runner.py
+++ b/zinniaturn/gateway/attempt_runner.py
@@ -8,6 +8,7 @@
 from zinniaturn.choosing.exceptions import RejectedError
 from zinniaturn.gateway.attempt import send_attempt
 from zinniaturn.gateway.exceptions import AttemptError
+from zinniaturn.gateway.relay_client import RelayClient
 from zinniaturn.gateway.request_context import Placement, RequestContext
 from zinniaturn.gateway.scheduler import RequestScheduler
 from zinniaturn.gateway.state import GatewayState
@@ -15,10 +16,13 @@
 from zinniaturn.outcomes import Outcome, combine_verdicts, verdict_for
 from zinniaturn.placing.hedging import hedge_delay
 from zinniaturn.placing.retry_after import seconds_after_shedding
+from zinniaturn.reach.decision import PassOn
 
 Attempt = asyncio.Task[Response]
 
 _HEDGE_RETRY_SECONDS = 0.1
+# The caller meets another VM when it returns.
+_TURNED_AWAY_RETRY_SECONDS = 0.1
 
 
 @dataclass(slots=True)
@@ -27,6 +31,7 @@
 
     state: GatewayState
     scheduler: RequestScheduler
+    relay_client: RelayClient
 
     async def run(self, context: RequestContext) -> Response:
         """
@@ -36,16 +41,41 @@
         then says what is known of the attempts.
         """
         while True:
-            placement = await self.scheduler.place(context)
-            try:
-                return await self._attempt_with_hedge(context, placement)
-            except AttemptError as error:
-                _record_failure(context, error)
-                if self._may_retry(context):
-                    continue
-                if error.response is not None:
-                    return error.response
-                raise self._rejection(context, placement, error) from error
+            assignment = await self.scheduler.place(context)
+            match assignment:
+                case PassOn():
+                    return await self._pass_on(context, assignment)
+                case Placement():
+                    response = await self._serve_at(context, assignment)
+            if response is not None:
+                return response
+
+    async def _serve_at(
+        self, context: RequestContext, placement: Placement
+    ) -> Response | None:
+        """Return a server's response, ``None`` if another one may be tried."""
+        try:
+            return await self._attempt_with_hedge(context, placement)
+        except AttemptError as error:
+            _record_failure(context, error)
+            if self._may_retry(context):
+                return None
+            if error.response is not None:
+                return error.response
+            raise self._rejection(context, placement, error) from error
+
+    async def _pass_on(self, context: RequestContext, plan: PassOn) -> Response:
+        """Return the response that another VM got; raises `RejectedError`."""
+        try:
+            return await self.relay_client.pass_on(context, plan)
+        except AttemptError as error:
+            _record_failure(context, error)
+            seconds = error.retry_after_seconds
+            if seconds is None:
+                seconds = self.scheduler.retry_after_jitter.seconds(
+                    _TURNED_AWAY_RETRY_SECONDS
+                )
+            raise RejectedError(error.message, 'no-server', seconds) from error
 
     def _rejection(
         self,
@@ -98,11 +128,16 @@
     ) -> None:
         """Send the request to a second server as well, if one is free."""
         try:
-            placement = await self.scheduler.place(context)
+            assignment = await self.scheduler.place(context)
         except RejectedError:
             return
         self.state.counters.events['second_send'] += 1
-        running.add(self._start(context, placement))
+        match assignment:
+            case PassOn():
+                attempt = self.relay_client.pass_on(context, assignment)
+                running.add(asyncio.ensure_future(attempt))
+            case Placement():
+                running.add(self._start(context, assignment))
 
     def _start(self, context: RequestContext, placement: Placement) -> Attempt:
         name = placement.candidate.name
@@ -120,17 +155,23 @@
     ) -> Response:
         loop = asyncio.get_running_loop()
         sent_at = loop.time()
-        response = await send_attempt(
-            self.state,
-            context,
-            placement,
-            lambda connection: self.scheduler.offer_freed_slot(
-                context.pool.name,
+        try:
+            response = await send_attempt(
+                self.state,
+                context,
                 placement,
-                connection,
-                loop.time(),
-            ),
-        )
+                lambda connection: self.scheduler.offer_freed_slot(
+                    context.pool.name,
+                    placement,
+                    connection,
+                    loop.time(),
+                ),
+            )
+        except AttemptError as error:
+            if error.response is not None:
+                context.responding_server = placement.candidate.name
+            raise
+        context.responding_server = placement.candidate.name
         self.scheduler.service_times.update(
             context.route.name,
             context.route.objective_seconds,
--- a/zinniaturn/gateway/dispatch.py
+++ b/zinniaturn/gateway/dispatch.py
@@ -5,11 +5,13 @@
 import asyncio
 
 from zinniaturn.choosing.exceptions import RejectedError
-from zinniaturn.events.catalogue import LogEvent
-from zinniaturn.fleet.tables import FleetPool
+from zinniaturn.fleet.tables import FleetPool, FleetRoute
 from zinniaturn.gateway.attempt_runner import AttemptRunner
 from zinniaturn.gateway.rejections import rejection_response
+from zinniaturn.gateway.relay_client import RelayClient
 from zinniaturn.gateway.request_context import RequestContext
+from zinniaturn.gateway.request_log import RequestLog, decode_text
+from zinniaturn.gateway.results import RequestResult
 from zinniaturn.gateway.scheduler import RequestScheduler
 from zinniaturn.gateway.state import GatewayState
 from zinniaturn.http1.exchanges import CallerExchange, Reply
@@ -27,7 +29,6 @@
 
 _FIRST_ERROR_STATUS = 400
 _NOT_READY_RETRY_SECONDS = 0.3
-_MILLISECONDS_PER_SECOND = 1000
 
 
 class Dispatcher:
@@ -35,10 +36,13 @@
 
     def __init__(self, state: GatewayState) -> None:
         self.state = state
-        self.attempt_runner = AttemptRunner(state, RequestScheduler(state))
+        self.attempt_runner = AttemptRunner(
+            state, RequestScheduler(state), RelayClient(state)
+        )
         self.pool_selector = PoolSelector(state.random_source)
         self.elapsed_times = ElapsedTimeEstimator()
         self.limits = CallerLimits()
+        self.log = RequestLog(state)
 
     @property
     def is_stopping(self) -> bool:
@@ -60,13 +64,7 @@
             return self._reject_unrouted(
                 request, 'not-ready', _NOT_READY_RETRY_SECONDS
             )
-        host = find_field(request.fields, b'host') or b''
-        path = request.target.partition(b'?')[0]
-        route = self.state.matcher.find(
-            host.decode('latin-1').partition(':')[0].lower(),
-            path.decode('latin-1'),
-            request.method.decode('latin-1'),
-        )
+        route = self.find_route(request)
         if route is None:
             return self._reject_unrouted(request, 'no-route', None)
         name = self.pool_selector.select(route)
@@ -75,7 +73,7 @@
         limit = min(route.deadline_seconds, seconds or route.deadline_seconds)
         context = RequestContext(
             request,
-            _decode(self.state.wire_format.request_id(request.fields)),
+            decode_text(self.state.wire_format.request_id(request.fields)),
             route,
             pool,
             request.started_at,
@@ -86,16 +84,31 @@
             context.elapsed_before = self.elapsed_times.estimate(
                 route.name, seconds
             )
-        self.state.arrival_rate.note(request.started_at)
-        self.state.retry_budget(name).note_request(request.started_at)
+        self.state.note_request(name, request.started_at)
         return self._serve(exchange, context)
 
-    async def _serve(
-        self, exchange: CallerExchange, context: RequestContext
-    ) -> Response:
+    def find_route(self, request: Request) -> FleetRoute | None:
+        """Return the route of a request, ``None`` if no route matches it."""
+        host = find_field(request.fields, b'host') or b''
+        path = request.target.partition(b'?')[0]
+        return self.state.matcher.find(
+            host.decode('latin-1').partition(':')[0].lower(),
+            path.decode('latin-1'),
+            request.method.decode('latin-1'),
+        )
+
+    async def run(
+        self, context: RequestContext, exchange: CallerExchange | None = None
+    ) -> RequestResult:
+        """
+        Run a request's attempts within its deadline.
+
+        A non-idempotent one waits until the earlier requests of its
+        ``exchange``'s connection are answered.
+        """
         try:
             async with asyncio.timeout_at(context.deadline):
-                if not context.idempotent:
+                if exchange is not None and not context.idempotent:
                     await exchange.wait_for_turn()
                 response = await self.attempt_runner.run(context)
         except TimeoutError:
@@ -103,67 +116,73 @@
         except RejectedError as error:
             return self._reject(context, error)
         except asyncio.CancelledError:
-            self._log(context, 'caller left', 0)
+            self.log.ended(context, 'caller left', 0)
             raise
         except Exception as error:
             return self._report_internal_error(context, error)
-        return self._forward_response(context, response)
-
-    def _forward_response(
-        self, context: RequestContext, response: Response
-    ) -> Response:
-        now = asyncio.get_running_loop().time()
-        if response.status < _FIRST_ERROR_STATUS:
+        return RequestResult(Outcome.RUN, response)
+
+    def log_result(self, context: RequestContext, result: RequestResult) -> int:
+        """Count and log a request's end; return the status for its caller."""
+        response = result.response
+        if response is None:
+            outcome = f'{result.code}: {result.outcome.value}'
+            status = self._rejection(result).status
+        elif response.status < _FIRST_ERROR_STATUS:
+            now = asyncio.get_running_loop().time()
             self.state.counters.observe_latency(
                 context.route.name, now - context.arrived_at
             )
-            self._log(context, 'answered', response.status)
+            outcome = 'answered'
+            status = response.status
         else:
-            self._log(context, 'failed by server', response.status)
-        return self.state.wire_format.caller_response(response)
+            outcome = 'failed by server'
+            status = response.status
+        self.log.ended(context, outcome, status)
+        return status
+
+    async def _serve(
+        self, exchange: CallerExchange, context: RequestContext
+    ) -> Response:
+        result = await self.run(context, exchange)
+        self.log_result(context, result)
+        if result.response is not None:
+            return self.state.wire_format.caller_response(result.response)
+        return self._rejection(result)
+
+    def _rejection(self, result: RequestResult) -> Response:
+        return rejection_response(
+            result.code, result.outcome, result.retry_after_seconds
+        )
 
     def _report_internal_error(
         self, context: RequestContext, error: Exception
-    ) -> Response:
-        """Respond after an unexpected exception; the request may have run."""
+    ) -> RequestResult:
+        """Reject after an unexpected exception; the request may have run."""
         context.detail = repr(error)
         self.state.log_fault('a request', error)
-        return self._respond(context, 'internal', Outcome.UNKNOWN, None)
+        return RequestResult(Outcome.UNKNOWN, code='internal')
 
-    def _time_out(self, context: RequestContext) -> Response:
+    def _time_out(self, context: RequestContext) -> RequestResult:
         phase = Phase.SENT_WHOLE if context.attempt_count else Phase.NOT_SENT
-        context.verdict = combine_verdicts(
+        verdict = combine_verdicts(
             context.verdict, verdict_for(phase, Event.DEADLINE_PASSED)
         )
-        return self._respond(
-            context, context.verdict.code, context.verdict.outcome, None
-        )
+        return RequestResult(verdict.outcome, code=verdict.code)
 
     def _reject(
         self, context: RequestContext, error: RejectedError
-    ) -> Response:
+    ) -> RequestResult:
         verdict = context.verdict
         context.detail = context.detail or error.message
+        seconds = error.retry_after_seconds
         if verdict is None:
-            return self._respond(
-                context,
-                error.code,
-                Outcome.NOT_RUN,
-                error.retry_after_seconds,
+            return RequestResult(
+                Outcome.NOT_RUN, code=error.code, retry_after_seconds=seconds
             )
-        seconds = error.retry_after_seconds
-        return self._respond(context, verdict.code, verdict.outcome, seconds)
-
-    def _respond(
-        self,
-        context: RequestContext,
-        code: str,
-        outcome: Outcome,
-        retry_after_seconds: float | None,
-    ) -> Response:
-        response = rejection_response(code, outcome, retry_after_seconds)
-        self._log(context, f'{code}: {outcome.value}', response.status)
-        return response
+        return RequestResult(
+            verdict.outcome, code=verdict.code, retry_after_seconds=seconds
+        )
 
     def _reject_unrouted(
         self,
@@ -172,68 +191,5 @@
         seconds: float | None,
     ) -> Response:
         response = rejection_response(code, Outcome.NOT_RUN, seconds)
-        self.state.counters.count_request('', code)
-        self.state.event_log.write(
-            LogEvent.REQUEST_ENDED,
-            is_failure=True,
-            request=_decode(self.state.wire_format.request_id(request.fields)),
-            target=_decode(request.target),
-            outcome=code,
-            status=response.status,
-            tables_revision=self._tables_revision(),
-        )
+        self.log.unrouted(request, code, response.status)
         return response
-
-    def _tables_revision(self) -> int:
-        document = self.state.fleet_state.document
-        return document.revision if document else 0
-
-    def _log(self, context: RequestContext, outcome: str, status: int) -> None:
-        now = asyncio.get_running_loop().time()
-        self.state.counters.count_request(context.route.name, outcome)
-        report = context.load_report
-        self.state.event_log.write(
-            LogEvent.REQUEST_ENDED,
-            is_failure=outcome != 'answered',
-            request=context.request_id,
-            route=context.route.name,
-            pool=context.pool.name,
-            outcome=outcome,
-            status=status,
-            milliseconds=round(
-                (now - context.arrived_at) * _MILLISECONDS_PER_SECOND, 1
-            ),
-            waited_ms=round(
-                ((context.first_sent_at or now) - context.arrived_at)
-                * _MILLISECONDS_PER_SECOND,
-                1,
-            ),
-            servers=context.server_names,
-            second_send=context.second_send,
-            probed=context.probe_count,
-            queued=context.queue_length,
-            avoids_slow=context.avoids_slow_servers,
-            withheld=context.withheld,
-            load=report
-            and [
-                report.busy,
-                report.queued,
-                report.slots,
-                report.slowness,
-            ],
-            expected_ms=round(
-                context.expected_seconds * _MILLISECONDS_PER_SECOND, 1
-            ),
-            elapsed_ms=round(context.elapsed_before * _MILLISECONDS_PER_SECOND),
-            limit_ms=round(
-                (context.deadline - context.arrived_at)
-                * _MILLISECONDS_PER_SECOND
-            ),
-            detail=context.detail,
-            tables_revision=self._tables_revision(),
-            state_age_ms=self.state.fleet_state.age_ms,
-        )
-
-
-def _decode(raw: bytes | None) -> str:
-    return (raw or b'').decode('latin-1')
--- a/zinniaturn/gateway/endpoints.py
+++ b/zinniaturn/gateway/endpoints.py
@@ -8,7 +8,7 @@
 
 from zinniaturn.events.catalogue import LogEvent
 from zinniaturn.fleet.domain import VmRecord, VmStage
-from zinniaturn.fleet.vms import serving_vms
+from zinniaturn.fleet.vms import cut_off_vms, serving_vms
 from zinniaturn.gateway.state import GatewayState
 from zinniaturn.http1.exchanges import CallerExchange
 from zinniaturn.http1.limits import CallerLimits
@@ -17,6 +17,7 @@
     AddressSelector,
     demand_step,
     vms_for_demand,
+    vms_with_paths,
 )
 
 _MAX_LOGGED_VMS = 64
@@ -63,7 +64,11 @@
         if situation == self.selected_for:
             return
         self.selected_for = situation
-        selected = vms_for_demand(serving_vms(vms, own_is_ready), demand)
+        cut_off = cut_off_vms(vms)
+        serving = vms_with_paths(
+            serving_vms(vms, own_is_ready), cut_off, demand
+        )
+        selected = vms_for_demand(serving, demand)
         if selected != self.selected:
             self.state.event_log.write(
                 LogEvent.LOOKUPS_CHANGED,
@@ -71,6 +76,7 @@
                 count=len(selected),
                 demand=demand if math.isfinite(demand) else None,
                 alive=len(vms.alive_vms()),
+                cut_off=len(cut_off),
             )
         self.selected = selected
 
--- a/zinniaturn/gateway/exceptions.py
+++ b/zinniaturn/gateway/exceptions.py
@@ -24,6 +24,8 @@
     ``phase`` and ``event`` say how far the request got and what went wrong.
     ``response`` is the server's complete error response, if it sent one; it is
     forwarded to the caller if no further attempt is made.
+    ``retry_after_seconds`` is when the caller may return, if another VM has
+    said so.
     """
 
     code = 'attempt-failed'
@@ -34,8 +36,10 @@
         phase: Phase,
         event: Event,
         response: Response | None = None,
+        retry_after_seconds: float | None = None,
     ) -> None:
         super().__init__(message)
         self.phase = phase
         self.event = event
         self.response = response
+        self.retry_after_seconds = retry_after_seconds
--- a/zinniaturn/gateway/process.py
+++ b/zinniaturn/gateway/process.py
@@ -33,6 +33,8 @@
 )
 from zinniaturn.gateway.event_log import EventLog
 from zinniaturn.gateway.metrics import render_metrics
+from zinniaturn.gateway.path_watch import PathWatch
+from zinniaturn.gateway.relay_service import PeerService, RelayService
 from zinniaturn.gateway.reporting import StateReporter
 from zinniaturn.gateway.settings import GatewaySettings
 from zinniaturn.gateway.state import GatewayState
@@ -42,6 +44,7 @@
 from zinniaturn.http1.listener import Listener
 from zinniaturn.placing.address_selection import AddressSelector
 from zinniaturn.placing.demand import capacity
+from zinniaturn.reach.reach_table import ReachTable
 
 _MAINTENANCE_INTERVAL_SECONDS = 0.5
 _RESTART_DELAY_SECONDS = 0.2
@@ -79,18 +82,25 @@
         self.fleet_state = FleetState(clock, store.decode_tables)
         self.vms = VmTable(record, clock)
         admissions = AdmissionTable(clock)
+        reach = ReachTable(
+            clock, settings.name, lambda: len(self.vms.alive_vms())
+        )
         self.state = GatewayState(
             settings,
             wire_format,
             self.fleet_state,
             self.vms,
             admissions,
+            reach,
             event_log,
             random_source,
             asyncio.get_running_loop().time(),
             connections=ConnectionPool(settings.host, self.byte_budget),
         )
         self.dispatcher = Dispatcher(self.state)
+        self.path_watch = PathWatch(
+            self.state, self.dispatcher.attempt_runner.scheduler.search
+        )
         self.reporter = StateReporter(self.state, self.dispatcher)
         self.fleet_state.observers.append(self.reporter.apply_change)
         self.fleet_state.observers.append(self._on_change)
@@ -115,6 +125,7 @@
             self.vms,
             self.state.connections,
             admissions,
+            reach,
             lambda: self.state.stage,
             lambda: round(self.state.own_request_rate()),
             self.reporter.note_rejected_message,
@@ -142,7 +153,10 @@
         await self.peers.start()
         await self._listen(
             (settings.host, settings.first_port + 1),
-            StateService(self.fleet_state, self.vms),
+            PeerService(
+                StateService(self.fleet_state, self.vms),
+                RelayService.build(self.state, self.dispatcher),
+            ),
         )
         address_selector = AddressSelector(
             self.state.random_source,
@@ -220,6 +234,7 @@
             'reading the store': self._follow_store,
             'gossip': self.peers.run,
             'ticks': self._run_maintenance,
+            'watching paths': self.path_watch.run,
         }
         self.tasks.extend(
             asyncio.ensure_future(self._keep_running(name, task_function))
@@ -288,7 +303,6 @@
             self.dispatcher.probe_leaving_servers()
             self.reporter.log_refused_bodies(self.byte_budget)
             self.reporter.log_vm_changes()
-            self.reporter.log_silent_pools()
             if self.fleet_state.document is not None:
                 self.registration.reconcile(self.fleet_state.vms)
 
--- a/zinniaturn/gateway/reporting.py
+++ b/zinniaturn/gateway/reporting.py
@@ -3,7 +3,7 @@
 __all__ = ('StateReporter',)
 
 import gc
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from zinniaturn.events.catalogue import LogEvent
 from zinniaturn.fleet.domain import FleetSnapshot, VmStage
@@ -17,7 +17,6 @@
 _MAX_LOGGED_ENTRIES = 5
 _MAX_LOGGED_SERVERS = 40
 _MAX_LOGGED_VMS = 40
-_MILLISECONDS_PER_SECOND = 1000
 
 
 @dataclass(slots=True)
@@ -27,8 +26,7 @@
 
     ``alive`` holds the VMs that were alive at the last check, and
     ``reported_unreadable`` the unreadable entries that were last logged, and
-    ``reported_refusals`` the number of refused bodies. ``silent_since`` holds
-    since when the pools that were last logged as silent are.
+    ``reported_refusals`` the number of refused bodies.
     """
 
     state: GatewayState
@@ -37,7 +35,6 @@
     reported_unreadable: tuple[str, ...] = ()
     alive: frozenset[str] = frozenset()
     reported_refusals: int = 0
-    silent_since: dict[str, float] = field(default_factory=dict)
 
     def apply_change(self, change: StateChange) -> None:
         """Apply a change of tables, servers or VMs, and log it."""
@@ -139,36 +136,6 @@
             most_bytes=byte_budget.most,
         )
 
-    def log_silent_pools(self) -> None:
-        """
-        Log the pools that no longer respond to this VM, and those that do.
-
-        Work: the pools with servers that have not responded yet.
-        """
-        reach = self.state.reach
-        now = reach.clock.monotonic()
-        silent = frozenset(reach.silent_pools())
-        for pool in sorted(silent - self.silent_since.keys()):
-            observation = reach.of(pool)
-            self.silent_since[pool] = observation.silent_since
-            self.state.counters.events['pool_silent'] += 1
-            self.state.event_log.write(
-                LogEvent.POOL_SILENT,
-                pool=pool,
-                servers=reach.sizes.get(pool, 0),
-                tried=sorted(observation.tried),
-                failed=sorted(observation.failed),
-                unconnected=sorted(observation.unconnected),
-                silent_ms=_milliseconds(observation.silent_seconds(now)),
-            )
-        for pool in sorted(self.silent_since.keys() - silent):
-            since = self.silent_since.pop(pool)
-            self.state.event_log.write(
-                LogEvent.POOL_RESPONDS,
-                pool=pool,
-                silent_ms=_milliseconds(now - since),
-            )
-
     def log_vm_changes(self) -> None:
         """Log newly alive and newly silent VMs, one line for each kind."""
         alive_vms = self.state.vms.alive_vms()
@@ -184,7 +151,3 @@
                     count=len(names),
                 )
         self.alive = alive
-
-
-def _milliseconds(seconds: float) -> int:
-    return round(seconds * _MILLISECONDS_PER_SECOND)
--- a/zinniaturn/gateway/request_context.py
+++ b/zinniaturn/gateway/request_context.py
@@ -24,6 +24,10 @@
     known from failed attempts. ``second_send`` is logged and says whether a
     hedged request was sent, or why not. ``withheld`` names a few servers that
     wanted no request when the last server was chosen, with the reason.
+    ``taken_from`` is the VM that has passed the request on to this one, and
+    ``passed_to`` names those that this VM has passed it on to.
+    ``responding_server`` is the one whose response the caller gets.
+    ``is_out_of_reach`` is set if no server of the pool responds to this VM.
     """
 
     request: Request
@@ -47,6 +51,10 @@
     avoids_slow_servers: bool = False
     second_send: str = ''
     withheld: list[str] = field(default_factory=list)
+    taken_from: str = ''
+    passed_to: list[str] = field(default_factory=list)
+    responding_server: str = ''
+    is_out_of_reach: bool = False
 
     @property
     def objective_at(self) -> float:
@@ -55,6 +63,11 @@
         limit = seconds or self.route.deadline_seconds
         return self.arrived_at - self.elapsed_before + limit
 
+    @property
+    def is_relayed(self) -> bool:
+        """Return whether another VM has passed the request on to this one."""
+        return bool(self.taken_from)
+
     def seconds_left(self, now: float) -> float:
         """Return the seconds until the deadline."""
         return self.deadline - now
--- a/zinniaturn/gateway/scheduler.py
+++ b/zinniaturn/gateway/scheduler.py
@@ -27,6 +27,12 @@
 from zinniaturn.placing.request_queue import Offer, QueuedRequest, RequestQueue
 from zinniaturn.placing.retry_after import RetryAfterJitter
 from zinniaturn.placing.return_schedule import ReturnSchedule
+from zinniaturn.reach.decision import (
+    AwaitEvidence,
+    PassOn,
+    RejectAtOnce,
+    ServeHere,
+)
 
 _UNHEALTHY_PENALTY_FACTOR = 3.0
 _GOOD_ENOUGH_FACTOR = 1.4
@@ -34,6 +40,8 @@
 _POLL_INTERVAL_SECONDS = 0.03
 _RESERVED_PROBES = 6
 _RESERVED_PROBES_WHEN_ALL_LATE = 15
+_EVIDENCE_POLL_SECONDS = 0.01
+_UNREACHED_RETRY_SECONDS = 0.3
 
 
 class RequestScheduler:
@@ -54,12 +62,57 @@
         self.poll_tasks: dict[str, asyncio.Task[None]] = {}
         self.return_schedules: dict[str, ReturnSchedule] = {}
 
-    async def place(self, context: RequestContext) -> Placement:
+    async def place(self, context: RequestContext) -> Placement | PassOn:
         """
         Return the server for a request, waiting until one is free.
 
-        Raises `RejectedError` where the pool has no server, or none that is
-        free in time.
+        Returns the VMs to pass it on to instead where the pool's servers
+        respond to them but not to this one. Raises `RejectedError` where the
+        pool has no server, none that is free in time, or none that responds to
+        any VM.
+        """
+        is_unplaced = False
+        while True:
+            decision = await self._decide_path(context, is_unplaced)
+            if decision is not None:
+                return decision
+            placement = await self._place_here(context)
+            if placement is not None:
+                return placement
+            is_unplaced = True
+
+    async def _decide_path(
+        self, context: RequestContext, is_unplaced: bool
+    ) -> PassOn | None:
+        """
+        Return the VMs to pass a request on to, ``None`` to serve it here.
+
+        Raises `RejectedError` if its pool responds to nobody.
+        """
+        pool = context.pool.name
+        while True:
+            decision = self.state.reach.decide(
+                pool, context.is_relayed, is_unplaced
+            )
+            match decision:
+                case PassOn():
+                    return decision
+                case ServeHere():
+                    return None
+                case AwaitEvidence():
+                    await asyncio.sleep(_EVIDENCE_POLL_SECONDS)
+                case RejectAtOnce():
+                    context.is_out_of_reach = True
+                    raise self._rejection(
+                        _UNREACHED_RETRY_SECONDS,
+                        'no server of the pool responds',
+                    )
+
+    async def _place_here(self, context: RequestContext) -> Placement | None:
+        """
+        Return the server for a request, waiting until one is free.
+
+        Returns ``None`` if the servers fall silent meanwhile.
         """
         loop = asyncio.get_running_loop()
         service_seconds = self.service_times.service_seconds(
@@ -80,11 +133,12 @@
             ),
             lambda: _resolve(decided),
             context.tried_servers,
+            is_relayed=context.is_relayed,
         )
         queue.add(queued)
         try:
             await self._probe_for(context, queue, queued)
-            if queued.granted is None and queued.retry_after_seconds is None:
+            if queued.is_undecided:
                 queue.note_unmatched(queued, loop.time())
                 self._start_polling(context.pool)
                 await decided
@@ -93,6 +147,8 @@
             if queued.granted is not None:
                 self.search.release(queued.granted)
             raise
+        if queued.is_withdrawn:
+            return None
         if queued.granted is None:
             context.queue_length = len(queue.waiting)
             context.avoids_slow_servers = queue.contention.has_fast_server(
@@ -189,6 +245,9 @@
         self._match_offers(queue, offers)
         if queued.granted is not None:
             return
+        self._withdraw_unreachable(context.pool, queue)
+        if queued.is_withdrawn:
+            return
         if (
             not offers
             and self.search.probe_effort(context.pool) is ProbeEffort.MINIMAL
@@ -285,6 +344,7 @@
                 * _POLL_INTERVAL_SECONDS,
             )
             queue.reject_unservable(loop.time())
+            self._withdraw_unreachable(pool, queue)
             if queue.waiting and not self._reject_at_limits(pool, queue):
                 reserve = self._reserved_probes(queue)
                 offers = await self.search.poll_candidates(pool, reserve)
@@ -292,6 +352,20 @@
                     self._match_offers(queue, offers)
                     queue.note_offer_round(loop.time())
 
+    def _withdraw_unreachable(
+        self, pool: FleetPool, queue: RequestQueue
+    ) -> None:
+        """Let the requests leave that can't be served here any more."""
+        reach = self.state.reach
+        if reach.own.is_trusted(pool.name):
+            return
+        queue.withdraw(
+            lambda request: (
+                reach.decide(pool.name, request.is_relayed, is_unplaced=True)
+                != ServeHere()
+            )
+        )
+
     def _reject_at_limits(self, pool: FleetPool, queue: RequestQueue) -> bool:
         """Reject all waiting requests if every server is at its limit."""
         survey = self.search.permits.survey(pool)
--- a/zinniaturn/gateway/searching.py
+++ b/zinniaturn/gateway/searching.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from itertools import chain
 
+from zinniaturn.admission.admission import Withholding
 from zinniaturn.choosing.reports import LoadReport
 from zinniaturn.fleet.tables import FleetPool
 from zinniaturn.gateway.permit_search import PermitSearch
@@ -24,6 +25,8 @@
 _ROUNDS_PER_POLL = 2
 # A notice of another VM that has not been renewed for this time is checked.
 _OTHERS_CHECK_AGE_SECONDS = 8.0
+# Probes count for no server's limit.
+_PROBED_ANYWAY = (None, Withholding.LIMIT)
 
 OfferPredicate = Callable[[Offer], bool]
 
@@ -34,7 +37,7 @@
     def __init__(self, state: GatewayState) -> None:
         self.state = state
         self.prober = Prober(
-            state.connections, state.wire_format, state.learn, state.reach
+            state.connections, state.wire_format, state.learn, state.reach.own
         )
         self.probe_order = ProbeOrder(
             state.random_source,
@@ -172,6 +175,18 @@
             return
         self.prober.probe_in_background(candidate, pool.health_path)
 
+    def probe_any(self, pool: str) -> None:
+        """Probe some server of a pool, if the budget allows it."""
+        candidates = [
+            candidate
+            for candidate in self.state.pools.get(pool, {}).values()
+            if not candidate.registered.server.leaving
+            and candidate.admission.withholding() in _PROBED_ANYWAY
+        ]
+        self._refill_budgets()
+        if candidates and self.budgets.take(pool, 1):
+            self._probe_once(self.state.random_source.choice(candidates).name)
+
     def release(self, offer: Offer) -> None:
         """Return the connection of an unused offer to the pool."""
         if offer.connection is not None:
--- a/zinniaturn/gateway/state.py
+++ b/zinniaturn/gateway/state.py
@@ -30,7 +30,7 @@
 from zinniaturn.placing.recent_rate import RecentRate
 from zinniaturn.placing.retry_budget import FleetRetryBudget
 from zinniaturn.placing.server_stats import ServerStats
-from zinniaturn.reach.own_reach import OwnReach
+from zinniaturn.reach.reach_table import ReachTable
 from zinniaturn.tables.matching import RouteMatcher
 
 _MILLISECONDS_PER_SECOND = 1000
@@ -51,11 +51,11 @@
     fleet_state: FleetState
     vms: VmTable
     admissions: AdmissionTable
+    reach: ReachTable
     event_log: EventLog
     random_source: random.Random
     started_at: float
     gossip: GossipProtocol = field(init=False)
-    reach: OwnReach = field(init=False)
     stage: VmStage = VmStage.STARTING
     connections: ConnectionPool = field(default_factory=ConnectionPool)
     counters: Counters = field(default_factory=Counters)
@@ -67,15 +67,26 @@
         default_factory=lambda: RateLimit(_UNREADABLE_REPORT_SECONDS)
     )
 
-    def __post_init__(self) -> None:
-        """Begin without observations."""
-        self.reach = OwnReach(self.vms.clock)
-
     @property
     def is_stopping(self) -> bool:
         """Return whether the process is shutting down."""
         return self.stage is VmStage.STOPPING
 
+    def tables_revision(self) -> int:
+        """Return the revision of the tables in force, 0 before the first."""
+        document = self.fleet_state.document
+        return document.revision if document else 0
+
+    def note_request(self, pool: str, now: float) -> None:
+        """Count a request that this VM serves."""
+        self.arrival_rate.note(now)
+        self.retry_budget(pool).note_request(now)
+
+    def hand_over_request(self, pool: str) -> None:
+        """Count a request no more, as the VM that takes it counts it."""
+        self.arrival_rate.forget_latest()
+        self.retry_budget(pool).forget_latest_request()
+
     def own_request_rate(self) -> float:
         """Return the requests per second that callers send to this VM."""
         return self.arrival_rate.per_second(asyncio.get_running_loop().time())
@@ -122,7 +133,7 @@
                 self.admissions.of_process(name, registered.started_ms),
             )
         self.admissions.retain(self.fleet_state.servers)
-        self.reach.retain(self.usable_server_counts())
+        self.reach.own.retain(self.usable_server_counts())
 
     def learn(
         self,
--- a/zinniaturn/http1/exchanges.py
+++ b/zinniaturn/http1/exchanges.py
@@ -30,6 +30,15 @@
     task: 'asyncio.Task[None] | None' = None
     turn: 'asyncio.Future[None] | None' = None
 
+    @property
+    def peer_host(self) -> str:
+        """Return the address of the client, empty once it has left."""
+        transport = self.connection.transport
+        peer = (
+            None if transport is None else transport.get_extra_info('peername')
+        )
+        return peer[0] if peer else ''
+
     async def serve(self, reply: Coroutine[None, None, Response]) -> None:
         """Await the response and let the connection write it in order."""
         self.response = await reply
--- a/zinniaturn/placing/address_selection.py
+++ b/zinniaturn/placing/address_selection.py
@@ -1,10 +1,15 @@
 """Selects the VM addresses that a look-up returns to a caller."""
 
-__all__ = ('AddressSelector', 'demand_step', 'vms_for_demand')
+__all__ = (
+    'AddressSelector',
+    'demand_step',
+    'vms_for_demand',
+    'vms_with_paths',
+)
 
 import math
 import random
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 
 from zinniaturn.fleet.alive_vms import rank_key
@@ -52,6 +57,25 @@
     return float(_DEMAND_STEP**steps)
 
 
+def vms_with_paths(
+    vms: Sequence[VmRecord], cut_off: Collection[str], demand: float
+) -> Sequence[VmRecord]:
+    """
+    Return the VMs that have not lost their path to any pool.
+
+    ``cut_off`` names those that have. Requests that they pass on are carried by
+    the others all the same, with a hop more. If the others can't carry the
+    ``demand``, all VMs are returned: what is too much is then rejected by many
+    VMs, and not by a few that have to serve as well.
+    """
+    others = [vm for vm in vms if vm.name not in cut_off]
+    if not others:
+        return vms
+    capacities = [vm.capacity for vm in others]
+    is_enough = not all(capacities) or sum(capacities) >= demand
+    return others if is_enough or math.isinf(demand) else vms
+
+
 def vms_for_demand(vms: Sequence[VmRecord], demand: float) -> list[VmRecord]:
     """
     Return the largest VMs, as many as carry the demand with headroom.
--- a/zinniaturn/placing/recent_rate.py
+++ b/zinniaturn/placing/recent_rate.py
@@ -27,6 +27,11 @@
         self.times.append(now)
         discard_until(self.times, now - _WINDOW_SECONDS)
 
+    def forget_latest(self) -> None:
+        """Take back the latest event, if any is left."""
+        if self.times:
+            self.times.pop()
+
     def per_second(self, now: float) -> float:
         """Return the mean events per second."""
         discard_until(self.times, now - _WINDOW_SECONDS)
--- a/zinniaturn/placing/request_queue.py
+++ b/zinniaturn/placing/request_queue.py
@@ -72,6 +72,9 @@
     ``expected`` seconds, or ``retry_after_seconds`` to the rejection's time.
     A granted request may be sent until ``send_before`` by the boot clock.
     A lower ``priority`` is more urgent. Servers in ``excluded`` are not used.
+    ``is_relayed`` is set for a request that another VM has passed on; the own
+    callers' requests of its priority come first. ``is_withdrawn`` is set if it
+    has left the queue without a decision.
     """
 
     service_seconds: float
@@ -87,6 +90,14 @@
     send_before: float = float('inf')
     retry_after_seconds: float | None = None
     offer_rounds: int = 0
+    is_relayed: bool = False
+    is_withdrawn: bool = False
+
+    @property
+    def is_undecided(self) -> bool:
+        """Return whether the request still waits."""
+        is_rejected = self.retry_after_seconds is not None
+        return self.granted is None and not (is_rejected or self.is_withdrawn)
 
     def is_late(self, now: float) -> bool:
         """Return whether even an idle server would miss the objective."""
@@ -120,7 +131,7 @@
         """Assign an offer to the best request; return whether there is one."""
         name = offer.candidate.name
         best: QueuedRequest | None = None
-        best_rank: tuple[int, int, float] = (0, 0, 0)
+        best_rank: tuple[int, int, bool, float] = (0, 0, False, 0)
         best_expected: float = 0
         for request in self.waiting:
             if name in request.excluded:
@@ -177,6 +188,14 @@
                 rejected += 1
         return rejected + self._reject_excess(now)
 
+    def withdraw(self, may_leave: Callable[[QueuedRequest], bool]) -> None:
+        """Take requests out of the queue, undecided."""
+        for request in tuple(self.waiting):
+            if may_leave(request):
+                self.waiting.remove(request)
+                request.is_withdrawn = True
+                request.on_end()
+
     def reject_all(self, seconds: Callable[[int], float]) -> None:
         """
         Reject all requests, the most urgent first.
@@ -194,11 +213,11 @@
         offer: Offer,
         expected: float,
         now: float,
-    ) -> tuple[int, int, float] | None:
+    ) -> tuple[int, int, bool, float] | None:
         """Return a request's rank for an offer, ``None`` if it is excluded."""
         if now + expected * _LATENCY_MARGIN_FACTOR <= request.objective_at:
             self.contention.note_fast_server(now)
-            return request.priority, 0, -request.arrived_at
+            return request.priority, 0, request.is_relayed, -request.arrived_at
         if now + expected > request.deadline:
             return None
         is_fast = expected < request.service_seconds * _FAST_LATENCY_FACTOR
@@ -207,9 +226,9 @@
         if not is_fast and self.contention.has_fast_server(now):
             return None
         if request.is_late(now):
-            return request.priority, 1, request.deadline
+            return request.priority, 1, request.is_relayed, request.deadline
         if request.offer_rounds >= _ROUNDS_BEFORE_ANY_SERVER:
-            return request.priority, 2, request.deadline
+            return request.priority, 2, request.is_relayed, request.deadline
         return None
 
     def _reject_excess(self, now: float) -> int:
@@ -222,6 +241,7 @@
             self.waiting,
             key=lambda request: (
                 -request.priority,
+                not request.is_relayed,
                 not request.is_late(now),
                 request.arrived_at,
             ),
--- a/zinniaturn/placing/retry_budget.py
+++ b/zinniaturn/placing/retry_budget.py
@@ -64,6 +64,11 @@
         self.requests.append(now)
         self._discard_old(now)
 
+    def forget_latest_request(self) -> None:
+        """Take back a request that another VM counts instead."""
+        if self.requests:
+            self.requests.pop()
+
     def try_withdraw(self, now: float, vms: int, priority: int = 0) -> bool:
         """
         Take one additional send; return whether the budget allowed it.
--- a/zinniaturn/placing/server_stats.py
+++ b/zinniaturn/placing/server_stats.py
@@ -120,6 +120,15 @@
         self.ejections += 1
         return True
 
+    def forget_failures(self) -> None:
+        """Forget failures that were not the server's fault."""
+        self.failure_share = 0
+        self.consecutive_failures = 0
+        self.ejections = 0
+        self.ejected_until = 0
+        self.latency_ratio = 1
+        self.unanswered = 0
+
     def latency_ratio_at(self, now: float) -> float:
         """Return the observed latency ratio, decayed towards 1."""
         return 1 + (self.latency_ratio - 1) * self._weight(now)
--- a/zinniaturn/reach/observation.py
+++ b/zinniaturn/reach/observation.py
@@ -14,6 +14,7 @@
 # A pool counts as silent once as many of its servers have not responded.
 _ENOUGH_SERVERS = 3
 _SILENCE_SECONDS = 0.15
+_DOUBT_SECONDS = 0.05
 
 
 @dataclass(slots=True)
@@ -93,6 +94,19 @@
             return True
         return now - self.silent_since >= _SILENCE_SECONDS
 
+    def is_doubtful(self, now: float, size: int) -> bool:
+        """
+        Return whether the pool may turn out to be silent.
+
+        That is the time to ask other VMs about it.
+        """
+        if self.is_silent(now, size):
+            return True
+        enough = min(_ENOUGH_SERVERS, size)
+        if not enough or len(self.tried) < enough:
+            return False
+        return now - self.silent_since >= _DOUBT_SECONDS
+
     def refuses_connections(self, size: int) -> bool:
         """Return whether no server of the pool takes a new connection."""
         enough = min(_ENOUGH_SERVERS, size)
--- a/zinniaturn/reach/own_reach.py
+++ b/zinniaturn/reach/own_reach.py
@@ -14,14 +14,16 @@
     The observations of the pools that this VM has used.
 
     ``sizes`` are the numbers of servers of all pools. ``unanswered`` holds the
-    pools with a server that was tried since the last response, so that looking
-    for silent ones costs nothing while all respond.
+    pools with a server that was tried since the last response, and
+    ``unconnected`` those with one that took no connection, so that looking for
+    silent pools costs nothing while all respond.
     """
 
     clock: Clock
     sizes: dict[str, int] = field(default_factory=dict)
     pools: dict[str, PoolObservation] = field(default_factory=dict)
     unanswered: dict[str, PoolObservation] = field(default_factory=dict)
+    unconnected: dict[str, PoolObservation] = field(default_factory=dict)
 
     def of(self, pool: str) -> PoolObservation:
         """Return the observation of a pool, which is created on first use."""
@@ -33,6 +35,7 @@
         for pool in self.pools.keys() - sizes.keys():
             self.pools.pop(pool)
             self.unanswered.pop(pool, None)
+            self.unconnected.pop(pool, None)
 
     def note_tried(self, pool: str, server: str) -> float:
         """Record that a probe or a connection was begun; return the time."""
@@ -51,11 +54,16 @@
 
     def note_unconnected(self, pool: str, server: str, tried_at: float) -> None:
         """Record that a connection could not be established."""
-        self.of(pool).note_unconnected(server, tried_at)
+        observation = self.of(pool)
+        observation.note_unconnected(server, tried_at)
+        self.unconnected[pool] = observation
+        if observation.tried:
+            self.unanswered[pool] = observation
 
     def note_connected(self, pool: str) -> None:
         """Record that a connection to a server was established."""
         self.of(pool).note_connected()
+        self.unconnected.pop(pool, None)
 
     def note_response(self, pool: str) -> None:
         """Record a response of a server, whatever it says."""
@@ -71,6 +79,32 @@
             self.clock.monotonic(), self.sizes.get(pool, 0)
         )
 
+    def is_trusted(self, pool: str) -> bool:
+        """Return whether nothing speaks against the path to a pool."""
+        return pool not in self.unanswered and pool not in self.unconnected
+
+    def refuses_connections(self, pool: str) -> bool:
+        """Return whether no server of a pool takes a new connection."""
+        observation = self.unconnected.get(pool)
+        return observation is not None and observation.refuses_connections(
+            self.sizes.get(pool, 0)
+        )
+
+    def doubtful_pools(self) -> list[str]:
+        """Return the pools that don't respond or take no new connection."""
+        now = self.clock.monotonic()
+        doubtful = [
+            pool
+            for pool, observation in self.unanswered.items()
+            if observation.is_doubtful(now, self.sizes.get(pool, 0))
+        ]
+        doubtful.extend(
+            pool
+            for pool in self.unconnected
+            if pool not in doubtful and self.refuses_connections(pool)
+        )
+        return doubtful
+
     def silent_pools(self) -> list[str]:
         """Return the pools of which no server responds to this VM."""
         return [pool for pool in self.unanswered if self.is_silent(pool)]
