--- a/zinniaturn/gateway/endpoints.py
+++ b/zinniaturn/gateway/endpoints.py
@@ -47,7 +47,7 @@
         query = wire_format.lookup_query(exchange.request)
         if query is None:
             return Response(404, b'', [])
-        self._update_selected()
+        self.update_selected()
         fronts = self.address_selector.select(self.selected)
         if not fronts:
             return Response(503, b'', [(b'Retry-After', b'0.1')])
@@ -56,7 +56,8 @@
             fronts, self.address_selector.lifetime_seconds
         )
 
-    def _update_selected(self) -> None:
+    def update_selected(self) -> None:
+        """Select the VMs anew if the situation has changed."""
         own_is_ready = self.state.stage is VmStage.READY
         vms = self.state.vms
         demand = demand_step(self.state.fleet_request_rate())
--- a/zinniaturn/gateway/path_watch.py
+++ b/zinniaturn/gateway/path_watch.py
@@ -36,7 +36,8 @@
     probed again.
 
     Work: each tick, the pools with servers that have not responded yet and
-    those that other VMs ask about; at most 8 probes.
+    those that other VMs ask about; at most 8 probes of each kind. Where new
+    connections are refused, also the servers of such a pool.
     """
 
     state: GatewayState
@@ -60,6 +61,8 @@
         doubtful = list(reach.asking_since)
         for pool in doubtful[:_MOST_POOLS_A_TICK]:
             self._probe(pool, _OWN_PROBE_SECONDS)
+            if reach.own.refuses_connections(pool):
+                self.search.refresh_connections(pool)
         for pool in reach.pools_to_probe_for_others()[:_MOST_POOLS_A_TICK]:
             if self._is_chosen():
                 self._probe(pool, _PROBE_FOR_OTHERS_SECONDS)
--- a/zinniaturn/gateway/prober.py
+++ b/zinniaturn/gateway/prober.py
@@ -24,6 +24,7 @@
 _FIRST_RESULT_WAIT_SECONDS = 0.012
 _MAX_WAIT_SECONDS = 0.06
 _PROBE_TIMEOUT_SECONDS = 0.3
+_REFRESH_BEFORE_SECONDS = 1.5
 
 LearnStatement = Callable[
     [Candidate, ServerStatement, ResponseKind, float], None
@@ -122,6 +123,25 @@
         probe_round = _ProbeRound(1, loop.create_future(), is_closed=True)
         self._start_probe(probe_round, candidate, health_path, loop)
 
+    def refresh(self, candidate: Candidate, health_path: str) -> bool:
+        """
+        Probe on an idle connection that is about to expire, which renews it.
+
+        Returns whether there is one.
+        """
+        loop = asyncio.get_running_loop()
+        connection = self.connections.take_expiring(
+            candidate.address, loop.time() + _REFRESH_BEFORE_SECONDS
+        )
+        if connection is None:
+            return False
+        probe_round = _ProbeRound(1, loop.create_future(), is_closed=True)
+        payload = self.wire_format.load_probe_request(
+            health_path, candidate.address[0]
+        )
+        self._send(probe_round, candidate, connection, payload)
+        return True
+
     def release(self, result: ProbeResult) -> None:
         """Return the connection of an unused result to the pool."""
         self.connections.keep_idle(result.candidate.address, result.connection)
@@ -178,6 +198,7 @@
     ) -> None:
         loop = connection.loop
         field_name = self.wire_format.response_id_field
+        self.reach.note_probe_begun(candidate.registered.pool)
         response_future = connection.send(Exchange(payload, field_name))
         timer = loop.call_later(_PROBE_TIMEOUT_SECONDS, connection.close)
         sent_at = loop.time()
@@ -198,6 +219,7 @@
     ) -> None:
         timer.cancel()
         pool = candidate.registered.pool
+        self.reach.note_probe_ended(pool)
         if (
             response_future.cancelled()
             or response_future.exception() is not None
--- a/zinniaturn/gateway/searching.py
+++ b/zinniaturn/gateway/searching.py
@@ -187,6 +187,20 @@
         if candidates and self.budgets.take(pool, 1):
             self._probe_once(self.state.random_source.choice(candidates).name)
 
+    def refresh_connections(self, pool: str) -> None:
+        """Keep a pool's idle connections alive while it takes no new ones."""
+        tables = self.state.fleet_state.tables
+        known = None if tables is None else tables.pools.get(pool)
+        if known is None:
+            return
+        self._refill_budgets()
+        for candidate in self.state.pools.get(pool, {}).values():
+            is_left = candidate.registered.server.leaving
+            if is_left or not self.budgets.take(pool, 1):
+                continue
+            if not self.prober.refresh(candidate, known.health_path):
+                self.budgets.give_back(pool, 1)
+
     def release(self, offer: Offer) -> None:
         """Return the connection of an unused offer to the pool."""
         if offer.connection is not None:
--- a/zinniaturn/http1/connections.py
+++ b/zinniaturn/http1/connections.py
@@ -62,6 +62,18 @@
             connection.close()
         return None
 
+    def take_expiring(
+        self, address: Address, until: float
+    ) -> BackendConnection | None:
+        """Return an idle connection that is usable, but not up to ``until``."""
+        idle_connections = self.idle.get(address, [])
+        for connection in idle_connections:
+            is_usable = connection.is_usable(connection.loop.time())
+            if is_usable and connection.usable_until <= until:
+                idle_connections.remove(connection)
+                return connection
+        return None
+
     async def connect(
         self,
         address: Address,
--- a/zinniaturn/placing/probe_budget.py
+++ b/zinniaturn/placing/probe_budget.py
@@ -101,6 +101,11 @@
             return False
         return budget.take(count) and self.overall.take(count)
 
+    def give_back(self, pool: str, count: int) -> None:
+        """Return probes that were taken and not sent."""
+        self.pools[pool].tokens += count
+        self.overall.tokens += count
+
     def probe_effort(self, pool: str) -> ProbeEffort:
         """Return how many servers of a pool a request may probe now."""
         budget = self.pools.get(pool)
--- a/zinniaturn/reach/observation.py
+++ b/zinniaturn/reach/observation.py
@@ -26,7 +26,8 @@
     ``silent_since`` is when the first of them was tried, ``failed`` are those
     whose connection was refused, reset or not established in time, and
     ``unconnected`` those to which no connection was established since the last
-    one that was.
+    one that was. ``open_probes`` is the number of probes under way on
+    established connections.
 
     >>> pool = PoolObservation()
     >>> for server in ('s-1', 's-2', 's-3'):
@@ -43,6 +44,7 @@
     tried: set[str] = field(default_factory=set)
     failed: set[str] = field(default_factory=set)
     unconnected: set[str] = field(default_factory=set)
+    open_probes: int = 0
 
     def note_tried(self, server: str, now: float) -> None:
         """Record that a probe or a connection to a server was begun."""
@@ -84,13 +86,14 @@
         """
         Return whether no server of a pool of ``size`` servers responds.
 
-        Where their connections fail this is known at once, otherwise after a
-        multiple of the time in which servers respond to probes.
+        Where their connections fail and no probe is under way on another one
+        this is known at once, otherwise after a multiple of the time in which
+        servers respond to probes.
         """
         enough = min(_ENOUGH_SERVERS, size)
         if not enough or len(self.tried) < enough:
             return False
-        if len(self.failed) >= enough:
+        if len(self.failed) >= enough and not self.open_probes:
             return True
         return now - self.silent_since >= _SILENCE_SECONDS
 
--- a/zinniaturn/reach/own_reach.py
+++ b/zinniaturn/reach/own_reach.py
@@ -45,6 +45,14 @@
         self.unanswered[pool] = observation
         return now
 
+    def note_probe_begun(self, pool: str) -> None:
+        """Count a probe that was sent on an established connection."""
+        self.of(pool).open_probes += 1
+
+    def note_probe_ended(self, pool: str) -> None:
+        """Count the end of a probe, whatever came of it."""
+        self.of(pool).open_probes -= 1
+
     def note_failed(self, pool: str, server: str, tried_at: float) -> None:
         """Record that a connection that was used from ``tried_at`` broke."""
         observation = self.of(pool)
