--- a/zinniaturn/experiments/registry.py
+++ b/zinniaturn/experiments/registry.py
@@ -66,6 +66,16 @@
         '20 random days of servers with limits before 13 VMs, from --seed on',
         'zinniaturn.experiments.limit_days:run_limit_days',
     ),
+    Experiment(
+        'paths',
+        '20 random days of 13 VMs that lose their links, from --seed on',
+        'zinniaturn.experiments.reach_days:run_reach_days',
+    ),
+    Experiment(
+        'path-means',
+        'first tries served at VMs without links, by the means used',
+        'zinniaturn.experiments.reach_days:run_means',
+    ),
     Experiment(
         'limits-large',
         '2 random days of servers with limits before 97 VMs, from --seed on',
--- a/zinniaturn/gateway/path_watch.py
+++ b/zinniaturn/gateway/path_watch.py
@@ -15,14 +15,11 @@
 from zinniaturn.events.catalogue import LogEvent
 from zinniaturn.gateway.searching import ServerSearch
 from zinniaturn.gateway.state import GatewayState
-from zinniaturn.placing.rate_limit import RateLimit
+from zinniaturn.reach.path_probes import PathProbes
 
 _INTERVAL_SECONDS = 0.1
-_OWN_PROBE_SECONDS = 0.3
-_PROBE_FOR_OTHERS_SECONDS = 0.4
-_MOST_POOLS_A_TICK = 8
-# In a large fleet about as many VMs probe for another one.
-_PROBING_VMS = 12
+_MOST_REFRESHED_POOLS = 8
+_MOST_LOGGED_VMS = 8
 _MS_PER_SECOND = 1000
 
 
@@ -32,19 +29,22 @@
     Probes and logs the pools whose servers don't respond to a VM.
 
     ``silent_since`` and ``lost_since`` hold since when the pools that were last
-    logged as silent and as lost are, and ``probe_limits`` when each pool may be
-    probed again.
+    logged as silent and as lost are.
 
     Work: each tick, the pools with servers that have not responded yet and
-    those that other VMs ask about; at most 8 probes of each kind. Where new
-    connections are refused, also the servers of such a pool.
+    those that other VMs ask about; at most 16 probes. Where new connections are
+    refused, also the servers of such a pool.
     """
 
     state: GatewayState
     search: ServerSearch
     silent_since: dict[str, float] = field(default_factory=dict)
     lost_since: dict[str, float] = field(default_factory=dict)
-    probe_limits: dict[str, RateLimit] = field(default_factory=dict)
+    probes: PathProbes = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Begin without probes."""
+        self.probes = PathProbes(self.state.random_source)
 
     async def run(self) -> None:
         """Tick ten times a second until cancelled."""
@@ -58,31 +58,11 @@
         reach.update()
         self._log_silent_pools()
         self._log_lost_paths()
-        doubtful = list(reach.asking_since)
-        for pool in doubtful[:_MOST_POOLS_A_TICK]:
-            self._probe(pool, _OWN_PROBE_SECONDS)
-            if reach.own.refuses_connections(pool):
-                self.search.refresh_connections(pool)
-        for pool in reach.pools_to_probe_for_others()[:_MOST_POOLS_A_TICK]:
-            if self._is_chosen():
-                self._probe(pool, _PROBE_FOR_OTHERS_SECONDS)
-        if not doubtful and not reach.questions.asked_at:
-            self.probe_limits.clear()
-
-    def _is_chosen(self) -> bool:
-        """Return whether this VM is one of a few that probe for another."""
-        share = _PROBING_VMS / self.state.vms.max_size()
-        return self.state.random_source.random() < share
-
-    def _probe(self, pool: str, seconds: float) -> None:
-        """Probe one server of a pool, at most once in about ``seconds``."""
-        now = self.state.vms.clock.monotonic()
-        limit = self.probe_limits.setdefault(pool, RateLimit(seconds))
-        if limit.admit(now):
-            limit.next_at = now + seconds * self.state.random_source.uniform(
-                0.8, 1.2
-            )
+        for pool in self.probes.due(reach, self.state.vms.max_size()):
             self.search.probe_any(pool)
+        for doubtful in list(reach.asking_since)[:_MOST_REFRESHED_POOLS]:
+            if reach.own.refuses_connections(doubtful):
+                self.search.refresh_connections(doubtful)
 
     def _log_silent_pools(self) -> None:
         own = self.state.reach.own
@@ -122,7 +102,7 @@
                 pool=pool,
                 tried=sorted(observation.tried),
                 silent_ms=_milliseconds(observation.silent_seconds(now)),
-                responds_to=path.witnesses[:_MOST_POOLS_A_TICK],
+                responds_to=path.witnesses[:_MOST_LOGGED_VMS],
                 passes_on=bool(path.witnesses),
             )
         for pool in sorted(self.lost_since.keys() - reach.cut_off):
