Let the soak cut VMs off from all servers, in three shapes

One, half, all but one, or at times all VMs lose their links, beside all other faults; the cuts are drawn apart, so that the other faults of a seed stay the same. Callers' first tries at these VMs are compared with those at the others by the users' rule, from 3 s after the cut on; a test shows that the check finds a VM that turns its callers away.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -23,4 +23,5 @@
     And a request that reached a server long after it began to drain
     And a request that was answered too late
     And a running request whose connection a planned stop closed
+    And callers that were served everywhere but at a VM without links
     Then each of these is reported as a violation
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -11,7 +11,11 @@
 
 from zinniaturn.experiments.soak.callers import Call
 from zinniaturn.experiments.soak.checking import check_guarantees
-from zinniaturn.experiments.soak.fleet import SoakFleet, SoakServer
+from zinniaturn.experiments.soak.fleet import (
+    LinkCut,
+    SoakFleet,
+    SoakServer,
+)
 from zinniaturn.experiments.soak.plan import make_plan
 from zinniaturn.experiments.soak.run import run_seed
 from zinniaturn.experiments.soak.vms import (
@@ -24,6 +28,7 @@
 
 _PLAN_SECONDS = 20
 _PORTS = VmPorts(1, 2, 3, 4)
+_CALLS_IN_CUT = 20
 _EPHEMERAL_PORTS = Path('/proc/sys/net/ipv4/ip_local_port_range')
 _PRINT_HOSTS = (
     'from zinniaturn.experiments.loopback import loopback_host as host;'
@@ -85,7 +90,7 @@
 def add_post_run_twice(context):
     server = ServerStandIn(name='s-1')
     context.fleet = SoakFleet(1, Path())
-    context.server = SoakServer(server, None)
+    context.server = SoakServer(server, None, None)
     context.fleet.servers.append(context.server)
     context.vm = VmProcess('vm-1', '127.0.0.1', _PORTS, Path())
     context.calls = []
@@ -109,7 +114,7 @@
 @given('a request that reached a server long after it began to drain')
 def add_late_request(context):
     server = ServerStandIn(name='s-2')
-    left = SoakServer(server, None, left_at=97)
+    left = SoakServer(server, None, None, left_at=97)
     context.fleet.servers_that_left.append(left)
     server.arrived_at[b'late'] = 100
     _call(context, 'late', signature='by-s-2', body=b'late answer')
@@ -129,6 +134,21 @@
     context.server.server.runs[b'cut'] = 1
 
 
+@given('callers that were served everywhere but at a VM without links')
+def add_cut_calls(context):
+    cut = VmProcess('vm-3', '127.0.0.3', _PORTS, Path())
+    context.fleet.cuts.append(LinkCut(frozenset((cut.host,)), 90, 105))
+    for number in range(_CALLS_IN_CUT):
+        call = _call(context, f'unserved-{number}', status=503)
+        call.vm = cut
+        _call(
+            context,
+            f'served-{number}',
+            signature='by-s-1',
+            body=b'served-%d answer' % number,
+        )
+
+
 @then('each of these is reported as a violation')
 def check_violations(context):
     violations = check_guarantees(context.fleet, context.calls, [])
@@ -143,6 +163,7 @@
         ('removed', 'tables in force'),
         ('twice', 'at most once'),
         ('twice', 'not run is true'),
+        ('unserved-0', 'served while cut off'),
     ], reported
     violations_outside_stall = check_guarantees(
         context.fleet, context.calls, [99.9]
--- a/zinniaturn/experiments/reach_days.py
+++ b/zinniaturn/experiments/reach_days.py
@@ -44,6 +44,11 @@
 _SAMPLED_SECONDS = (0, 1, 3, 6)
 
 
+# The times at which each VM was disturbed otherwise, by its name.
+DisturbedTimes = dict[str, list[float]]
+Disturbance = Callable[[ReachModel, random.Random, DisturbedTimes], None]
+
+
 @dataclass(frozen=True, slots=True)
 class PathViolation:
     """What a day has broken, and when."""
@@ -71,7 +76,7 @@
     model.add_callers(_CALLERS, _REQUESTS_PER_SECOND)
     model.fleet.run(2)
     cuts: list[Cut] = []
-    disturbed: dict[str, list[float]] = {}
+    disturbed: DisturbedTimes = {}
     end = model.now + _DAY_SECONDS
     while model.now < end:
         cuts.append(_play_cut(model, source, disturbed))
@@ -152,7 +157,7 @@
 def _play_cut(
     model: ReachModel,
     source: random.Random,
-    disturbed: dict[str, list[float]],
+    disturbed: DisturbedTimes,
 ) -> Cut:
     """Cut some or all VMs off for a while, and disturb others meanwhile."""
     began_at = model.now
@@ -175,7 +180,7 @@
 
 
 def _check_served(
-    model: ReachModel, cut: Cut, disturbed: dict[str, list[float]]
+    model: ReachModel, cut: Cut, disturbed: DisturbedTimes
 ) -> PathViolation | None:
     """Check the users' rule on first tries at VMs that were cut off."""
     if cut.vms is None:
@@ -203,7 +208,7 @@
     model: ReachModel,
     cut: Cut,
     until: float,
-    disturbed: dict[str, list[float]],
+    disturbed: DisturbedTimes,
 ) -> PathViolation | None:
     """
     Check that nothing is passed on after a cut, or while all are cut off.
@@ -224,7 +229,7 @@
     return PathViolation('nothing passed on', late[0], f'{len(late)} times')
 
 
-def _was_disturbed(one: ModelTry, disturbed: dict[str, list[float]]) -> bool:
+def _was_disturbed(one: ModelTry, disturbed: DisturbedTimes) -> bool:
     return _is_near(one.sent_at, disturbed.get(one.vm, ()))
 
 
@@ -241,7 +246,7 @@
 def _pause(
     model: ReachModel,
     source: random.Random,
-    disturbed: dict[str, list[float]],
+    disturbed: DisturbedTimes,
 ) -> None:
     vm = source.choice(model.fleet.vms)
     seconds = source.uniform(0.2, 4)
@@ -252,7 +257,7 @@
 def _restart(
     model: ReachModel,
     source: random.Random,
-    disturbed: dict[str, list[float]],
+    disturbed: DisturbedTimes,
 ) -> None:
     vm = source.choice(model.fleet.running())
     model.fleet.kill([vm])
@@ -265,7 +270,7 @@
 def _separate(
     model: ReachModel,
     source: random.Random,
-    disturbed: dict[str, list[float]],
+    disturbed: DisturbedTimes,
 ) -> None:
     """Cut a VM off from the other VMs."""
     vm = source.choice(model.fleet.vms)
@@ -279,6 +284,4 @@
     disturbed.setdefault(vm.name, []).extend((model.now, model.now + seconds))
 
 
-_DISTURBANCES: tuple[
-    Callable[[ReachModel, random.Random, dict[str, list[float]]], None], ...
-] = (_pause, _restart, _separate)
+_DISTURBANCES: tuple[Disturbance, ...] = (_pause, _restart, _separate)
--- a/zinniaturn/experiments/reach_model.py
+++ b/zinniaturn/experiments/reach_model.py
@@ -179,12 +179,12 @@
             self._probe(vm)
 
         def look() -> None:
-            if not self.is_cut(vm):
-                self._finish(vm, one)
-            elif rounds > 1:
+            if rounds > 1 and self.is_cut(vm):
                 self._probe_round(vm, one, is_relayed, on_refused, rounds - 1)
-            else:
+            elif self.is_cut(vm):
                 self._serve(vm, one, is_relayed, on_refused)
+            else:
+                self._finish(vm, one)
 
         wait = _ROUND_SECONDS if self.is_cut(vm) else _RESPONSE_SECONDS * 2
         self.fleet.schedule(wait, look)
--- a/zinniaturn/experiments/soak/checking.py
+++ b/zinniaturn/experiments/soak/checking.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 
 from zinniaturn.experiments.soak.callers import Call
-from zinniaturn.experiments.soak.fleet import SoakFleet
+from zinniaturn.experiments.soak.fleet import LinkCut, SoakFleet
 
 _PROPAGATION_SECONDS = 2.0
 _STALL_EFFECT_SECONDS = 3.0
@@ -20,6 +20,10 @@
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _SUCCESS = 200
 _NOT_FOUND = 404
+_CONTACT_SECONDS = 3.0
+_ALLOWED_FAILURES = 10
+_ALLOWED_FAILED_SHARE = 1 / 50
+_LEAST_SERVED_RATIO = 2 / 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +55,8 @@
             violations.extend(_check_timing(fleet, call))
             violations.extend(_check_tables(fleet, call))
     violations.extend(_check_servers_that_left(fleet, calls, stalls))
+    for cut in fleet.cuts:
+        violations.extend(_check_served_while_cut(fleet, cut, calls, stalls))
     return violations
 
 
@@ -145,6 +151,43 @@
                 yield Violation('no new work', call.request_id, detail)
 
 
+def _check_served_while_cut(
+    fleet: SoakFleet, cut: LinkCut, calls: list[Call], stalls: list[float]
+) -> Iterator[Violation]:
+    """Compare first tries at VMs without links with those at the others."""
+    counted = [
+        call
+        for call in calls
+        if cut.began_at + _CONTACT_SECONDS <= call.sent_at < cut.ended_at - 1
+        and call.sent_at > call.vm.disturbed_until
+        and not _is_near(call.ended_at, stalls)
+        and not _is_in_other_cut(fleet, cut, call)
+    ]
+    there = [call for call in counted if call.vm.host in cut.hosts]
+    others = [call for call in counted if call.vm.host not in cut.hosts]
+    failed = sum(call.status != _SUCCESS for call in there)
+    allowed = _ALLOWED_FAILURES + len(counted) * _ALLOWED_FAILED_SHARE
+    if not (there and others) or failed <= allowed:
+        return
+    shares = _served_share(there), _served_share(others)
+    if shares[0] < shares[1] * _LEAST_SERVED_RATIO:
+        detail = f'{shares[0]:.2f} of {len(there)}, others {shares[1]:.2f}'
+        yield Violation('served while cut off', there[0].request_id, detail)
+
+
+def _is_in_other_cut(fleet: SoakFleet, cut: LinkCut, call: Call) -> bool:
+    return any(
+        other is not cut
+        and call.vm.host in other.hosts
+        and other.began_at - 1 < call.sent_at < other.ended_at + 1
+        for other in fleet.cuts
+    )
+
+
+def _served_share(calls: list[Call]) -> float:
+    return sum(call.status == _SUCCESS for call in calls) / len(calls)
+
+
 def _is_disturbed(fleet: SoakFleet, call: Call) -> bool:
     until = max(call.vm.disturbed_until, fleet.store_disturbed_until)
     return call.sent_at < until
--- a/zinniaturn/experiments/soak/faults.py
+++ b/zinniaturn/experiments/soak/faults.py
@@ -14,6 +14,7 @@
     SoakFleet,
     SoakServer,
 )
+from zinniaturn.experiments.soak.link_cuts import cut_links
 from zinniaturn.experiments.soak.plan import Fault, FaultKind
 from zinniaturn.experiments.soak.statement_faults import (
     STATEMENT_KINDS,
@@ -96,6 +97,7 @@
             FaultKind.LINK_SLOW: self._delay_link,
             FaultKind.LINK_LOSES_ANSWERS: self._lose_responses,
             FaultKind.TABLES_CHANGE: self._change_tables,
+            FaultKind.VM_LINKS_CUT: lambda fault: cut_links(self.fleet, fault),
             **dict.fromkeys(
                 STATEMENT_KINDS,
                 lambda fault: play_statement(
--- a/zinniaturn/experiments/soak/fleet.py
+++ b/zinniaturn/experiments/soak/fleet.py
@@ -1,6 +1,6 @@
 """The fleet of a soak: store, backend servers behind proxies, and VMs."""
 
-__all__ = ('SoakFleet',)
+__all__ = ('LinkCut', 'SoakFleet')
 
 import asyncio
 import random
@@ -18,6 +18,7 @@
 from zinniaturn.standins.fault_proxy import FaultProxy
 from zinniaturn.standins.faults import Fault as LinkFault
 from zinniaturn.standins.faults import NoFault
+from zinniaturn.standins.vm_links import LinkProxy, VmLinks
 
 HOST = 'shop.example'
 POOL = 'pool'
@@ -30,16 +31,32 @@
     """
     A backend server behind a proxy that injects faults into the link.
 
+    VMs connect to ``link``, which can cut off single VMs.
+
     ``left_at`` is the event loop's time at which the store recorded that the
     server is draining.
     """
 
     server: ServerStandIn
     proxy: FaultProxy
+    link: LinkProxy
     left_at: float | None = None
     link_fault: LinkFault = field(default_factory=NoFault)
 
 
+@dataclass(slots=True)
+class LinkCut:
+    """
+    A time in which VMs, by their hosts, had no links to the servers.
+
+    Times are those of the event loop.
+    """
+
+    hosts: frozenset[str]
+    began_at: float
+    ended_at: float = float('inf')
+
+
 @dataclass(slots=True)
 class SoakFleet:
     """
@@ -60,6 +77,8 @@
     added_routes: dict[str, float] = field(default_factory=dict)
     removed_routes: dict[str, float] = field(default_factory=dict)
     version: int = 0
+    links: VmLinks = field(default_factory=VmLinks)
+    cuts: list[LinkCut] = field(default_factory=list)
 
     async def start(self, vm_count: int, server_count: int) -> None:
         """Start everything and give the VMs time to become ready."""
@@ -82,6 +101,7 @@
         for vm in self.vms:
             vm.kill()
         for soak_server in (*self.servers, *self.servers_that_left):
+            await soak_server.link.stop()
             await soak_server.proxy.stop()
             await soak_server.server.stop()
         await self.store.stop()
@@ -102,15 +122,17 @@
             ('127.0.0.1', server.port),
             choose_fault=lambda: soak_server.link_fault,
         )
-        soak_server = SoakServer(server, proxy)
         await proxy.start()
+        link = LinkProxy(('127.0.0.1', proxy.port), self.links)
+        await link.start()
+        soak_server = SoakServer(server, proxy, link)
         self.servers.append(soak_server)
         self.register(soak_server, 'ready')
 
     def register(self, soak_server: SoakServer, state: str) -> None:
-        """Write a server's record to the store with its proxy's address."""
+        """Write a server's record to the store with its link's address."""
         entry = soak_server.server.entry(state)
-        entry['address'] = f'127.0.0.1:{soak_server.proxy.port}'
+        entry['address'] = f'127.0.0.1:{soak_server.link.port}'
         self.store.write(server_key(soak_server.server.name), entry)
 
     def write_tables(self) -> None:
--- a/zinniaturn/experiments/soak/plan.py
+++ b/zinniaturn/experiments/soak/plan.py
@@ -13,6 +13,7 @@
 _MIN_FAULT_SECONDS = 0.3
 _MAX_FAULT_SECONDS = 4.0
 _QUIET_END_SECONDS = 4.0
+_FIRST_SECONDS = 1.0
 
 
 class FaultKind(enum.Enum):
@@ -40,6 +41,7 @@
     SERVER_SAYS_IT_LEAVES = 'server-says-it-leaves'
     SERVER_ASKS_FOR_PAUSE = 'server-asks-for-pause'
     SERVER_NEVER_ENDS = 'server-never-ends'
+    VM_LINKS_CUT = 'vm-links-cut'
 
 
 # Kinds that are drawn apart, so that the others of a seed stay the same.
@@ -50,7 +52,9 @@
     FaultKind.SERVER_ASKS_FOR_PAUSE,
     FaultKind.SERVER_NEVER_ENDS,
 )
+_CUT_KINDS = (FaultKind.VM_LINKS_CUT,)
 _MAX_ADDED_GAP_SECONDS = 4.0
+_MAX_CUT_GAP_SECONDS = 12.0
 _WEIGHTS = MappingProxyType(
     {
         FaultKind.TABLES_CHANGE: 3,
@@ -85,7 +89,8 @@
     >>> make_plan(1, 20) == make_plan(1, 20)
     True
     """
-    first_kinds = [kind for kind in FaultKind if kind not in _ADDED_KINDS]
+    drawn_apart = _ADDED_KINDS + _CUT_KINDS
+    first_kinds = [kind for kind in FaultKind if kind not in drawn_apart]
     plan = _draw(random.Random(seed), first_kinds, _MAX_GAP_SECONDS, seconds)
     plan.extend(
         _draw(
@@ -95,6 +100,11 @@
             seconds,
         )
     )
+    cut_source = random.Random(f'cut {seed}')
+    first_cut = cut_source.uniform(_FIRST_SECONDS, _MAX_CUT_GAP_SECONDS)
+    plan.extend(
+        _draw(cut_source, _CUT_KINDS, _MAX_CUT_GAP_SECONDS, seconds, first_cut)
+    )
     return sorted(plan, key=lambda fault: fault.start_seconds)
 
 
@@ -103,10 +113,11 @@
     kinds: Sequence[FaultKind],
     max_gap_seconds: float,
     seconds: float,
+    first_seconds: float = _FIRST_SECONDS,
 ) -> list[Fault]:
     weights = [_WEIGHTS.get(kind, 1) for kind in kinds]
     plan = []
-    start_seconds = 1.0
+    start_seconds = first_seconds
     while start_seconds < seconds - _QUIET_END_SECONDS:
         plan.append(
             Fault(
