--- a/features/steps/lost_links_steps.py
+++ b/features/steps/lost_links_steps.py
@@ -75,7 +75,7 @@
             for one in traffic.tries
             if one.gateway == number and one.is_served
         ]
-        return {*served} == {True, False}
+        return set(served) == {True, False}
 
     async def play():
         while not all(map(has_served, _all(context))):
--- a/zinniaturn/experiments/decision_cost.py
+++ b/zinniaturn/experiments/decision_cost.py
@@ -19,6 +19,8 @@
 from zinniaturn.clock import ManualClock
 from zinniaturn.experiments.registry import ExperimentOptions
 from zinniaturn.fleet.owner_ring import OwnerRing
+from zinniaturn.reach.reach_table import ReachTable
+from zinniaturn.reach.witnesses import PoolResponse
 
 _VM_COUNTS = (13, 313, 924, 7192)
 _SERVER_COUNTS = (33, 330, 3300, 26_000)
@@ -26,6 +28,8 @@
 _SURVEYS = 5
 _MICROSECONDS_PER_SECOND = 1e6
 _LIMIT = 2.0
+_POOL = 'pool'
+_SILENT_SERVERS = 6
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +76,16 @@
             'servers in it',
             {count: _time_survey(count) for count in _SERVER_COUNTS},
         ),
+        DecisionCost(
+            'path to a pool that responds',
+            'VMs',
+            {count: _time_open_path(count) for count in _VM_COUNTS},
+        ),
+        DecisionCost(
+            'path to a pool that is lost',
+            'VMs',
+            {count: _time_lost_path(count) for count in _VM_COUNTS},
+        ),
     ]
 
 
@@ -107,6 +121,29 @@
     )
 
 
+def _time_open_path(vm_count: int) -> float:
+    reach = _reach(vm_count)
+    reach.own.note_response(_POOL)
+    return _mean(lambda number: reach.decide(_POOL, is_relayed=False), _CALLS)
+
+
+def _time_lost_path(vm_count: int) -> float:
+    reach = _reach(vm_count)
+    for number in range(_SILENT_SERVERS):
+        reach.own.note_tried(_POOL, f's-{number}')
+    reach.clock.now += 1  # type: ignore[attr-defined]
+    now = reach.clock.monotonic()
+    for vm in range(vm_count):
+        reach.learn(f'vm-{vm}', (), [PoolResponse(_POOL, f'vm-{vm}', now)])
+    return _mean(lambda number: reach.decide(_POOL, is_relayed=False), _CALLS)
+
+
+def _reach(vm_count: int) -> ReachTable:
+    reach = ReachTable(ManualClock(), 'vm-own', lambda: vm_count)
+    reach.own.retain({_POOL: _SILENT_SERVERS})
+    return reach
+
+
 def _mean(call: Callable[[int], object], count: int) -> float:
     started_at = time.perf_counter()
     for number in range(count):
