--- a/features/explain_logs.feature
+++ b/features/explain_logs.feature
@@ -34,6 +34,12 @@
     Then it says "limit 1.9, leaving False"
     And it says "request limited of route posts"
 
+  Scenario: A request that a VM without a path to its servers passed on
+    When "request passed" is explained from the logs
+    Then it says "The VM had no path to the servers and passed the request on to vm-2."
+    And it says "It was passed on by vm-1."
+    And it says "this VM has lost its path to a pool"
+
   Scenario: A request that is in no log
     When "request nobody" is explained from the logs
     Then the status is 1
--- a/features/steps/explain_logs_steps.py
+++ b/features/steps/explain_logs_steps.py
@@ -72,6 +72,20 @@
             withheld=['s-9: limit 1.9/s', 's-5: leaving'],
         ),
     ]
+    path_lost = _row(
+        129.0,
+        'vm-1',
+        event=752,
+        message='lost',
+        pool='pool',
+        responds_to=['vm-2'],
+    )
+    passed_on = _request(
+        130.0, 'vm-1', 'passed', passed_to=['vm-2'], servers=['s-4']
+    )
+    taken = _request(
+        129.9, 'vm-2', 'passed', taken_from='vm-1', servers=['s-4']
+    )
     first = [
         *limited,
         _row(95.0, 'vm-1', **changed, joined=[], leaving=['s-8'], gone=[]),
@@ -99,6 +113,8 @@
             servers=['s-3'],
             detail='s-3: reset by peer',
         ),
+        path_lost,
+        passed_on,
     ]
     second = [
         _row(
@@ -111,6 +127,7 @@
             reason='reset by peer',
         ),
         _request(120.0, 'vm-2', 'late', milliseconds=900.0),
+        taken,
     ]
     _write(context, 'vm-1.log', first)
     _write(context, 'vm-2.log', second)
--- a/zinniaturn/explain/logs.py
+++ b/zinniaturn/explain/logs.py
@@ -35,6 +35,9 @@
         LogEvent.SERVER_STATEMENT,
         LogEvent.SERVER_OUT,
         LogEvent.VM_SILENT,
+        LogEvent.POOL_SILENT,
+        LogEvent.PATH_LOST,
+        LogEvent.PATH_RESTORED,
         LogEvent.GATEWAY_STOPPING,
     )
 )
@@ -165,6 +168,15 @@
             fields.get('state_age_ms', 0) > _STALE_STATE_MS,
             'The VM had lost contact with the store and the other VMs.',
         ),
+        (
+            bool(fields.get('passed_to')),
+            'The VM had no path to the servers and passed the request on to '
+            f'{", ".join(fields.get("passed_to") or ())}.',
+        ),
+        (
+            bool(fields.get('taken_from')),
+            f'It was passed on by {fields.get("taken_from")}.',
+        ),
         (bool(fields.get('detail')), f'Reason: {fields.get("detail")}.'),
         (
             fields['waited_ms'] > _LONG_WAIT_MS,
