Split the scheduler and the steps of lost links; keep no observation of pools others name

- Questions of other VMs about pools that this VM doesn't know created observations that were never dropped before the next change of servers; they create none now.
Reads in flight as the cut begins had 1 s for a hedge that waits while others queue; their routes wait 3 s now, and all reads must be served in the end.

--- a/features/lost_links_ends.feature
+++ b/features/lost_links_ends.feature
@@ -8,7 +8,7 @@
     And every post ran at most once, and none that was told not to have run
 
   Scenario: Requests in flight as the cut begins end truthfully, and reads are served elsewhere
-    Given a fleet of 3 gateways before 4 servers
+    Given a fleet of 3 gateways before 4 servers, with routes that wait 3 s
     And each gateway has served reads and posts
     And the servers take 0.15 s for a request
     When gateway 1 is cut off 0.05 s after it got 2 reads and 4 posts
--- a/features/steps/reach_steps.py
+++ b/features/steps/reach_steps.py
@@ -5,6 +5,7 @@
 from behave import given, then, when
 
 from features.support.cut_links import cut_links, start_cut_fleet
+from features.support.gateway import build_config, build_route_row
 from zinniaturn.events.catalogue import LogEvent
 from zinniaturn.reach.observation import PoolObservation
 from zinniaturn.standins.vm_links import CutShape
@@ -45,6 +46,27 @@
     assert context.pool.is_silent(second, context.size) is _SILENT[late]
 
 
+@given(
+    'a fleet of {count:d} gateways before {servers:d} servers, with routes '
+    'that wait {seconds:d} s'
+)
+def start_patient_fleet(context, count, servers, seconds):
+    context.wait_ms = seconds * 1000
+    config = build_config(
+        [
+            build_route_row(
+                'reads', '/reads/', 'idempotent', timeout_ms=context.wait_ms
+            ),
+            build_route_row(
+                'posts', '/posts/', 'non_idempotent', timeout_ms=context.wait_ms
+            ),
+        ]
+    )
+    context.loop.run_until_complete(
+        start_cut_fleet(context, count, servers, config)
+    )
+
+
 @given('a fleet of {count:d} gateways before {servers:d} servers')
 def start_fleet(context, count, servers):
     context.loop.run_until_complete(start_cut_fleet(context, count, servers))
--- a/features/support/cut_traffic.py
+++ b/features/support/cut_traffic.py
@@ -8,6 +8,7 @@
 
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _SUCCESS = 200
+_WAIT_MS = 1000
 
 
 @dataclass
@@ -31,12 +32,13 @@
 class CutTraffic:
     """Sends first tries to gateways by their numbers, from 1 on."""
 
-    def __init__(self, platform):
+    def __init__(self, platform, wait_ms=_WAIT_MS):
         self.platform = platform
+        self.wait_ms = wait_ms
         self.tries = []
         self.numbers = itertools.count()
 
-    async def send(self, gateway, is_post=False, wait_ms=1000):
+    async def send(self, gateway, is_post=False):
         """Send one request on a new connection and return what became of it."""
         loop = asyncio.get_running_loop()
         kind = 'post' if is_post else 'read'
@@ -46,7 +48,7 @@
             'POST' if is_post else 'GET',
             '/posts/1' if is_post else '/reads/1',
             one.request_id,
-            wait_ms,
+            self.wait_ms,
         )
         settings = self.platform.gateways[gateway - 1].settings
         try:
--- a/zinniaturn/experiments/reach_days.py
+++ b/zinniaturn/experiments/reach_days.py
@@ -243,6 +243,12 @@
     return round(sum(one.is_served for one in tries) / len(tries), 3)
 
 
+def _note_disturbed(
+    disturbed: DisturbedTimes, vm: str, now: float, seconds: float
+) -> None:
+    disturbed.setdefault(vm, []).extend((now, now + seconds))
+
+
 def _pause(
     model: ReachModel,
     source: random.Random,
@@ -251,7 +257,7 @@
     vm = source.choice(model.fleet.vms)
     seconds = source.uniform(0.2, 4)
     model.fleet.pause(vm, seconds)
-    disturbed.setdefault(vm.name, []).extend((model.now, model.now + seconds))
+    _note_disturbed(disturbed, vm.name, model.now, seconds)
 
 
 def _restart(
@@ -264,7 +270,7 @@
     seconds = source.uniform(0.3, 3)
     version = vm.gossip.vms.own_status.version + 1
     model.fleet.schedule(seconds, partial(model.fleet.restart, vm, version))
-    disturbed.setdefault(vm.name, []).extend((model.now, model.now + seconds))
+    _note_disturbed(disturbed, vm.name, model.now, seconds)
 
 
 def _separate(
@@ -281,7 +287,7 @@
         vm.side = 0
 
     model.fleet.schedule(seconds, join)
-    disturbed.setdefault(vm.name, []).extend((model.now, model.now + seconds))
+    _note_disturbed(disturbed, vm.name, model.now, seconds)
 
 
 _DISTURBANCES: tuple[Disturbance, ...] = (_pause, _restart, _separate)
--- a/zinniaturn/gateway/scheduler.py
+++ b/zinniaturn/gateway/scheduler.py
@@ -13,6 +13,7 @@
 from zinniaturn.choosing.exceptions import RejectedError
 from zinniaturn.choosing.reports import LoadReport
 from zinniaturn.fleet.tables import FleetPool
+from zinniaturn.gateway.path_decider import PathDecider
 from zinniaturn.gateway.permit_search import PoolSurvey
 from zinniaturn.gateway.request_context import Placement, RequestContext
 from zinniaturn.gateway.searching import ServerSearch, offer_if_free
@@ -27,12 +28,7 @@
 from zinniaturn.placing.request_queue import Offer, QueuedRequest, RequestQueue
 from zinniaturn.placing.retry_after import RetryAfterJitter
 from zinniaturn.placing.return_schedule import ReturnSchedule
-from zinniaturn.reach.decision import (
-    AwaitEvidence,
-    PassOn,
-    RejectAtOnce,
-    ServeHere,
-)
+from zinniaturn.reach.decision import PassOn
 
 _UNHEALTHY_PENALTY_FACTOR = 3.0
 _GOOD_ENOUGH_FACTOR = 1.4
@@ -40,8 +36,6 @@
 _POLL_INTERVAL_SECONDS = 0.03
 _RESERVED_PROBES = 6
 _RESERVED_PROBES_WHEN_ALL_LATE = 15
-_EVIDENCE_POLL_SECONDS = 0.01
-_UNREACHED_RETRY_SECONDS = 0.3
 
 
 class RequestScheduler:
@@ -58,6 +52,7 @@
         self.search = ServerSearch(state)
         self.service_times = ServiceTimeEstimates()
         self.retry_after_jitter = RetryAfterJitter(state.random_source)
+        self.paths = PathDecider(state, self.retry_after_jitter)
         self.queues: dict[str, RequestQueue] = {}
         self.poll_tasks: dict[str, asyncio.Task[None]] = {}
         self.return_schedules: dict[str, ReturnSchedule] = {}
@@ -73,41 +68,14 @@
         """
         is_unplaced = False
         while True:
-            decision = await self._decide_path(context, is_unplaced)
-            if decision is not None:
-                return decision
+            plan = await self.paths.decide(context, is_unplaced)
+            if plan is not None:
+                return plan
             placement = await self._place_here(context)
             if placement is not None:
                 return placement
             is_unplaced = True
 
-    async def _decide_path(
-        self, context: RequestContext, is_unplaced: bool
-    ) -> PassOn | None:
-        """
-        Return the VMs to pass a request on to, ``None`` to serve it here.
-
-        Raises `RejectedError` if its pool responds to nobody.
-        """
-        pool = context.pool.name
-        while True:
-            decision = self.state.reach.decide(
-                pool, context.is_relayed, is_unplaced
-            )
-            match decision:
-                case PassOn():
-                    return decision
-                case ServeHere():
-                    return None
-                case AwaitEvidence():
-                    await asyncio.sleep(_EVIDENCE_POLL_SECONDS)
-                case RejectAtOnce():
-                    context.is_out_of_reach = True
-                    raise self._rejection(
-                        _UNREACHED_RETRY_SECONDS,
-                        'no server of the pool responds',
-                    )
-
     async def _place_here(self, context: RequestContext) -> Placement | None:
         """
         Return the server for a request, waiting until one is free.
@@ -245,7 +213,7 @@
         self._match_offers(queue, offers)
         if queued.granted is not None:
             return
-        self._withdraw_unreachable(context.pool, queue)
+        self.paths.withdraw_unreachable(context.pool, queue)
         if queued.is_withdrawn:
             return
         if (
@@ -344,7 +312,7 @@
                 * _POLL_INTERVAL_SECONDS,
             )
             queue.reject_unservable(loop.time())
-            self._withdraw_unreachable(pool, queue)
+            self.paths.withdraw_unreachable(pool, queue)
             if queue.waiting and not self._reject_at_limits(pool, queue):
                 reserve = self._reserved_probes(queue)
                 offers = await self.search.poll_candidates(pool, reserve)
@@ -352,20 +320,6 @@
                     self._match_offers(queue, offers)
                     queue.note_offer_round(loop.time())
 
-    def _withdraw_unreachable(
-        self, pool: FleetPool, queue: RequestQueue
-    ) -> None:
-        """Let the requests leave that can't be served here any more."""
-        reach = self.state.reach
-        if reach.own.is_trusted(pool.name):
-            return
-        queue.withdraw(
-            lambda request: (
-                reach.decide(pool.name, request.is_relayed, is_unplaced=True)
-                != ServeHere()
-            )
-        )
-
     def _reject_at_limits(self, pool: FleetPool, queue: RequestQueue) -> bool:
         """Reject all waiting requests if every server is at its limit."""
         survey = self.search.permits.survey(pool)
--- a/zinniaturn/reach/own_reach.py
+++ b/zinniaturn/reach/own_reach.py
@@ -87,6 +87,13 @@
             self.clock.monotonic(), self.sizes.get(pool, 0)
         )
 
+    def responded_at(self, pool: str) -> float:
+        """Return when a server of a pool last responded to this VM."""
+        observation = self.pools.get(pool)
+        return (
+            float('-inf') if observation is None else observation.responded_at
+        )
+
     def is_trusted(self, pool: str) -> bool:
         """Return whether nothing speaks against the path to a pool."""
         return pool not in self.unanswered and pool not in self.unconnected
--- a/zinniaturn/reach/reach_table.py
+++ b/zinniaturn/reach/reach_table.py
@@ -129,7 +129,7 @@
             return []
         responses: list[PoolResponse] = []
         for pool in self.questions.open(now)[-_MOST_POOLS_IN_MESSAGE:]:
-            responded_at = self.own.of(pool).responded_at
+            responded_at = self.own.responded_at(pool)
             if responded_at > now - _RECENT_SECONDS:
                 responses.append(PoolResponse(pool, self.name, responded_at))
             responses.extend(
@@ -159,5 +159,5 @@
             pool
             for pool in self.questions.open(now)
             if pool not in self.asking_since
-            and self.own.of(pool).responded_at < now - _RECENT_SECONDS / 2
+            and self.own.responded_at(pool) < now - _RECENT_SECONDS / 2
         ]
