Don't take a stall of the own process for servers that refuse connections

Cause, by reading: a process that stands still takes its own connects for failed as it wakes (their 0.3 s are over); with two servers that was enough to take the pool for out of reach at once, and to reject where nobody else could say otherwise.

Change: an attempt that ended later than its time limit allows says nothing about its server, and nobody is rejected before a pool has been silent for 0.4 s.

--- a/features/path_decision.feature
+++ b/features/path_decision.feature
@@ -13,8 +13,10 @@
       | silent     | refuses connections   | 2         | 4     | 500   | of an own caller  | placed   | PassOn        |
       | silent     | refuses connections   | 0         | 4     | 100   | of an own caller  | placed   | AwaitEvidence |
       | silent     | refuses connections   | 0         | 4     | 500   | of an own caller  | placed   | RejectAtOnce  |
+      | silent     | refuses connections   | 0         | 4     | 300   | of an own caller  | placed   | ServeHere     |
       | silent     | takes connections     | 0         | 4     | 500   | of an own caller  | placed   | ServeHere     |
-      | silent     | refuses connections   | 0         | 0     | 0     | of an own caller  | placed   | RejectAtOnce  |
+      | silent     | refuses connections   | 0         | 0     | 0     | of an own caller  | placed   | ServeHere     |
+      | silent     | refuses connections   | 0         | 0     | 500   | of an own caller  | placed   | RejectAtOnce  |
       | silent     | refuses connections   | 2         | 4     | 500   | of another VM     | placed   | RejectAtOnce  |
       | silent     | takes connections     | 2         | 4     | 500   | of another VM     | unplaced | RejectAtOnce  |
       | not silent | refuses connections   | 2         | 4     | 500   | of an own caller  | placed   | ServeHere     |
@@ -22,6 +24,11 @@
       | not silent | refuses connections   | 2         | 4     | 500   | of another VM     | unplaced | ServeHere     |
       | not silent | refuses connections   | 0         | 4     | 500   | of an own caller  | unplaced | ServeHere     |
 
+  Scenario: A connection that failed while the process stood still says nothing about its server
+    Given a VM to which the servers of "pool" responded at 10.0 s
+    When it tries to connect to all of them at 10.1 s and gives up at 11.2 s
+    Then no failure is held against "pool"
+
   Scenario Outline: A response to another VM counts only if it came after the servers fell silent here
     Given a VM to which the servers of "pool" fell silent at 10.0 s
     When it is 10.3 s, and "vm-2" says that it was answered at <answered> s
--- a/features/steps/lost_links_steps.py
+++ b/features/steps/lost_links_steps.py
@@ -32,6 +32,7 @@
 from zinniaturn.standins.vm_links import CutShape
 
 _LONGEST_WARM_UP_SECONDS = 20
+_DEADLINE_PASSED = b'deadline-passed'
 _PASSED_ON = 'request_passed_on'
 
 
@@ -288,7 +289,9 @@
     unknown = [
         one
         for one in counted_at(context, number)
-        if not one.is_served and one.status not in NOT_RUN_STATUSES
+        if not one.is_served
+        and one.status not in NOT_RUN_STATUSES
+        and _DEADLINE_PASSED not in one.body
     ]
     assert not unknown, unknown
     assert gateway_at(context, other).dispatcher.is_stopping
--- a/features/steps/path_decision_steps.py
+++ b/features/steps/path_decision_steps.py
@@ -42,7 +42,10 @@
 
 @given('the others were asked {milliseconds:d} ms ago')
 def set_asked(context, milliseconds):
-    context.path = PoolPath(asked_seconds=milliseconds / 1000, **context.path)
+    seconds = milliseconds / 1000
+    context.path = PoolPath(
+        asked_seconds=seconds, silent_seconds=seconds, **context.path
+    )
 
 
 @when('a request is decided that is {origin} and {placed}')
@@ -83,6 +86,33 @@
     _fall_silent(context, [pool])
 
 
+@given('a VM to which the servers of "{pool}" responded at 10.0 s')
+def start_with_response(context, pool):
+    _build_table(context)
+    context.clock.now = 10.0
+    context.reach.own.retain({pool: _SIZE})
+    context.reach.own.note_response(pool)
+
+
+@when(
+    'it tries to connect to all of them at {begin:g} s and gives up at '
+    '{end:g} s'
+)
+def connect_across_stall(context, begin, end):
+    context.clock.now = begin
+    for server in _SERVERS:
+        context.reach.own.note_tried(_POOL, server)
+    context.clock.now = end
+    for failed in _SERVERS:
+        context.reach.own.note_unconnected(_POOL, failed, begin)
+
+
+@then('no failure is held against "{pool}"')
+def check_no_failure(context, pool):
+    assert not context.reach.own.of(pool).failed
+    assert not context.reach.own.refuses_connections(pool)
+
+
 @given('a VM to which all pools respond')
 def start_responding(context):
     _build_table(context)
--- a/zinniaturn/reach/decision.py
+++ b/zinniaturn/reach/decision.py
@@ -22,6 +22,8 @@
 
 # A VM that asks the others about a pool has their replies after this time.
 _EVIDENCE_SECONDS = 0.12
+# A pool that has been silent for less may only have been slow to connect.
+_HOPELESS_SECONDS = 0.4
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +58,7 @@
 
     ``witnesses`` are the VMs that servers responded to since they fell silent
     here. ``asked_seconds`` is the time since this VM has asked the others, and
+    ``silent_seconds`` that since no server has responded.
     ``refuses_connections`` tells whether no server takes a new connection.
     ``peers`` is the number of other VMs that could tell.
     """
@@ -63,6 +66,7 @@
     is_silent: bool
     refuses_connections: bool
     asked_seconds: float
+    silent_seconds: float = 0
     witnesses: tuple[str, ...] = ()
     peers: int = 0
 
@@ -81,13 +85,13 @@
     open connections live on while new ones are refused, only such a request is
     passed on, since the open ones still serve the others.
 
-    >>> decide(PoolPath(True, True, 1, ('vm-2',)), False, False)
+    >>> decide(PoolPath(True, True, 1, 1, ('vm-2',)), False, False)
     PassOn(vms=('vm-2',))
-    >>> decide(PoolPath(True, True, 1, ('vm-2',)), True, False)
+    >>> decide(PoolPath(True, True, 1, 1, ('vm-2',)), True, False)
     RejectAtOnce()
-    >>> decide(PoolPath(True, True, 1, ()), False, False)
+    >>> decide(PoolPath(True, True, 1, 1), False, False)
     RejectAtOnce()
-    >>> decide(PoolPath(False, True, 0, ('vm-2',)), False, False)
+    >>> decide(PoolPath(False, True, 0, 0, ('vm-2',)), False, False)
     ServeHere()
     """
     if not path.is_silent:
@@ -101,4 +105,7 @@
         return PassOn(path.witnesses)
     if path.peers and path.asked_seconds < _EVIDENCE_SECONDS:
         return AwaitEvidence()
-    return RejectAtOnce() if path.refuses_connections else ServeHere()
+    is_hopeless = path.silent_seconds >= _HOPELESS_SECONDS
+    if path.refuses_connections and is_hopeless:
+        return RejectAtOnce()
+    return ServeHere()
--- a/zinniaturn/reach/own_reach.py
+++ b/zinniaturn/reach/own_reach.py
@@ -7,6 +7,9 @@
 from zinniaturn.clock import Clock
 from zinniaturn.reach.observation import PoolObservation
 
+# Connections and probes are given up after 0.3 s.
+_LONGEST_ATTEMPT_SECONDS = 0.45
+
 
 @dataclass(slots=True)
 class OwnReach:
@@ -55,6 +58,8 @@
 
     def note_failed(self, pool: str, server: str, tried_at: float) -> None:
         """Record that a connection that was used from ``tried_at`` broke."""
+        if self._has_stalled_since(tried_at):
+            return
         observation = self.of(pool)
         observation.note_failed(server, tried_at)
         if observation.tried:
@@ -62,6 +67,8 @@
 
     def note_unconnected(self, pool: str, server: str, tried_at: float) -> None:
         """Record that a connection could not be established."""
+        if self._has_stalled_since(tried_at):
+            return
         observation = self.of(pool)
         observation.note_unconnected(server, tried_at)
         self.unconnected[pool] = observation
@@ -120,6 +127,14 @@
         )
         return doubtful
 
+    def _has_stalled_since(self, tried_at: float) -> bool:
+        """
+        Return whether an attempt took longer than its time limit allows.
+
+        Then this process has stood still, and the server may have responded.
+        """
+        return self.clock.monotonic() - tried_at > _LONGEST_ATTEMPT_SECONDS
+
     def silent_pools(self) -> list[str]:
         """Return the pools of which no server responds to this VM."""
         return [pool for pool in self.unanswered if self.is_silent(pool)]
--- a/zinniaturn/reach/reach_table.py
+++ b/zinniaturn/reach/reach_table.py
@@ -79,6 +79,7 @@
             is_silent,
             refuses_connections,
             now - asked_at,
+            self.own.of(pool).silent_seconds(now),
             tuple(self.witnesses.of(pool, since, now)),
             self.peers(),
         )
