Don't close an idle connection whose next request has arrived unread

What callers saw: in a planned stop, and when a connection had been idle for long, a request that reached the VM in the same turn of its event loop got a reset without an answer. Cause: whether a connection is idle was judged by what the event loop had read; bytes that lay in the kernel did not count, and closing a socket with unread bytes resets it. Same cause elsewhere: the entry's idle connections; both ask the kernel now.

--- a/features/gateway_requests.feature
+++ b/features/gateway_requests.feature
@@ -250,3 +250,13 @@
     Given the gateway has 1 s for a planned stop
     When it stops, and 10 callers that have just connected send 0.1 s later
     Then each of them gets 200
+
+  Scenario Outline: A request that arrives just before its idle connection is closed is served
+    Given 10 callers <have connected>
+    When each of them sends a request and idle connections are closed at once
+    Then each of them gets 200
+
+    Examples:
+      | have connected                         |
+      | have got a response                    |
+      | have connected a second ago, sent none |
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -7,7 +7,7 @@
 
 from behave import given, then, when
 
-from features.support.gateway import build_request_bytes
+from features.support.gateway import build_request_bytes, read_response
 
 _SERVE_SHARE = 0.72
 _HELD_UP_SECONDS = 0.1
@@ -93,6 +93,50 @@
     context.statuses = context.loop.run_until_complete(stop())
 
 
+@given('{count:d} callers have connected a second ago, sent none')
+def connect_long_ago(context, count):
+    async def connect():
+        context.sockets = [
+            socket.create_connection(context.front) for _ in range(count)
+        ]
+        await asyncio.sleep(1)
+
+    context.loop.run_until_complete(connect())
+
+
+@given('{count:d} callers have got a response')
+def connect_and_read(context, count):
+    async def connect():
+        context.sockets = []
+        for number in range(count):
+            connection = socket.create_connection(context.front)
+            connection.sendall(build_request_bytes(request_id=f'1st-{number}'))
+            # The copy shares the connection and may be closed.
+            reader, writer = await asyncio.open_connection(
+                sock=connection.dup()
+            )
+            status, fields, _ = await read_response(reader)
+            assert status == _SUCCESS, (status, fields)
+            writer.close()
+            context.sockets.append(connection)
+
+    context.loop.run_until_complete(connect())
+
+
+@when('each of them sends a request and idle connections are closed at once')
+def send_and_close_idle(context):
+    async def send():
+        for number, connection in enumerate(context.sockets):
+            payload = build_request_bytes(request_id=f'2nd-{number}')
+            connection.sendall(payload)
+        # The loop has read nothing since the requests were sent.
+        for listener in context.gateway.listeners:
+            listener.close()
+        return await asyncio.gather(*map(_read_status, context.sockets))
+
+    context.statuses = context.loop.run_until_complete(send())
+
+
 @then('each of them gets {status:d}')
 def check_statuses(context, status):
     assert set(context.statuses) == {status}, context.statuses
--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -193,6 +193,27 @@
     context.loop.run_until_complete(run())
 
 
+@when(
+    'the idle caller sends a request and entry {number:d} closes idle '
+    'connections at once'
+)
+def send_and_close_idle(context, number):
+    async def send():
+        entry = context.fleet.entries[number]
+        context.idle_caller.send(head('GET', '/cards/1', 'late'))
+        for connection in entry.server.protocols():
+            connection.close_if_idle()
+        context.late_response = await receive(context.idle_caller)
+
+    context.loop.run_until_complete(send())
+
+
+@then('the idle caller gets {status:d}')
+def check_late_response(context, status):
+    response = context.late_response
+    assert response.status == status, response
+
+
 @then('the download is complete')
 def check_download(context):
     result = context.loop.run_until_complete(receive(context.download))
--- a/features/stopping.feature
+++ b/features/stopping.feature
@@ -18,6 +18,12 @@
     And the download is complete
     And entry 0 has stopped
 
+  Scenario: a request that arrives just before its idle connection is closed is answered
+    Given 2 entries that stop gracefully
+    And a long download and an idle connection at entry 0
+    When the idle caller sends a request and entry 0 closes idle connections at once
+    Then the idle caller gets 200
+
   Scenario: an address answer stays valid for its lifetime
     Given 2 entries that stop gracefully, with addresses valid for 60 s
     When entry 0 is told to stop
--- a/zinniaturn/entry/protocol.py
+++ b/zinniaturn/entry/protocol.py
@@ -27,6 +27,7 @@
 from zinniaturn.events import LogEvent, log_event
 from zinniaturn.limits import TransferProgress, TransferStep
 from zinniaturn.outcomes import Outcome
+from zinniaturn.sockets import unread_bytes
 
 _TOO_MANY_HEADERS_MESSAGE = 'Too many headers'
 _TOO_MANY_CONNECTIONS_RESPONSE = (
@@ -100,9 +101,13 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless it has a whole or partial request."""
+        transport = self.transport
         is_waiting = self._waiter is not None and not self._waiter.done()
-        if is_waiting and not self._messages and not self.has_partial_head:
-            self.force_close()
+        if not is_waiting or self._messages or self.has_partial_head:
+            return
+        if transport is not None and unread_bytes(transport):
+            return
+        self.force_close()
 
     def abort(self) -> None:
         """Close the connection at once."""
--- a/zinniaturn/http1/callers.py
+++ b/zinniaturn/http1/callers.py
@@ -22,6 +22,7 @@
     Response,
     encode_response,
 )
+from zinniaturn.sockets import unread_bytes
 
 _MAX_PIPELINED_REQUESTS = 32
 _STALLED_READER_SECONDS = 30.0
@@ -165,9 +166,14 @@
 
     def close_if_idle(self) -> None:
         """Close the connection if it is between requests."""
-        if self.is_idle() and self.transport is not None:
-            self.is_closing = True
-            self.transport.close()
+        transport = self.transport
+        if transport is None or not self.is_idle():
+            return
+        # A request that has arrived and is closed unread gets a reset.
+        if unread_bytes(transport):
+            return
+        self.is_closing = True
+        transport.close()
 
     def check_progress(self, now: float, limits: CallerLimits) -> None:
         """Close a connection that is too slow or idle for too long."""
