--- a/features/support/gateway.py
+++ b/features/support/gateway.py
@@ -33,6 +33,7 @@
 
 HOST = 'shop.example'
 _TIMEOUT_SECONDS = 10
+_POLL_SECONDS = 0.01
 _CLOSED_OUTPUT = -1
 
 
@@ -265,10 +266,16 @@
 
 
 async def wait_until(condition, seconds=_TIMEOUT_SECONDS):
-    """Wait until a condition holds; raises `TimeoutError`."""
-    async with asyncio.timeout(seconds):
-        while not condition():
-            await asyncio.sleep(0.01)
+    """
+    Wait until a condition holds; raises `TimeoutError`.
+
+    Time in which the test process was stopped doesn't count.
+    """
+    for _ in range(round(seconds / _POLL_SECONDS)):
+        if condition():
+            return
+        await asyncio.sleep(_POLL_SECONDS)
+    raise TimeoutError(f'not within {seconds} s')
 
 
 async def send_request(address, text, seconds=_TIMEOUT_SECONDS):
