Remove no record of a VM that a pause kept from being heard

A VM of rank 0 that woke from a pause of more than two minutes, and read the store before its datagrams, removed the records of VMs that it had not heard in that time, one after the other: a right given by elapsed time was acted on after a pause. It counts from the end of the last pause now.

--- a/features/registration.feature
+++ b/features/registration.feature
@@ -49,3 +49,12 @@
     Then it writes nothing
     When 3.5 s pass and it reads the store
     Then it writes its record
+
+  Scenario: A VM that was paused for minutes removes no record of VMs it could not hear
+    Given a VM of rank 0 that hears "a" and lists "a" and "lost"
+    When it is paused for 600 s and reads the store
+    Then it writes nothing
+    When 60 s pass and it reads the store
+    Then it writes nothing
+    When 61 s pass and it reads the store
+    Then it removes the record of "lost"
--- a/zinniaturn/fleet/registration.py
+++ b/zinniaturn/fleet/registration.py
@@ -113,7 +113,8 @@
         Return the records of VMs that have been silent for a long time.
 
         The list is empty on all VMs but the first by rank, and on that one
-        while it has no quorum.
+        while it has no quorum or may not have heard those that are alive
+        because it was paused.
         """
         now = self.clock.monotonic()
         names = {stored.record.name for stored in listed}
@@ -122,6 +123,8 @@
         }
         if self.vms.rank() or not self.vms.has_quorum():
             return []
+        if self.pause_guard.is_after_pause(now, _DEAD_VM_SECONDS):
+            return []
         oldest = now - _DEAD_VM_SECONDS
         return [
             stored
