Reject no request as late or in excess before it was offered a server

Cause: a pool's queue is bounded by what was granted within the last second, but to 8 where nothing was. A VM that stood still for 0.15 s while its first probes were under way found 10 requests waiting, granted none yet, and rejected 2 for 2 s before it had asked a server. In the same way a stall of 0.5 s made all 10 late, though both servers were idle. Change: these two rejections wait until a turn of probes was offered to the queue, since the polling began or since the process stood still. A request that can't be served before its deadline is rejected at once, as before.

--- a/features/gateway_requests.feature
+++ b/features/gateway_requests.feature
@@ -130,6 +130,17 @@
     When 20 callers post with a timeout of 0.2 s
     Then no request that ran gets 503, 429, 408 or 421
 
+  Scenario Outline: Requests that a stall of the VM holds up are served by the idle servers
+    When 10 callers read and the process stands still for <stall> s after <delay> s
+    Then each of them gets 200
+
+    Examples:
+      | stall | delay |
+      | 0.15  | 0.004 |
+      | 0.15  | 0.005 |
+      | 0.15  | 0.006 |
+      | 0.25  | 0.005 |
+
   Scenario: A leaving server gets no requests
     When "s-1" is leaving and the gateway has noticed
     And a caller reads 10 times
--- a/zinniaturn/gateway/scheduler.py
+++ b/zinniaturn/gateway/scheduler.py
@@ -34,6 +34,9 @@
 _GOOD_ENOUGH_FACTOR = 1.4
 _RANKING_SERVICE_SECONDS = 0.1
 _POLL_INTERVAL_SECONDS = 0.03
+# Between turns of probes, and with a turn whose probes get no response.
+_LONGEST_PAUSE_SECONDS = 0.1
+_LONGEST_TURN_SECONDS = 0.45
 _RESERVED_PROBES = 6
 _RESERVED_PROBES_WHEN_ALL_LATE = 15
 
@@ -304,14 +307,23 @@
                 self._start_polling(pool)
 
     async def _poll_while_waiting(self, pool: FleetPool) -> None:
+        """
+        Probe in turns while requests wait, and reject those that can't be met.
+
+        Those that were never offered a server, because the first turn is not
+        over or this process stood still, are only rejected at their deadline.
+        """
         queue = self.queue(pool.name)
         loop = asyncio.get_running_loop()
+        had_offers = False
         while queue.waiting:
+            began_at = loop.time()
             await asyncio.sleep(
                 self.state.random_source.uniform(0.6, 1.4)
                 * _POLL_INTERVAL_SECONDS,
             )
-            queue.reject_unservable(loop.time())
+            had_offers &= loop.time() - began_at < _LONGEST_PAUSE_SECONDS
+            queue.reject_unservable(loop.time(), had_offers=had_offers)
             self.paths.withdraw_unreachable(pool, queue)
             if queue.waiting and not self._reject_at_limits(pool, queue):
                 reserve = self._reserved_probes(queue)
@@ -319,6 +331,7 @@
                 if offers is not None:
                     self._match_offers(queue, offers)
                     queue.note_offer_round(loop.time())
+            had_offers = loop.time() - began_at < _LONGEST_TURN_SECONDS
 
     def _reject_at_limits(self, pool: FleetPool, queue: RequestQueue) -> bool:
         """Reject all waiting requests if every server is at its limit."""
--- a/zinniaturn/placing/request_queue.py
+++ b/zinniaturn/placing/request_queue.py
@@ -168,25 +168,19 @@
         if not request.is_late(now):
             self.contention.note_unserved(now)
 
-    def reject_unservable(self, now: float) -> int:
+    def reject_unservable(self, now: float, *, had_offers: bool = True) -> int:
         """
         Reject the requests that cannot be served; return how many.
 
         These are requests past the time at which their service had to start,
-        those that have waited too long while late, and those in excess.
+        and, if they ``had_offers`` of servers just before, those that have
+        waited too long while late and those in excess.
         """
-        rejected = 0
-        for request in tuple(self.waiting):
-            if (
-                now + request.service_seconds * _NEEDED_SERVICE_SHARE
-                > request.deadline
-            ):
-                self._reject(request, request.service_seconds)
-                rejected += 1
-            elif request.late_seconds(now) > _MAX_LATE_WAIT_SECONDS:
-                self._reject(request, _LATE_RETRY_AFTER_SECONDS)
-                rejected += 1
-        return rejected + self._reject_excess(now)
+        rejected = self._reject_hopeless(now)
+        if had_offers:
+            rejected += self._reject_late(now)
+            rejected += self._reject_excess(now)
+        return rejected
 
     def withdraw(self, may_leave: Callable[[QueuedRequest], bool]) -> None:
         """Take requests out of the queue, undecided."""
@@ -231,6 +225,29 @@
             return request.priority, 2, request.is_relayed, request.deadline
         return None
 
+    def _reject_hopeless(self, now: float) -> int:
+        """Reject the requests that can't be served before their deadline."""
+        hopeless = [
+            request
+            for request in self.waiting
+            if now + request.service_seconds * _NEEDED_SERVICE_SHARE
+            > request.deadline
+        ]
+        for request in hopeless:
+            self._reject(request, request.service_seconds)
+        return len(hopeless)
+
+    def _reject_late(self, now: float) -> int:
+        """Reject the requests that have waited too long while late."""
+        late = [
+            request
+            for request in self.waiting
+            if request.late_seconds(now) > _MAX_LATE_WAIT_SECONDS
+        ]
+        for request in late:
+            self._reject(request, _LATE_RETRY_AFTER_SECONDS)
+        return len(late)
+
     def _reject_excess(self, now: float) -> int:
         """Reject the requests in excess of those served within a second."""
         rate = self.grants.per_second(now)
