--- a/features/support/binary.py
+++ b/features/support/binary.py
@@ -24,7 +24,6 @@
     subprocess.run(
         [sys.executable, *BUILD_SCRIPT, str(output)],
         check=True,
-        timeout=TIMEOUT_SECONDS,
         stdout=subprocess.DEVNULL,
     )
     return output
