Don't count time in which the tests stood still against the limits of steps

With the test process stopped for 70 s, 2 of 6 runs of stopping.feature ended with one scenario's time limit passed in that time; steps count the time in which their event loop ran now. Limits stay as they were.

--- a/features/steps/audit_steps.py
+++ b/features/steps/audit_steps.py
@@ -7,6 +7,7 @@
 
 from features.support.builders import build_route
 from features.support.command_line import run_command
+from features.support.time_limits import time_limit
 from zinniaturn.configuration import apply_routes
 from zinniaturn.configuration.commit import commit, read_tables
 from zinniaturn.configuration.exceptions import CommitUnknownError
@@ -108,7 +109,7 @@
 @then('the entries have the routes "{names}"')
 def check_routes(context, names):
     async def wait():
-        async with asyncio.timeout(60):
+        async with time_limit(60):
             while not all(
                 sorted(entry.state.installed.tables.routes) == names.split(', ')
                 for entry in context.entries.values()
--- a/features/steps/binary_steps.py
+++ b/features/steps/binary_steps.py
@@ -1,6 +1,5 @@
 """Steps for the one-file binary."""
 
-import asyncio
 import json
 import os
 import random
@@ -17,6 +16,7 @@
     build_binary,
 )
 from features.support.builders import build_route, build_server, build_tables
+from features.support.time_limits import time_limit
 from zinniaturn.caller import Caller
 from zinniaturn.configuration import commit, read_tables
 from zinniaturn.standins import BackendStandIn, StoreStandIn
@@ -33,7 +33,7 @@
 
 def run_with_timeout(context, coroutine):
     async def bounded():
-        async with asyncio.timeout(TIMEOUT_SECONDS):
+        async with time_limit(TIMEOUT_SECONDS):
             return await coroutine
 
     return context.loop.run_until_complete(bounded())
--- a/features/steps/http_border_steps.py
+++ b/features/steps/http_border_steps.py
@@ -14,6 +14,7 @@
 )
 from features.support.byte_caller import ByteCaller
 from features.support.scripted_server import BLOCK, ScriptedServer
+from features.support.time_limits import time_limit
 from zinniaturn.entry import Entry
 from zinniaturn.settings import EntrySettings
 
@@ -34,7 +35,7 @@
     """Run a coroutine; fail the step if it exceeds the timeout."""
 
     async def bounded():
-        async with asyncio.timeout(STEP_TIMEOUT_SECONDS):
+        async with time_limit(STEP_TIMEOUT_SECONDS):
             return await coroutine
 
     return context.loop.run_until_complete(bounded())
--- a/features/steps/limits_steps.py
+++ b/features/steps/limits_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 
 from features.support.builders import build_route, build_tables
+from features.support.time_limits import time_limit
 from zinniaturn.entry import Entry
 from zinniaturn.limits import LimitName
 from zinniaturn.limits.descriptors import DescriptorBudget
@@ -111,7 +112,7 @@
 async def _answer_head(connection, request=_GET):
     reader, writer = connection
     writer.write(request)
-    async with asyncio.timeout(_WAIT_SECONDS):
+    async with time_limit(_WAIT_SECONDS):
         head = await reader.readuntil(b'\r\n\r\n')
         _, _, rest = head.lower().partition(b'content-length: ')
         await reader.readexactly(int(rest.partition(b'\r\n')[0]))
@@ -135,7 +136,7 @@
 def check_refused(context, code):
     async def read():
         reader, _ = context.connections.pop()
-        async with asyncio.timeout(_WAIT_SECONDS):
+        async with time_limit(_WAIT_SECONDS):
             return await reader.read()
 
     response = _run(context, read())
@@ -154,7 +155,7 @@
 def check_new(context):
     async def replace():
         context.connections.pop()[1].close()
-        async with asyncio.timeout(_WAIT_SECONDS):
+        async with time_limit(_WAIT_SECONDS):
             while context.entry.callers.admission.count > 2:
                 await asyncio.sleep(0.01)
         return await _answer_head(await _connect(context))
@@ -203,7 +204,7 @@
 @then('its connection is closed and "{limit}" is counted')
 def check_closed(context, limit):
     async def wait():
-        async with asyncio.timeout(_WAIT_SECONDS):
+        async with time_limit(_WAIT_SECONDS):
             while not context.entry.callers.closed[LimitName(limit)]:
                 await asyncio.sleep(0.02)
             while context.entry.callers.open:
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -10,6 +10,7 @@
 from behave import given, then, when
 
 from features.steps.spread_steps import _run, _start_entry, _wait_until
+from features.support.time_limits import time_limit
 from zinniaturn.configuration.commit import commit, read_tables
 from zinniaturn.experiments.configuration.fleet import ConfigurationFleet
 from zinniaturn.experiments.configuration.operators import initial_tables
@@ -161,7 +162,7 @@
 @then('none is ready and each reports that the store does not answer')
 def check_none_ready(context):
     async def check():
-        async with asyncio.timeout(_TIMEOUT_SECONDS):
+        async with time_limit(_TIMEOUT_SECONDS):
             while True:
                 try:
                     statuses = await _statuses(
@@ -192,7 +193,7 @@
 
 
 async def _find_reporter(context, data_center, excluded=''):
-    async with asyncio.timeout(_TIMEOUT_SECONDS):
+    async with time_limit(_TIMEOUT_SECONDS):
         while True:
             entries = [
                 entry
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 
 from features.support.gateway import build_request_bytes, read_response
+from features.support.time_limits import time_limit
 
 _SERVE_SHARE = 0.72
 _HELD_UP_SECONDS = 0.1
@@ -39,7 +40,7 @@
 async def _read_status(connection):
     reader, writer = await asyncio.open_connection(sock=connection)
     try:
-        async with asyncio.timeout(_TIMEOUT_SECONDS):
+        async with time_limit(_TIMEOUT_SECONDS):
             head = await reader.readuntil(b'\r\n\r\n')
     except (ConnectionError, asyncio.IncompleteReadError) as error:
         return repr(error)
--- a/features/steps/request_marks_steps.py
+++ b/features/steps/request_marks_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 
 from features.support.builders import build_route, build_tables
+from features.support.time_limits import time_limit
 from zinniaturn.entry.idempotence import is_idempotent
 
 FLAGS = MappingProxyType(
@@ -21,7 +22,7 @@
 @when('the entry has received the head of the request')
 def wait_for_head(context):
     async def wait():
-        async with asyncio.timeout(60):
+        async with time_limit(60):
             while not context.entry.state.requests_in_flight:
                 await asyncio.sleep(0.005)
 
--- a/features/steps/server_limit_steps.py
+++ b/features/steps/server_limit_steps.py
@@ -13,6 +13,7 @@
     wait_until,
 )
 from features.support.limit_rule import most_in_window
+from features.support.time_limits import time_limit
 from zinniaturn.admission.admission import ServerNotice
 from zinniaturn.clock import ManualClock
 from zinniaturn.experiments.limit_days import (
@@ -265,7 +266,7 @@
 
 def _read_until(context, condition):
     async def read():
-        async with asyncio.timeout(_LONGEST_SECONDS):
+        async with time_limit(_LONGEST_SECONDS):
             while not condition():
                 for gateway in context.platform.gateways:
                     await send_request(
--- a/features/steps/spread_steps.py
+++ b/features/steps/spread_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 
 from features.support.builders import build_pool, build_route, build_tables
+from features.support.time_limits import time_limit
 from zinniaturn.configuration import apply_routes
 from zinniaturn.configuration.commit import (
     commit,
@@ -46,7 +47,7 @@
 
 
 async def _wait_until(condition):
-    async with asyncio.timeout(_TIMEOUT_SECONDS):
+    async with time_limit(_TIMEOUT_SECONDS):
         while not condition():
             await asyncio.sleep(0.02)
 
@@ -262,7 +263,7 @@
 
 
 async def _wait_for_fence(context):
-    async with asyncio.timeout(_TIMEOUT_SECONDS):
+    async with time_limit(_TIMEOUT_SECONDS):
         while (await read_head(context.store)).head.fence is None:
             await asyncio.sleep(0.02)
 
--- a/features/steps/stand_in_steps.py
+++ b/features/steps/stand_in_steps.py
@@ -5,6 +5,7 @@
 import aiohttp
 from behave import given, then, when
 
+from features.support.time_limits import time_limit
 from zinniaturn.standins import StoreStandIn, VmListStandIn
 from zinniaturn.store import HttpStore, StoreError
 from zinniaturn.vmlist import HttpVmList, ListedVm, VmState
@@ -137,7 +138,7 @@
 @then('the VM list eventually contains "{name}"')
 def check_listed(context, name):
     async def wait():
-        async with asyncio.timeout(30):
+        async with time_limit(30):
             while not await context.vm_list.read():
                 await asyncio.sleep(0.01)
         return await context.vm_list.read()
--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -21,6 +21,7 @@
     answer_with_token,
     whole_answer,
 )
+from features.support.time_limits import time_limit
 from zinniaturn.clock import ManualClock
 from zinniaturn.entry.addresses import (
     EntryAddress,
@@ -76,7 +77,7 @@
 
 
 async def _meet_peers(fleet):
-    async with asyncio.timeout(10):
+    async with time_limit(10):
         while any(
             _live_peers(entry) < len(fleet.entries) - 1
             for entry in fleet.entries
@@ -187,7 +188,7 @@
 @then('the idle connection is closed')
 def check_idle(context):
     async def run():
-        async with asyncio.timeout(5):
+        async with time_limit(5):
             assert await context.idle_caller.read_to_end() == b''
 
     context.loop.run_until_complete(run())
@@ -223,7 +224,7 @@
 @then('entry {number:d} has stopped')
 def check_stopped(context, number):
     async def run():
-        async with asyncio.timeout(10):
+        async with time_limit(10):
             await context.stopping
 
     context.loop.run_until_complete(run())
@@ -323,7 +324,7 @@
         await caller.open(port)
         context.closers.append(caller.close)
         context.download = caller
-        async with asyncio.timeout(10):
+        async with time_limit(10):
             while not fleet.executions('ready'):
                 caller.send(head('GET', '/cards/1', 'ready'))
                 await receive(caller)
@@ -400,7 +401,7 @@
     fleet = context.fleet
 
     async def run():
-        async with asyncio.timeout(20):
+        async with time_limit(20):
             while await _gets_requests(fleet, number):
                 await asyncio.sleep(0.05)
 
--- a/features/steps/tls_steps.py
+++ b/features/steps/tls_steps.py
@@ -14,6 +14,7 @@
 from behave import given, then, when
 from cryptography import x509
 
+from features.support.time_limits import time_limit
 from zinniaturn.entry import Entry
 from zinniaturn.entry.exceptions import AdminInsecureError
 from zinniaturn.membership.domain import Address
@@ -193,7 +194,7 @@
 @then('each entry sees the other as live')
 def check_live(context):
     async def wait():
-        async with asyncio.timeout(_TIMEOUT_SECONDS):
+        async with time_limit(_TIMEOUT_SECONDS):
             while not all(
                 entry.state.control.live_members() for entry in context.entries
             ):
@@ -276,7 +277,7 @@
 async def _get_status_line(connection):
     reader, writer = connection
     writer.write(b'GET /v1/entries HTTP/1.1\r\nHost: a\r\n\r\n')
-    async with asyncio.timeout(_TIMEOUT_SECONDS):
+    async with time_limit(_TIMEOUT_SECONDS):
         return await reader.readuntil(b'\r\n')
 
 
--- a/features/support/command_line.py
+++ b/features/support/command_line.py
@@ -5,6 +5,8 @@
 import sys
 from dataclasses import dataclass
 
+from features.support.time_limits import time_limit
+
 TIMEOUT_SECONDS = 60
 
 
@@ -35,7 +37,7 @@
         env={**inherited_variables, **(variables or {})},
     )
     try:
-        async with asyncio.timeout(TIMEOUT_SECONDS):
+        async with time_limit(TIMEOUT_SECONDS):
             output, errors = await process.communicate(standard_input.encode())
     except TimeoutError:
         process.kill()
--- a/features/support/gateway.py
+++ b/features/support/gateway.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+from features.support.time_limits import time_limit
 from zinniaturn.admission.admission import Admission, ServerNotice
 from zinniaturn.choosing.reports import LoadReport
 from zinniaturn.clock import BootClock, ManualClock
@@ -280,7 +281,7 @@
 
 async def send_request(address, text, seconds=_TIMEOUT_SECONDS):
     """Send a request on a new connection and return the complete response."""
-    async with asyncio.timeout(seconds):
+    async with time_limit(seconds):
         reader, writer = await asyncio.open_connection(*address)
         try:
             writer.write(text)
--- a/features/support/requests.py
+++ b/features/support/requests.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from features.support.byte_caller import ByteCaller
+from features.support.time_limits import time_limit
 
 
 @dataclass
@@ -31,7 +32,7 @@
 async def receive(caller: ByteCaller):
     """Return the result of the request, also if the answer was cut."""
     try:
-        async with asyncio.timeout(10):
+        async with time_limit(10):
             answer = await caller.read_answer()
     except (OSError, ValueError, asyncio.IncompleteReadError):
         return RequestResult()
