--- a/features/placing.feature
+++ b/features/placing.feature
@@ -1,46 +1,5 @@
 Feature: Placing requests on backend servers
 
-  Scenario: The newest request that can be served in time is served first
-    Given requests "old" and "new" that arrived 0.1 s apart
-    When an idle server is offered
-    Then "new" gets it
-
-  Scenario: A more urgent request is served before a newer one
-    Given requests "urgent" of priority 1 and "newer" of priority 2
-    When an idle server is offered
-    Then "urgent" gets it
-
-  Scenario: A slow server is used for requests that are already late
-    Given requests "late" that is past its objective and "new"
-    When a slow server is offered
-    Then "late" gets it
-
-  Scenario: A slow server is not used for a request that can still be in time
-    Given a request "new"
-    When a slow server is offered
-    Then nobody gets it
-
-  Scenario: After 5 rounds without a server any server is used
-    Given a request "new"
-    When 5 rounds of offers pass without a fast server
-    And a slow server is offered
-    Then "new" gets it
-
-  Scenario: A server that was tried is not offered again to the same request
-    Given a request "new" that has tried the server
-    When an idle server is offered
-    Then nobody gets it
-
-  Scenario: A request that cannot be served before its deadline is rejected at once
-    Given a request "new" whose service time does not fit before its deadline
-    When the queue rejects what it cannot serve
-    Then "new" is rejected with a retry-after time
-
-  Scenario: Requests in excess are rejected, the least urgent first
-    Given 30 waiting requests, of which 5 are of a more urgent priority
-    When the queue rejects what it cannot serve
-    Then 8 requests wait and the 5 urgent ones are among them
-
   Scenario Outline: Servers are filled up to the concurrency of highest throughput
     Then the best concurrency of <slots> slots is <best>
 
@@ -128,13 +87,6 @@
     When "c" restarts and sends a message that it is ready
     Then a look-up returns itself, "b" and "c"
 
-  Scenario: Under overload requests that can be served in time are
-    Given 6 servers of 3 slots that serve at most 100 requests per second
-    When 150 requests per second arrive for 20 s
-    Then at least half of what could be served in time is
-    And no request is held past its deadline
-    And at least twice as many are in time as with a first-in, first-out queue
-
   Scenario: Near servers are probed before others, the same ones each time
     Given 12 servers in the VM's own data centre and 12 in another
     Then the first 5 to probe are always of the same 8 near ones
@@ -150,19 +102,6 @@
     When pool "busy" of 8 servers wants 200 probes per second for 60 s beside a quiet pool of 4 servers
     Then it sends 120 per second
 
-  Scenario: A fast server's last slot is kept for requests in time
-    Given requests "late" that is past its objective and "new"
-    And a request that can be in time has had to wait
-    When the last slot of an idle server is offered
-    Then "new" gets it
-    When the last slot of an idle server is offered
-    Then "late" does not get it
-
-  Scenario: A late request that finds no server is rejected with a retry-after time
-    Given a request "late" that has been late for 0.3 s
-    When the queue rejects what it cannot serve
-    Then "late" is rejected with a retry-after time
-
   Scenario: A late message of a previous process changes nothing
     Given a VM that heard "b" ready and "c" stopping, and not "d"
     When "c" restarts and sends a message that it is ready
@@ -181,22 +120,6 @@
     When 5 more of its requests take 0.002 s each
     Then its estimate is settled
 
-  Scenario: A slow server is not used while another was fast a moment ago
-    Given requests "late" that is past its objective and "new"
-    And an idle server was offered a moment ago
-    When a slow server is offered
-    Then nobody gets it
-
-  Scenario: A fast server's last slot goes to a late request if no other had to wait
-    Given a request "late" that has been late for 0.1 s
-    When the last slot of an idle server is offered
-    Then "late" gets it
-
-  Scenario: Overload ends soon after the burst that caused it
-    Given 14 servers of 3 slots, each slow at times, and 80 requests per second
-    When 3 times as many arrive for 3 s
-    Then nine tenths of those that arrive 5 s later are in time
-
   Scenario Outline: The probes of a request depend on the budget that is left
     Given a budget that holds the probes of <held> s
     Then a request may probe in rounds of <sizes>
