--- a/zinniaturn/sockets.py
+++ b/zinniaturn/sockets.py
@@ -6,9 +6,13 @@
 import asyncio
 import fcntl
 import socket
-import ssl
 import termios
 from collections.abc import Callable, Iterator
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    # A gateway process does without the memory that this module takes.
+    import ssl
 
 _ProtocolFactory = Callable[[], asyncio.BaseProtocol]
 
@@ -30,7 +34,7 @@
 def accept_waiting(
     server: asyncio.Server,
     factory: _ProtocolFactory,
-    tls_context: ssl.SSLContext | None = None,
+    tls_context: 'ssl.SSLContext | None' = None,
 ) -> 'list[asyncio.Task[None]]':
     """
     Accept the connections that wait at a server's listening sockets.
@@ -49,7 +53,7 @@
 async def _hand_over(
     connection: socket.socket,
     factory: _ProtocolFactory,
-    tls_context: ssl.SSLContext | None,
+    tls_context: 'ssl.SSLContext | None',
 ) -> None:
     """Give a connection to a protocol; one that the caller reset is closed."""
     loop = asyncio.get_running_loop()
