--- a/features/server_limits_model.feature
+++ b/features/server_limits_model.feature
@@ -90,3 +90,12 @@
   Scenario: The cost of each decision is measured at every size
     When the costs of the decisions are measured
     Then there is a positive figure for 13 to 7192 VMs and 33 to 26000 servers
+
+  Scenario Outline: A random day of limits keeps the rule
+    When the random day <seed> of 13 VMs is played
+    Then no server got more on it than the rule allows
+
+    Examples:
+      | seed |
+      | 301  |
+      | 319  |
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -25,3 +25,7 @@
     And a running request whose connection a planned stop closed
     And callers that were served everywhere but at a VM without links
     Then each of these is reported as a violation
+
+  Scenario: A soak in which no request succeeded violates a guarantee
+    Given a soak whose gateways ended at their start
+    Then "requests are served" is reported as a violation
--- a/features/steps/server_limit_model_steps.py
+++ b/features/steps/server_limit_model_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 
 from zinniaturn.experiments.decision_cost import measure_costs
-from zinniaturn.experiments.limit_days import find_violation
+from zinniaturn.experiments.limit_days import find_violation, play_day
 from zinniaturn.experiments.limit_model import LimitModel
 
 _LOSS = 0.05
@@ -193,3 +193,13 @@
     }
     for cost in context.costs:
         assert min(cost.microseconds.values()) > 0, cost
+
+
+@when('the random day {seed:d} of {size:d} VMs is played')
+def play_random_day(context, seed, size):
+    context.violations = play_day(size, seed)
+
+
+@then('no server got more on it than the rule allows')
+def check_random_day(context):
+    assert not context.violations, context.violations
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -169,3 +169,15 @@
         context.fleet, context.calls, [99.9]
     )
     assert len(violations_outside_stall) < len(violations)
+
+
+@given('a soak whose gateways ended at their start')
+def build_empty_soak(context):
+    context.fleet = SoakFleet(1, Path())
+    context.calls = []
+
+
+@then('"{promise}" is reported as a violation')
+def check_violation(context, promise):
+    violations = check_guarantees(context.fleet, context.calls, [])
+    assert [violation.promise for violation in violations] == [promise]
--- a/zinniaturn/experiments/soak/checking.py
+++ b/zinniaturn/experiments/soak/checking.py
@@ -57,9 +57,16 @@
     violations.extend(_check_servers_that_left(fleet, calls, stalls))
     for cut in fleet.cuts:
         violations.extend(_check_served_while_cut(fleet, cut, calls, stalls))
+    violations.extend(_check_any_served(calls))
     return violations
 
 
+def _check_any_served(calls: list[Call]) -> Iterator[Violation]:
+    if not any(call.status == _SUCCESS for call in calls):
+        detail = f'none of {len(calls)} requests succeeded'
+        yield Violation('requests are served', '', detail)
+
+
 def _check_outcome(fleet: SoakFleet, call: Call) -> Iterator[Violation]:
     if call.route != 'posts':
         return
