--- a/features/gateway_requests.feature
+++ b/features/gateway_requests.feature
@@ -262,6 +262,11 @@
     When it stops, and 10 callers that have just connected send 0.1 s later
     Then each of them gets 200
 
+  Scenario: Listening ends also when no file descriptor is left
+    Given 10 callers have got a response
+    When listening ends while the process may open no more files
+    Then no caller can connect
+
   Scenario Outline: A request that arrives just before its idle connection is closed is served
     Given 10 callers <have connected>
     When each of them sends a request and idle connections are closed at once
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import os
+import resource
 import socket
 import time
 from dataclasses import replace
@@ -176,3 +178,26 @@
 @then('each of them gets {status:d}')
 def check_statuses(context, status):
     assert set(context.statuses) == {status}, context.statuses
+
+
+@when('listening ends while the process may open no more files')
+def close_without_descriptors(context):
+    async def close():
+        limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+        lowest_free = os.dup(0)
+        os.close(lowest_free)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (lowest_free, limits[1]))
+        try:
+            for listener in context.gateway.listeners:
+                listener.close()
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+
+    context.loop.run_until_complete(close())
+
+
+@then('no caller can connect')
+def check_refused(context):
+    with contextlib.suppress(ConnectionRefusedError):
+        socket.create_connection(context.front).close()
+        raise AssertionError('a caller could connect')
--- a/zinniaturn/sockets.py
+++ b/zinniaturn/sockets.py
@@ -7,7 +7,7 @@
 import fcntl
 import socket
 import termios
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -46,7 +46,7 @@
     return [
         loop.create_task(_hand_over(connection, factory, tls_context))
         for endpoint in server.sockets
-        for connection in _accept_all(endpoint.dup())
+        for connection in _accept_all(endpoint)
     ]
 
 
@@ -63,14 +63,16 @@
         connection.close()
 
 
-def _accept_all(listening: socket.socket) -> Iterator[socket.socket]:
-    """Yield the connections that wait at a listening socket; close it."""
-    with listening:
-        listening.setblocking(False)
-        while True:
-            try:
-                connection, _ = listening.accept()
-            except BlockingIOError:
-                return
-            connection.setblocking(False)
-            yield connection
+def _accept_all(endpoint: socket.socket) -> list[socket.socket]:
+    """Accept the connections that wait at a listening socket."""
+    accepted: list[socket.socket] = []
+    try:
+        with endpoint.dup() as listening:
+            listening.setblocking(False)
+            while True:
+                connection = listening.accept()[0]
+                connection.setblocking(False)
+                accepted.append(connection)
+    except OSError:
+        # Nobody waits any more, or no file descriptor is left to accept more.
+        return accepted
