--- a/features/steps/gateway_requests_steps.py
+++ b/features/steps/gateway_requests_steps.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import os
-import time
 from dataclasses import replace
 
 from behave import given, then, when
@@ -336,25 +335,6 @@
     _run(context, post_until_some_ran())
 
 
-@when(
-    '{count:d} callers read and the process stands still for {stall:g} s '
-    'after {delay:g} s'
-)
-def read_and_stall(context, count, stall, delay):
-    async def read():
-        texts = [
-            build_request_bytes(request_id=f'id-{number}')
-            for number in range(count)
-        ]
-        context.loop.call_later(delay, time.sleep, stall)
-        responses = await asyncio.gather(
-            *(send_request(context.front, payload) for payload in texts),
-        )
-        context.statuses = [status for status, _, _ in responses]
-
-    _run(context, read())
-
-
 @when('"{name}" is leaving and the gateway has noticed')
 def start_leaving(context, name):
     server = _server(context, name)
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -13,7 +13,7 @@
 from features.support.gateway import (
     build_request_bytes,
     read_response,
-    wait_until,
+    replace_gateway,
 )
 from features.support.time_limits import time_limit
 
@@ -109,21 +109,12 @@
             is_punctual, statuses = await stop()
             if is_punctual:
                 return statuses
-            await _replace_gateway(context, f'vm-again-{number}')
+            await replace_gateway(context, f'vm-again-{number}')
         raise TimeoutError('the process stood still in each planned stop')
 
     context.statuses = context.loop.run_until_complete(stop_until_punctual())
 
 
-async def _replace_gateway(context, name):
-    bounds = context.gateway.settings.bounds
-    context.gateway = await context.platform.add_gateway(name)
-    gateway = context.gateway
-    gateway.settings = replace(gateway.settings, bounds=bounds)
-    context.front = gateway.settings.front
-    await wait_until(lambda: gateway.state.pools)
-
-
 @given('{count:d} callers have connected a second ago, sent none')
 def connect_long_ago(context, count):
     async def connect():
--- a/features/support/gateway.py
+++ b/features/support/gateway.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from dataclasses import replace
 
 from features.support.time_limits import time_limit
 from zinniaturn.admission.admission import Admission, ServerNotice
@@ -266,6 +267,16 @@
     await asyncio.sleep(0)
 
 
+async def replace_gateway(context, name):
+    """Go on with a new gateway of the same bounds as the scenario's one."""
+    bounds = context.gateway.settings.bounds
+    context.gateway = await context.platform.add_gateway(name)
+    gateway = context.gateway
+    gateway.settings = replace(gateway.settings, bounds=bounds)
+    context.front = gateway.settings.front
+    await wait_until(lambda: gateway.state.pools)
+
+
 async def wait_until(condition, seconds=_TIMEOUT_SECONDS):
     """
     Wait until a condition holds; raises `TimeoutError`.
