--- a/features/steps/whole_path_steps.py
+++ b/features/steps/whole_path_steps.py
@@ -98,7 +98,8 @@
 def check_no_repeats(context):
     for backends in context.fleet.backends.values():
         for backend in backends:
-            assert all(count == 1 for count in backend.executions.values())
+            counts = backend.executions
+            assert all(count == 1 for count in counts.values()), counts
 
 
 @then('card server {number:d} got no request after the edit')
