Log what became of the server when a connection to it breaks, and the request's key

Event 760 tells a server that has ended from a connection that was lost, and names the key that all copies of a request share; event 710 has it too.

--- a/zinniaturn/events/catalogue.py
+++ b/zinniaturn/events/catalogue.py
@@ -67,6 +67,7 @@
     POOL_RESPONDS = 751
     PATH_LOST = 752
     PATH_RESTORED = 753
+    CONNECTION_BROKEN = 760
 
 
 _INFO = logging.INFO
@@ -246,5 +247,9 @@
             _INFO,
             'this VM has its path to a pool back',
         ),
+        LogEvent.CONNECTION_BROKEN: (
+            _WARNING,
+            'the connection to a backend server broke while it ran a request',
+        ),
     }
 )
--- a/zinniaturn/gateway/attempt_runner.py
+++ b/zinniaturn/gateway/attempt_runner.py
@@ -7,13 +7,19 @@
 
 from zinniaturn.choosing.exceptions import RejectedError
 from zinniaturn.gateway.attempt import send_attempt
+from zinniaturn.gateway.crash_watch import CrashWatch
 from zinniaturn.gateway.exceptions import AttemptError
 from zinniaturn.gateway.relay_client import RelayClient
 from zinniaturn.gateway.request_context import Placement, RequestContext
 from zinniaturn.gateway.scheduler import RequestScheduler
 from zinniaturn.gateway.state import GatewayState
 from zinniaturn.http1.messages import Response
-from zinniaturn.outcomes import Outcome, combine_verdicts, verdict_for
+from zinniaturn.outcomes import (
+    Event,
+    Outcome,
+    combine_verdicts,
+    verdict_for,
+)
 from zinniaturn.placing.hedging import hedge_delay
 from zinniaturn.placing.retry_after import seconds_after_shedding
 from zinniaturn.reach.decision import PassOn
@@ -32,6 +38,7 @@
     state: GatewayState
     scheduler: RequestScheduler
     relay_client: RelayClient
+    crash_watch: CrashWatch
 
     async def run(self, context: RequestContext) -> Response:
         """
@@ -170,6 +177,10 @@
         except AttemptError as error:
             if error.response is not None:
                 context.responding_server = placement.candidate.name
+            if error.event is Event.CONNECTION_LOST:
+                await self.crash_watch.note_broken(
+                    context, placement, sent_at, error.message
+                )
             raise
         context.responding_server = placement.candidate.name
         self.scheduler.service_times.update(
--- a/zinniaturn/gateway/dispatch.py
+++ b/zinniaturn/gateway/dispatch.py
@@ -7,6 +7,7 @@
 from zinniaturn.choosing.exceptions import RejectedError
 from zinniaturn.fleet.tables import FleetPool, FleetRoute
 from zinniaturn.gateway.attempt_runner import AttemptRunner
+from zinniaturn.gateway.crash_watch import CrashWatch
 from zinniaturn.gateway.rejections import rejection_response
 from zinniaturn.gateway.relay_client import RelayClient
 from zinniaturn.gateway.request_context import RequestContext
@@ -37,7 +38,10 @@
     def __init__(self, state: GatewayState) -> None:
         self.state = state
         self.attempt_runner = AttemptRunner(
-            state, RequestScheduler(state), RelayClient(state)
+            state,
+            RequestScheduler(state),
+            RelayClient(state),
+            CrashWatch(state),
         )
         self.pool_selector = PoolSelector(state.random_source)
         self.elapsed_times = ElapsedTimeEstimator()
--- a/zinniaturn/gateway/request_context.py
+++ b/zinniaturn/gateway/request_context.py
@@ -10,6 +10,7 @@
 from zinniaturn.http1.messages import Request
 from zinniaturn.outcomes import Verdict
 from zinniaturn.placing.candidates import Candidate
+from zinniaturn.quarantine.request_key import RequestKey
 
 
 @dataclass(slots=True)
@@ -28,6 +29,7 @@
     ``passed_to`` names those that this VM has passed it on to.
     ``responding_server`` is the one whose response the caller gets.
     ``is_out_of_reach`` is set if no server of the pool responds to this VM.
+    ``request_key`` is computed where it is needed first.
     """
 
     request: Request
@@ -55,6 +57,7 @@
     passed_to: list[str] = field(default_factory=list)
     responding_server: str = ''
     is_out_of_reach: bool = False
+    request_key: RequestKey | None = None
 
     @property
     def objective_at(self) -> float:
--- a/zinniaturn/gateway/request_log.py
+++ b/zinniaturn/gateway/request_log.py
@@ -9,6 +9,7 @@
 from zinniaturn.gateway.request_context import RequestContext
 from zinniaturn.gateway.state import GatewayState
 from zinniaturn.http1.messages import Request
+from zinniaturn.quarantine.request_key import RequestKey, format_key
 
 _MILLISECONDS_PER_SECOND = 1000
 
@@ -71,6 +72,7 @@
             detail=context.detail,
             passed_to=context.passed_to,
             taken_from=context.taken_from,
+            key=_key_text(context.request_key),
             tables_revision=self.state.tables_revision(),
             state_age_ms=self.state.fleet_state.age_ms,
         )
@@ -81,6 +83,10 @@
     return (raw or b'').decode('latin-1')
 
 
+def _key_text(key: RequestKey | None) -> str:
+    return '' if key is None else format_key(key)
+
+
 def _tenths(seconds: float) -> float:
     """Return milliseconds with one decimal."""
     return round(seconds * _MILLISECONDS_PER_SECOND, 1)
