Show that a request that crashes servers is sent on and on

5 gateways before 8 stand-in servers that end on a marked request: 32 servers crashed in 8 s and 16 sends came later than 3 s after the third crash, where 3 are allowed. Stand-ins: CrashRule, restart under another name.

--- a/zinniaturn/platform/standins/loopback.py
+++ b/zinniaturn/platform/standins/loopback.py
@@ -2,6 +2,7 @@
 
 __all__ = ('LoopbackService',)
 
+import asyncio
 from dataclasses import dataclass, field
 
 from zinniaturn.http1.exchanges import CallerExchange, Reply
@@ -24,8 +25,14 @@
         await self.listener.start(self.host, port)
 
     async def stop(self) -> None:
-        """Stop listening and abort all connections."""
+        """Stop listening and abort all connections, the last ones too."""
         self.listener.close()
+        self._abort_connections()
+        if self.listener.accepting:
+            await asyncio.wait(self.listener.accepting)
+            self._abort_connections()
+
+    def _abort_connections(self) -> None:
         for connection in list(self.listener.connections):
             if connection.transport is not None:
                 connection.transport.abort()
--- a/zinniaturn/platform/standins/server.py
+++ b/zinniaturn/platform/standins/server.py
@@ -16,6 +16,7 @@
     encode_response,
     find_field,
 )
+from zinniaturn.platform.standins.crashes import CrashRule
 from zinniaturn.platform.standins.endless import (
     ENDLESS_FAULTS,
     send_without_end,
@@ -45,6 +46,7 @@
     server names, ``pause`` that of the seconds that it asks a VM to wait when
     it sheds a request. Responses to probes tell the limit and the leaving only
     with ``states_in_probes``. ``request_times`` are the times of all arrivals.
+    With a `CrashRule` in ``crash_rule`` its process ends on some requests.
     """
 
     name: str = ''
@@ -72,6 +74,7 @@
     pause: bytes | None = None
     states_in_probes: bool = True
     request_times: list[float] = field(default_factory=list)
+    crash_rule: CrashRule | None = None
     slot_semaphore: asyncio.Semaphore = field(init=False)
 
     async def start(self, port: int = 0) -> None:
@@ -93,6 +96,12 @@
             'born': self.started_ms,
         }
 
+    async def restart(self, name: str, port: int) -> None:
+        """Start the next process, after a crash, at the port of this one."""
+        self.name = name
+        self.started_ms += 1
+        await self.start(port)
+
     def handle(self, exchange: CallerExchange) -> Reply:
         """Respond to a request or a load probe."""
         request = exchange.request
@@ -139,6 +148,8 @@
             self.waiting -= 1
         self.running += 1
         self.runs[request_id] += 1
+        if self.crash_rule is not None:
+            self.crash_rule.note_run(self, request)
         try:
             async with asyncio.timeout(
                 int(time_left_ms) / _MILLISECONDS_PER_SECOND
