Keep requests that end the servers that run them from all servers

Callers saw: one request, sent again and again, ended 38 to 52 servers of a pool of 13 in 20 s; innocent requests beside it were cut, and half of the pool's callers were turned away.

Cause: what a request does to a server was taken for what the server does to a request. Each attempt learnt it alone and forgot it, and the retry, the hedge and the next copy at another VM carried it on. Event 760 showed it: 46 of 132 broken attempts, on all VMs, had one key, and each of their servers had ended.

Change: VMs tell each other of servers that ended and of the requests that ran there, confirm or contradict each other, and judge by one rule what several crashes have in common (zinniaturn/quarantine). A held request is rejected at once as not run; a suspected one runs alone.

--- a/zinniaturn/events/catalogue.py
+++ b/zinniaturn/events/catalogue.py
@@ -68,6 +68,9 @@
     PATH_LOST = 752
     PATH_RESTORED = 753
     CONNECTION_BROKEN = 760
+    REQUEST_SUSPECTED = 761
+    REQUEST_HELD = 762
+    REQUEST_CLEARED = 763
 
 
 _INFO = logging.INFO
@@ -251,5 +254,17 @@
             _WARNING,
             'the connection to a backend server broke while it ran a request',
         ),
+        LogEvent.REQUEST_SUSPECTED: (
+            _WARNING,
+            'several backend servers ended while they ran copies of a request',
+        ),
+        LogEvent.REQUEST_HELD: (
+            _WARNING,
+            'a request ends the servers that run it; its copies are rejected',
+        ),
+        LogEvent.REQUEST_CLEARED: (
+            _INFO,
+            'a request that was suspected or held may run again',
+        ),
     }
 )
--- a/zinniaturn/fleet/datagrams.py
+++ b/zinniaturn/fleet/datagrams.py
@@ -7,12 +7,16 @@
 
 __all__ = (
     'PROTOCOL_VERSION',
+    'CompletionRow',
+    'CrashRow',
     'Datagram',
     'DatagramExtras',
     'DatagramKind',
+    'LiftRow',
     'NoticeRow',
     'PermitGrantRow',
     'PermitRequestRow',
+    'QuarantineRow',
     'ReachRow',
     'ResponseRow',
     'StateClaim',
@@ -42,6 +46,7 @@
 
 Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=10**12)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=10**6)]
+Key = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 Limit = Annotated[float, msgspec.Meta(ge=0, le=10**9)]
 
 
@@ -214,13 +219,52 @@
 _NO_REACH = ReachRow()
 
 
+class CrashRow(msgspec.Struct, array_like=True, frozen=True):
+    """
+    A process of a server has ended ``age_ms`` ago, while it ran requests.
+
+    ``keys`` are these requests, ``witnesses`` the VMs that have seen the end.
+    With ``is_refuted`` the process has responded since.
+    """
+
+    server: str
+    started_ms: int
+    age_ms: Milliseconds
+    keys: tuple[Key, ...]
+    witnesses: tuple[str, ...]
+    is_refuted: bool = False
+
+
+class CompletionRow(msgspec.Struct, array_like=True, frozen=True):
+    """``count`` runs of a suspected request have ended well at ``vm``."""
+
+    key: Key
+    vm: str
+    count: Count
+
+
+class LiftRow(msgspec.Struct, array_like=True, frozen=True):
+    """An operator has lifted the verdict on a request ``age_ms`` ago."""
+
+    key: Key
+    age_ms: Milliseconds
+
+
+class QuarantineRow(msgspec.Struct, array_like=True, frozen=True):
+    """What the sender knows of requests that end servers."""
+
+    crashes: tuple[CrashRow, ...] = ()
+    completions: tuple[CompletionRow, ...] = ()
+    lifts: tuple[LiftRow, ...] = ()
+
+
 class Datagram(msgspec.Struct, array_like=True, frozen=True):
     """
     A message between two VMs.
 
     ``target`` is the VM that a ping request is about. ``news`` are the statuses
     of other VMs, and ``notices`` is what servers have said. Older processes
-    send no more than ``target``, or nothing of ``reach``.
+    send no more than ``target``, or nothing of ``reach`` or ``quarantine``.
     """
 
     version: int
@@ -234,6 +278,7 @@
     permit_request: PermitRequestRow | None = None
     permit_grant: PermitGrantRow | None = None
     reach: ReachRow = _NO_REACH
+    quarantine: QuarantineRow | None = None
 
     @property
     def sender_status(self) -> VmStatus:
@@ -254,6 +299,7 @@
     permit_request: PermitRequestRow | None = None
     permit_grant: PermitGrantRow | None = None
     reach: ReachRow = _NO_REACH
+    quarantine: QuarantineRow | None = None
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -284,6 +330,7 @@
             extras.permit_request,
             extras.permit_grant,
             extras.reach,
+            extras.quarantine,
         ),
     )
 
--- a/zinniaturn/fleet/gossip.py
+++ b/zinniaturn/fleet/gossip.py
@@ -21,6 +21,7 @@
 from zinniaturn.admission.admission import Admission
 from zinniaturn.admission.table import AdmissionTable
 from zinniaturn.fleet.alive_vms import PeerVm
+from zinniaturn.fleet.crash_news import CrashNews
 from zinniaturn.fleet.datagrams import (
     Datagram,
     DatagramKind,
@@ -39,6 +40,7 @@
 from zinniaturn.fleet.table_sync import TableSync
 from zinniaturn.fleet.vms import VmTable
 from zinniaturn.http1.connections import Address, ConnectionPool
+from zinniaturn.quarantine.table import QuarantineTable
 from zinniaturn.reach.reach_table import ReachTable
 
 _PUSH_FANOUT = 4
@@ -96,6 +98,8 @@
     table_sync: TableSync = field(init=False)
     pause_guard: PauseGuard = field(init=False)
     permits: PermitExchange = field(init=False)
+    quarantine: QuarantineTable = field(init=False)
+    crash_news: CrashNews = field(init=False)
 
     def __post_init__(self) -> None:
         """Build the parts that share the tables."""
@@ -111,6 +115,15 @@
             self.pause_guard,
             self.random_source,
         )
+        self.quarantine = QuarantineTable(
+            self.vms.clock,
+            self.own.name,
+            lambda: (peer.name for peer in self.vms.alive_vms()),
+        )
+        self.crash_news = CrashNews(
+            self.quarantine, self.vms, self.random_source, self._schedule_push
+        )
+        self.sender.quarantine_row = self.crash_news.row
         self.detector = FailureDetector(self.vms, self.random_source)
         self.table_sync = TableSync(self.vms)
         self.news = NewsReceiver(
@@ -201,6 +214,8 @@
         if not self.pause_guard.is_after_pause(self.vms.clock.monotonic()):
             self.news.learn_notices(datagram)
             self.news.learn_reach(datagram)
+            if datagram.quarantine is not None:
+                self.crash_news.learn(datagram.quarantine)
             self._compare_state(datagram)
         self._compare_tables(datagram, peer)
         self._respond(datagram, peer, addr)
--- a/zinniaturn/fleet/gossip_sender.py
+++ b/zinniaturn/fleet/gossip_sender.py
@@ -3,6 +3,7 @@
 __all__ = ('GossipSender',)
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 from zinniaturn.admission.table import AdmissionTable
@@ -11,6 +12,7 @@
     DatagramExtras,
     DatagramKind,
     NoticeRow,
+    QuarantineRow,
     ReachRow,
     ResponseRow,
     StateClaim,
@@ -32,6 +34,12 @@
 
 _NO_EXTRAS = DatagramExtras()
 
+QuarantineRowFor = Callable[[PeerVm | None], QuarantineRow | None]
+
+
+def _no_row(receiver: PeerVm | None) -> None:
+    """Do nothing; the gossip sets what tells of crashes."""
+
 
 @dataclass(slots=True)
 class GossipSender:
@@ -39,7 +47,8 @@
     Sends datagrams while it has a ``transport``.
 
     ``queue`` holds the VMs whose statuses are passed on, and ``notice_queue``
-    the servers whose notices are.
+    the servers whose notices are. ``quarantine_row`` returns what to tell a VM
+    of crashes.
     """
 
     fleet_state: FleetState
@@ -47,8 +56,9 @@
     admissions: AdmissionTable
     reach: ReachTable
     transport: asyncio.DatagramTransport | None = None
-    queue: StatusQueue = field(default_factory=StatusQueue)
-    notice_queue: StatusQueue = field(default_factory=StatusQueue)
+    quarantine_row: QuarantineRowFor = _no_row
+    queue: StatusQueue[str] = field(default_factory=StatusQueue)
+    notice_queue: StatusQueue[str] = field(default_factory=StatusQueue)
 
     def pass_on(self, name: str) -> None:
         """Add a VM's status to the news of the next datagrams."""
@@ -109,6 +119,7 @@
                     extras,
                     notices=self._notice_rows(receiver),
                     reach=self._reach_row(receiver),
+                    quarantine=self.quarantine_row(receiver),
                 ),
             ),
             address,
--- a/zinniaturn/fleet/status_queue.py
+++ b/zinniaturn/fleet/status_queue.py
@@ -1,21 +1,27 @@
-"""Queue of the VM statuses that are passed on with the next messages."""
+"""Queue of the news that are passed on with the next messages."""
 
 __all__ = ('StatusQueue',)
 
 import math
 from collections import OrderedDict
+from collections.abc import Hashable
 from dataclasses import dataclass, field
+from typing import Generic, TypeVar
 
 _TRANSMISSIONS_PER_DOUBLING = 2.0
 _MIN_TRANSMISSIONS = 3
 
 
+NewsName = TypeVar('NewsName', bound=Hashable)
+
+
 @dataclass(slots=True)
-class StatusQueue:
+class StatusQueue(Generic[NewsName]):
     """
-    Names of VMs whose status has changed, with the transmissions left for each.
+    Names of what has changed, such as VMs, with the transmissions left for
+    each.
 
-    A status is sent a number of times that grows with the logarithm of the
+    News are sent a number of times that grows with the logarithm of the
     fleet's size. The messages in which it is sent are those that go out anyway,
     so a change costs each VM a few dozen bytes and no message.
 
@@ -25,15 +31,15 @@
     [['vm-1'], ['vm-1'], ['vm-1'], ['vm-1'], []]
     """
 
-    remaining: 'OrderedDict[str, int]' = field(default_factory=OrderedDict)
+    remaining: 'OrderedDict[NewsName, int]' = field(default_factory=OrderedDict)
 
-    def add(self, name: str, fleet_size: int) -> None:
-        """Queue a VM's status, the first to be sent."""
+    def add(self, name: NewsName, fleet_size: int) -> None:
+        """Queue a change, the first to be sent."""
         self.remaining[name] = _transmissions(fleet_size)
         self.remaining.move_to_end(name, last=False)
 
-    def take(self, most: int) -> list[str]:
-        """Return the names of at most ``most`` VMs for one message."""
+    def take(self, most: int) -> list[NewsName]:
+        """Return at most ``most`` names for one message."""
         names = []
         for _ in range(min(most, len(self.remaining))):
             name, count = self.remaining.popitem(last=False)
--- a/zinniaturn/gateway/attempt_runner.py
+++ b/zinniaturn/gateway/attempt_runner.py
@@ -9,6 +9,7 @@
 from zinniaturn.gateway.attempt import send_attempt
 from zinniaturn.gateway.crash_watch import CrashWatch
 from zinniaturn.gateway.exceptions import AttemptError
+from zinniaturn.gateway.quarantine_gate import QuarantineGate, QuarantinePass
 from zinniaturn.gateway.relay_client import RelayClient
 from zinniaturn.gateway.request_context import Placement, RequestContext
 from zinniaturn.gateway.scheduler import RequestScheduler
@@ -39,6 +40,7 @@
     scheduler: RequestScheduler
     relay_client: RelayClient
     crash_watch: CrashWatch
+    gate: QuarantineGate
 
     async def run(self, context: RequestContext) -> Response:
         """
@@ -47,15 +49,34 @@
         Raises `RejectedError` where no server gave one. ``context.verdict``
         then says what is known of the attempts.
         """
-        while True:
-            assignment = await self.scheduler.place(context)
-            match assignment:
-                case PassOn():
-                    return await self._pass_on(context, assignment)
-                case Placement():
-                    response = await self._serve_at(context, assignment)
-            if response is not None:
-                return response
+        with QuarantinePass(self.gate, context) as quarantine_pass:
+            response = None
+            while response is None:
+                await quarantine_pass.obtain()
+                self.gate.avoid_suspects(context)
+                assignment = await self.scheduler.place(context)
+                if quarantine_pass.is_valid():
+                    response = await self._follow(context, assignment)
+                else:
+                    self._give_back(assignment)
+        return response
+
+    async def _follow(
+        self, context: RequestContext, assignment: Placement | PassOn
+    ) -> Response | None:
+        """Return a response, ``None`` if another server may be tried."""
+        match assignment:
+            case PassOn():
+                return await self._pass_on(context, assignment)
+            case Placement():
+                return await self._serve_at(context, assignment)
+
+    def _give_back(self, assignment: Placement | PassOn) -> None:
+        """Leave the connection of an assignment that is not used to others."""
+        if isinstance(assignment, Placement) and assignment.connection:
+            self.state.connections.keep_idle(
+                assignment.candidate.address, assignment.connection
+            )
 
     async def _serve_at(
         self, context: RequestContext, placement: Placement
@@ -162,6 +183,7 @@
     ) -> Response:
         loop = asyncio.get_running_loop()
         sent_at = loop.time()
+        self.gate.begin_attempt(context, placement.candidate.name)
         try:
             response = await send_attempt(
                 self.state,
@@ -177,11 +199,15 @@
         except AttemptError as error:
             if error.response is not None:
                 context.responding_server = placement.candidate.name
+                self.gate.note_completed(context)
             if error.event is Event.CONNECTION_LOST:
                 await self.crash_watch.note_broken(
                     context, placement, sent_at, error.message
                 )
             raise
+        finally:
+            self.gate.end_attempt(placement.candidate.name)
+        self.gate.note_completed(context)
         context.responding_server = placement.candidate.name
         self.scheduler.service_times.update(
             context.route.name,
@@ -213,6 +239,8 @@
     def _take_from_retry_budget(self, context: RequestContext) -> bool:
         if context.attempt_count >= context.route.max_attempts:
             return False
+        if not self.gate.may_repeat(context):
+            return False
         retry_budget = self.state.retry_budget(context.pool.name)
         now = asyncio.get_running_loop().time()
         return retry_budget.try_withdraw(
--- a/zinniaturn/gateway/dispatch.py
+++ b/zinniaturn/gateway/dispatch.py
@@ -8,6 +8,7 @@
 from zinniaturn.fleet.tables import FleetPool, FleetRoute
 from zinniaturn.gateway.attempt_runner import AttemptRunner
 from zinniaturn.gateway.crash_watch import CrashWatch
+from zinniaturn.gateway.quarantine_gate import QuarantineGate
 from zinniaturn.gateway.rejections import rejection_response
 from zinniaturn.gateway.relay_client import RelayClient
 from zinniaturn.gateway.request_context import RequestContext
@@ -37,11 +38,14 @@
 
     def __init__(self, state: GatewayState) -> None:
         self.state = state
+        scheduler = RequestScheduler(state)
+        self.crash_watch = CrashWatch(state)
         self.attempt_runner = AttemptRunner(
             state,
-            RequestScheduler(state),
+            scheduler,
             RelayClient(state),
-            CrashWatch(state),
+            self.crash_watch,
+            QuarantineGate(state, scheduler.retry_after_jitter),
         )
         self.pool_selector = PoolSelector(state.random_source)
         self.elapsed_times = ElapsedTimeEstimator()
--- a/zinniaturn/gateway/process.py
+++ b/zinniaturn/gateway/process.py
@@ -6,6 +6,7 @@
 import random
 import signal
 from collections.abc import Callable, Coroutine
+from functools import partial
 
 from zinniaturn.admission.table import AdmissionTable
 from zinniaturn.clock import BootClock
@@ -35,6 +36,7 @@
 from zinniaturn.gateway.event_log import EventLog
 from zinniaturn.gateway.metrics import render_metrics
 from zinniaturn.gateway.path_watch import PathWatch
+from zinniaturn.gateway.quarantine_log import log_standing
 from zinniaturn.gateway.relay_service import PeerService, RelayService
 from zinniaturn.gateway.reporting import StateReporter
 from zinniaturn.gateway.settings import GatewaySettings
@@ -127,6 +129,8 @@
             self.state.log_admission,
         )
         self.state.gossip = self.peers
+        self.peers.crash_news.on_crash = self.dispatcher.crash_watch.check_told
+        self.peers.quarantine.on_change = partial(log_standing, self.state)
         self.registration = VmRegistration(
             store,
             self.vms,
@@ -257,6 +261,7 @@
         """Ping other VMs and watch the paths to the pools."""
         while True:
             self.path_watch.tick()
+            self.dispatcher.crash_watch.tick()
             self.peers.tick()
             await asyncio.sleep(PING_INTERVAL_SECONDS)
 
--- a/zinniaturn/gateway/request_context.py
+++ b/zinniaturn/gateway/request_context.py
@@ -10,7 +10,7 @@
 from zinniaturn.http1.messages import Request
 from zinniaturn.outcomes import Verdict
 from zinniaturn.placing.candidates import Candidate
-from zinniaturn.quarantine.request_key import RequestKey
+from zinniaturn.quarantine.request_key import RequestKey, request_key
 
 
 @dataclass(slots=True)
@@ -71,6 +71,13 @@
         """Return whether another VM has passed the request on to this one."""
         return bool(self.taken_from)
 
+    @property
+    def key(self) -> RequestKey:
+        """Return the key that all copies of the request have."""
+        if self.request_key is None:
+            self.request_key = request_key(self.request)
+        return self.request_key
+
     def seconds_left(self, now: float) -> float:
         """Return the seconds until the deadline."""
         return self.deadline - now
--- a/zinniaturn/gateway/state.py
+++ b/zinniaturn/gateway/state.py
@@ -30,6 +30,7 @@
 from zinniaturn.placing.recent_rate import RecentRate
 from zinniaturn.placing.retry_budget import FleetRetryBudget
 from zinniaturn.placing.server_stats import ServerStats
+from zinniaturn.quarantine.table import QuarantineTable
 from zinniaturn.reach.reach_table import ReachTable
 from zinniaturn.tables.matching import RouteMatcher
 
@@ -67,6 +68,11 @@
         default_factory=lambda: RateLimit(_UNREADABLE_REPORT_SECONDS)
     )
 
+    @property
+    def quarantine(self) -> QuarantineTable:
+        """Return what is known of requests that end servers."""
+        return self.gossip.quarantine
+
     @property
     def is_stopping(self) -> bool:
         """Return whether the process is shutting down."""
--- a/zinniaturn/outcomes/rejections.py
+++ b/zinniaturn/outcomes/rejections.py
@@ -34,6 +34,11 @@
         HTTPStatus.SERVICE_UNAVAILABLE,
         'No backend server could be reached',
     ),
+    Rejection(
+        'request-held',
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'The request has ended several servers that ran it',
+    ),
     Rejection(
         'queue-full',
         HTTPStatus.SERVICE_UNAVAILABLE,
--- /dev/null
+++ b/zinniaturn/quarantine/crash_record.py
@@ -0,0 +1,63 @@
+"""What the fleet knows of the end of one server process."""
+
+__all__ = ('CrashRecord', 'ServerProcess')
+
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from zinniaturn.quarantine.request_key import RequestKey
+
+# A server runs as many requests at a time as it has slots, and few servers
+# have as many; the rest of a longer list is dropped.
+_MOST_KEYS = 32
+_MOST_WITNESSES = 3
+# Two VMs see the same end of a process within this time.
+_WITNESSES_NEEDED = 2
+# A crash that nobody contradicts for this time needs no second witness. VMs
+# that hear of one and know better say so within it.
+_UNCONFIRMED_SECONDS = 1.0
+
+
+class ServerProcess(NamedTuple):
+    """A process of a server; ``started_ms`` is the Unix time of its start."""
+
+    server: str
+    started_ms: int
+
+
+@dataclass(slots=True)
+class CrashRecord:
+    """
+    The end of a server process while it ran requests.
+
+    ``ended_at`` is when this VM saw it or was first told, less the time since
+    then, by its boot clock. ``keys`` are the requests that ran there, and
+    ``witnesses`` the VMs that found that nobody listens any more. A process
+    that has responded since did not end: ``is_refuted``.
+    """
+
+    process: ServerProcess
+    ended_at: float
+    keys: set[RequestKey] = field(default_factory=set)
+    witnesses: set[str] = field(default_factory=set)
+    is_refuted: bool = False
+
+    def is_confirmed(self, now: float) -> bool:
+        """Return whether the process has ended as far as the fleet knows."""
+        if self.is_refuted:
+            return False
+        if len(self.witnesses) >= _WITNESSES_NEEDED:
+            return True
+        return now - self.ended_at >= _UNCONFIRMED_SECONDS
+
+    def merge(self, other: 'CrashRecord') -> bool:
+        """Take over what another VM knows; return whether it knows more."""
+        before = len(self.keys), len(self.witnesses), self.is_refuted
+        for key in sorted(other.keys):
+            if len(self.keys) < _MOST_KEYS:
+                self.keys.add(key)
+        for witness in sorted(other.witnesses):
+            if len(self.witnesses) < _MOST_WITNESSES:
+                self.witnesses.add(witness)
+        self.is_refuted |= other.is_refuted
+        return before != (len(self.keys), len(self.witnesses), self.is_refuted)
--- a/zinniaturn/quarantine/request_key.py
+++ b/zinniaturn/quarantine/request_key.py
@@ -26,7 +26,7 @@
 
 def request_key(request: Request) -> RequestKey:
     """
-    Return a request's key of 64 bits.
+    Return a request's key of 63 bits.
 
     Each part is hashed with its length, so that no two requests have the same
     text by a shift of a boundary.
@@ -39,7 +39,7 @@
     for part in parts:
         digest.update(b'%d:' % len(part))
         digest.update(part)
-    return int.from_bytes(digest.digest(), 'big')
+    return int.from_bytes(digest.digest(), 'big') >> 1
 
 
 def format_key(key: RequestKey) -> str:
--- /dev/null
+++ b/zinniaturn/quarantine/table.py
@@ -0,0 +1,249 @@
+"""What this VM knows of crashes, and what follows for each request."""
+
+__all__ = ('Completion', 'QuarantineTable', 'Ruling')
+
+import enum
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from zinniaturn.clock import Clock
+from zinniaturn.quarantine.crash_record import CrashRecord, ServerProcess
+from zinniaturn.quarantine.request_key import RequestKey
+from zinniaturn.quarantine.trials import is_turn_of
+from zinniaturn.quarantine.verdicts import Standing, judge
+
+_MOST_RECORDS = 512
+_MOST_COMPLETIONS = 1024
+# More completions of one VM than this don't change a verdict.
+_MOST_COUNTED = 15
+_RECORD_LIFETIME_SECONDS = 60.0
+# A held request that nobody has tried is forgotten this long after its hold.
+_UNTRIED_SECONDS = 600.0
+# No VM holds an older crash, which would count again.
+_LIFT_LIFETIME_SECONDS = 5000.0
+_MOST_LIFTS = 256
+# Two VMs may differ by so much in when they were told of the same lift.
+_SAME_LIFT_SECONDS = 1.0
+# Crashes get confirmed and fall out of the last seconds as time passes.
+_JUDGED_AGAIN_SECONDS = 0.2
+
+
+class Ruling(enum.Enum):
+    """What to do with a copy of a request."""
+
+    RUN = 'run'
+    # One copy at a time, without hedges and retries.
+    RUN_ALONE = 'run-alone'
+    REJECT = 'reject'
+
+
+@dataclass(frozen=True, slots=True)
+class Completion:
+    """The runs of a suspected request that ended well at one VM."""
+
+    key: RequestKey
+    vm: str
+    count: int
+
+
+OnChange = Callable[[Standing | None, Standing | None], None]
+
+
+def _ignore_change(before: Standing | None, after: Standing | None) -> None:
+    """Do nothing; the process sets what logs the changes."""
+
+
+@dataclass(slots=True)
+class QuarantineTable:
+    """
+    The crashes of the last minute, and those of the requests that are held.
+
+    ``others`` returns the names of the other VMs that are alive. ``completed``
+    counts the runs that ended well, by request and VM, and ``lifted`` holds the
+    times at which an operator lifted a verdict; crashes before these don't
+    count. ``on_change`` is called with the former and the present standing of
+    each request that becomes suspected or held, or no longer is.
+
+    While no server crashes the table is empty and costs nothing.
+    """
+
+    clock: Clock
+    name: str
+    others: Callable[[], Iterable[str]]
+    records: 'OrderedDict[ServerProcess, CrashRecord]' = field(
+        default_factory=OrderedDict
+    )
+    completed: 'OrderedDict[RequestKey, dict[str, int]]' = field(
+        default_factory=OrderedDict
+    )
+    lifted: dict[RequestKey, float] = field(default_factory=dict)
+    standings: dict[RequestKey, Standing] = field(default_factory=dict)
+    on_change: OnChange = _ignore_change
+    judged_at: float = float('-inf')
+    is_changed: bool = False
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no crash is known, so that every request may run."""
+        return not self.records
+
+    def active_records(self) -> list[CrashRecord]:
+        """Return the crashes of the requests that are held."""
+        held = {one.key for one in self.standings.values() if one.is_held}
+        return [one for one in self.records.values() if one.keys & held]
+
+    def ruling(self, key: RequestKey) -> Ruling:
+        """Return what to do with a copy of a request."""
+        standing = self.standing(key)
+        if standing is None or not standing.is_suspected:
+            return Ruling.RUN
+        if not standing.is_held:
+            return Ruling.RUN_ALONE
+        waited = self.clock.monotonic() - standing.held_until
+        if waited < 0:
+            return Ruling.REJECT
+        is_own_turn = is_turn_of(self.name, self.others(), key, waited)
+        return Ruling.RUN_ALONE if is_own_turn else Ruling.REJECT
+
+    def standing(self, key: RequestKey) -> Standing | None:
+        """Return how a request stands, if a crash counts for it."""
+        self.update()
+        return self.standings.get(key)
+
+    def held(self) -> list[Standing]:
+        """Return the requests that are held."""
+        self.update()
+        return [one for one in self.standings.values() if one.is_held]
+
+    def witnesses(self, key: RequestKey) -> list[str]:
+        """Return the VMs that saw servers end which ran a request."""
+        names: set[str] = set()
+        for record in self.records.values():
+            if key in record.keys:
+                names |= record.witnesses
+        return sorted(names)
+
+    def note_crash(self, record: CrashRecord) -> bool:
+        """Take in a crash; return whether it tells more than was known."""
+        known = self.records.get(record.process)
+        if known is None:
+            self.records[record.process] = record
+            self._drop_excess()
+        elif not known.merge(record):
+            return False
+        self.is_changed = True
+        return True
+
+    def note_completion(self, completion: Completion) -> bool:
+        """Take in runs that ended well; return whether there are more."""
+        if not self._is_accused(completion.key):
+            return False
+        counts = self.completed.setdefault(completion.key, {})
+        count = min(_MOST_COUNTED, completion.count)
+        if counts.get(completion.vm, 0) >= count:
+            return False
+        counts[completion.vm] = count
+        if len(self.completed) > _MOST_COMPLETIONS:
+            self.completed.popitem(last=False)
+        self.is_changed = True
+        return True
+
+    def completions_here(self, key: RequestKey) -> int:
+        """Return how many runs of a request ended well at this VM."""
+        return self.completed.get(key, {}).get(self.name, 0)
+
+    def lift(self, key: RequestKey, lifted_at: float) -> bool:
+        """Let no earlier crash count for a request; return whether one did."""
+        known_at = self.lifted.get(key, float('-inf'))
+        if lifted_at <= known_at + _SAME_LIFT_SECONDS:
+            return False
+        self.lifted.pop(key, None)
+        self.lifted[key] = lifted_at
+        if len(self.lifted) > _MOST_LIFTS:
+            self.lifted.pop(next(iter(self.lifted)))
+        self.is_changed = True
+        return True
+
+    def update(self) -> None:
+        """Judge anew if something may have changed."""
+        now = self.clock.monotonic()
+        is_due = now - self.judged_at >= _JUDGED_AGAIN_SECONDS
+        if self.is_changed or (is_due and not self.is_empty):
+            self.judged_at = now
+            self.is_changed = False
+            self._forget_old(now)
+            self._judge(now)
+
+    def _judge(self, now: float) -> None:
+        counts = {
+            key: sum(by_vm.values()) for key, by_vm in self.completed.items()
+        }
+        before = self.standings
+        self.standings = judge(
+            [self._without_lifted(record) for record in self.records.values()],
+            counts,
+            now,
+        )
+        for key in before.keys() | self.standings.keys():
+            former, present = before.get(key), self.standings.get(key)
+            if _grade(former) != _grade(present):
+                self.on_change(former, present)
+
+    def _without_lifted(self, record: CrashRecord) -> CrashRecord:
+        """Return a record without the requests that it no longer counts for."""
+        lifted = {
+            key
+            for key in record.keys & self.lifted.keys()
+            if record.ended_at <= self.lifted[key]
+        }
+        if not lifted:
+            return record
+        return CrashRecord(
+            record.process,
+            record.ended_at,
+            record.keys - lifted,
+            record.witnesses,
+            record.is_refuted,
+        )
+
+    def _is_accused(self, key: RequestKey) -> bool:
+        return any(key in record.keys for record in self.records.values())
+
+    def _forget_old(self, now: float) -> None:
+        kept_until: dict[RequestKey, float] = {
+            standing.key: standing.held_until + _UNTRIED_SECONDS
+            for standing in self.standings.values()
+            if standing.is_held
+        }
+        for process, record in list(self.records.items()):
+            until = record.ended_at + _RECORD_LIFETIME_SECONDS
+            held_until = (
+                kept_until[key] for key in record.keys & kept_until.keys()
+            )
+            if max(until, *held_until, until) < now:
+                self.records.pop(process)
+        accused = {key for one in self.records.values() for key in one.keys}
+        for unaccused in self.completed.keys() - accused:
+            self.completed.pop(unaccused)
+        for key, lifted_at in list(self.lifted.items()):
+            if lifted_at < now - _LIFT_LIFETIME_SECONDS:
+                self.lifted.pop(key)
+
+    def _drop_excess(self) -> None:
+        """Drop the oldest crash that no held request explains."""
+        if len(self.records) <= _MOST_RECORDS:
+            return
+        held = {one.key for one in self.standings.values() if one.is_held}
+        for process, record in self.records.items():
+            if not record.keys & held:
+                self.records.pop(process)
+                return
+        self.records.popitem(last=False)
+
+
+def _grade(standing: Standing | None) -> Ruling:
+    """Return how much speaks against a request."""
+    if standing is None or not standing.is_suspected:
+        return Ruling.RUN
+    return Ruling.REJECT if standing.is_held else Ruling.RUN_ALONE
