--- a/zinniaturn/quarantine/table.py
+++ b/zinniaturn/quarantine/table.py
@@ -3,6 +3,7 @@
 __all__ = ('Completion', 'QuarantineTable', 'Ruling')
 
 import enum
+import math
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -25,8 +26,9 @@
 _MOST_LIFTS = 256
 # Two VMs may differ by so much in when they were told of the same lift.
 _SAME_LIFT_SECONDS = 1.0
-# Crashes get confirmed and fall out of the last seconds as time passes.
-_JUDGED_AGAIN_SECONDS = 0.2
+# A crash with one witness is confirmed by time, and old ones are forgotten.
+_CONFIRMATION_SECONDS = 0.1
+_FORGETTING_SECONDS = 5.0
 
 
 class Ruling(enum.Enum):
@@ -80,7 +82,7 @@
     lifted: dict[RequestKey, float] = field(default_factory=dict)
     standings: dict[RequestKey, Standing] = field(default_factory=dict)
     on_change: OnChange = _ignore_change
-    judged_at: float = float('-inf')
+    judge_again_at: float = math.inf
     is_changed: bool = False
 
     @property
@@ -168,18 +170,18 @@
     def update(self) -> None:
         """Judge anew if something may have changed."""
         now = self.clock.monotonic()
-        is_due = now - self.judged_at >= _JUDGED_AGAIN_SECONDS
-        if self.is_changed or (is_due and not self.is_empty):
-            self.judged_at = now
+        if self.is_changed or now >= self.judge_again_at:
             self.is_changed = False
-            self._forget_old(now)
             self._judge(now)
+            if self._forget_old(now):
+                self._judge(now)
 
     def _judge(self, now: float) -> None:
         counts = {
             key: sum(by_vm.values()) for key, by_vm in self.completed.items()
         }
         before = self.standings
+        self.judge_again_at = now + self._judgement_lasts(now)
         self.standings = judge(
             [self._without_lifted(record) for record in self.records.values()],
             counts,
@@ -190,6 +192,16 @@
             if _grade(former) != _grade(present):
                 self.on_change(former, present)
 
+    def _judgement_lasts(self, now: float) -> float:
+        """Return for how long time alone changes no verdict."""
+        if not self.records:
+            return math.inf
+        is_open = any(
+            not (record.is_refuted or record.is_confirmed(now))
+            for record in self.records.values()
+        )
+        return _CONFIRMATION_SECONDS if is_open else _FORGETTING_SECONDS
+
     def _without_lifted(self, record: CrashRecord) -> CrashRecord:
         """Return a record without the requests that it no longer counts for."""
         lifted = {
@@ -210,7 +222,9 @@
     def _is_accused(self, key: RequestKey) -> bool:
         return any(key in record.keys for record in self.records.values())
 
-    def _forget_old(self, now: float) -> None:
+    def _forget_old(self, now: float) -> bool:
+        """Drop what no longer counts; return whether crashes were among it."""
+        before = len(self.records)
         kept_until: dict[RequestKey, float] = {
             standing.key: standing.held_until + _UNTRIED_SECONDS
             for standing in self.standings.values()
@@ -221,7 +235,7 @@
             held_until = (
                 kept_until[key] for key in record.keys & kept_until.keys()
             )
-            if max(until, *held_until, until) < now:
+            if max((until, *held_until)) < now:
                 self.records.pop(process)
         accused = {key for one in self.records.values() for key in one.keys}
         for unaccused in self.completed.keys() - accused:
@@ -229,6 +243,7 @@
         for key, lifted_at in list(self.lifted.items()):
             if lifted_at < now - _LIFT_LIFETIME_SECONDS:
                 self.lifted.pop(key)
+        return len(self.records) < before
 
     def _drop_excess(self) -> None:
         """Drop the oldest crash that no held request explains."""
--- a/zinniaturn/quarantine/verdicts.py
+++ b/zinniaturn/quarantine/verdicts.py
@@ -28,7 +28,7 @@
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
-from zinniaturn.quarantine.crash_record import CrashRecord, ServerProcess
+from zinniaturn.quarantine.crash_record import CrashRecord
 from zinniaturn.quarantine.request_key import RequestKey
 
 CRASHES_TO_HOLD = 3
@@ -90,94 +90,122 @@
 
 
 @dataclass(slots=True)
-class _Attribution:
-    """
-    Which crashes count for which requests.
+class _Case:
+    """The crashes that count for one request so far, in their order."""
 
-    ``records`` are the crashes that no held request explains, and ``by_key``
-    those of each request.
-    """
+    key: RequestKey
+    completions: int
+    records: list[CrashRecord] = field(default_factory=list)
+    is_held: bool = False
 
-    now: float
-    completions: Mapping[RequestKey, int]
-    records: dict[ServerProcess, CrashRecord]
-    by_key: dict[RequestKey, set[ServerProcess]] = field(default_factory=dict)
-
-    def __post_init__(self) -> None:
-        """Index the crashes by request."""
-        for process, record in self.records.items():
-            for key in record.keys:
-                self.by_key.setdefault(key, set()).add(process)
-
-    def standing(self, key: RequestKey, is_held: bool = False) -> Standing:
-        """Return how a request stands by the crashes that count for it."""
-        records = sorted(self._records(key), key=_ended_at)
+    @property
+    def count(self) -> int:
+        """Return the number of crashes at different moments."""
+        return len(_moments(self.records))
+
+    @property
+    def is_exonerated(self) -> bool:
+        """Return whether more of its runs ended well than crashed."""
+        return self.completions > self.count
+
+    def confirmed_count(self, now: float) -> int:
+        """Return the number of crashes that the fleet is sure of."""
+        return len(
+            _moments(one for one in self.records if one.is_confirmed(now))
+        )
+
+    def shares_crash(self, other: '_Case') -> bool:
+        """Return whether another request ran on one of the servers, too."""
+        return any(other.key in record.keys for record in self.records)
+
+    def standing(self) -> Standing:
+        """Return how the request stands."""
         return Standing(
-            key,
-            _moments(records),
-            tuple(record.process.server for record in records),
-            self.completions.get(key, 0),
-            is_held,
+            self.key,
+            _moments(self.records),
+            tuple(record.process.server for record in self.records),
+            self.completions,
+            self.is_held,
         )
 
-    def keys(self) -> list[RequestKey]:
-        """Return the requests, those with the most crashes first."""
-        return sorted(self.by_key, key=lambda key: (-self._count(key), key))
 
-    def is_guilty(self, key: RequestKey) -> bool:
+@dataclass(slots=True)
+class _Trial:
+    """
+    Goes through the crashes in their order, and holds who is guilty.
+
+    ``unexplained`` are the crashes so far at which no held request ran. What
+    comes later changes no earlier verdict, so that all VMs that know the same
+    crashes judge alike, whenever they have heard of them.
+    """
+
+    now: float
+    completions: Mapping[RequestKey, int]
+    cases: dict[RequestKey, _Case] = field(default_factory=dict)
+    unexplained: list[CrashRecord] = field(default_factory=list)
+
+    def add(self, record: CrashRecord) -> None:
+        """Take the next crash into account."""
+        cases = [self._case(key) for key in sorted(record.keys)]
+        held = [case for case in cases if case.is_held]
+        for case in held or cases:
+            case.records.append(record)
+        if held:
+            return
+        self.unexplained.append(record)
+        for suspect in cases:
+            if self._is_guilty(suspect, record.ended_at):
+                self._hold(suspect)
+
+    def _case(self, key: RequestKey) -> _Case:
+        case = self.cases.get(key)
+        if case is None:
+            case = _Case(key, self.completions.get(key, 0))
+            self.cases[key] = case
+        return case
+
+    def _hold(self, guilty: _Case) -> None:
+        """Let the crashes of a request count for no other one."""
+        guilty.is_held = True
+        own = {record.process for record in guilty.records}
+        sharing = {key for record in guilty.records for key in record.keys}
+        for key in sharing - {guilty.key}:
+            case = self.cases[key]
+            case.records = [
+                record for record in case.records if record.process not in own
+            ]
+        self.unexplained = [
+            record for record in self.unexplained if record.process not in own
+        ]
+
+    def _is_guilty(self, case: _Case, at: float) -> bool:
         """Return whether the crashes speak against this request alone."""
-        confirmed = _moments(
-            record
-            for record in self._records(key)
-            if record.is_confirmed(self.now)
-        )
-        completions = self.completions.get(key, 0)
-        if len(confirmed) < self._needed(key) or completions > len(confirmed):
+        count = case.confirmed_count(self.now)
+        if count < self._needed(case, at) or case.completions > count:
             return False
         return not any(
-            self._is_rival(key, other) for other in self._sharing(key)
+            rival.count >= case.count and not rival.is_exonerated
+            for rival in self._sharing(case)
         )
 
-    def explain(self, key: RequestKey) -> None:
-        """Let the crashes of a request count for no other one."""
-        for process in self.by_key.pop(key):
-            record = self.records.pop(process)
-            for other in record.keys & self.by_key.keys():
-                self.by_key[other].discard(process)
-
-    def _records(self, key: RequestKey) -> list[CrashRecord]:
-        return [self.records[process] for process in self.by_key[key]]
-
-    def _count(self, key: RequestKey) -> int:
-        return len(_moments(self._records(key)))
-
-    def _needed(self, key: RequestKey) -> int:
-        """Return how many crashes speak against a request beyond chance."""
-        oldest = self.now - _OTHER_CRASHES_SECONDS
+    def _needed(self, case: _Case, at: float) -> int:
+        """Return how many crashes are beyond chance."""
         others = _moments(
             record
-            for process, record in self.records.items()
-            if process not in self.by_key[key] and record.ended_at >= oldest
+            for record in self.unexplained
+            if case.key not in record.keys
+            and record.ended_at >= at - _OTHER_CRASHES_SECONDS
         )
         more = min(_MOST_MORE, len(others) // _OTHER_CRASHES_PER_MORE)
         needed = CRASHES_TO_HOLD + more
-        if self.completions.get(key):
+        if case.completions:
             needed *= _FACTOR_IF_SOME_ENDED_WELL
         return needed
 
-    def _sharing(self, key: RequestKey) -> set[RequestKey]:
+    def _sharing(self, case: _Case) -> list[_Case]:
         """Return the other requests that ran on the same servers."""
-        sharing: set[RequestKey] = set()
-        for record in self._records(key):
-            sharing.update(record.keys & self.by_key.keys())
-        sharing.discard(key)
-        return sharing
-
-    def _is_rival(self, key: RequestKey, other: RequestKey) -> bool:
-        """Return whether another request may as well have ended the servers."""
-        if self.standing(other).is_exonerated:
-            return False
-        return self._count(other) >= self._count(key)
+        keys = {key for record in case.records for key in record.keys}
+        return [self.cases[key] for key in keys - {case.key}]
 
 
 def judge(
@@ -194,26 +222,21 @@
     Work: grows with the records times the requests in each, whatever the number
     of servers and VMs.
     """
-    attribution = _Attribution(
-        now,
-        completions,
-        {record.process: record for record in records if not record.is_refuted},
-    )
-    standings: dict[RequestKey, Standing] = {}
-    for key in attribution.keys():
-        if attribution.is_guilty(key):
-            standings[key] = attribution.standing(key, is_held=True)
-            attribution.explain(key)
-    for open_key, processes in attribution.by_key.items():
-        if processes:
-            standings[open_key] = attribution.standing(open_key)
-    return standings
+    trial = _Trial(now, completions)
+    for record in sorted(records, key=_ended_at):
+        if not record.is_refuted:
+            trial.add(record)
+    return {
+        key: case.standing()
+        for key, case in trial.cases.items()
+        if case.records
+    }
 
 
 def _moments(records: Iterable[CrashRecord]) -> tuple[float, ...]:
     """Return the times of crashes, those of the same moment as one."""
     moments: list[float] = []
-    for ended_at in sorted(map(_ended_at, records)):
+    for ended_at in map(_ended_at, records):
         if not moments or ended_at - moments[-1] > _SAME_MOMENT_SECONDS:
             moments.append(ended_at)
     return tuple(moments)
