--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -12,10 +12,13 @@
       | innocents ran beside it                             | g,a,b@0 g,c@0.3 g,d@0.5              | -           | g    |
       | an innocent was beside it twice                     | g,a@0 g,a@0.3 g@0.5                  | -           | g    |
       | an innocent was beside it each time                 | g,a@0 g,a@0.3 g,a@0.5                | -           | -    |
-      | the next crash tells them apart                     | g,a@0 g,a@0.3 g,a@0.5 g@0.9          | -           | g    |
+      | its next crashes tell them apart                    | g,a@0 g,a@0.3 g,a@0.5 g@0.9 g@1.3    | -           | g    |
+      | one run of the innocent ends well                   | g,a@0 g,a@0.3 g,a@0.5                | a:1         | g    |
+      | the innocent is beside another guilty one, too      | g,a@0 g,a@0.3 g,a@0.5 h,a@3          | -           | -    |
       | the innocent's next run ends well                   | g,a@0 g,a@0.3 g,a@0.5                | a:4         | g    |
       | it crashes each second server                       | g@0 g@1 g@2 g@3 g@4 g@5              | g:6         | g    |
       | it crashed three servers of six                     | g@0 g@1 g@2                          | g:3         | -    |
+      | it crashed five servers of ten                      | g@0 g@1 g@2 g@3 g@4                  | g:5         | g    |
 
     Examples: several guilty requests
       | case                                                | crashes                              | completions | held |
@@ -25,17 +28,22 @@
 
     Examples: nobody guilty
       | case                                                | crashes                              | completions | held |
-      | servers that end at the same moment                 | a@0 a@0.01 a@0.02 a@0.03             | -           | -    |
+      | servers that end at the same moment                 | a@0 a@0.01 a@0.015 a@0.02            | -           | -    |
       | three moments among many other crashes              | a@0 b@1 c@2 d@3 a@4 e@5 f@6 a@7      | -           | -    |
       | a request that repeats itself and mostly ends well  | a@0 a@1 a@2 a@3                      | a:90        | -    |
-      | a mass crash, then another                          | a,b@0 a,c@0.01 a,b@9 a,c@9.02        | -           | -    |
+      | a mass crash, then another                          | a,b@0 a,c@0.01 a,b@9 a,c@9.01        | -           | -    |
 
   Scenario: A crash that one VM alone has seen counts after a second without contradiction
     Given these crashes, by the requests that ran there and the time: g@0 g@0.3 g@0.5
     And only one VM has seen them
-    Then the held requests 0.2 s after the last crash are: -
+    Then the held requests 0.4 s after the last crash are: -
     And the held requests 1.1 s after the last crash are: g
 
+  Scenario: A verdict waits until all VMs have told what ran on the servers
+    Given these crashes, by the requests that ran there and the time: g@0 g@0.3 g@0.5
+    Then a copy that comes 0.1 s after the last crash has to wait
+    And the held requests 0.3 s after the last crash are: g
+
   Scenario: A crash counts no more once the process has responded
     Given these crashes, by the requests that ran there and the time: g@0 g@0.3 g@0.5
     And the second one is contradicted
--- /dev/null
+++ b/features/steps/crash_model_steps.py
@@ -0,0 +1,104 @@
+"""Steps of the model of requests that end servers."""
+
+from behave import then, when
+
+from zinniaturn.experiments.crash_days import (
+    AIMED_CRASHES,
+    play_day,
+    play_innocent_day,
+)
+from zinniaturn.experiments.crash_model import CrashModel
+from zinniaturn.fleet.datagrams import decode_datagram
+
+_KEY = 7
+_RATE = 4.0
+_INNOCENT_RATE = 60.0
+_BYTES_PER_SECOND = 11 * 1024
+
+
+@when(
+    'a random day of 13 VMs with requests that end servers is played with '
+    'seed {seed:d}'
+)
+def play(context, seed):
+    context.day = play_day(13, seed)
+
+
+@when(
+    'a random day of 13 VMs without a guilty request is played with seed '
+    '{seed:d}'
+)
+def play_innocent(context, seed):
+    context.day = play_innocent_day(13, seed)
+
+
+@then(
+    'its guilty requests were kept from the servers and no innocent one was '
+    'held'
+)
+def check_day(context):
+    assert context.day.served
+    assert not context.day.violations, context.day
+
+
+def _build_model(vms, servers, seconds, key=None):
+    model = CrashModel(vms, servers, seed=3, loss=0.05)
+    model.fleet.run(2)
+    end = model.now + seconds
+
+    def until_end(next_key):
+        return lambda: next_key() if model.now < end else None
+
+    model.add_stream(_INNOCENT_RATE, until_end(model.fresh_key))
+    if key is not None:
+        model.guilty[key] = 1.0
+        model.add_stream(_RATE, until_end(lambda: key))
+    return model
+
+
+@when(
+    'one guilty request comes to {vms:d} VMs before {servers:d} servers for '
+    '{seconds:d} s'
+)
+def play_one(context, vms, servers, seconds):
+    context.model = _build_model(vms, servers, seconds, _KEY)
+    context.seconds = seconds
+    context.bytes_before = {
+        vm.name: vm.bytes_sent for vm in context.model.fleet.vms
+    }
+    context.model.fleet.run(seconds)
+
+
+@then('it ended at most {most:d} servers')
+def check_crashes(context, most):
+    assert most == AIMED_CRASHES
+    assert len(context.model.crashes[_KEY]) <= most, context.model.crashes
+
+
+@then('no VM sent more than 11 KB a second')
+def check_bytes(context):
+    most = max(
+        vm.bytes_sent - context.bytes_before[vm.name]
+        for vm in context.model.fleet.vms
+    )
+    assert most <= _BYTES_PER_SECOND * context.seconds, most
+
+
+@when('{vms:d} VMs serve requests for {seconds:d} s and no server ends')
+def play_calm(context, vms, seconds):
+    model = _build_model(vms, 8, seconds)
+    context.told = []
+    transmit = model.fleet.transmit
+
+    def record(vm, data, address):
+        context.told.append(decode_datagram(data).quarantine)
+        transmit(vm, data, address)
+
+    model.fleet.transmit = record
+    model.fleet.run(seconds)
+
+
+@then('no datagram told of a crash')
+def check_silence(context):
+    assert context.told
+    assert all(row is None for row in context.told)
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -1,5 +1,7 @@
 """Steps of the verdicts on requests that end servers."""
 
+from types import MappingProxyType
+
 from behave import given, then, when
 
 from zinniaturn.clock import ManualClock
@@ -7,10 +9,13 @@
 from zinniaturn.quarantine.table import Completion, QuarantineTable, Ruling
 
 _START = 1000.0
-_VMS = [f'vm-{number}' for number in range(13)]
+_VMS = tuple(f'vm-{number}' for number in range(13))
 _BOTH = frozenset(('vm-1', 'vm-2'))
 _STEP_SECONDS = 0.05
-_KEYS = {letter: number for number, letter in enumerate('abcdefgh', 1)}
+_SETTLED_SECONDS = 0.3
+_KEYS = MappingProxyType(
+    {letter: number for number, letter in enumerate('abcdefgh', 1)}
+)
 
 
 def _build_table(clock, name='vm-0'):
@@ -31,6 +36,12 @@
     context.quarantine = _build_table(context.clock)
 
 
+def _note_last(context):
+    context.last_at = max(
+        record.ended_at for record in context.quarantine.records.values()
+    )
+
+
 def _held(context):
     letters = {number: letter for letter, number in _KEYS.items()}
     return sorted(letters[one.key] for one in context.quarantine.held())
@@ -47,7 +58,7 @@
         letters, _, seconds = crash.partition('@')
         context.clock.now = _START + float(seconds)
         _crash(context, letters.split(','), context.clock.now)
-    context.clock.advance(0.1)
+    context.clock.advance(_SETTLED_SECONDS)
 
 
 @given('these runs that ended well: {completions}')
@@ -64,9 +75,7 @@
 def leave_one_witness(context):
     for record in context.quarantine.records.values():
         record.witnesses = {'vm-1'}
-    context.last_at = max(
-        record.ended_at for record in context.quarantine.records.values()
-    )
+    _note_last(context)
 
 
 @given('the second one is contradicted')
@@ -88,9 +97,16 @@
     check_held(context, held)
 
 
+@then('a copy that comes {seconds:g} s after the last crash has to wait')
+def check_wait(context, seconds):
+    _note_last(context)
+    context.clock.now = context.last_at + seconds
+    assert context.quarantine.ruling(_KEYS['g']) is Ruling.WAIT
+
+
 @when('the hold of {seconds:d} s has ended')
 def end_hold(context, seconds):
-    (standing,) = context.quarantine.held()
+    standing = context.quarantine.held()[0]
     assert standing.held_until == standing.moments[-1] + seconds
     context.clock.now = standing.held_until - _STEP_SECONDS
     assert context.quarantine.ruling(standing.key) is Ruling.REJECT
@@ -132,7 +148,7 @@
 
 @then('the request is held for {seconds:d} s more')
 def check_hold(context, seconds):
-    (standing,) = context.quarantine.held()
+    standing = context.quarantine.held()[0]
     assert standing.held_until == context.clock.now + seconds
 
 
@@ -154,8 +170,8 @@
 @when('two more servers end as they run it')
 def crash_two(context):
     for _ in range(2):
-        context.clock.advance(0.3)
         _crash(context, ['g'], context.clock.now)
+        context.clock.advance(_SETTLED_SECONDS)
 
 
 @when(
--- a/zinniaturn/experiments/gossip_model.py
+++ b/zinniaturn/experiments/gossip_model.py
@@ -29,6 +29,7 @@
 _NEAR_DELAY_SECONDS = 0.0002
 _FAR_DELAY_SECONDS = 0.001
 _TRANSFER_SECONDS = 0.004
+_START_SECONDS = 0.4
 _PORT = 7620
 _FIRST_CLOCK = 1000.0
 _HEADER_BYTES = 28
@@ -214,11 +215,18 @@
         vm.gossip.vms.update_records(
             [other.record for other in self.vms if other is not vm]
         )
+        self.stages[vm.name] = VmStage.STARTING
+        vm.gossip.vms.set_own(VmStage.STARTING, 0)
+        self.schedule(_START_SECONDS, lambda: self._become_ready(vm))
         vm.is_running = True
         vm.starts += 1
         vm.gossip.join()
         self._start_ticking(vm)
 
+    def _become_ready(self, vm: ModelVm) -> None:
+        if self.stages[vm.name] is VmStage.STARTING:
+            self.stages[vm.name] = VmStage.READY
+
     def pause(self, vm: ModelVm, seconds: float) -> None:
         """Suspend a VM; datagrams wait for it meanwhile."""
         vm.paused_until = self.clock.monotonic() + seconds
--- a/zinniaturn/experiments/registry.py
+++ b/zinniaturn/experiments/registry.py
@@ -71,6 +71,21 @@
         '20 random days of 13 VMs that lose their links, from --seed on',
         'zinniaturn.experiments.reach_days:run_reach_days',
     ),
+    Experiment(
+        'crashes',
+        '20 random days of requests that end servers before 13 VMs',
+        'zinniaturn.experiments.crash_days:run_crash_days',
+    ),
+    Experiment(
+        'crashes-large',
+        'a random day of requests that end servers before 97 and 313 VMs',
+        'zinniaturn.experiments.crash_days:run_large_crash_days',
+    ),
+    Experiment(
+        'crashes-innocent',
+        '20 random days of servers that end by themselves before 13 VMs',
+        'zinniaturn.experiments.crash_days:run_innocent_days',
+    ),
     Experiment(
         'path-means',
         'first tries served at VMs without links, by the means used',
--- a/zinniaturn/fleet/crash_news.py
+++ b/zinniaturn/fleet/crash_news.py
@@ -32,11 +32,11 @@
 from zinniaturn.quarantine.request_key import RequestKey
 from zinniaturn.quarantine.table import Completion, QuarantineTable
 
-_MOST_CRASHES = 4
+_MOST_CRASHES = 6
 _MOST_OTHER_ROWS = 4
 _MOST_CRASHES_TO_STARTING_VM = 16
 _REPEATED_SHARE = 0.125
-_PUSHES_PER_SECOND = 10.0
+_PUSHES_PER_SECOND = 20.0
 _MS_PER_SECOND = 1000
 
 
@@ -154,7 +154,7 @@
             record.process.server,
             record.process.started_ms,
             self._age_ms(record.ended_at),
-            tuple(sorted(record.keys)),
+            tuple(sorted(self.table.keys_to_tell(record))),
             tuple(sorted(record.witnesses)),
             record.is_refuted,
         )
--- a/zinniaturn/gateway/crash_watch.py
+++ b/zinniaturn/gateway/crash_watch.py
@@ -23,14 +23,13 @@
 from zinniaturn.placing.candidates import Candidate
 from zinniaturn.quarantine.crash_record import CrashRecord, ServerProcess
 from zinniaturn.quarantine.request_key import format_key
+from zinniaturn.quarantine.witnessing import (
+    SHORTEST_RESTART_SECONDS,
+    is_contradicted,
+    needs_witness,
+)
 
 _MS_PER_SECOND = 1000
-_CONFIRMING_VMS = 4
-_WITNESSES_NEEDED = 2
-# A response that was on its way as the process ended arrives within this time.
-_LATE_RESPONSE_SECONDS = 0.05
-# No server is back sooner after a crash.
-_SHORTEST_RESTART_SECONDS = 1.0
 
 
 @dataclass(slots=True)
@@ -71,15 +70,15 @@
 
     def check_told(self, record: CrashRecord) -> None:
         """Confirm or contradict a crash that another VM has told of."""
-        if self._contradicts(record) or record.is_refuted:
-            return
-        name = self.state.settings.name
-        is_settled = len(record.witnesses) >= _WITNESSES_NEEDED
-        if is_settled or name in record.witnesses:
+        if self._contradicts(record):
             return
         candidate = self._candidate(record)
-        others = max(1, len(self.state.vms.alive_vms()))
-        is_chosen = self.state.random_source.random() * others < _CONFIRMING_VMS
+        is_chosen = needs_witness(
+            record,
+            self.state.settings.name,
+            len(self.state.vms.alive_vms()),
+            self.state.random_source.random(),
+        )
         if candidate is not None and is_chosen:
             task = asyncio.ensure_future(self._confirm(candidate, record))
             self.checks.add(task)
@@ -89,7 +88,7 @@
         """Contradict crashes of servers that respond; log what has changed."""
         quarantine = self.state.quarantine
         quarantine.update()
-        oldest = quarantine.clock.monotonic() - 2 * _SHORTEST_RESTART_SECONDS
+        oldest = quarantine.clock.monotonic() - 2 * SHORTEST_RESTART_SECONDS
         for record in list(quarantine.records.values()):
             if record.ended_at >= oldest and not record.is_refuted:
                 self._contradicts(record)
@@ -112,12 +111,11 @@
         candidate = self._candidate(record)
         if candidate is None:
             return False
-        age = self.state.quarantine.clock.monotonic() - record.ended_at
-        ended_at = asyncio.get_running_loop().time() - age
-        responded_after = candidate.stats.reported_at - ended_at
-        if not (
-            _LATE_RESPONSE_SECONDS < responded_after < _SHORTEST_RESTART_SECONDS
-        ):
+        clock = self.state.quarantine.clock
+        since_response = (
+            asyncio.get_running_loop().time() - candidate.stats.reported_at
+        )
+        if not is_contradicted(record, clock.monotonic() - since_response):
             return False
         self.state.gossip.crash_news.report_crash(
             CrashRecord(record.process, record.ended_at, is_refuted=True)
--- a/zinniaturn/gateway/quarantine_gate.py
+++ b/zinniaturn/gateway/quarantine_gate.py
@@ -22,6 +22,8 @@
 from zinniaturn.quarantine.table import Ruling
 from zinniaturn.quarantine.trials import TURN_SECONDS
 
+_UNDECIDED_PAUSE_SECONDS = 0.05
+
 
 @dataclass(slots=True)
 class QuarantineGate:
@@ -130,13 +132,13 @@
     async def obtain(self) -> None:
         """Wait until the request may run; raises `RejectedError` if held."""
         while not self.is_valid():
-            if self.gate.ruling(self.context) is Ruling.REJECT:
-                raise self.gate.reject(self.context)
-            other = self.gate.running.get(self.context.key)
-            if other is None:
-                self.gate.running[self.context.key] = self
-            else:
-                await other.wait_until_ended()
+            match self.gate.ruling(self.context):
+                case Ruling.REJECT:
+                    raise self.gate.reject(self.context)
+                case Ruling.WAIT:
+                    await asyncio.sleep(_UNDECIDED_PAUSE_SECONDS)
+                case _:
+                    await self._take_turn()
 
     def is_valid(self) -> bool:
         """Return whether the request may run now."""
@@ -154,6 +156,14 @@
         self.waiters.append(waiter)
         await waiter
 
+    async def _take_turn(self) -> None:
+        """Become the copy that runs alone, or wait for the one that does."""
+        other = self.gate.running.get(self.context.key)
+        if other is None:
+            self.gate.running[self.context.key] = self
+        else:
+            await other.wait_until_ended()
+
     def _is_running(self) -> bool:
         is_known = self.context.request_key is not None
         return is_known and self.gate.running.get(self.context.key) is self
--- a/zinniaturn/quarantine/crash_record.py
+++ b/zinniaturn/quarantine/crash_record.py
@@ -1,6 +1,6 @@
 """What the fleet knows of the end of one server process."""
 
-__all__ = ('CrashRecord', 'ServerProcess')
+__all__ = ('SETTLING_SECONDS', 'CrashRecord', 'ServerProcess')
 
 from dataclasses import dataclass, field
 from typing import NamedTuple
@@ -16,6 +16,10 @@
 # A crash that nobody contradicts for this time needs no second witness. VMs
 # that hear of one and know better say so within it.
 _UNCONFIRMED_SECONDS = 1.0
+# By then all VMs have told which requests ran on the server.
+SETTLING_SECONDS = 0.25
+# By then all VMs have told which requests ran on the server.
+SETTLING_SECONDS = 0.25
 
 
 class ServerProcess(NamedTuple):
@@ -42,13 +46,17 @@
     witnesses: set[str] = field(default_factory=set)
     is_refuted: bool = False
 
+    @property
+    def has_witnesses(self) -> bool:
+        """Return whether enough VMs have seen the end for themselves."""
+        return len(self.witnesses) >= _WITNESSES_NEEDED
+
     def is_confirmed(self, now: float) -> bool:
-        """Return whether the process has ended as far as the fleet knows."""
-        if self.is_refuted:
+        """Return whether the fleet knows that it ended, and what ran there."""
+        age = now - self.ended_at
+        if self.is_refuted or age < SETTLING_SECONDS:
             return False
-        if len(self.witnesses) >= _WITNESSES_NEEDED:
-            return True
-        return now - self.ended_at >= _UNCONFIRMED_SECONDS
+        return self.has_witnesses or age >= _UNCONFIRMED_SECONDS
 
     def merge(self, other: 'CrashRecord') -> bool:
         """Take over what another VM knows; return whether it knows more."""
--- a/zinniaturn/quarantine/table.py
+++ b/zinniaturn/quarantine/table.py
@@ -37,6 +37,8 @@
     RUN = 'run'
     # One copy at a time, without hedges and retries.
     RUN_ALONE = 'run-alone'
+    # The next tenths of a second tell whether it is guilty.
+    WAIT = 'wait'
     REJECT = 'reject'
 
 
@@ -90,9 +92,22 @@
         """Return whether no crash is known, so that every request may run."""
         return not self.records
 
+    def held_keys(self) -> set[RequestKey]:
+        """Return the requests that were held at the last judgement."""
+        return {one.key for one in self.standings.values() if one.is_held}
+
+    def keys_to_tell(self, record: CrashRecord) -> set[RequestKey]:
+        """
+        Return the requests of a crash that other VMs should know.
+
+        A held one explains the crash. Who knows only some of its crashes might
+        else hold an innocent one that was beside several.
+        """
+        return record.keys & self.held_keys() or record.keys
+
     def active_records(self) -> list[CrashRecord]:
         """Return the crashes of the requests that are held."""
-        held = {one.key for one in self.standings.values() if one.is_held}
+        held = self.held_keys()
         return [one for one in self.records.values() if one.keys & held]
 
     def ruling(self, key: RequestKey) -> Ruling:
@@ -101,7 +116,8 @@
         if standing is None or not standing.is_suspected:
             return Ruling.RUN
         if not standing.is_held:
-            return Ruling.RUN_ALONE
+            is_undecided = standing.is_undecided(self.clock.monotonic())
+            return Ruling.WAIT if is_undecided else Ruling.RUN_ALONE
         waited = self.clock.monotonic() - standing.held_until
         if waited < 0:
             return Ruling.REJECT
@@ -183,7 +199,11 @@
         before = self.standings
         self.judge_again_at = now + self._judgement_lasts(now)
         self.standings = judge(
-            [self._without_lifted(record) for record in self.records.values()],
+            [
+                self._without_lifted(record)
+                for record in self.records.values()
+                if not self._is_lifted(record)
+            ],
             counts,
             now,
         )
@@ -202,6 +222,13 @@
         )
         return _CONFIRMATION_SECONDS if is_open else _FORGETTING_SECONDS
 
+    def _is_lifted(self, record: CrashRecord) -> bool:
+        """Return whether an operator has lifted all that a crash tells."""
+        return bool(record.keys) and all(
+            record.ended_at <= self.lifted.get(key, -math.inf)
+            for key in record.keys
+        )
+
     def _without_lifted(self, record: CrashRecord) -> CrashRecord:
         """Return a record without the requests that it no longer counts for."""
         lifted = {
@@ -249,7 +276,7 @@
         """Drop the oldest crash that no held request explains."""
         if len(self.records) <= _MOST_RECORDS:
             return
-        held = {one.key for one in self.standings.values() if one.is_held}
+        held = self.held_keys()
         for process, record in self.records.items():
             if not record.keys & held:
                 self.records.pop(process)
--- a/zinniaturn/quarantine/verdicts.py
+++ b/zinniaturn/quarantine/verdicts.py
@@ -10,12 +10,12 @@
   such as a lost machine, and count as one crash;
 - after up to two more, if servers also end without it: one more for each three
   such crashes of the last ten seconds;
-- after twice as many, if some of its runs ended well, but not more than
-  crashed.
+- after up to two more, if as many of its runs ended well, and if not more of
+  them ended well than crashed.
 
 The crashes of a held request count for no other one. Of two requests that share
-crashes, the one with fewer is not held, and neither is if they have as many;
-the next run of either tells them apart.
+crashes, the one with fewer is not held, and neither is if they have about as
+many and no run of either has ended well; their next runs tell them apart.
 
 For an innocent request whose runs are lost with a chance p, independently of
 each other, the chance of a verdict after its first lost run is that of two more
@@ -28,16 +28,18 @@
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
-from zinniaturn.quarantine.crash_record import CrashRecord
+from zinniaturn.quarantine.crash_record import SETTLING_SECONDS, CrashRecord
 from zinniaturn.quarantine.request_key import RequestKey
 
 CRASHES_TO_HOLD = 3
 _CRASHES_TO_SUSPECT = 2
-_SAME_MOMENT_SECONDS = 0.05
+_SAME_MOMENT_SECONDS = 0.02
 _OTHER_CRASHES_PER_MORE = 3
 _MOST_MORE = 2
 _OTHER_CRASHES_SECONDS = 10.0
-_FACTOR_IF_SOME_ENDED_WELL = 2
+_MOST_MORE_FOR_COMPLETIONS = 2
+_LEAD_OVER_RIVAL = 2
+_DECIDED_SECONDS = SETTLING_SECONDS + 0.05
 _FIRST_HOLD_SECONDS = 60.0
 _LONGEST_HOLD_SECONDS = 3600.0
 # Crashes further apart than this are those of different tries.
@@ -72,6 +74,15 @@
         is_repeated = len(self.moments) >= _CRASHES_TO_SUSPECT
         return self.is_held or (is_repeated and not self.is_exonerated)
 
+    def is_undecided(self, now: float) -> bool:
+        """Return whether what VMs are about to tell may hold the request."""
+        return (
+            not self.is_held
+            and not self.is_exonerated
+            and len(self.moments) >= CRASHES_TO_HOLD
+            and now - self.moments[-1] < _DECIDED_SECONDS
+        )
+
     @property
     def held_until(self) -> float:
         """
@@ -114,9 +125,20 @@
             _moments(one for one in self.records if one.is_confirmed(now))
         )
 
-    def shares_crash(self, other: '_Case') -> bool:
-        """Return whether another request ran on one of the servers, too."""
-        return any(other.key in record.keys for record in self.records)
+    def has_rival(self, other: '_Case') -> bool:
+        """
+        Return whether another request may as well have ended the servers.
+
+        Where both ran on several of them, one more crash may be the work of a
+        third request.
+        """
+        if other.is_exonerated or other.completions > self.completions:
+            return False
+        if other.count >= self.count:
+            return True
+        shared = sum(other.key in record.keys for record in self.records)
+        is_alike = shared > 1 and other.count >= CRASHES_TO_HOLD
+        return is_alike and other.count + _LEAD_OVER_RIVAL > self.count
 
     def standing(self) -> Standing:
         """Return how the request stands."""
@@ -183,10 +205,7 @@
         count = case.confirmed_count(self.now)
         if count < self._needed(case, at) or case.completions > count:
             return False
-        return not any(
-            rival.count >= case.count and not rival.is_exonerated
-            for rival in self._sharing(case)
-        )
+        return not any(case.has_rival(one) for one in self._sharing(case))
 
     def _needed(self, case: _Case, at: float) -> int:
         """Return how many crashes are beyond chance."""
@@ -197,10 +216,8 @@
             and record.ended_at >= at - _OTHER_CRASHES_SECONDS
         )
         more = min(_MOST_MORE, len(others) // _OTHER_CRASHES_PER_MORE)
-        needed = CRASHES_TO_HOLD + more
-        if case.completions:
-            needed *= _FACTOR_IF_SOME_ENDED_WELL
-        return needed
+        more_for_completions = min(_MOST_MORE_FOR_COMPLETIONS, case.completions)
+        return CRASHES_TO_HOLD + more + more_for_completions
 
     def _sharing(self, case: _Case) -> list[_Case]:
         """Return the other requests that ran on the same servers."""
