Keep held requests in the store, so that they outlive all VMs

What callers saw: nothing yet; shown by a test that fails without this change. After all VMs had been killed at once a held request reached servers again (502 from a server that ended). Cause: what was held lived in the VMs' memory alone. VMs that read the store now write what they hold, take over what it holds, and remove what is no longer held; a hold that can't be read harms nothing. No call while nothing is held. Scenarios: routes of all kinds, one caller at one VM, twenty guilty requests, one that crashes two servers only or each second one, a VM that starts, a small pool of which all servers crash.

--- a/features/steps/deadly_requests_steps.py
+++ b/features/steps/deadly_requests_steps.py
@@ -1,13 +1,28 @@
 """Steps of requests that crash the servers that run them."""
 
 import asyncio
+import itertools
+import json
 
 from behave import given, then, when
 
 from features.support.crashing_fleet import CrashingFleet
+from features.support.cut_links import wait_until_acquainted
+from features.support.gateway import (
+    build_config,
+    build_route_row,
+    close_gateway,
+    wait_until,
+)
 
 _SUCCESS = 200
+_UNAVAILABLE = 503
+_NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _DEADLY_TARGET = '/reads/deadly'
+_HELD = 'request-held'
+_HOLD_PREFIX = 'zinniaturn/held/'
+_PAUSE_SECONDS = 0.15
+_LONGEST_TRIES = 60
 
 
 def _run(context, coroutine):
@@ -18,11 +33,38 @@
     '{gateways:d} gateways before {servers:d} servers that are back '
     '{seconds:g} s after a crash'
 )
-def start_fleet(context, gateways, servers, seconds):
-    context.fleet = CrashingFleet(context, seconds)
+def start_fleet(context, gateways, servers, seconds, **rule):
+    context.fleet = CrashingFleet(context, seconds, **rule)
     _run(context, context.fleet.start(gateways, servers))
 
 
+@given(
+    '{gateways:d} gateways before {servers:d} servers that are back '
+    '{seconds:g} s after a crash, two crashes in all'
+)
+def start_mended(context, gateways, servers, seconds):
+    start_fleet(context, gateways, servers, seconds, most=2)
+
+
+@given(
+    '{gateways:d} gateways before {servers:d} servers that are back '
+    '{seconds:g} s after a crash, each second run'
+)
+def start_each_second(context, gateways, servers, seconds):
+    start_fleet(context, gateways, servers, seconds, every=2)
+
+
+@given(
+    '{gateways:d} gateways before {servers:d} servers that are back '
+    '{seconds:g} s after a crash, routes of kind "{kind}"'
+)
+def start_kind(context, gateways, servers, seconds, kind):
+    context.fleet = CrashingFleet(context, seconds)
+    config = build_config([build_route_row('reads', '/reads/', kind)])
+    _run(context, context.fleet.start(gateways, servers, config))
+    context.is_repeatable = kind != 'non_idempotent'
+
+
 @when(
     'a deadly read comes each {pause:g} s for {seconds:g} s, beside {rate:d} '
     'reads a second'
@@ -67,3 +109,234 @@
         len(others),
         [one for one in others if one.status != _SUCCESS][:5],
     )
+
+
+def _code(answer):
+    return json.loads(answer.body)['code'] if answer.body else ''
+
+
+def _is_held(answer):
+    return answer.status == _UNAVAILABLE and _code(answer) == _HELD
+
+
+async def _send_until_held(context, gateways):
+    for gateway in itertools.islice(itertools.cycle(gateways), _LONGEST_TRIES):
+        if _is_held(await context.fleet.send(gateway, _DEADLY_TARGET)):
+            return
+        await asyncio.sleep(_PAUSE_SECONDS)
+    raise AssertionError(context.fleet.rule.crashes)
+
+
+def _numbers(context):
+    return range(len(context.platform.gateways))
+
+
+@when('the deadly request comes until it is held')
+def hold(context):
+    _run(context, _send_until_held(context, _numbers(context)))
+
+
+@when('the first gateway alone gets the deadly read until it is held')
+def hold_at_one(context):
+    _run(context, _send_until_held(context, [0]))
+
+
+@when('the deadly request comes {count:d} times to each gateway')
+def send_held(context, count):
+    async def send_all():
+        # What one VM holds the others hold a moment later.
+        await asyncio.sleep(_PAUSE_SECONDS * 2)
+        sends = [
+            context.fleet.send(number, _DEADLY_TARGET)
+            for number in _numbers(context)
+            for _ in range(count)
+        ]
+        context.held_answers = await asyncio.gather(*sends)
+
+    _run(context, send_all())
+
+
+@then(
+    'each of these was rejected as held, not run, within {seconds:g} s and '
+    'with a time to return'
+)
+def check_rejected(context, seconds):
+    assert context.held_answers
+    for answer in context.held_answers:
+        assert _is_held(answer), answer
+        assert not context.fleet.runs(answer), answer
+        assert answer.seconds < seconds, answer
+        assert float(answer.fields['retry-after']) > 1, answer
+
+
+@then(
+    'no request was told not to have run that did, and non-idempotent ones '
+    'ran once at most'
+)
+def check_truth(context):
+    for answer in context.fleet.answers:
+        runs = context.fleet.runs(answer)
+        assert not (runs and answer.status in _NOT_RUN_STATUSES), answer
+        assert context.is_repeatable or runs <= 1, answer
+
+
+@when(
+    '{count:d} deadly reads come by turns, {rate:d} a second for '
+    '{seconds:g} s, beside {reads:d} reads a second'
+)
+def play_many(context, count, rate, seconds, reads):
+    targets = itertools.cycle(
+        [f'{_DEADLY_TARGET}-{number}' for number in range(count)]
+    )
+
+    async def both():
+        await asyncio.gather(
+            context.fleet.stream(rate, seconds, targets=targets),
+            context.fleet.stream(reads, seconds),
+        )
+
+    _run(context, both())
+
+
+@then(
+    'each deadly read reached servers at most {most:d} times later than '
+    '{contact:g} s after its third crash'
+)
+def check_each_rule(context, most, contact):
+    rule = context.fleet.rule
+    assert rule.crashes
+    for target in rule.counts:
+        crashes = sorted(
+            crash.at for crash in rule.crashes if crash.target == target
+        )
+        if len(crashes) < 3:
+            continue
+        late = [
+            at
+            for run, at in rule.runs
+            if run == target and at > crashes[2] + contact
+        ]
+        assert len(late) <= most, (target, len(late), len(crashes))
+
+
+@then('no other request was rejected as held')
+def check_innocents(context):
+    others = [one for one in context.fleet.answers if not one.is_deadly]
+    assert others
+    assert not any(map(_is_held, others))
+
+
+@then('no request was rejected as held')
+def check_nothing_held(context):
+    assert not any(map(_is_held, context.fleet.answers))
+
+
+@then('the callers of the other requests are all served again')
+def check_served_again(context):
+    async def all_served():
+        answers = await context.fleet.stream(20, 1)
+        return all(one.status == _SUCCESS for one in answers)
+
+    async def wait_until_served():
+        for _ in range(_LONGEST_TRIES // 10):
+            if await all_served():
+                return
+        raise AssertionError(context.fleet.answers[-20:])
+
+    _run(context, wait_until_served())
+
+
+@then('the last deadly read was served')
+def check_last(context):
+    last = [one for one in context.fleet.answers if one.is_deadly][-1]
+    assert last.status == _SUCCESS, last
+
+
+@when('one more gateway starts')
+def start_one_more(context):
+    async def start():
+        await context.platform.add_gateway('vm-more')
+        await wait_until_acquainted(context)
+
+    _run(context, start())
+
+
+def _stored_holds(context):
+    return [
+        key
+        for key in context.platform.store.keys
+        if key.startswith(_HOLD_PREFIX)
+    ]
+
+
+@when('the store holds it')
+def wait_for_store(context):
+    _run(context, wait_until(lambda: _stored_holds(context)))
+
+
+@when('all gateways are killed and {count:d} others start')
+def replace_all(context, count):
+    async def replace():
+        old = list(context.platform.gateways)
+        for gateway in old:
+            await close_gateway(gateway)
+        for number in range(count):
+            await context.platform.add_gateway(f'new-{number}')
+        del context.platform.gateways[: len(old)]
+        await wait_until_acquainted(context)
+
+    _run(context, replace())
+
+
+@when('unreadable holds are written to the store')
+def write_unreadable(context):
+    crash = {'server': 's-1', 'started_ms': 1, 'ended_ms': 1, 'witnesses': []}
+    contents = (
+        'no record',
+        {'key': 'no number', 'crashes': []},
+        {'key': 'f' * 40, 'crashes': [crash]},
+        {'key': '0' * 16, 'crashes': [{**crash, 'ended_ms': 10**300}]},
+        {'key': '1' * 16, 'crashes': [{**crash, 'started_ms': None}]},
+    )
+    for number, content in enumerate(contents):
+        context.platform.store.write(f'{_HOLD_PREFIX}{number}', content)
+
+
+@then('reads are served at each gateway')
+def check_reads(context):
+    async def send_all():
+        for number in _numbers(context):
+            answer = await context.fleet.send(number)
+            assert answer.status == _SUCCESS, answer
+
+    _run(context, send_all())
+
+
+@when('all {count:d} servers crash, by deadly reads that come at once')
+def crash_all(context, count):
+    rule = context.fleet.rule
+
+    async def crash():
+        for number in itertools.count():
+            if len(rule.ended) >= count:
+                return
+            await asyncio.gather(
+                *(
+                    context.fleet.send(0, f'{_DEADLY_TARGET}-{number}-{one}')
+                    for one in range(count)
+                )
+            )
+
+    _run(context, crash())
+
+
+@then('{count:d} reads are served within {seconds:g} s each')
+def check_reads_fast(context, count, seconds):
+    answers = _run(context, context.fleet.stream(count, 1))
+    assert all(one.status == _SUCCESS for one in answers), answers
+    assert all(one.seconds < seconds for one in answers), answers
+
+
+@when('the servers have had {seconds:g} s to start again')
+def wait_for_servers(context, seconds):
+    _run(context, asyncio.sleep(seconds))
--- a/zinniaturn/fleet/domain.py
+++ b/zinniaturn/fleet/domain.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field
 
 from zinniaturn.http1.connections import Address
+from zinniaturn.quarantine.hold_record import StoredHold
 from zinniaturn.tables.domain import Server
 
 
@@ -113,6 +114,7 @@
     Everything that the store holds for the fleet, as of one revision.
 
     ``unreadable`` names the items that could not be decoded, with the reason.
+    ``holds`` are the requests that are kept from the servers.
     """
 
     revision: int
@@ -120,3 +122,4 @@
     servers: tuple[RegisteredServer, ...]
     vms: tuple[StoredVm, ...] = ()
     unreadable: tuple[str, ...] = ()
+    holds: tuple[StoredHold, ...] = ()
--- /dev/null
+++ b/zinniaturn/fleet/hold_keeper.py
@@ -0,0 +1,115 @@
+"""
+Keeps the held requests in the store, so that they outlive all VMs.
+
+A VM that has read the store compares what is held there with what it holds: it
+takes over what it lacks, tells the others of it, writes what the store lacks
+and removes what is no longer held. Which VM reads is decided elsewhere, so that
+no hold depends on one of them.
+
+Cost: a write for each request that becomes held, for each of its later crashes
+and for its end; nothing while nothing is held.
+"""
+
+__all__ = ('HoldKeeper',)
+
+import asyncio
+from collections.abc import Callable, Coroutine, Sequence
+from dataclasses import dataclass, field
+
+from zinniaturn.fleet.crash_news import CrashNews
+from zinniaturn.fleet.exceptions import FleetStoreError
+from zinniaturn.fleet.store import FleetStore
+from zinniaturn.quarantine.hold_record import (
+    HoldRecord,
+    StoredHold,
+    build_hold,
+    held_crashes,
+)
+from zinniaturn.quarantine.request_key import RequestKey, format_key
+
+_MOST_HOLDS = 64
+# A write shows in the next read after this time.
+_WRITE_SETTLES_SECONDS = 3.0
+
+
+@dataclass(slots=True)
+class HoldKeeper:
+    """
+    Compares the store's holds with this VM's, one write at a time.
+
+    ``adopted`` are the holds that were taken over from the store, so that each
+    is taken over once. ``on_failure`` is called with the error of a write.
+    """
+
+    store: FleetStore
+    crash_news: CrashNews
+    on_failure: Callable[[FleetStoreError], None]
+    adopted: dict[str, HoldRecord] = field(default_factory=dict)
+    write_task: 'asyncio.Task[None] | None' = None
+    written_at: float = float('-inf')
+
+    def reconcile(self, stored: Sequence[StoredHold]) -> None:
+        """Take over holds of the store, and start the write that it lacks."""
+        for hold in stored:
+            self._adopt(hold.record)
+        names = {hold.record.key for hold in stored}
+        for gone in self.adopted.keys() - names:
+            self.adopted.pop(gone)
+        now = self.crash_news.vms.clock.monotonic()
+        if now - self.written_at >= _WRITE_SETTLES_SECONDS:
+            write = self._next_write(stored)
+            if write is not None:
+                self._start_write(write)
+
+    def _adopt(self, hold: HoldRecord) -> None:
+        if self.adopted.get(hold.key) == hold:
+            return
+        self.adopted[hold.key] = hold
+        for crash in held_crashes(hold, self.crash_news.vms.clock):
+            self.crash_news.report_crash(crash)
+
+    def _next_write(
+        self, stored: Sequence[StoredHold]
+    ) -> Coroutine[None, None, None] | None:
+        """Return the call that brings the store nearer to what is held."""
+        table = self.crash_news.table
+        held = {format_key(one.key): one.key for one in table.held()}
+        by_name = {hold.record.key: hold for hold in stored}
+        for name, key in held.items():
+            record = self._record(key)
+            known = by_name.get(name)
+            is_known = known is not None and _tells_same(known.record, record)
+            if not is_known and len(by_name) < _MOST_HOLDS:
+                return self.store.write_hold(record)
+        for ended in by_name.keys() - held.keys():
+            return self.store.remove_hold(by_name[ended])
+        return None
+
+    def _record(self, key: RequestKey) -> HoldRecord:
+        table = self.crash_news.table
+        crashes = [one for one in table.records.values() if key in one.keys]
+        return build_hold(key, crashes, self.crash_news.vms.clock)
+
+    def _start_write(self, call: Coroutine[None, None, None]) -> None:
+        if self.write_task is None:
+            self.write_task = asyncio.ensure_future(self._await_write(call))
+        else:
+            call.close()
+
+    async def _await_write(self, call: Coroutine[None, None, None]) -> None:
+        """Await a write; the next read shows whether it took effect."""
+        try:
+            await call
+        except FleetStoreError as error:
+            self.on_failure(error)
+        finally:
+            self.written_at = self.crash_news.vms.clock.monotonic()
+            self.write_task = None
+
+
+def _tells_same(stored: HoldRecord, own: HoldRecord) -> bool:
+    """Return whether the store knows all crashes that this VM knows."""
+    known = {(crash.server, crash.started_ms) for crash in stored.crashes}
+    return all(
+        (crash.server, crash.started_ms) in known for crash in own.crashes
+    )
--- a/zinniaturn/fleet/store.py
+++ b/zinniaturn/fleet/store.py
@@ -15,11 +15,12 @@
     VmRecord,
 )
 from zinniaturn.fleet.tables import FleetTables
+from zinniaturn.quarantine.hold_record import HoldRecord, StoredHold
 
 
 class FleetStore(Protocol):
     """
-    Reads of the whole fleet and writes of VM records.
+    Reads of the whole fleet, and writes of VM records and of held requests.
 
     Every call to the store raises `FleetStoreError` if no usable reply came.
     """
@@ -38,3 +39,9 @@
 
     async def unregister(self, listed: StoredVm) -> None:
         """Remove a VM's record if it hasn't changed since it was read."""
+
+    async def write_hold(self, hold: HoldRecord) -> None:
+        """Write a held request, replacing what the store has of it."""
+
+    async def remove_hold(self, stored: StoredHold) -> None:
+        """Remove a held request if it hasn't changed since it was read."""
--- a/zinniaturn/gateway/process.py
+++ b/zinniaturn/gateway/process.py
@@ -15,6 +15,7 @@
 from zinniaturn.fleet.failure_detection import PING_INTERVAL_SECONDS
 from zinniaturn.fleet.fleet_state import FleetState
 from zinniaturn.fleet.gossip import GossipProtocol
+from zinniaturn.fleet.hold_keeper import HoldKeeper
 from zinniaturn.fleet.joining import (
     REGISTRATION_SPREAD_SECONDS,
     FleetJoiner,
@@ -138,6 +139,9 @@
             clock,
             self.peers.pause_guard,
         )
+        self.hold_keeper = HoldKeeper(
+            store, self.peers.crash_news, self.reporter.note_store_reply
+        )
         now = clock.monotonic()
         self.joiner = FleetJoiner(
             store,
@@ -307,6 +311,7 @@
     def _on_fleet_read(self, snapshot: FleetSnapshot) -> None:
         """Check this VM's record in a new snapshot and tell other VMs."""
         self.registration.reconcile(snapshot.vms)
+        self.hold_keeper.reconcile(snapshot.holds)
         self.peers.push()
         self.reporter.log_unreadable_entries(snapshot)
 
--- a/zinniaturn/platform/store.py
+++ b/zinniaturn/platform/store.py
@@ -31,10 +31,12 @@
 from zinniaturn.http1.messages import Response, find_field
 from zinniaturn.platform.documents import decode_document
 from zinniaturn.platform.server_entries import decode_server
+from zinniaturn.quarantine.hold_record import HoldRecord, StoredHold
 
 _CONFIG_KEY = 'op/config'
 _SERVER_PREFIX = 'servers/'
 _VM_PREFIX = 'zinniaturn/vms/'
+_HOLD_PREFIX = 'zinniaturn/held/'
 _CALL_TIMEOUT_SECONDS = 0.7
 _NO_ID_FIELD = b'-'
 # Rises each time that the store has come back from an older copy.
@@ -66,6 +68,7 @@
 
 _page_decoder = msgspec.json.Decoder(_Page)
 _record_decoder = msgspec.json.Decoder(VmRecord)
+_hold_decoder = msgspec.json.Decoder(HoldRecord)
 
 
 class PlatformStore:
@@ -107,24 +110,38 @@
 
     async def register(self, record: VmRecord) -> None:
         """Write a VM's record, replacing its previous one."""
-        value = base64.b64encode(msgspec.json.encode(record)).decode()
-        put = {'key': _VM_PREFIX + record.name, 'value': value, 'lease': 0}
-        await self._call(
-            b'POST',
-            '/kv-txn',
-            {'expected_revision': [], 'puts': [put], 'remove': []},
-        )
+        await self._put(_VM_PREFIX + record.name, record)
 
     async def unregister(self, listed: StoredVm) -> None:
         """Remove a VM's record if it is still the one that was read."""
-        key = _VM_PREFIX + listed.record.name
-        expected = {'key': key, 'revision': listed.revision}
-        await self._call(
-            b'POST',
-            '/kv-txn',
-            {'expected_revision': [expected], 'puts': [], 'remove': [key]},
+        await self._remove(_VM_PREFIX + listed.record.name, listed.revision)
+
+    async def write_hold(self, hold: HoldRecord) -> None:
+        """Write a held request, replacing what the store has of it."""
+        await self._put(_HOLD_PREFIX + hold.key, hold)
+
+    async def remove_hold(self, stored: StoredHold) -> None:
+        """Remove a held request if it is still the one that was read."""
+        await self._remove(_HOLD_PREFIX + stored.record.key, stored.revision)
+
+    async def _put(self, key: str, content: VmRecord | HoldRecord) -> None:
+        """Write an item, replacing the previous one."""
+        value = base64.b64encode(msgspec.json.encode(content)).decode()
+        put = {'key': key, 'value': value, 'lease': 0}
+        await self._transact(
+            {'expected_revision': [], 'puts': [put], 'remove': []}
+        )
+
+    async def _remove(self, key: str, revision: int) -> None:
+        """Remove an item if it still has this revision."""
+        expected = {'key': key, 'revision': revision}
+        await self._transact(
+            {'expected_revision': [expected], 'puts': [], 'remove': [key]}
         )
 
+    async def _transact(self, body: dict[str, Any]) -> None:
+        await self._call(b'POST', '/kv-txn', body)
+
     async def _read_page(self, after: str) -> _Page:
         query = f'?prefix=&after={quote(after)}' if after else '?prefix='
         reply = await self._call(b'GET', f'/kv-range{query}')
@@ -207,6 +224,7 @@
         tuple(decoded.servers),
         tuple(decoded.vms),
         tuple(decoded.unreadable),
+        tuple(decoded.holds),
     )
 
 
@@ -218,6 +236,7 @@
     document: TablesDocument | None = None
     servers: list[RegisteredServer] = field(default_factory=list)
     vms: list[StoredVm] = field(default_factory=list)
+    holds: list[StoredHold] = field(default_factory=list)
     unreadable: list[str] = field(default_factory=list)
 
     def add(self, item: _Item) -> None:
@@ -232,3 +251,7 @@
         elif item.key.startswith(_VM_PREFIX):
             record = _record_decoder.decode(raw)
             self.vms.append(StoredVm(record, item.revision))
+        elif item.key.startswith(_HOLD_PREFIX):
+            hold = _hold_decoder.decode(raw)
+            hold.check()
+            self.holds.append(StoredHold(hold, item.revision))
--- /dev/null
+++ b/zinniaturn/quarantine/hold_record.py
@@ -0,0 +1,104 @@
+"""
+What the store keeps of a held request, for VMs that lost their memory together.
+
+Times are Unix times, since nothing else outlives a process. A clock that is
+some seconds off lengthens or shortens the hold by as much.
+"""
+
+__all__ = (
+    'HeldCrash',
+    'HoldRecord',
+    'StoredHold',
+    'build_hold',
+    'held_crashes',
+)
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from zinniaturn.clock import Clock
+from zinniaturn.quarantine.crash_record import CrashRecord, ServerProcess
+from zinniaturn.quarantine.request_key import (
+    RequestKey,
+    format_key,
+    parse_key,
+)
+
+_MOST_CRASHES = 8
+_MS_PER_SECOND = 1000
+# An older crash holds nothing any more, whatever the clocks say.
+_OLDEST_SECONDS = 5000.0
+
+
+@dataclass(frozen=True, slots=True)
+class HeldCrash:
+    """The end of one server process, at a Unix time in milliseconds."""
+
+    server: str
+    started_ms: int
+    ended_ms: int
+    witnesses: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class HoldRecord:
+    """A held request by its key, in hexadecimal digits, and its crashes."""
+
+    key: str
+    crashes: tuple[HeldCrash, ...]
+
+    @property
+    def request_key(self) -> RequestKey:
+        """Return the key; raises `ValueError`."""
+        return parse_key(self.key)
+
+    def check(self) -> None:
+        """Raise `ValueError` if the record tells nothing that can be used."""
+        if not 0 <= self.request_key < 2**63:
+            raise ValueError(f'"{self.key}" is no key of a request')
+
+
+@dataclass(frozen=True, slots=True)
+class StoredHold:
+    """A hold in the store, with the revision of its key."""
+
+    record: HoldRecord
+    revision: int
+
+
+def build_hold(
+    key: RequestKey, records: Iterable[CrashRecord], clock: Clock
+) -> HoldRecord:
+    """Return the record of a held request with these crashes."""
+    offset = clock.wall() - clock.monotonic()
+    latest = sorted(records, key=lambda record: record.ended_at)[
+        -_MOST_CRASHES:
+    ]
+    return HoldRecord(
+        format_key(key),
+        tuple(
+            HeldCrash(
+                record.process.server,
+                record.process.started_ms,
+                round((record.ended_at + offset) * _MS_PER_SECOND),
+                tuple(sorted(record.witnesses)),
+            )
+            for record in latest
+        ),
+    )
+
+
+def held_crashes(hold: HoldRecord, clock: Clock) -> list[CrashRecord]:
+    """Return the crashes of a stored hold; raises `ValueError`."""
+    key = hold.request_key
+    now = clock.monotonic()
+    offset = clock.wall() - now
+    crashes = []
+    for crash in hold.crashes:
+        ended_at = min(now, crash.ended_ms / _MS_PER_SECOND - offset)
+        if ended_at >= now - _OLDEST_SECONDS:
+            process = ServerProcess(crash.server, crash.started_ms)
+            crashes.append(
+                CrashRecord(process, ended_at, {key}, set(crash.witnesses))
+            )
+    return crashes
