Let operators list and lift held requests; give suspected ones servers of their own

Operators: 'zinniaturn quarantine list' and 'lift' by any VM's metrics port; a lift reaches all VMs and the store. 'explain request ID' leads from a rejected copy to the servers that ended and the verdict.

Now a suspected request prefers servers by a hash of its own, the same on all VMs, and a verdict asks for two crashes that no other suspicious request shares, or a lead of two.

--- a/features/deadly_requests.feature
+++ b/features/deadly_requests.feature
@@ -70,3 +70,31 @@
     When all 6 servers crash, by deadly reads that come at once
     And the servers have had 1.5 s to start again
     Then 30 reads are served within 1 s each
+
+  Scenario: An operator lists what is held, lifts it, and the request runs again at every VM
+    Given 3 gateways before 6 servers that are back 0.5 s after a crash, with metrics ports
+    When the deadly request comes until it is held
+    And the operator lists the held requests of the second VM
+    Then the output names the request as held, with the servers that have ended
+    When the servers' fault is mended
+    And the operator lifts the verdict by the third VM
+    Then the deadly read is served at each gateway within 1 s
+    And the operator's list becomes empty within 5 s
+    And the store holds nothing of it within 8 s
+
+  Scenario Outline: The operator's command fails clearly if <problem>
+    Given 1 gateways before 2 servers that are back 0.5 s after a crash, with metrics ports
+    When the operator lifts "<key>" by <vm>
+    Then the command's status is <status> and it prints "<text>"
+
+    Examples:
+      | problem             | key              | vm               | status | text                                   |
+      | nothing is known    | 00000000000000ff | the first VM     | 1      | no crash of this request is known      |
+      | the key is no key   | nonsense         | the first VM     | 5      | entry-unavailable                      |
+      | no VM listens       | 00000000000000ff | 127.0.0.1:1      | 5      | entry-unavailable                      |
+
+  Scenario: The id of a rejected copy leads to the crashes that it was rejected for
+    Given 3 gateways before 6 servers that are back 1.5 s after a crash
+    When the deadly request comes until it is held
+    And the deadly request comes 3 times to each gateway
+    Then explaining a rejected copy from the logs of all VMs names 3 servers that ended and the verdict
--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -24,6 +24,8 @@
       | case                                                | crashes                              | completions | held |
       | two, one after the other                            | g@0 g@1 g@2 h@3 h@4 h@5              | -           | g h  |
       | two, by turns                                       | g@0 h@0.5 g@1 h@1.5 g@2 h@2.5        | -           | g h  |
+      | two that share a crash                              | g@0 g@0.5 g,h@1 h@1.5 h@2 h@2.5      | -           | g h  |
+      | an innocent was beside three                        | g@0 g@1 g,a@2 h@3 h@4 h,a@5 f@6 f@7 f,a@8 | -      | f g h |
       | an innocent was beside both                         | g@0 g@1 g,a@2 h,a@3 h,a@4 h@5        | -           | g h  |
 
     Examples: nobody guilty
--- a/features/support/crashing_fleet.py
+++ b/features/support/crashing_fleet.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import itertools
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from functools import partial
 
 from features.support.cut_links import wait_until_acquainted
 from features.support.gateway import (
@@ -53,7 +54,7 @@
         self.restarts = set()
         self.answers = []
 
-    async def start(self, gateways, servers, config=None):
+    async def start(self, gateways, servers, config=None, metrics_port=0):
         await self.platform.start([], config)
         for number in range(servers):
             server = ServerStandIn(
@@ -65,7 +66,10 @@
             await self.platform.add_server(server)
         self.ports = {id(one): one.port for one in self.platform.servers}
         for number in range(gateways):
-            await self.platform.add_gateway(f'vm-{number + 1}')
+            await self.platform.add_gateway(
+                f'vm-{number + 1}',
+                before_start=partial(_serve_metrics, port=metrics_port),
+            )
         await wait_until_acquainted(self.context)
         self.context.closers.append(self._close)
 
@@ -135,3 +139,7 @@
     async def _close(self):
         for task in list(self.restarts):
             task.cancel()
+
+
+def _serve_metrics(gateway, port):
+    gateway.settings = replace(gateway.settings, metrics_port=port)
--- a/zinniaturn/commands/main.py
+++ b/zinniaturn/commands/main.py
@@ -29,6 +29,7 @@
         'explain': 'zinniaturn.commands.explain:explain',
         'gateway': 'zinniaturn.commands.gateway:gateway',
         'pools': 'zinniaturn.commands.pools:pools',
+        'quarantine': 'zinniaturn.commands.quarantine:quarantine',
         'routes': 'zinniaturn.commands.routes:routes',
         'schema': 'zinniaturn.commands.schema:schema',
         'standin': 'zinniaturn.commands.standin:standin',
--- a/zinniaturn/experiments/crash_model.py
+++ b/zinniaturn/experiments/crash_model.py
@@ -17,6 +17,7 @@
 from zinniaturn.experiments.gossip_model import GossipModel, ModelVm
 from zinniaturn.quarantine.crash_record import CrashRecord, ServerProcess
 from zinniaturn.quarantine.request_key import RequestKey
+from zinniaturn.quarantine.separation import preferred_servers
 from zinniaturn.quarantine.table import Ruling
 from zinniaturn.quarantine.witnessing import is_contradicted, needs_witness
 
@@ -203,6 +204,11 @@
         if not usable:
             self._fail(request)
             return
+        if ruling is Ruling.RUN_ALONE:
+            names = preferred_servers(
+                request.key, [server.name for server in usable], count=1
+            )
+            usable = [server for server in usable if server.name in names]
         server = self.random_source.choice(usable)
         request.tried.append(server.name)
         if request.key in self.guilty:
--- a/zinniaturn/explain/logs.py
+++ b/zinniaturn/explain/logs.py
@@ -3,8 +3,8 @@
 
 The logs are lines of JSON; a prefix before the JSON object, such as a log
 collector adds, is skipped. A request is explained by its own log events, the
-state changes that its VM logged in the seconds before, and the ejections of
-its servers on any VM.
+state changes that its VM logged in the seconds before, the ejections of its
+servers on any VM, and the servers that ended as they ran copies of it.
 """
 
 __all__ = ('LogRow', 'explain_from_logs', 'read_rows')
@@ -24,6 +24,15 @@
 _SLOW_FACTOR = 1.5
 _STALE_STATE_MS = 1500
 _MAX_LINES = 40
+_MAX_CRASH_LINES = 20
+_CRASH_EVENTS = frozenset(
+    (
+        LogEvent.CONNECTION_BROKEN,
+        LogEvent.REQUEST_SUSPECTED,
+        LogEvent.REQUEST_HELD,
+        LogEvent.REQUEST_CLEARED,
+    )
+)
 _STATE_EVENTS = frozenset(
     (
         LogEvent.TABLES_IN_FORCE,
@@ -118,10 +127,27 @@
         and row not in state_changes
     ]
     return sorted(
-        [*state_changes, *other_ejections, *own], key=lambda row: row.time
+        [*state_changes, *other_ejections, *_crash_rows(rows, own), *own],
+        key=lambda row: row.time,
     )
 
 
+def _crash_rows(rows: list[LogRow], own: list[LogRow]) -> list[LogRow]:
+    """
+    Return what led to the verdict on a request: the crashes of its copies.
+
+    Each server and each verdict is told once, by the VM that logged it first.
+    """
+    keys = {row.fields.get('key') for row in own} - {'', None}
+    found: dict[tuple[int, Any], LogRow] = {}
+    for told in rows:
+        if told.event in _CRASH_EVENTS and told.fields.get('key') in keys:
+            name = told.fields.get('server', told.fields.get('crashes'))
+            found.setdefault((told.event, name), told)
+    first = list(found.values())[:_MAX_CRASH_LINES]
+    return [row for row in first if row not in own]
+
+
 def _mentions(row: LogRow, name: str) -> bool:
     for key, value in row.fields.items():
         if key in _HEADER_FIELDS:
--- a/zinniaturn/fleet/hold_keeper.py
+++ b/zinniaturn/fleet/hold_keeper.py
@@ -52,7 +52,7 @@
         """Take over holds of the store, and start the write that it lacks."""
         for hold in stored:
             self._adopt(hold.record)
-        names = {hold.record.key for hold in stored}
+        names = {kept.record.key for kept in stored}
         for gone in self.adopted.keys() - names:
             self.adopted.pop(gone)
         now = self.crash_news.vms.clock.monotonic()
@@ -73,16 +73,19 @@
     ) -> Coroutine[None, None, None] | None:
         """Return the call that brings the store nearer to what is held."""
         table = self.crash_news.table
-        held = {format_key(one.key): one.key for one in table.held()}
         by_name = {hold.record.key: hold for hold in stored}
-        for name, key in held.items():
-            record = self._record(key)
-            known = by_name.get(name)
-            is_known = known is not None and _tells_same(known.record, record)
-            if not is_known and len(by_name) < _MOST_HOLDS:
-                return self.store.write_hold(record)
-        for ended in by_name.keys() - held.keys():
-            return self.store.remove_hold(by_name[ended])
+        held = {format_key(one.key): one.key for one in table.held()}
+        own = [self._record(key) for key in held.values()]
+        lacking = [
+            record
+            for record in own
+            if not _is_stored(record, by_name.get(record.key))
+        ]
+        if lacking and len(by_name) < _MOST_HOLDS:
+            return self.store.write_hold(lacking[0])
+        ended = sorted(by_name.keys() - held.keys())
+        if ended:
+            return self.store.remove_hold(by_name[ended[0]])
         return None
 
     def _record(self, key: RequestKey) -> HoldRecord:
@@ -107,9 +110,13 @@
             self.write_task = None
 
 
-def _tells_same(stored: HoldRecord, own: HoldRecord) -> bool:
+def _is_stored(own: HoldRecord, stored: StoredHold | None) -> bool:
     """Return whether the store knows all crashes that this VM knows."""
-    known = {(crash.server, crash.started_ms) for crash in stored.crashes}
+    if stored is None:
+        return False
+    known = {
+        (crash.server, crash.started_ms) for crash in stored.record.crashes
+    }
     return all(
         (crash.server, crash.started_ms) in known for crash in own.crashes
     )
--- a/zinniaturn/gateway/endpoints.py
+++ b/zinniaturn/gateway/endpoints.py
@@ -9,6 +9,7 @@
 from zinniaturn.events.catalogue import LogEvent
 from zinniaturn.fleet.domain import VmRecord, VmStage
 from zinniaturn.fleet.vms import cut_off_vms, serving_vms
+from zinniaturn.gateway.quarantine_endpoint import QuarantineEndpoint
 from zinniaturn.gateway.state import GatewayState
 from zinniaturn.http1.exchanges import CallerExchange
 from zinniaturn.http1.limits import CallerLimits
@@ -100,14 +101,16 @@
 
 @dataclass(slots=True)
 class MetricsEndpoint:
-    """Serves the metrics in the Prometheus text format."""
+    """Serves the metrics in the Prometheus text format, and held requests."""
 
     render: Callable[[], bytes]
+    quarantine: QuarantineEndpoint
     limits: CallerLimits = field(default_factory=CallerLimits)
     is_stopping: bool = False
 
     def handle(self, exchange: CallerExchange) -> Response:
-        """Return all metrics."""
-        if exchange.request.target != b'/metrics':
-            return Response(404, b'', [])
-        return Response(200, b'', [_METRICS_TYPE], self.render())
+        """Return all metrics, or what the quarantine's endpoint returns."""
+        if exchange.request.target == b'/metrics':
+            return Response(200, b'', [_METRICS_TYPE], self.render())
+        response = self.quarantine.handle(exchange.request)
+        return response or Response(404, b'', [])
--- a/zinniaturn/gateway/metrics.py
+++ b/zinniaturn/gateway/metrics.py
@@ -28,6 +28,7 @@
     counters: Counters
     state_age_seconds: float
     vms_alive: int
+    requests_held: int = 0
 
 
 def render_metrics(state: GatewayState) -> bytes:
@@ -40,7 +41,12 @@
     events['permits_requested'] = permits.requested
     events['permits_granted'] = permits.granted
     events['permits_refused'] = permits.refused
-    snapshot = MetricsSnapshot(state.counters, age, len(state.vms.alive_vms()))
+    snapshot = MetricsSnapshot(
+        state.counters,
+        age,
+        len(state.vms.alive_vms()),
+        len(state.quarantine.held()),
+    )
     return text.TextFormatter().marshall(build_registry(snapshot))
 
 
@@ -73,6 +79,12 @@
         registry=registry,
     )
     vms.set({}, snapshot.vms_alive)
+    held = Gauge(
+        'zinniaturn_gateway_requests_held',
+        'Requests that are kept from servers, as they end them',
+        registry=registry,
+    )
+    held.set({}, snapshot.requests_held)
     return registry
 
 
--- a/zinniaturn/gateway/process.py
+++ b/zinniaturn/gateway/process.py
@@ -37,6 +37,7 @@
 from zinniaturn.gateway.event_log import EventLog
 from zinniaturn.gateway.metrics import render_metrics
 from zinniaturn.gateway.path_watch import PathWatch
+from zinniaturn.gateway.quarantine_endpoint import QuarantineEndpoint
 from zinniaturn.gateway.quarantine_log import log_standing
 from zinniaturn.gateway.relay_service import PeerService, RelayService
 from zinniaturn.gateway.reporting import StateReporter
@@ -228,7 +229,9 @@
         address_selector: AddressSelector,
     ) -> tuple[tuple[Address | None, object], ...]:
         settings = self.settings
-        metrics = MetricsEndpoint(lambda: render_metrics(self.state))
+        metrics = MetricsEndpoint(
+            lambda: render_metrics(self.state), QuarantineEndpoint(self.state)
+        )
         metrics_address = None
         if settings.metrics_port:
             metrics_address = settings.host, settings.metrics_port
--- a/zinniaturn/gateway/quarantine_gate.py
+++ b/zinniaturn/gateway/quarantine_gate.py
@@ -19,6 +19,7 @@
 from zinniaturn.gateway.state import GatewayState
 from zinniaturn.placing.retry_after import RetryAfterJitter
 from zinniaturn.quarantine.request_key import RequestKey
+from zinniaturn.quarantine.separation import preferred_servers
 from zinniaturn.quarantine.table import Ruling
 from zinniaturn.quarantine.trials import TURN_SECONDS
 
@@ -70,11 +71,16 @@
         """
         Let a request that a crash counts for avoid servers with another one.
 
-        Otherwise innocent requests would share the guilty one's next crash,
-        too.
+        Else innocent requests would share the guilty one's next crash, too. A
+        suspected one gets servers of its own.
         """
-        if self._is_accused(context):
-            context.tried_servers.update(+self.suspects_at)
+        if not self._is_accused(context):
+            return
+        context.tried_servers.update(+self.suspects_at)
+        if self.ruling(context) is Ruling.RUN_ALONE:
+            untried = self._running_servers(context) - context.tried_servers
+            preferred = preferred_servers(context.key, untried)
+            context.tried_servers.update(untried.difference(preferred))
 
     def reject(self, context: RequestContext) -> RejectedError:
         """Return the rejection of a held request, with a time to return."""
@@ -93,6 +99,18 @@
             self.retry_after_jitter.seconds(seconds),
         )
 
+    def _running_servers(self, context: RequestContext) -> set[str]:
+        """Return the servers of a request's pool that are known to run."""
+        candidates = self.state.pools.get(context.pool.name, {})
+        ended = self.state.quarantine.records.keys()
+        return {
+            name
+            for name, candidate in candidates.items()
+            if not candidate.registered.server.leaving
+            and not candidate.stats.unanswered
+            and (name, candidate.registered.started_ms) not in ended
+        }
+
     def _is_accused(self, context: RequestContext) -> bool:
         quarantine = self.state.quarantine
         if quarantine.is_empty:
--- a/zinniaturn/quarantine/trials.py
+++ b/zinniaturn/quarantine/trials.py
@@ -31,7 +31,7 @@
 
     >>> vms = ['vm-1', 'vm-2', 'vm-3']
     >>> [vm for vm in vms if is_turn_of(vm, vms, key=7, seconds=0.2)]
-    ['vm-2']
+    ['vm-3']
     >>> [vm for vm in vms if is_turn_of(vm, vms, key=7, seconds=0.01)]
     []
     """
--- a/zinniaturn/quarantine/verdicts.py
+++ b/zinniaturn/quarantine/verdicts.py
@@ -10,12 +10,13 @@
   such as a lost machine, and count as one crash;
 - after up to two more, if servers also end without it: one more for each three
   such crashes of the last ten seconds;
-- after up to two more, if as many of its runs ended well, and if not more of
-  them ended well than crashed.
+- after up to two more, if as many of its runs ended well, and after twice as
+  many if servers also end without it; not if more of them ended well than
+  crashed.
 
-The crashes of a held request count for no other one. Of two requests that share
-crashes, the one with fewer is not held, and neither is if they have about as
-many and no run of either has ended well; their next runs tell them apart.
+The crashes of a held request count for no other one. At two of its crashes no
+other request may have run that is as suspicious, or it has to lead by two
+crashes; until then the next runs of both tell them apart.
 
 For an innocent request whose runs are lost with a chance p, independently of
 each other, the chance of a verdict after its first lost run is that of two more
@@ -38,6 +39,8 @@
 _MOST_MORE = 2
 _OTHER_CRASHES_SECONDS = 10.0
 _MOST_MORE_FOR_COMPLETIONS = 2
+_FACTOR_IF_UNCLEAR = 2
+_LEAST_UNSHARED = 2
 _LEAD_OVER_RIVAL = 2
 _DECIDED_SECONDS = SETTLING_SECONDS + 0.05
 _FIRST_HOLD_SECONDS = 60.0
@@ -125,20 +128,11 @@
             _moments(one for one in self.records if one.is_confirmed(now))
         )
 
-    def has_rival(self, other: '_Case') -> bool:
-        """
-        Return whether another request may as well have ended the servers.
-
-        Where both ran on several of them, one more crash may be the work of a
-        third request.
-        """
-        if other.is_exonerated or other.completions > self.completions:
+    def may_explain_crash_of(self, other: '_Case') -> bool:
+        """Return whether a crash that both share may be this one's work."""
+        if self.is_exonerated or self.completions > other.completions:
             return False
-        if other.count >= self.count:
-            return True
-        shared = sum(other.key in record.keys for record in self.records)
-        is_alike = shared > 1 and other.count >= CRASHES_TO_HOLD
-        return is_alike and other.count + _LEAD_OVER_RIVAL > self.count
+        return self.count >= min(other.count, CRASHES_TO_HOLD)
 
     def standing(self) -> Standing:
         """Return how the request stands."""
@@ -205,7 +199,7 @@
         count = case.confirmed_count(self.now)
         if count < self._needed(case, at) or case.completions > count:
             return False
-        return not any(case.has_rival(one) for one in self._sharing(case))
+        return self._stands_out(case)
 
     def _needed(self, case: _Case, at: float) -> int:
         """Return how many crashes are beyond chance."""
@@ -216,13 +210,26 @@
             and record.ended_at >= at - _OTHER_CRASHES_SECONDS
         )
         more = min(_MOST_MORE, len(others) // _OTHER_CRASHES_PER_MORE)
-        more_for_completions = min(_MOST_MORE_FOR_COMPLETIONS, case.completions)
-        return CRASHES_TO_HOLD + more + more_for_completions
-
-    def _sharing(self, case: _Case) -> list[_Case]:
-        """Return the other requests that ran on the same servers."""
-        keys = {key for record in case.records for key in record.keys}
-        return [self.cases[key] for key in keys - {case.key}]
+        factor = _FACTOR_IF_UNCLEAR if more and case.completions else 1
+        more += min(_MOST_MORE_FOR_COMPLETIONS, case.completions)
+        return (CRASHES_TO_HOLD + more) * factor
+
+    def _stands_out(self, case: _Case) -> bool:
+        """Return whether the crashes speak against this request most."""
+        rivals = {
+            key
+            for record in case.records
+            for key in record.keys - {case.key}
+            if self.cases[key].may_explain_crash_of(case)
+        }
+        leads = all(
+            case.count >= self.cases[key].count + _LEAD_OVER_RIVAL
+            for key in rivals
+        )
+        unshared = (
+            record for record in case.records if not record.keys & rivals
+        )
+        return leads or len(_moments(unshared)) >= _LEAST_UNSHARED
 
 
 def judge(
