Let the soak play requests that end servers, beside its other faults

A stream of copies of one deadly read at random VMs, each with servers that end and are replaced; checked by the users' rule.

--- a/zinniaturn/experiments/soak/checking.py
+++ b/zinniaturn/experiments/soak/checking.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from zinniaturn.experiments.soak.callers import Call
+from zinniaturn.experiments.soak.deadly import DeadlyStream
 from zinniaturn.experiments.soak.fleet import LinkCut, SoakFleet
 
 _PROPAGATION_SECONDS = 2.0
@@ -24,6 +25,8 @@
 _ALLOWED_FAILURES = 10
 _ALLOWED_FAILED_SHARE = 1 / 50
 _LEAST_SERVED_RATIO = 2 / 3
+_CRASHES_BEFORE_RULE = 3
+_ALLOWED_LATE_SENDS = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,9 +61,34 @@
     for cut in fleet.cuts:
         violations.extend(_check_served_while_cut(fleet, cut, calls, stalls))
     violations.extend(_check_any_served(calls))
+    for stream in fleet.deadly_streams:
+        violations.extend(_check_deadly(fleet, stream))
     return violations
 
 
+def _check_deadly(
+    fleet: SoakFleet, stream: DeadlyStream
+) -> Iterator[Violation]:
+    """Check that a request that ends servers is kept from them."""
+    target = stream.target.encode()
+    ended_at = sorted(
+        crash.at for crash in fleet.crashes.crashes if crash.target == target
+    )
+    if len(ended_at) < _CRASHES_BEFORE_RULE:
+        return
+    since = ended_at[_CRASHES_BEFORE_RULE - 1] + _CONTACT_SECONDS
+    late = [
+        request_id
+        for request_id, vm in stream.vms.items()
+        if stream.sent_at[request_id] > since
+        and stream.sent_at[request_id] > vm.disturbed_until
+        and _runs_of(fleet, request_id)
+    ]
+    if len(late) > _ALLOWED_LATE_SENDS:
+        detail = f'{len(late)} sends, {len(ended_at)} servers ended'
+        yield Violation('kept from servers that it ends', late[0], detail)
+
+
 def _check_any_served(calls: list[Call]) -> Iterator[Violation]:
     if not any(call.status == _SUCCESS for call in calls):
         detail = f'none of {len(calls)} requests succeeded'
@@ -83,7 +111,7 @@
         return
     bodies = {
         f'by-{soak_server.server.name}': soak_server.server.body
-        for soak_server in (*fleet.servers, *fleet.servers_that_left)
+        for soak_server in fleet.all_servers()
     }
     body = bodies.get(call.signature, b'')
     if call.body != b'%b %b' % (call.request_id.encode(), body):
@@ -207,8 +235,12 @@
 
 
 def _execution_count(fleet: SoakFleet, call: Call) -> int:
-    encoded_id = call.request_id.encode()
+    return _runs_of(fleet, call.request_id)
+
+
+def _runs_of(fleet: SoakFleet, request_id: str) -> int:
+    encoded_id = request_id.encode()
     return sum(
         soak_server.server.runs.get(encoded_id, 0)
-        for soak_server in (*fleet.servers, *fleet.servers_that_left)
+        for soak_server in fleet.all_servers()
     )
--- a/zinniaturn/experiments/soak/faults.py
+++ b/zinniaturn/experiments/soak/faults.py
@@ -9,6 +9,7 @@
 from types import MappingProxyType
 from typing import Any
 
+from zinniaturn.experiments.soak.deadly import play_deadly
 from zinniaturn.experiments.soak.fleet import (
     STARTUP_SECONDS,
     SoakFleet,
@@ -98,6 +99,9 @@
             FaultKind.LINK_LOSES_ANSWERS: self._lose_responses,
             FaultKind.TABLES_CHANGE: self._change_tables,
             FaultKind.VM_LINKS_CUT: lambda fault: cut_links(self.fleet, fault),
+            FaultKind.DEADLY_REQUEST: lambda fault: play_deadly(
+                self.fleet, fault
+            ),
             **dict.fromkeys(
                 STATEMENT_KINDS,
                 lambda fault: play_statement(
--- a/zinniaturn/experiments/soak/fleet.py
+++ b/zinniaturn/experiments/soak/fleet.py
@@ -6,9 +6,14 @@
 import random
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from zinniaturn.experiments.soak.vms import VmProcess, make_vms
-from zinniaturn.platform.standins import ServerStandIn, StoreStandIn
+from zinniaturn.platform.standins import (
+    CrashRule,
+    ServerStandIn,
+    StoreStandIn,
+)
 from zinniaturn.platform.standins.wire import (
     CONFIG_KEY,
     build_config_document,
@@ -20,13 +25,17 @@
 from zinniaturn.standins.faults import NoFault
 from zinniaturn.standins.vm_links import LinkProxy, VmLinks
 
+if TYPE_CHECKING:
+    from zinniaturn.experiments.soak.deadly import DeadlyStream
+
 HOST = 'shop.example'
+DEADLY_MARK = b'deadly'
 POOL = 'pool'
 
 STARTUP_SECONDS = 3.0
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class SoakServer:
     """
     A backend server behind a proxy that injects faults into the link.
@@ -63,7 +72,8 @@
     Everything but the callers.
 
     ``added_routes`` and ``removed_routes`` hold the event loop's time at which
-    each route was added or removed.
+    each route was added or removed. ``crashes`` lists the servers that deadly
+    requests have ended, which are in ``crashed_servers``.
     """
 
     seed: int
@@ -79,10 +89,14 @@
     version: int = 0
     links: VmLinks = field(default_factory=VmLinks)
     cuts: list[LinkCut] = field(default_factory=list)
+    crashed_servers: list[SoakServer] = field(default_factory=list)
+    deadly_streams: 'list[DeadlyStream]' = field(default_factory=list)
+    crashes: CrashRule = field(init=False)
 
     async def start(self, vm_count: int, server_count: int) -> None:
         """Start everything and give the VMs time to become ready."""
         self.random_source = random.Random(self.seed)
+        self.crashes = CrashRule(frozenset((DEADLY_MARK,)))
         await self.store.start()
         self.write_tables()
         for _ in range(server_count):
@@ -92,6 +106,10 @@
             vm.start()
         await asyncio.sleep(STARTUP_SECONDS * bool(vm_count))
 
+    def all_servers(self) -> list[SoakServer]:
+        """Return the servers that run, have left or have crashed."""
+        return [*self.servers, *self.servers_that_left, *self.crashed_servers]
+
     def add_vms(self, count: int) -> None:
         """Create the VMs without starting them."""
         self.vms = make_vms(count, self.store.port, self.folder)
@@ -100,7 +118,7 @@
         """Stop the VMs by their process ids, the servers and the store."""
         for vm in self.vms:
             vm.kill()
-        for soak_server in (*self.servers, *self.servers_that_left):
+        for soak_server in self.all_servers():
             await soak_server.link.stop()
             await soak_server.proxy.stop()
             await soak_server.server.stop()
@@ -108,13 +126,14 @@
 
     async def add_server(self) -> None:
         """Add a server behind a proxy and register it."""
-        number = len(self.servers) + len(self.servers_that_left) + 1
+        number = len(self.all_servers()) + 1
         server = ServerStandIn(
             name=f's-{number}',
             pool=POOL,
             work_seconds=0.03,
             echoes_request_id=True,
             body=b'x' * self.random_source.choice((10, 5_000, 90_000)),
+            crash_rule=self.crashes,
         )
         await server.start()
         soak_server: SoakServer
--- a/zinniaturn/experiments/soak/plan.py
+++ b/zinniaturn/experiments/soak/plan.py
@@ -42,6 +42,7 @@
     SERVER_ASKS_FOR_PAUSE = 'server-asks-for-pause'
     SERVER_NEVER_ENDS = 'server-never-ends'
     VM_LINKS_CUT = 'vm-links-cut'
+    DEADLY_REQUEST = 'deadly-request'
 
 
 # Kinds that are drawn apart, so that the others of a seed stay the same.
@@ -53,6 +54,7 @@
     FaultKind.SERVER_NEVER_ENDS,
 )
 _CUT_KINDS = (FaultKind.VM_LINKS_CUT,)
+_DEADLY_KINDS = (FaultKind.DEADLY_REQUEST,)
 _MAX_ADDED_GAP_SECONDS = 4.0
 _MAX_CUT_GAP_SECONDS = 12.0
 _WEIGHTS = MappingProxyType(
@@ -89,7 +91,7 @@
     >>> make_plan(1, 20) == make_plan(1, 20)
     True
     """
-    drawn_apart = _ADDED_KINDS + _CUT_KINDS
+    drawn_apart = _ADDED_KINDS + _CUT_KINDS + _DEADLY_KINDS
     first_kinds = [kind for kind in FaultKind if kind not in drawn_apart]
     plan = _draw(random.Random(seed), first_kinds, _MAX_GAP_SECONDS, seconds)
     plan.extend(
@@ -105,6 +107,14 @@
     plan.extend(
         _draw(cut_source, _CUT_KINDS, _MAX_CUT_GAP_SECONDS, seconds, first_cut)
     )
+    plan.extend(
+        _draw(
+            random.Random(f'deadly {seed}'),
+            _DEADLY_KINDS,
+            _MAX_CUT_GAP_SECONDS,
+            seconds,
+        )
+    )
     return sorted(plan, key=lambda fault: fault.start_seconds)
 
 
