Grant few permits by a limit that nobody has heard lately

Cause: a limit fell from 27.7 to 0.86 a second while nobody used the server for 5 s; its owner granted by the old one until a response named the new. Change: by a limit older than a second at most four permits are granted until it is heard again, within the five that the rule allows beyond the limit.

--- a/zinniaturn/admission/grantor.py
+++ b/zinniaturn/admission/grantor.py
@@ -19,6 +19,11 @@
 # A bucket holds one token and those of this time.
 _BUCKET_SECONDS = 0.2
 _MOST_BUCKETS = 4096
+# A limit that nobody has heard for this time may have changed.
+_CONFIRMED_SECONDS = 1.0
+# As many requests as a server takes within 4 s beyond its limit.
+_MOST_UNCONFIRMED = 4
+_CONFIRMATION_WAIT_SECONDS = 0.1
 _MOST_REPLIES_KEPT = 64
 
 
@@ -60,6 +65,8 @@
     The VM that the server belonged to before may have granted a bucket's
     content a moment ago. ``replies`` are the last grant to each VM, by sequence
     number, for requests that are repeated because a reply was lost.
+    ``granted_unconfirmed`` counts the permits since a limit that nobody has
+    heard lately was last confirmed.
     """
 
     started_ms: int
@@ -67,6 +74,7 @@
     said_at: float
     updated_at: float
     tokens: float = 0
+    granted_unconfirmed: int = 0
     replies: 'OrderedDict[str, tuple[int, Grant]]' = field(
         default_factory=OrderedDict
     )
@@ -82,14 +90,32 @@
         """Return the tokens per second."""
         return share * max(_LOWEST_LIMIT_PER_SECOND, self.limit)
 
-    def take(self, count: int, share: float) -> Grant:
-        """Take up to ``count`` tokens."""
+    def take(self, count: int, share: float, now: float) -> Grant:
+        """
+        Take up to ``count`` tokens.
+
+        While nobody used the server its limit may have fallen. So a few permits
+        have to do until a response has named it again.
+        """
         granted = min(count, int(self.tokens))
-        if granted:
+        is_old = now - self.said_at > _CONFIRMED_SECONDS
+        if is_old:
+            left = _MOST_UNCONFIRMED - self.granted_unconfirmed
+            granted = min(granted, left)
+        if granted > 0:
             self.tokens -= granted
+            self.granted_unconfirmed += granted * is_old
             return Grant(granted)
+        if is_old and self.tokens >= 1:
+            return Grant(0, _CONFIRMATION_WAIT_SECONDS)
         return Grant(0, (1 - self.tokens) / self.rate(share))
 
+    def confirm(self, limit: float, said_at: float) -> None:
+        """Apply a limit that was heard later than the present one."""
+        self.limit = limit
+        self.said_at = said_at
+        self.granted_unconfirmed = 0
+
     def keep_reply(self, vm: str, sequence: int, grant: Grant) -> None:
         """Keep a reply; the oldest is dropped when there are too many."""
         self.replies[vm] = sequence, grant
@@ -119,7 +145,7 @@
         if kept is not None and kept[0] == request.sequence:
             return kept[1]
         bucket.refill(share, now)
-        grant = bucket.take(request.count, share)
+        grant = bucket.take(request.count, share, now)
         bucket.keep_reply(request.vm, request.sequence, grant)
         return grant
 
@@ -135,6 +161,5 @@
                 self.buckets.popitem(last=False)
         self.buckets.move_to_end(request.server)
         if request.said_at > bucket.said_at:
-            bucket.limit = request.limit
-            bucket.said_at = request.said_at
+            bucket.confirm(request.limit, request.said_at)
         return bucket
