--- a/features/steps/registration_steps.py
+++ b/features/steps/registration_steps.py
@@ -58,8 +58,8 @@
         context.registration.reconcile(
             [StoredVm(listed, 5) for listed in records],
         )
-        if context.registration.write_task is not None:
-            await context.registration.write_task
+        if context.registration.write.task is not None:
+            await context.registration.write.task
 
     context.loop.run_until_complete(check())
 
--- a/zinniaturn/fleet/hold_keeper.py
+++ b/zinniaturn/fleet/hold_keeper.py
@@ -12,13 +12,13 @@
 
 __all__ = ('HoldKeeper',)
 
-import asyncio
 from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass, field
 
 from zinniaturn.fleet.crash_news import CrashNews
 from zinniaturn.fleet.exceptions import FleetStoreError
 from zinniaturn.fleet.store import FleetStore
+from zinniaturn.fleet.store_write import StoreWrite
 from zinniaturn.quarantine.hold_record import (
     HoldRecord,
     StoredHold,
@@ -45,8 +45,12 @@
     crash_news: CrashNews
     on_failure: Callable[[FleetStoreError], None]
     adopted: dict[str, HoldRecord] = field(default_factory=dict)
-    write_task: 'asyncio.Task[None] | None' = None
-    written_at: float = float('-inf')
+    write: StoreWrite = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Begin without a write."""
+        clock = self.crash_news.vms.clock
+        self.write = StoreWrite(clock, self.on_failure)
 
     def reconcile(self, stored: Sequence[StoredHold]) -> None:
         """Take over holds of the store, and start the write that it lacks."""
@@ -56,10 +60,10 @@
         for gone in self.adopted.keys() - names:
             self.adopted.pop(gone)
         now = self.crash_news.vms.clock.monotonic()
-        if now - self.written_at >= _WRITE_SETTLES_SECONDS:
+        if self.write.is_settled(now, _WRITE_SETTLES_SECONDS):
             write = self._next_write(stored)
             if write is not None:
-                self._start_write(write)
+                self.write.start(write)
 
     def _adopt(self, hold: HoldRecord) -> None:
         if self.adopted.get(hold.key) == hold:
@@ -93,22 +97,6 @@
         crashes = [one for one in table.records.values() if key in one.keys]
         return build_hold(key, crashes, self.crash_news.vms.clock)
 
-    def _start_write(self, call: Coroutine[None, None, None]) -> None:
-        if self.write_task is None:
-            self.write_task = asyncio.ensure_future(self._await_write(call))
-        else:
-            call.close()
-
-    async def _await_write(self, call: Coroutine[None, None, None]) -> None:
-        """Await a write; the next read shows whether it took effect."""
-        try:
-            await call
-        except FleetStoreError as error:
-            self.on_failure(error)
-        finally:
-            self.written_at = self.crash_news.vms.clock.monotonic()
-            self.write_task = None
-
 
 def _is_stored(own: HoldRecord, stored: StoredHold | None) -> bool:
     """Return whether the store knows all crashes that this VM knows."""
--- a/zinniaturn/fleet/registration.py
+++ b/zinniaturn/fleet/registration.py
@@ -9,8 +9,7 @@
 
 __all__ = ('VmRegistration', 'needs_record')
 
-import asyncio
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
 
 from zinniaturn.clock import Clock
@@ -19,6 +18,7 @@
 from zinniaturn.fleet.exceptions import FleetStoreError
 from zinniaturn.fleet.pause_guard import PauseGuard
 from zinniaturn.fleet.store import FleetStore
+from zinniaturn.fleet.store_write import StoreWrite
 from zinniaturn.fleet.vms import VmTable
 
 _RECORDS = 12
@@ -46,30 +46,30 @@
     on_failure: Callable[[FleetStoreError], None]
     clock: Clock
     pause_guard: PauseGuard
-    write_task: 'asyncio.Task[None] | None' = None
     started_at: float = field(init=False)
-    written_at: float = float('-inf')
+    write: StoreWrite = field(init=False)
     first_listed_at: dict[str, float] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         """Note the start."""
         self.started_at = self.clock.monotonic()
+        self.write = StoreWrite(self.clock, self.on_failure)
 
     def reconcile(self, listed: Sequence[StoredVm]) -> None:
         """Start the write that the listed records call for, if any."""
         now = self.clock.monotonic()
-        if now - self.written_at < _WRITE_SETTLES_SECONDS:
+        if not self.write.is_settled(now, _WRITE_SETTLES_SECONDS):
             return
         if self._may_register(now, listed) and needs_record(self.vms, listed):
             self.register()
             return
         for dead in self._dead_records(listed):
-            self._start_write(self.store.unregister(dead))
+            self.write.start(self.store.unregister(dead))
             return
 
     def forget_writes(self) -> None:
         """Note that the store may have lost what was written to it."""
-        self.written_at = float('-inf')
+        self.write.forget()
 
     def _may_register(self, now: float, listed: Sequence[StoredVm]) -> bool:
         """
@@ -87,27 +87,10 @@
     def register(self) -> None:
         """Start writing this VM's record."""
         size = self.vms.max_size()
-        self._start_write(
+        self.write.start(
             self.store.register(replace(self.vms.own, fleet_size=size))
         )
 
-    def _start_write(self, call: Coroutine[None, None, None]) -> None:
-        if self.write_task is None:
-            self.write_task = asyncio.ensure_future(self._await_write(call))
-        else:
-            call.close()
-
-    async def _await_write(self, call: Coroutine[None, None, None]) -> None:
-        """Await a write; the next snapshot shows whether it took effect."""
-        try:
-            await call
-        except FleetStoreError as error:
-            self.on_failure(error)
-        else:
-            self.written_at = self.clock.monotonic()
-        finally:
-            self.write_task = None
-
     def _dead_records(self, listed: Sequence[StoredVm]) -> list[StoredVm]:
         """
         Return the records of VMs that have been silent for a long time.
--- a/zinniaturn/gateway/relay_service.py
+++ b/zinniaturn/gateway/relay_service.py
@@ -80,8 +80,6 @@
                 exchange, refuse(refusal or RelayRefusal.OLDER_TABLES)
             )
         context = self._context(message, request, route)
-        self.state.note_request(context.pool.name, request.started_at)
-        self.state.counters.events['request_taken_for_other'] += 1
         return self._serve(exchange, message, context)
 
     def _is_vm(self, name: str, exchange: CallerExchange) -> bool:
@@ -94,7 +92,7 @@
     def _refusal(
         self, message: RelayRequest, route: FleetRoute | None
     ) -> RelayRefusal | None:
-        """Return why the request is not taken, or count it as taken."""
+        """Return why the request is not taken, whatever the load."""
         gossip = self.state.gossip
         now = self.state.vms.clock.monotonic()
         if self.state.is_stopping:
@@ -106,7 +104,7 @@
             return RelayRefusal.OLDER_TABLES
         if self.state.reach.own.is_silent(message.pool):
             return RelayRefusal.UNREACHED
-        return None if self.intake.admit() else RelayRefusal.BUSY
+        return None
 
     def _context(
         self, message: RelayRequest, request: Request, route: FleetRoute
@@ -138,6 +136,10 @@
         message: RelayRequest,
         context: RequestContext,
     ) -> Response:
+        if not self.intake.admit():
+            return _respond(exchange, refuse(RelayRefusal.BUSY))
+        self.state.note_request(context.pool.name, context.arrived_at)
+        self.state.counters.events['request_taken_for_other'] += 1
         try:
             result = await self.dispatcher.run(context)
         finally:
