Serve requests elsewhere where a server's first word is a pause

Callers saw: 500, 'internal: unknown', for requests that a server had rejected as not run with a Retry-After, if it had named neither a limit nor its leaving before. Cause: the log line of such a pause has no age, and the infinite one was rounded (OverflowError). The scenario failed before.

--- a/features/server_limits.feature
+++ b/features/server_limits.feature
@@ -64,6 +64,14 @@
     And each gateway gets 10 reads a second for 1.5 s
     Then "s-1" got no request and no probe since the noted time
 
+  Scenario: A request is served elsewhere where a server's first word is a pause
+    Given 1 gateways and the servers "s-1" and "s-2"
+    And server "s-1" rejects all requests with a pause of "0.2"
+    When reads arrive until every gateway knows that "s-1" wants a pause
+    And each gateway gets 20 reads a second for 1 s
+    Then no gateway has logged an unexpected exception
+    And the log tells the pause of "s-1" without an age
+
   Scenario: A pause counts also where a rejection lacks its mark
     Given 3 gateways and the servers "s-1" and "s-2"
     And server "s-1" answers all requests with an unmarked 503 and a pause of "30"
--- a/features/steps/server_limit_steps.py
+++ b/features/steps/server_limit_steps.py
@@ -16,6 +16,7 @@
 from features.support.time_limits import time_limit
 from zinniaturn.admission.admission import ServerNotice
 from zinniaturn.clock import ManualClock
+from zinniaturn.events.catalogue import LogEvent
 from zinniaturn.experiments.limit_days import (
     CONTACT_SECONDS,
     allowed_in_window,
@@ -331,3 +332,29 @@
 def check_not_sent(context):
     assert context.attempt_error.phase is Phase.NOT_SENT
     assert _server(context, 's-1').arrivals == context.arrivals_before
+
+
+def _log_rows(context, event):
+    return [
+        row
+        for gateway in context.platform.gateways
+        for row in gateway.event_log.rows
+        if row['event'] == event
+    ]
+
+
+@then('no gateway has logged an unexpected exception')
+def check_no_fault(context):
+    assert not _log_rows(context, LogEvent.GATEWAY_FAULT)
+
+
+@then('the log tells the pause of "{name}" without an age')
+def check_pause_logged(context, name):
+    rows = [
+        row
+        for row in _log_rows(context, LogEvent.SERVER_STATEMENT)
+        if row['server'] == name
+    ]
+    assert rows
+    assert all(row['pause_seconds'] > 0 for row in rows), rows
+    assert all(row['age_ms'] is None for row in rows), rows
--- a/zinniaturn/experiments/soak/checking.py
+++ b/zinniaturn/experiments/soak/checking.py
@@ -9,9 +9,11 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from zinniaturn.events.catalogue import LogEvent
 from zinniaturn.experiments.soak.callers import Call
 from zinniaturn.experiments.soak.deadly import DeadlyStream
 from zinniaturn.experiments.soak.fleet import LinkCut, SoakFleet
+from zinniaturn.experiments.soak.vms import VmProcess
 
 _PROPAGATION_SECONDS = 2.0
 _STALL_EFFECT_SECONDS = 3.0
@@ -61,11 +63,24 @@
     for cut in fleet.cuts:
         violations.extend(_check_served_while_cut(fleet, cut, calls, stalls))
     violations.extend(_check_any_served(calls))
+    for vm in fleet.vms:
+        violations.extend(_check_log(vm))
     for stream in fleet.deadly_streams:
         violations.extend(_check_deadly(fleet, stream))
     return violations
 
 
+def _check_log(vm: VmProcess) -> Iterator[Violation]:
+    """Report the first unexpected exception that a VM has logged."""
+    faults = (
+        row for row in vm.log_rows() if row['event'] == LogEvent.GATEWAY_FAULT
+    )
+    first = next(faults, None)
+    if first is not None:
+        detail = f'{vm.name}: {first["where"]}: {first["reason"]}'
+        yield Violation('no unexpected exception', '', detail)
+
+
 def _check_deadly(
     fleet: SoakFleet, stream: DeadlyStream
 ) -> Iterator[Violation]:
--- a/zinniaturn/gateway/state.py
+++ b/zinniaturn/gateway/state.py
@@ -177,6 +177,10 @@
         """Count and log what a server says of the requests that it wants."""
         now = self.admissions.clock.monotonic()
         notice = admission.notice
+        age_ms = None
+        # A server may have asked for a pause and said nothing else.
+        if notice.is_heard:
+            age_ms = round((now - notice.said_at) * _MILLISECONDS_PER_SECOND)
         self.counters.events['server_statement'] += 1
         self.event_log.write(
             LogEvent.SERVER_STATEMENT,
@@ -185,7 +189,7 @@
             leaving=notice.is_leaving,
             pause_seconds=round(max(0, admission.paused_until - now), 3),
             source=notice.source or self.settings.name,
-            age_ms=round((now - notice.said_at) * _MILLISECONDS_PER_SECOND),
+            age_ms=age_ms,
         )
 
     def log_ejection(
