--- a/zinniaturn/experiments/soak/faults.py
+++ b/zinniaturn/experiments/soak/faults.py
@@ -81,6 +81,9 @@
             task.cancel()
 
     async def _run_fault(self, fault: Fault) -> None:
+        while not self.fleet.servers:
+            # Deadly requests have ended all; others are about to start.
+            await asyncio.sleep(_RESTART_DELAY_SECONDS)
         handlers: dict[
             FaultKind,
             Callable[[Fault], Coroutine[Any, Any, None]],
--- a/zinniaturn/experiments/soak/fleet.py
+++ b/zinniaturn/experiments/soak/fleet.py
@@ -3,6 +3,7 @@
 __all__ = ('LinkCut', 'SoakFleet')
 
 import asyncio
+import itertools
 import random
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -92,6 +93,9 @@
     crashed_servers: list[SoakServer] = field(default_factory=list)
     deadly_streams: 'list[DeadlyStream]' = field(default_factory=list)
     crashes: CrashRule = field(init=False)
+    server_numbers: 'itertools.count[int]' = field(
+        default_factory=lambda: itertools.count(1)
+    )
 
     async def start(self, vm_count: int, server_count: int) -> None:
         """Start everything and give the VMs time to become ready."""
@@ -126,9 +130,8 @@
 
     async def add_server(self) -> None:
         """Add a server behind a proxy and register it."""
-        number = len(self.all_servers()) + 1
         server = ServerStandIn(
-            name=f's-{number}',
+            name=f's-{next(self.server_numbers)}',
             pool=POOL,
             work_seconds=0.03,
             echoes_request_id=True,
