Share the permits by an old limit among the parts of a fleet that was cut

Read: two halves of a fleet that hear each other no more both own a server's limit, and each granted four permits by a limit that nobody has heard lately, where the rule allows five beyond it.

--- a/zinniaturn/admission/grantor.py
+++ b/zinniaturn/admission/grantor.py
@@ -21,7 +21,7 @@
 _MOST_BUCKETS = 4096
 # A limit that nobody has heard for this time may have changed.
 _CONFIRMED_SECONDS = 1.0
-# As many requests as a server takes within 4 s beyond its limit.
+# One less than the requests that a server takes beyond its limit in any 4 s.
 _MOST_UNCONFIRMED = 4
 _CONFIRMATION_WAIT_SECONDS = 0.1
 _MOST_REPLIES_KEPT = 64
@@ -100,8 +100,8 @@
         granted = min(count, int(self.tokens))
         is_old = now - self.said_at > _CONFIRMED_SECONDS
         if is_old:
-            left = _MOST_UNCONFIRMED - self.granted_unconfirmed
-            granted = min(granted, left)
+            most = max(1, int(_MOST_UNCONFIRMED * share))
+            granted = min(granted, max(0, most - self.granted_unconfirmed))
         if granted > 0:
             self.tokens -= granted
             self.granted_unconfirmed += granted * is_old
