Use no server whose start or slots no message between VMs can hold

Read, then a test that failed first: an entry of the store with a start of 10**30 ms was taken, and each VM that then told others its state or a notice of the server would have raised an OverflowError. Such an entry names no server now.

--- a/features/message_versions.feature
+++ b/features/message_versions.feature
@@ -25,3 +25,12 @@
 
   Scenario: A datagram without news of crashes costs one byte more than before
     Then an empty datagram is one byte longer than that of the build f0f2c2e
+
+  Scenario Outline: A server whose <figure> no message between VMs can hold is not used
+    Then a server entry with a <figure> of <value> names no server
+
+    Examples:
+      | figure   | value                          |
+      | born     | 1000000000000000000000000000000 |
+      | born     | -1                             |
+      | capacity | 1000000000000000000000000000000 |
--- a/features/steps/message_versions_steps.py
+++ b/features/steps/message_versions_steps.py
@@ -22,6 +22,7 @@
 )
 from zinniaturn.fleet.domain import VmRecord, VmStage, VmStatus
 from zinniaturn.outcomes import Outcome
+from zinniaturn.platform.server_entries import decode_server
 from zinniaturn.relay.messages import (
     RelayRefusal,
     decode_reply,
@@ -155,3 +156,22 @@
     )
     recorded = bytes.fromhex(F0F2C2E['datagram-empty'])
     assert len(raw) == len(recorded) + 1, (len(raw), len(recorded))
+
+
+@then('a server entry with a {figure} of {value:d} names no server')
+def check_entry(context, figure, value):
+    entry = {
+        'service': 'pool',
+        'address': '127.0.0.1:80',
+        'zone': 'dc-a',
+        'capacity': 4,
+        'state': 'ready',
+        'born': 1,
+    }
+    decode_server('s-1', msgspec.json.encode(entry))
+    raw = msgspec.json.encode({**entry, figure: '?'})
+    try:
+        server = decode_server('s-1', raw.replace(b'"?"', b'%d' % value))
+    except ValueError:
+        return
+    raise AssertionError(server)
--- a/zinniaturn/platform/server_entries.py
+++ b/zinniaturn/platform/server_entries.py
@@ -3,6 +3,7 @@
 __all__ = ('decode_server',)
 
 from types import MappingProxyType
+from typing import Annotated
 
 import msgspec
 
@@ -13,6 +14,10 @@
 _LEAVING_BY_STATE = MappingProxyType({'ready': False, 'draining': True})
 _MILLISECONDS_PER_SECOND = 1000
 
+# VMs tell each other these figures, in messages that hold no larger ones.
+UnixMilliseconds = Annotated[int, msgspec.Meta(ge=0, le=10**15)]
+Slots = Annotated[int, msgspec.Meta(le=10**9)]
+
 
 class _Entry(msgspec.Struct):
     """A server's entry; the server's name is part of the entry's key."""
@@ -23,11 +28,11 @@
     # The data centre.
     zone: str
     # The number of slots: requests that the server runs at once.
-    capacity: int
+    capacity: Slots
     state: str
     warmup_left_ms: float = 0
     # The Unix time of the server's start, in milliseconds.
-    born: int = 0
+    born: UnixMilliseconds = 0
 
 
 _entry_decoder = msgspec.json.Decoder(_Entry)
