--- a/features/crash_model.feature
+++ b/features/crash_model.feature
@@ -29,3 +29,11 @@
   Scenario: Nothing is told of crashes while no server ends
     When 13 VMs serve requests for 5 s and no server ends
     Then no datagram told of a crash
+
+  Scenario: A VM that missed a lift lets the request run again, and one that starts later does
+    Given 13 VMs that hold a request
+    When a VM is cut off from the others while an operator lifts the verdict
+    And the VM is back for 5 s
+    Then no VM holds the request
+    When another VM starts again
+    Then no VM holds the request
--- a/features/request_key.feature
+++ b/features/request_key.feature
@@ -21,3 +21,15 @@
 
   Scenario: A key survives being logged
     Then the key of a request can be read from its text
+
+  Scenario Outline: A text that is no key is not taken for one
+    Then "<text>" is rejected as a key
+
+    Examples:
+      | text                 |
+      | nonsense             |
+      | -000000000000001     |
+      | 8000000000000000     |
+      | ffffffffffffffffffff |
+      | ff                   |
+      | 00000000000000FF     |
--- a/features/steps/crash_model_steps.py
+++ b/features/steps/crash_model_steps.py
@@ -1,6 +1,6 @@
 """Steps of the model of requests that end servers."""
 
-from behave import then, when
+from behave import given, then, when
 
 from zinniaturn.experiments.crash_days import (
     AIMED_CRASHES,
@@ -9,6 +9,8 @@
 )
 from zinniaturn.experiments.crash_model import CrashModel
 from zinniaturn.fleet.datagrams import decode_datagram
+from zinniaturn.quarantine.crash_record import CrashRecord, ServerProcess
+from zinniaturn.quarantine.table import Ruling
 
 _KEY = 7
 _RATE = 4.0
@@ -102,3 +104,57 @@
 def check_silence(context):
     assert context.told
     assert all(row is None for row in context.told)
+
+
+@given('{vms:d} VMs that hold a request')
+def hold_at_all(context, vms):
+    context.model = CrashModel(vms, 8, seed=5, loss=0.05)
+    fleet = context.model.fleet
+    first = fleet.vms[0]
+    fleet.run(1)
+    for number in range(3):
+        fleet.run(0.3)
+        first.gossip.crash_news.report_crash(
+            CrashRecord(
+                ServerProcess(f's-{number}', 1),
+                context.model.now,
+                {_KEY},
+                {'vm-1', 'vm-2'},
+            )
+        )
+    fleet.run(2)
+    assert all(map(_holds, fleet.vms))
+
+
+def _holds(vm):
+    return vm.gossip.quarantine.ruling(_KEY) is Ruling.REJECT
+
+
+@when('a VM is cut off from the others while an operator lifts the verdict')
+def lift_meanwhile(context):
+    fleet = context.model.fleet
+    context.missing = fleet.vms[-1]
+    context.missing.side = 1
+    fleet.run(0.2)
+    first = fleet.vms[0]
+    first.gossip.crash_news.report_lift(_KEY, context.model.now)
+    fleet.run(3)
+    assert _holds(context.missing)
+
+
+@when('the VM is back for {seconds:d} s')
+def bring_back(context, seconds):
+    context.missing.side = 0
+    context.model.fleet.run(seconds)
+
+
+@when('another VM starts again')
+def start_again(context):
+    context.model.restart_vm(context.model.fleet.vms[1], 0.5)
+    context.model.fleet.run(3)
+
+
+@then('no VM holds the request')
+def check_none_holds(context):
+    holding = [vm.name for vm in context.model.fleet.vms if _holds(vm)]
+    assert not holding, holding
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -184,19 +184,13 @@
     for server in range(servers):
         keys = set(range(number, number + requests))
         number += requests
-        context.quarantine.note_crash(
-            CrashRecord(
-                ServerProcess(f'other-{server}', 1),
-                context.clock.now,
-                set(),
-                set(_BOTH),
+        process = ServerProcess(f'other-{server}', 1)
+        now = context.clock.now
+        if server % 2:
+            context.quarantine.note_crash(
+                CrashRecord(process, now, set(), set(_BOTH))
             )
-        )
-        context.quarantine.note_crash(
-            CrashRecord(
-                ServerProcess(f'other-{server}', 1), context.clock.now, keys
-            )
-        )
+        context.quarantine.note_crash(CrashRecord(process, now, keys))
     context.latest = ServerProcess(f'other-{servers - 1}', 1)
 
 
@@ -209,6 +203,8 @@
     assert len(held) <= records
     assert max(len(record.keys) for record in held.values()) <= requests
     assert context.latest in held
+    named = {key for record in held.values() for key in record.keys}
+    assert context.quarantine.accused.keys() == named
 
 
 @then('the crashes of a held request are among them')
--- a/features/steps/request_key_steps.py
+++ b/features/steps/request_key_steps.py
@@ -80,3 +80,12 @@
 def check_text(context):
     key = request_key(_base())
     assert parse_key(format_key(key)) == key
+
+
+@then('"{text}" is rejected as a key')
+def check_no_key(context, text):
+    try:
+        key = parse_key(text)
+    except ValueError:
+        return
+    raise AssertionError(key)
--- a/zinniaturn/fleet/crash_news.py
+++ b/zinniaturn/fleet/crash_news.py
@@ -2,19 +2,22 @@
 Tells other VMs of crashes and takes in theirs.
 
 News are sent a few times with the messages that go out anyway, and pushed to a
-few VMs at once, which do the same. The crashes of held requests are repeated
-now and then, so that a VM that has missed them learns of them within seconds,
-and a VM that starts is sent them with the first replies.
+few VMs at once, which do the same. The crashes of held requests, and what
+operators have lifted, are repeated now and then, so that a VM that has missed
+them learns of them within seconds, and a VM that starts is sent them with the
+first replies.
 
 Cost: nothing while no server crashes. For a crash each VM sends the news some 2
-log2(VMs) times; while requests are held, one row in an eighth of the messages.
+log2(VMs) times; while requests are held or lifts remembered, one row in an
+eighth of the messages.
 """
 
 __all__ = ('CrashNews',)
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from typing import TypeVar
 
 from zinniaturn.fleet.alive_vms import PeerVm
 from zinniaturn.fleet.datagrams import (
@@ -34,11 +37,13 @@
 
 _MOST_CRASHES = 6
 _MOST_OTHER_ROWS = 4
-_MOST_CRASHES_TO_STARTING_VM = 16
+_MOST_ROWS_TO_STARTING_VM = 16
 _REPEATED_SHARE = 0.125
 _PUSHES_PER_SECOND = 20.0
 _MS_PER_SECOND = 1000
 
+Known = TypeVar('Known')
+
 
 def _ignore_record(record: CrashRecord) -> None:
     """Do nothing; the gateway sets what checks a crash."""
@@ -91,12 +96,13 @@
 
     def row(self, receiver: PeerVm | None) -> QuarantineRow | None:
         """Return what a datagram tells, ``None`` if there is nothing."""
-        if self.table.is_empty and not self.lifts.remaining:
+        if self.table.is_empty and not self.table.lifted:
             return None
+        repeated = self._repeated_rows(receiver)
         row = QuarantineRow(
-            tuple(self._crash_row(one) for one in self._records(receiver)),
+            tuple(map(self._crash_row, self._records(repeated))),
             self._completion_rows(),
-            self._lift_rows(),
+            self._lift_rows(repeated),
         )
         is_needed = row.crashes or row.completions or row.lifts
         return row if is_needed else None
@@ -132,22 +138,25 @@
         if self.pushes.take(1, self.vms.clock.monotonic()):
             self.push_soon()
 
-    def _records(self, receiver: PeerVm | None) -> list[CrashRecord]:
+    def _repeated_rows(self, receiver: PeerVm | None) -> int:
+        """Return how many known crashes and lifts to tell a VM once more."""
+        if receiver is not None and receiver.stage is VmStage.STARTING:
+            return _MOST_ROWS_TO_STARTING_VM
+        return int(self.random_source.random() < _REPEATED_SHARE)
+
+    def _records(self, repeated: int) -> list[CrashRecord]:
         """Return the crashes to tell a VM of."""
         records = [
             self.table.records[process]
             for process in self.crashes.take(_MOST_CRASHES)
             if process in self.table.records
         ]
-        if receiver is not None and receiver.stage is VmStage.STARTING:
-            records.extend(self._active(_MOST_CRASHES_TO_STARTING_VM))
-        elif self.random_source.random() < _REPEATED_SHARE:
-            records.extend(self._active(1))
+        if repeated:
+            records.extend(self._sample(self.table.active_records(), repeated))
         return records
 
-    def _active(self, most: int) -> list[CrashRecord]:
-        records = self.table.active_records()
-        return self.random_source.sample(records, min(most, len(records)))
+    def _sample(self, known: Sequence[Known], most: int) -> list[Known]:
+        return self.random_source.sample(known, min(most, len(known)))
 
     def _crash_row(self, record: CrashRecord) -> CrashRow:
         return CrashRow(
@@ -167,12 +176,14 @@
         )
         return tuple(CompletionRow(*row) for row in counts if row[-1])
 
-    def _lift_rows(self) -> tuple[LiftRow, ...]:
-        return tuple(
-            LiftRow(key, self._age_ms(self.table.lifted[key]))
-            for key in self.lifts.take(_MOST_OTHER_ROWS)
-            if key in self.table.lifted
-        )
+    def _lift_rows(self, repeated: int) -> tuple[LiftRow, ...]:
+        lifted = self.table.lifted
+        keys = [
+            key for key in self.lifts.take(_MOST_OTHER_ROWS) if key in lifted
+        ]
+        if repeated:
+            keys.extend(self._sample(tuple(lifted), repeated))
+        return tuple(LiftRow(key, self._age_ms(lifted[key])) for key in keys)
 
     def _age_ms(self, at: float) -> int:
         age = max(0, self.vms.clock.monotonic() - at)
--- a/zinniaturn/quarantine/crash_record.py
+++ b/zinniaturn/quarantine/crash_record.py
@@ -11,15 +11,13 @@
 # have as many; the rest of a longer list is dropped.
 _MOST_KEYS = 32
 _MOST_WITNESSES = 3
-# Two VMs see the same end of a process within this time.
+# One VM may have lost its own path to the server.
 _WITNESSES_NEEDED = 2
 # A crash that nobody contradicts for this time needs no second witness. VMs
 # that hear of one and know better say so within it.
 _UNCONFIRMED_SECONDS = 1.0
 # By then all VMs have told which requests ran on the server.
 SETTLING_SECONDS = 0.25
-# By then all VMs have told which requests ran on the server.
-SETTLING_SECONDS = 0.25
 
 
 class ServerProcess(NamedTuple):
--- a/zinniaturn/quarantine/request_key.py
+++ b/zinniaturn/quarantine/request_key.py
@@ -22,6 +22,7 @@
 _IDENTIFYING_FIELDS = (b'host', b'authorization', b'cookie')
 _KEY_BYTES = 8
 _HEX_DIGITS = 16
+_HIGHEST_KEY = 2**63 - 1
 
 
 def request_key(request: Request) -> RequestKey:
@@ -54,9 +55,12 @@
 
 def parse_key(text: str) -> RequestKey:
     """
-    Return the key of a logged text; raises `ValueError`.
+    Return the key of a logged text; raises `ValueError` for any other text.
 
     >>> parse_key('00000000000000ff')
     255
     """
-    return int(text, 16)
+    key = int(text, 16)
+    if not 0 <= key <= _HIGHEST_KEY or format_key(key) != text:
+        raise ValueError(f'"{text}" is not the key of a request')
+    return key
--- a/zinniaturn/quarantine/table.py
+++ b/zinniaturn/quarantine/table.py
@@ -4,7 +4,7 @@
 
 import enum
 import math
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
@@ -14,10 +14,11 @@
 from zinniaturn.quarantine.trials import is_turn_of
 from zinniaturn.quarantine.verdicts import Standing, judge
 
-_MOST_RECORDS = 512
+_MOST_RECORDS = 256
 _MOST_COMPLETIONS = 1024
 # More completions of one VM than this don't change a verdict.
 _MOST_COUNTED = 15
+_MOST_COUNTED_VMS = 32
 _RECORD_LIFETIME_SECONDS = 60.0
 # A held request that nobody has tried is forgotten this long after its hold.
 _UNTRIED_SECONDS = 600.0
@@ -67,7 +68,9 @@
     counts the runs that ended well, by request and VM, and ``lifted`` holds the
     times at which an operator lifted a verdict; crashes before these don't
     count. ``on_change`` is called with the former and the present standing of
-    each request that becomes suspected or held, or no longer is.
+    each request that becomes suspected or held, or no longer is. ``held_keys``
+    are the requests that were held at the last judgement, and ``accused``
+    counts the crashes in which each request is named.
 
     While no server crashes the table is empty and costs nothing.
     """
@@ -86,16 +89,14 @@
     on_change: OnChange = _ignore_change
     judge_again_at: float = math.inf
     is_changed: bool = False
+    held_keys: frozenset[RequestKey] = frozenset()
+    accused: Counter[RequestKey] = field(default_factory=Counter)
 
     @property
     def is_empty(self) -> bool:
         """Return whether no crash is known, so that every request may run."""
         return not self.records
 
-    def held_keys(self) -> set[RequestKey]:
-        """Return the requests that were held at the last judgement."""
-        return {one.key for one in self.standings.values() if one.is_held}
-
     def keys_to_tell(self, record: CrashRecord) -> set[RequestKey]:
         """
         Return the requests of a crash that other VMs should know.
@@ -103,12 +104,13 @@
         A held one explains the crash. Who knows only some of its crashes might
         else hold an innocent one that was beside several.
         """
-        return record.keys & self.held_keys() or record.keys
+        return record.keys & self.held_keys or record.keys
 
     def active_records(self) -> list[CrashRecord]:
         """Return the crashes of the requests that are held."""
-        held = self.held_keys()
-        return [one for one in self.records.values() if one.keys & held]
+        return [
+            one for one in self.records.values() if one.keys & self.held_keys
+        ]
 
     def ruling(self, key: RequestKey) -> Ruling:
         """Return what to do with a copy of a request."""
@@ -145,22 +147,28 @@
     def note_crash(self, record: CrashRecord) -> bool:
         """Take in a crash; return whether it tells more than was known."""
         known = self.records.get(record.process)
+        is_new = known is None
         if known is None:
-            self.records[record.process] = record
+            known = CrashRecord(record.process, record.ended_at)
+            self.records[record.process] = known
             self._drop_excess()
-        elif not known.merge(record):
+        keys_before = set(known.keys)
+        if not (known.merge(record) or is_new):
             return False
+        self.accused.update(known.keys - keys_before)
         self.is_changed = True
         return True
 
     def note_completion(self, completion: Completion) -> bool:
         """Take in runs that ended well; return whether there are more."""
-        if not self._is_accused(completion.key):
+        if completion.key not in self.accused:
             return False
         counts = self.completed.setdefault(completion.key, {})
         count = min(_MOST_COUNTED, completion.count)
         if counts.get(completion.vm, 0) >= count:
             return False
+        if completion.vm not in counts and len(counts) >= _MOST_COUNTED_VMS:
+            return False
         counts[completion.vm] = count
         if len(self.completed) > _MOST_COMPLETIONS:
             self.completed.popitem(last=False)
@@ -207,6 +215,9 @@
             counts,
             now,
         )
+        self.held_keys = frozenset(
+            one.key for one in self.standings.values() if one.is_held
+        )
         for key in before.keys() | self.standings.keys():
             former, present = before.get(key), self.standings.get(key)
             if _grade(former) != _grade(present):
@@ -246,9 +257,6 @@
             record.is_refuted,
         )
 
-    def _is_accused(self, key: RequestKey) -> bool:
-        return any(key in record.keys for record in self.records.values())
-
     def _forget_old(self, now: float) -> bool:
         """Drop what no longer counts; return whether crashes were among it."""
         before = len(self.records)
@@ -263,10 +271,7 @@
                 kept_until[key] for key in record.keys & kept_until.keys()
             )
             if max((until, *held_until)) < now:
-                self.records.pop(process)
-        accused = {key for one in self.records.values() for key in one.keys}
-        for unaccused in self.completed.keys() - accused:
-            self.completed.pop(unaccused)
+                self._forget(process)
         for key, lifted_at in list(self.lifted.items()):
             if lifted_at < now - _LIFT_LIFETIME_SECONDS:
                 self.lifted.pop(key)
@@ -276,12 +281,20 @@
         """Drop the oldest crash that no held request explains."""
         if len(self.records) <= _MOST_RECORDS:
             return
-        held = self.held_keys()
         for process, record in self.records.items():
-            if not record.keys & held:
-                self.records.pop(process)
+            if not record.keys & self.held_keys:
+                self._forget(process)
                 return
-        self.records.popitem(last=False)
+        self._forget(next(iter(self.records)))
+
+    def _forget(self, process: ServerProcess) -> None:
+        """Drop a crash, and the completions of requests named in no other."""
+        keys = self.records.pop(process).keys
+        self.accused.subtract(keys)
+        for key in keys:
+            if not self.accused[key]:
+                self.accused.pop(key)
+                self.completed.pop(key, None)
 
 
 def _grade(standing: Standing | None) -> Ruling:
--- a/zinniaturn/quarantine/verdicts.py
+++ b/zinniaturn/quarantine/verdicts.py
@@ -195,6 +195,8 @@
 
     def _is_guilty(self, case: _Case, at: float) -> bool:
         """Return whether the crashes speak against this request alone."""
+        if len(case.records) < CRASHES_TO_HOLD:
+            return False
         count = case.confirmed_count(self.now)
         if count < self._needed(case, at) or case.completions > count:
             return False
