Guard what a VM without a path says of crashes, and what the store may hold

Read in the change: a VM that had lost its path to a pool could still confirm another VM's word that a server had ended; a hold that a VM could not judge yet was removed from the store, and one whose key differed from its value without end; a full store took no update of a hold; an attempt's end was counted though its begin was not. The command uses the error that status has.

--- a/features/deadly_requests.feature
+++ b/features/deadly_requests.feature
@@ -97,6 +97,8 @@
       | problem             | key              | vm               | status | text                                   |
       | nothing is known    | 00000000000000ff | the first VM     | 1      | no crash of this request is known      |
       | the key is no key   | nonsense         | the first VM     | 5      | entry-unavailable                      |
+      | the key is too long | ffffffffffffffffffff | the first VM | 5      | entry-unavailable                      |
+      | the key is negative | -00000000000001  | the first VM     | 2      | No such option                         |
       | no VM listens       | 00000000000000ff | 127.0.0.1:1      | 5      | entry-unavailable                      |
 
   Scenario: The id of a rejected copy leads to the crashes that it was rejected for
--- a/features/steps/deadly_requests_steps.py
+++ b/features/steps/deadly_requests_steps.py
@@ -301,6 +301,9 @@
         {'key': 'f' * 40, 'crashes': [crash]},
         {'key': '0' * 16, 'crashes': [{**crash, 'ended_ms': 10**300}]},
         {'key': '1' * 16, 'crashes': [{**crash, 'started_ms': None}]},
+        {'key': '2' * 16, 'crashes': [{**crash, 'ended_ms': 10**400}]},
+        {'key': '3' * 16, 'crashes': [{**crash, 'started_ms': 10**40}]},
+        {'key': '4' * 16, 'crashes': [crash]},
     )
     for number, content in enumerate(contents):
         context.platform.store.write(f'{_HOLD_PREFIX}{number}', content)
--- a/zinniaturn/commands/quarantine.py
+++ b/zinniaturn/commands/quarantine.py
@@ -13,8 +13,8 @@
 from zinniaturn.commands.exit_status import ExitStatus
 from zinniaturn.commands.options import json_option
 from zinniaturn.commands.output import format_columns, print_json
-from zinniaturn.errors import CodedError
 from zinniaturn.gateway.quarantine_endpoint import HeldRequest, LiftResult
+from zinniaturn.status.exceptions import StatusError
 
 _TIMEOUT_SECONDS = 5.0
 _COLUMNS = ('KEY', 'STATE', 'HELD (s)', 'CRASHES', 'ENDED WELL', 'SERVERS')
@@ -31,12 +31,6 @@
 )
 
 
-class GatewayUnavailableError(CodedError):
-    """A gateway process gave no usable response."""
-
-    code = 'entry-unavailable'
-
-
 @click.group()
 def quarantine() -> None:
     """List and lift requests that are kept from servers that they would end."""
@@ -103,16 +97,14 @@
             session.request(method, url) as response,
         ):
             if response.status != _OK_STATUS:
-                raise GatewayUnavailableError(f'{url}: {response.status}')
+                raise StatusError(f'{url}: {response.status}')
             return await response.read()
     except (TimeoutError, aiohttp.ClientError, ValueError) as error:
-        raise GatewayUnavailableError(f'{url}: {error!r}') from error
+        raise StatusError(f'{url}: {error!r}') from error
 
 
 def _decode(raw: bytes, kind: type[Content]) -> Content:
     try:
         return msgspec.json.decode(raw, type=kind)
     except msgspec.DecodeError as error:
-        raise GatewayUnavailableError(
-            f'unreadable response: {error}'
-        ) from error
+        raise StatusError(f'unreadable response: {error}') from error
--- a/zinniaturn/fleet/hold_keeper.py
+++ b/zinniaturn/fleet/hold_keeper.py
@@ -30,6 +30,8 @@
 _MOST_HOLDS = 64
 # A write shows in the next read after this time.
 _WRITE_SETTLES_SECONDS = 3.0
+# All VMs judge a crash alike after this time.
+_JUDGED_SECONDS = 3.0
 
 
 @dataclass(slots=True)
@@ -85,13 +87,24 @@
             for record in own
             if not _is_stored(record, by_name.get(record.key))
         ]
-        if lacking and len(by_name) < _MOST_HOLDS:
-            return self.store.write_hold(lacking[0])
-        ended = sorted(by_name.keys() - held.keys())
-        if ended:
-            return self.store.remove_hold(by_name[ended[0]])
+        has_room = len(by_name) < _MOST_HOLDS
+        for record in lacking:
+            if has_room or record.key in by_name:
+                return self.store.write_hold(record)
+        for hold in stored:
+            if hold.record.key not in held and not self._is_fresh(hold):
+                return self.store.remove_hold(hold)
         return None
 
+    def _is_fresh(self, hold: StoredHold) -> bool:
+        """Return whether this VM may not know yet what speaks for a hold."""
+        clock = self.crash_news.vms.clock
+        oldest = clock.monotonic() - _JUDGED_SECONDS
+        return any(
+            crash.ended_at > oldest
+            for crash in held_crashes(hold.record, clock)
+        )
+
     def _record(self, key: RequestKey) -> HoldRecord:
         table = self.crash_news.table
         crashes = [one for one in table.records.values() if key in one.keys]
--- a/zinniaturn/gateway/attempt_runner.py
+++ b/zinniaturn/gateway/attempt_runner.py
@@ -183,19 +183,19 @@
     ) -> Response:
         loop = asyncio.get_running_loop()
         sent_at = loop.time()
-        self.gate.begin_attempt(context, placement.candidate.name)
         try:
-            response = await send_attempt(
-                self.state,
-                context,
-                placement,
-                lambda connection: self.scheduler.offer_freed_slot(
-                    context.pool.name,
+            with self.gate.attempt(context, placement.candidate.name):
+                response = await send_attempt(
+                    self.state,
+                    context,
                     placement,
-                    connection,
-                    loop.time(),
-                ),
-            )
+                    lambda connection: self.scheduler.offer_freed_slot(
+                        context.pool.name,
+                        placement,
+                        connection,
+                        loop.time(),
+                    ),
+                )
         except AttemptError as error:
             if error.response is not None:
                 context.responding_server = placement.candidate.name
@@ -205,8 +205,6 @@
                     context, placement, sent_at, error.message
                 )
             raise
-        finally:
-            self.gate.end_attempt(placement.candidate.name)
         self.gate.note_completed(context)
         context.responding_server = placement.candidate.name
         self.scheduler.service_times.update(
--- a/zinniaturn/gateway/crash_watch.py
+++ b/zinniaturn/gateway/crash_watch.py
@@ -64,8 +64,7 @@
             ran_ms=round((broken_at - sent_at) * _MS_PER_SECOND, 1),
             reason=reason,
         )
-        is_path_lost = candidate.registered.pool in state.reach.cut_off
-        if checked is ServerState.ENDED and not is_path_lost:
+        if checked is ServerState.ENDED:
             self._report(candidate, ended_at, {context.key})
 
     def check_told(self, record: CrashRecord) -> None:
@@ -101,6 +100,9 @@
     def _report(
         self, candidate: Candidate, ended_at: float, keys: set[int]
     ) -> None:
+        """Report a crash, unless this VM has lost its path to the pool."""
+        if candidate.registered.pool in self.state.reach.cut_off:
+            return
         process = ServerProcess(candidate.name, candidate.registered.started_ms)
         self.state.gossip.crash_news.report_crash(
             CrashRecord(process, ended_at, keys, {self.state.settings.name})
--- a/zinniaturn/gateway/quarantine_gate.py
+++ b/zinniaturn/gateway/quarantine_gate.py
@@ -11,6 +11,8 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from types import TracebackType
 
@@ -57,15 +59,17 @@
         if not self.state.quarantine.is_empty:
             self.state.gossip.crash_news.report_completion(context.key)
 
-    def begin_attempt(self, context: RequestContext, server: str) -> None:
-        """Note that a request is sent to a server."""
-        if self._is_accused(context):
-            self.suspects_at[server] += 1
-
-    def end_attempt(self, server: str) -> None:
-        """Note that a request's attempt has ended."""
-        if self.suspects_at.get(server):
-            self.suspects_at[server] -= 1
+    @contextmanager
+    def attempt(self, context: RequestContext, server: str) -> Iterator[None]:
+        """Count a request while it is at a server, if a crash counts for it."""
+        is_counted = self._is_accused(context)
+        self.suspects_at[server] += is_counted
+        try:
+            yield
+        finally:
+            self.suspects_at[server] -= is_counted
+            if not self.suspects_at[server]:
+                self.suspects_at.pop(server)
 
     def avoid_suspects(self, context: RequestContext) -> None:
         """
@@ -76,7 +80,7 @@
         """
         if not self._is_accused(context):
             return
-        context.tried_servers.update(+self.suspects_at)
+        context.tried_servers.update(self.suspects_at)
         if self.ruling(context) is Ruling.RUN_ALONE:
             untried = self._running_servers(context) - context.tried_servers
             preferred = preferred_servers(context.key, untried)
--- a/zinniaturn/platform/store.py
+++ b/zinniaturn/platform/store.py
@@ -252,6 +252,13 @@
             record = _record_decoder.decode(raw)
             self.vms.append(StoredVm(record, item.revision))
         elif item.key.startswith(_HOLD_PREFIX):
-            hold = _hold_decoder.decode(raw)
-            hold.check()
-            self.holds.append(StoredHold(hold, item.revision))
+            self.holds.append(_decode_hold(item, raw))
+
+
+def _decode_hold(item: _Item, raw: bytes) -> StoredHold:
+    """Return the held request of an item; raises `ValueError`."""
+    hold = _hold_decoder.decode(raw)
+    hold.check()
+    if item.key != _HOLD_PREFIX + hold.key:
+        raise ValueError(f'the value is of the key "{hold.key}"')
+    return StoredHold(hold, item.revision)
--- a/zinniaturn/quarantine/hold_record.py
+++ b/zinniaturn/quarantine/hold_record.py
@@ -26,6 +26,8 @@
 
 _MOST_CRASHES = 8
 _MS_PER_SECOND = 1000
+# A Unix time in milliseconds that no clock shows for thousands of years.
+_LATEST_MS = 10**15
 # An older crash holds nothing any more, whatever the clocks say.
 _OLDEST_SECONDS = 5000.0
 
@@ -54,8 +56,12 @@
 
     def check(self) -> None:
         """Raise `ValueError` if the record tells nothing that can be used."""
-        if not 0 <= self.request_key < 2**63:
-            raise ValueError(f'"{self.key}" is no key of a request')
+        parse_key(self.key)
+        for crash in self.crashes:
+            if not 0 <= crash.ended_ms <= _LATEST_MS:
+                raise ValueError(f'no time: {crash.ended_ms} ms')
+            if not 0 <= crash.started_ms <= _LATEST_MS:
+                raise ValueError(f'no time: {crash.started_ms} ms')
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,7 +95,7 @@
 
 
 def held_crashes(hold: HoldRecord, clock: Clock) -> list[CrashRecord]:
-    """Return the crashes of a stored hold; raises `ValueError`."""
+    """Return the crashes of a stored hold that was checked."""
     key = hold.request_key
     now = clock.monotonic()
     offset = clock.wall() - now
