--- a/zinniaturn/experiments/crash_days.py
+++ b/zinniaturn/experiments/crash_days.py
@@ -26,14 +26,17 @@
 
 from zinniaturn.experiments.crash_disturbances import (
     DISTURBANCES,
-    DisturbedTimes,
     end_one,
 )
 from zinniaturn.experiments.crash_model import CrashModel
 from zinniaturn.experiments.registry import ExperimentOptions
+from zinniaturn.experiments.vm_disturbances import (
+    CONTACT_SECONDS,
+    DisturbedTimes,
+    is_near,
+)
 from zinniaturn.quarantine.request_key import RequestKey
 
-CONTACT_SECONDS = 3.0
 ALLOWED_LATE_SENDS = 3
 _CRASHES_BEFORE_RULE = 3
 # Aimed at for a request of which each run ends its server.
@@ -222,7 +225,7 @@
         for send in model.sends
         if send.key == key
         and send.at > since
-        and not _is_near(send.at, disturbed.get(send.vm, []))
+        and not is_near(send.at, disturbed.get(send.vm, []))
     ]
     if len(late) <= ALLOWED_LATE_SENDS:
         return None
@@ -231,7 +234,3 @@
         key,
         f'{len(late)} sends, {len(crashes)} servers ended',
     )
-
-
-def _is_near(moment: float, times: list[float]) -> bool:
-    return any(at - 1 < moment < at + CONTACT_SECONDS for at in times)
--- a/zinniaturn/experiments/crash_disturbances.py
+++ b/zinniaturn/experiments/crash_disturbances.py
@@ -1,28 +1,29 @@
 """Disturbances of the random days of requests that end servers."""
 
-__all__ = ('DISTURBANCES', 'Disturbance', 'DisturbedTimes', 'end_one')
+__all__ = ('DISTURBANCES', 'Disturbance', 'end_one')
 
 import random
 from collections.abc import Callable
 from functools import partial
 
-from zinniaturn.experiments.crash_model import CrashModel, ModelServer
+from zinniaturn.experiments.crash_model import CrashModel
+from zinniaturn.experiments.crash_parts import ModelServer
+from zinniaturn.experiments.vm_disturbances import (
+    DisturbedTimes,
+    note_disturbed,
+    pause,
+    separate,
+)
 
 _FLAP_PERIOD_SECONDS = 0.7
 _FLAP_DOWN_SECONDS = 0.35
 _ERROR_PERIOD_SECONDS = 0.5
+# A little more than half of the fleet.
+_HALF = 0.55
 
-# The times at which each VM was disturbed, by its name.
-DisturbedTimes = dict[str, list[float]]
 Disturbance = Callable[[CrashModel, random.Random, DisturbedTimes], None]
 
 
-def _note(
-    disturbed: DisturbedTimes, vm: str, now: float, seconds: float
-) -> None:
-    disturbed.setdefault(vm, []).extend((now, now + seconds))
-
-
 def end_one(
     model: CrashModel, source: random.Random, among: list[ModelServer]
 ) -> None:
@@ -63,55 +64,18 @@
         model.break_connections(server)
 
 
-def _pause(
-    model: CrashModel,
-    source: random.Random,
-    disturbed: DisturbedTimes,
-) -> None:
-    vm = source.choice(model.fleet.vms)
-    seconds = source.uniform(0.2, 4)
-    model.fleet.pause(vm, seconds)
-    _note(disturbed, vm.name, model.now, seconds)
-
-
 def _restart(
     model: CrashModel,
     source: random.Random,
     disturbed: DisturbedTimes,
+    share: float = 0.2,
 ) -> None:
+    """Kill a share of the VMs, which start again without what they knew."""
     running = model.fleet.running()
-    for vm in source.sample(running, max(1, round(len(running) * 0.2))):
+    for vm in source.sample(running, max(1, round(len(running) * share))):
         seconds = source.uniform(0.3, 3)
         model.restart_vm(vm, seconds)
-        _note(disturbed, vm.name, model.now, seconds)
-
-
-def _kill_half(
-    model: CrashModel,
-    source: random.Random,
-    disturbed: DisturbedTimes,
-) -> None:
-    running = model.fleet.running()
-    for vm in source.sample(running, round(len(running) * 0.55)):
-        seconds = source.uniform(0.5, 2)
-        model.restart_vm(vm, seconds)
-        _note(disturbed, vm.name, model.now, seconds)
-
-
-def _separate(
-    model: CrashModel,
-    source: random.Random,
-    disturbed: DisturbedTimes,
-) -> None:
-    vm = source.choice(model.fleet.vms)
-    seconds = source.uniform(0.5, 4)
-    vm.side = 1
-
-    def join() -> None:
-        vm.side = 0
-
-    model.fleet.schedule(seconds, join)
-    _note(disturbed, vm.name, model.now, seconds)
+        note_disturbed(disturbed, vm.name, model.now, seconds)
 
 
 def _err(
@@ -133,9 +97,9 @@
     _crash_together,
     _flap,
     _break_connections,
-    _pause,
+    lambda model, source, disturbed: pause(model.fleet, source, disturbed),
     _restart,
-    _kill_half,
-    _separate,
+    partial(_restart, share=_HALF),
+    lambda model, source, disturbed: separate(model.fleet, source, disturbed),
     _err,
 )
--- a/zinniaturn/experiments/crash_model.py
+++ b/zinniaturn/experiments/crash_model.py
@@ -6,14 +6,18 @@
 request's way to a server: it is retried once, as the gateway does.
 """
 
-__all__ = ('CrashModel', 'ModelRequest', 'ModelServer')
+__all__ = ('CrashModel',)
 
 import itertools
 import random
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
+from zinniaturn.experiments.crash_parts import (
+    GuiltySend,
+    ModelRequest,
+    ModelServer,
+)
 from zinniaturn.experiments.gossip_model import GossipModel, ModelVm
 from zinniaturn.quarantine.crash_record import CrashRecord, ServerProcess
 from zinniaturn.quarantine.request_key import RequestKey
@@ -32,40 +36,6 @@
 _MOST_RETURNS = 1
 
 
-@dataclass(slots=True)
-class ModelServer:
-    """A server; ``starts`` counts its processes, ``running`` its requests."""
-
-    name: str
-    is_up: bool = True
-    starts: int = 1
-    running: 'dict[ModelRequest, ModelVm]' = field(default_factory=dict)
-    responded_at: dict[str, float] = field(default_factory=dict)
-
-    @property
-    def process(self) -> ServerProcess:
-        """Return the present process."""
-        return ServerProcess(self.name, self.starts)
-
-
-@dataclass(eq=False, slots=True)
-class ModelRequest:
-    """One copy of a request at one VM, with the servers it was sent to."""
-
-    key: RequestKey
-    tried: list[str] = field(default_factory=list)
-    returns: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class GuiltySend:
-    """A guilty request that was sent to a server."""
-
-    key: RequestKey
-    vm: str
-    at: float
-
-
 class CrashModel:
     """
     A fleet before a pool of servers.
--- a/zinniaturn/experiments/reach_days.py
+++ b/zinniaturn/experiments/reach_days.py
@@ -17,7 +17,7 @@
 
 import json
 import random
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import asdict, dataclass
 from functools import partial
 
@@ -25,9 +25,14 @@
 
 from zinniaturn.experiments.reach_model import Means, ModelTry, ReachModel
 from zinniaturn.experiments.registry import ExperimentOptions
-
-# A cut counts from this time after its begin.
-CONTACT_SECONDS = 3.0
+from zinniaturn.experiments.vm_disturbances import (
+    CONTACT_SECONDS,
+    DisturbedTimes,
+    is_near,
+    note_disturbed,
+    pause,
+    separate,
+)
 
 _LOSS = 0.05
 _DAY_SECONDS = 40.0
@@ -44,8 +49,6 @@
 _SAMPLED_SECONDS = (0, 1, 3, 6)
 
 
-# The times at which each VM was disturbed otherwise, by its name.
-DisturbedTimes = dict[str, list[float]]
 Disturbance = Callable[[ReachModel, random.Random, DisturbedTimes], None]
 
 
@@ -222,7 +225,7 @@
         at
         for at, vm in model.passed_on_at
         for start, end in spans
-        if start < at < end and not _is_near(at, disturbed.get(vm, ()))
+        if start < at < end and not is_near(at, disturbed.get(vm, ()))
     ]
     if not late:
         return None
@@ -230,11 +233,7 @@
 
 
 def _was_disturbed(one: ModelTry, disturbed: DisturbedTimes) -> bool:
-    return _is_near(one.sent_at, disturbed.get(one.vm, ()))
-
-
-def _is_near(moment: float, times: Iterable[float]) -> bool:
-    return any(at - 1 < moment < at + CONTACT_SECONDS for at in times)
+    return is_near(one.sent_at, disturbed.get(one.vm, ()))
 
 
 def _served_share(tries: Sequence[ModelTry]) -> float:
@@ -243,23 +242,6 @@
     return round(sum(one.is_served for one in tries) / len(tries), 3)
 
 
-def _note_disturbed(
-    disturbed: DisturbedTimes, vm: str, now: float, seconds: float
-) -> None:
-    disturbed.setdefault(vm, []).extend((now, now + seconds))
-
-
-def _pause(
-    model: ReachModel,
-    source: random.Random,
-    disturbed: DisturbedTimes,
-) -> None:
-    vm = source.choice(model.fleet.vms)
-    seconds = source.uniform(0.2, 4)
-    model.fleet.pause(vm, seconds)
-    _note_disturbed(disturbed, vm.name, model.now, seconds)
-
-
 def _restart(
     model: ReachModel,
     source: random.Random,
@@ -270,24 +252,11 @@
     seconds = source.uniform(0.3, 3)
     version = vm.gossip.vms.own_status.version + 1
     model.fleet.schedule(seconds, partial(model.fleet.restart, vm, version))
-    _note_disturbed(disturbed, vm.name, model.now, seconds)
+    note_disturbed(disturbed, vm.name, model.now, seconds)
 
 
-def _separate(
-    model: ReachModel,
-    source: random.Random,
-    disturbed: DisturbedTimes,
-) -> None:
-    """Cut a VM off from the other VMs."""
-    vm = source.choice(model.fleet.vms)
-    seconds = source.uniform(0.5, 4)
-    vm.side = 1
-
-    def join() -> None:
-        vm.side = 0
-
-    model.fleet.schedule(seconds, join)
-    _note_disturbed(disturbed, vm.name, model.now, seconds)
-
-
-_DISTURBANCES: tuple[Disturbance, ...] = (_pause, _restart, _separate)
+_DISTURBANCES: tuple[Disturbance, ...] = (
+    lambda model, source, disturbed: pause(model.fleet, source, disturbed),
+    _restart,
+    lambda model, source, disturbed: separate(model.fleet, source, disturbed),
+)
