--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,7 +1,7 @@
-"""A process gets SIGTERM; requests that it takes later are cut off."""
+"""A request that was turned away gets a second, late copy of that answer."""
 
 import asyncio
-import signal
+import random
 import sys
 import time
 from collections import Counter
@@ -13,6 +13,7 @@
     GatewayProcess,
     Message,
     Record,
+    ServerConnection,
     Store,
     Upstream,
     config,
@@ -23,124 +24,194 @@
     status_of,
 )
 
-# The figures of `sub-start` in grown/nuudel-gw-grown.toml: its work is 230 ms
-# on average and 1,700 ms at most, its route's timeout 2,500 ms, its time limit
-# 5,932 ms.
-GRACE_SECONDS = 6
-WORK_SECONDS = 0.23
-LONGEST_WORK_SECONDS = 1.7
-TIMEOUT_MS = 2500
-WAIT_MS = 5932
-UPSTREAMS = 12
-CALM_SECONDS = 4.0
-# When requests are sent, counted from the SIGTERM; each third is a long one.
-SEND_SECONDS = tuple(3.1 + 0.04 * number for number in range(30))
-LONG_EVERY = 3
+GATEWAYS = 3
+CALLERS = 12
+SLOTS = 2
+PLAY_SECONDS = 65.0
+# The fault comes for five seconds at a time, with pauses of five seconds.
+WINDOW_SECONDS = 5.0
+# Copies as a share of the faulty upstream's answers within a window.
+COPY_SHARE = 0.03
+# The copy comes when a response has been awaited on its channel for so long.
+LATE_SECONDS = 0.01
+WORK_SECONDS = (0.05, 0.12)
+WAIT_MS = 3000
+NOT_RUN_STATUSES = {408, 421, 429, 503}
 
 
-def work_seconds(message: Message) -> float:
-    """Return how long a request takes."""
-    is_long = b'/long' in message.start
-    return LONGEST_WORK_SECONDS if is_long else WORK_SECONDS
+class LedgerUpstream(Upstream):
+    """
+    An upstream with two slots and no queue.
+
+    With ``pause`` it asks a gateway that it turns away to wait. One that
+    ``is_faulty`` sends some of its answers twice, the second time late, where
+    the next response on the channel is awaited. Of the answers it picks those
+    after which the same attempt comes again on the same channel.
+    """
+
+    is_faulty = False
+    pause = ''
+    window_from = float('inf')
+    window = -1
+    answers = 0
+    copies = 0
+
+    def __init__(self, name: str, record: Record) -> None:
+        super().__init__(
+            random_host(),
+            name,
+            'ledger',
+            record,
+            lambda message: random.uniform(*WORK_SECONDS),
+        )
+        self.slots = SLOTS
+        self.queue = 0
+        self.pending: dict[ServerConnection, tuple[str, bytes]] = {}
+
+    async def serve(self, connection: ServerConnection, message: Message):
+        handle = None
+        attempt = (message.field(b'x-attempt-id') or b'').decode()
+        if attempt and self.pending.get(connection, ('', b''))[0] != attempt:
+            self.pending.pop(connection, None)
+        if connection in self.pending:
+            handle = asyncio.get_running_loop().call_later(
+                LATE_SECONDS, self._send_copy, connection
+            )
+        try:
+            await super().serve(connection, message)
+        finally:
+            if handle is not None:
+                handle.cancel()
+
+    def answer(
+        self, connection: ServerConnection, message: Message, attempt: str
+    ) -> bytes:
+        self._count_answer()
+        return super().answer(connection, message, attempt)
+
+    def shed(self, connection: ServerConnection, attempt: str) -> bytes:
+        is_copied = self._count_answer()
+        self.record.note(f'{self.name} shed {attempt}')
+        fields = [
+            ('X-Attempt-Id', attempt),
+            ('X-Not-Executed', '1'),
+            self.load_field(),
+        ]
+        if self.pause:
+            fields.append(('Retry-After', self.pause))
+        raw = connection.respond(503, fields)
+        if is_copied and connection not in self.pending:
+            self.pending[connection] = attempt, raw
+        return raw
+
+    def _count_answer(self) -> bool:
+        """Count an answer; return whether the fault may copy it."""
+        since = time.monotonic() - self.window_from
+        if not self.is_faulty or since < 0:
+            return False
+        window = int(since // WINDOW_SECONDS)
+        if window != self.window:
+            self.window, self.answers, self.copies = window, 0, 0
+            self.pending.clear()
+        self.answers += 1
+        is_on = window % 2 == 0
+        return is_on and self.copies < int(self.answers * COPY_SHARE)
+
+    def _send_copy(self, connection: ServerConnection) -> None:
+        attempt, raw = self.pending.pop(connection, ('', b''))
+        if not raw or connection.transport.is_closing():
+            return
+        if self.copies >= int(self.answers * COPY_SHARE):
+            return
+        self.copies += 1
+        self.record.note(f'{self.name} second copy of its answer to {attempt}')
+        connection.transport.write(raw)
 
 
 async def play(record: Record, folder: str) -> list[str]:
-    """Stop a gateway; return the requests that it cut off."""
+    """Post for a minute; return how the rules were broken."""
     store = Store(random_host())
     await store.start()
-    upstreams = [
-        Upstream(random_host(), f'i-{number}', 'billing', record, work_seconds)
-        for number in range(UPSTREAMS)
-    ]
+    upstreams = [LedgerUpstream(f'i-{number}', record) for number in range(2)]
+    upstreams[0].is_faulty = is_trouble()
+    upstreams[1].pause = '5'
     for upstream in upstreams:
         await upstream.start()
         store.write_json(f'servers/{upstream.name}', upstream.entry())
-    routes = [
-        route(
-            'post',
-            'billing',
-            'non_idempotent',
-            timeout_ms=TIMEOUT_MS,
-            target_latency_ms=712,
-        ),
-    ]
-    store.write_json('op/config', config(1, routes, ['billing']))
+    routes = [route('post', 'ledger', 'non_idempotent')]
+    store.write_json('op/config', config(1, routes, ['ledger']))
     gateways = [
-        GatewayProcess(
-            f'g-{number}', store, folder, record, grace_s=GRACE_SECONDS
-        )
-        for number in range(2)
+        GatewayProcess(f'g-{number}', store, folder, record)
+        for number in range(GATEWAYS)
     ]
-    answers: dict[str, tuple[int, float]] = {}
+    statuses: dict[str, int] = {}
     try:
         for gateway in gateways:
             await gateway.start()
-        await asyncio.sleep(CALM_SECONDS)
-        began_at = time.monotonic()
-        if is_trouble():
-            gateways[0].signal(signal.SIGTERM)
-        kill = asyncio.create_task(kill_after_grace(gateways[0], began_at))
+        await asyncio.sleep(3)
+        upstreams[0].window_from = time.monotonic()
+        until = time.monotonic() + PLAY_SECONDS
         await asyncio.gather(
             *(
-                post_at(
-                    began_at + seconds,
-                    f'a{number}',
-                    gateways[0],
-                    answers,
-                    record,
-                )
-                for number, seconds in enumerate(SEND_SECONDS)
+                post_until(until, number, gateways, statuses, record)
+                for number in range(CALLERS)
             )
         )
-        kill.cancel()
+        await asyncio.sleep(1)
     finally:
         for gateway in gateways:
             await gateway.end()
         for upstream in upstreams:
             upstream.stop()
         store.stop()
-    statuses = Counter(status for status, _ in answers.values())
-    record.note(f'answers by status, 0 for none: {statuses}')
-    runs = Counter()
-    for upstream in upstreams:
-        runs.update(upstream.runs)
-    return [
-        f'LOST: {attempt} was passed on and its channel ended without an answer'
-        for attempt, (status, seconds) in answers.items()
-        if runs[attempt] and status == 0 and seconds < TIMEOUT_MS / 1000
-    ]
-
-
-async def kill_after_grace(gateway: GatewayProcess, began_at: float) -> None:
-    """Do what the platform does when the grace is over."""
-    if is_trouble():
-        await asyncio.sleep(began_at + GRACE_SECONDS - time.monotonic())
-        if gateway.process.returncode is None:
-            gateway.signal(signal.SIGKILL)
+    record.note(f'answers by status: {dict(Counter(statuses.values()))}')
+    copies = sum('second copy' in line for line in record.lines)
+    sheds = sum(' shed ' in line for line in record.lines)
+    record.note(f'turned away {sheds}, second copies {copies}')
+    return judge(upstreams, statuses)
 
 
-async def post_at(
-    at: float,
-    attempt: str,
-    gateway: GatewayProcess,
-    answers: dict[str, tuple[int, float]],
+async def post_until(
+    until: float,
+    number: int,
+    gateways: list[GatewayProcess],
+    statuses: dict[str, int],
     record: Record,
 ) -> None:
-    """Post on a new channel; a refused one is not counted."""
-    await asyncio.sleep(at - time.monotonic())
-    try:
+    """Post one request after the other, each on a new channel."""
+    count = 0
+    while time.monotonic() < until:
+        count += 1
+        attempt = f'a{number}-{count}'
+        gateway = random.choice(gateways)
         requester = await gateway.connect()
-    except (OSError, TimeoutError):
-        record.note(f'no channel for {attempt}')
-        return
-    sent_at = time.monotonic()
-    record.note(f'sent {attempt}')
-    kind = 'short' if int(attempt[1:]) % LONG_EVERY else 'long'
-    requester.send('POST', f'/post/{kind}', attempt, WAIT_MS, b'payment')
-    answer = await requester.receive(WAIT_MS / 1000 + 1)
-    requester.close()
-    answers[attempt] = status_of(answer), time.monotonic() - sent_at
-    record.note(f'answer to {attempt}: {status_of(answer) or "none"}')
+        record.note(f'sent {attempt} to {gateway.name}')
+        requester.send('POST', '/post/1', attempt, WAIT_MS, b'disposal')
+        answer = await requester.receive(WAIT_MS / 1000 + 1)
+        requester.close()
+        statuses[attempt] = status_of(answer)
+        record.note(f'answer to {attempt}: {statuses[attempt]}')
+        await asyncio.sleep(random.uniform(0, 0.3))
+
+
+def judge(
+    upstreams: list[LedgerUpstream], statuses: dict[str, int]
+) -> list[str]:
+    """Return the requests that ran twice, or ran though they were refused."""
+    runs: Counter[str] = Counter()
+    for upstream in upstreams:
+        runs.update(upstream.runs)
+    broken = [
+        f'TWICE: {attempt} ran {count} times'
+        for attempt, count in runs.items()
+        if count > 1
+    ]
+    broken.extend(
+        f'REFUSED: {attempt} was answered {statuses[attempt]} and has run'
+        for attempt in runs
+        if statuses.get(attempt) in NOT_RUN_STATUSES
+    )
+    return broken
 
 
 run_case(__file__, play)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,7 @@
-"""A requester without a time limit says so; then nobody is answered."""
+"""A process gets SIGTERM; requests that it takes later are cut off."""
 
 import asyncio
+import signal
 import sys
 import time
 from collections import Counter
@@ -10,8 +11,8 @@
 
 from harness import (  # noqa: E402
     GatewayProcess,
+    Message,
     Record,
-    Requester,
     Store,
     Upstream,
     config,
@@ -22,42 +23,52 @@
     status_of,
 )
 
+# The figures of `sub-start` in grown/nuudel-gw-grown.toml: its work is 230 ms
+# on average and 1,700 ms at most, its route's timeout 2,500 ms, its time limit
+# 5,932 ms.
+GRACE_SECONDS = 6
+WORK_SECONDS = 0.23
+LONGEST_WORK_SECONDS = 1.7
+TIMEOUT_MS = 2500
+WAIT_MS = 5932
+UPSTREAMS = 12
 CALM_SECONDS = 4.0
-WORK_SECONDS = 0.1
-TIMEOUT_MS = 1200
-WAIT_MS = 3000
-# How long after its route's timeout a request may still get its answer.
-SLACK_SECONDS = 0.5
-REQUESTS = 40
-GAP_SECONDS = 0.1
-UPSTREAMS = 3
-CALLS = (('GET', '/card/1', b''), ('POST', '/post/1', b'disposal'))
+# When requests are sent, counted from the SIGTERM; each third is a long one.
+SEND_SECONDS = tuple(3.1 + 0.04 * number for number in range(30))
+LONG_EVERY = 3
+
+
+def work_seconds(message: Message) -> float:
+    """Return how long a request takes."""
+    is_long = b'/long' in message.start
+    return LONGEST_WORK_SECONDS if is_long else WORK_SECONDS
 
 
 async def play(record: Record, folder: str) -> list[str]:
-    """Send ordinary requests; return the ones that were never answered."""
+    """Stop a gateway; return the requests that it cut off."""
     store = Store(random_host())
     await store.start()
     upstreams = [
-        Upstream(
-            random_host(),
-            f'i-{number}',
-            'cardview',
-            record,
-            lambda message: WORK_SECONDS,
-        )
+        Upstream(random_host(), f'i-{number}', 'billing', record, work_seconds)
         for number in range(UPSTREAMS)
     ]
     for upstream in upstreams:
         await upstream.start()
         store.write_json(f'servers/{upstream.name}', upstream.entry())
     routes = [
-        route('card', 'cardview', 'idempotent', timeout_ms=TIMEOUT_MS),
-        route('post', 'cardview', 'non_idempotent', timeout_ms=TIMEOUT_MS),
+        route(
+            'post',
+            'billing',
+            'non_idempotent',
+            timeout_ms=TIMEOUT_MS,
+            target_latency_ms=712,
+        ),
     ]
-    store.write_json('op/config', config(1, routes, ['cardview']))
+    store.write_json('op/config', config(1, routes, ['billing']))
     gateways = [
-        GatewayProcess(f'g-{number}', store, folder, record)
+        GatewayProcess(
+            f'g-{number}', store, folder, record, grace_s=GRACE_SECONDS
+        )
         for number in range(2)
     ]
     answers: dict[str, tuple[int, float]] = {}
@@ -65,97 +76,71 @@
         for gateway in gateways:
             await gateway.start()
         await asyncio.sleep(CALM_SECONDS)
+        began_at = time.monotonic()
         if is_trouble():
-            await send_without_limit(gateways[0], record)
-        for gateway in gateways:
-            await asyncio.gather(
-                *(
-                    call(
-                        f'{gateway.name}-{number}',
-                        number,
-                        gateway,
-                        answers,
-                        record,
-                    )
-                    for number in range(REQUESTS)
+            gateways[0].signal(signal.SIGTERM)
+        kill = asyncio.create_task(kill_after_grace(gateways[0], began_at))
+        await asyncio.gather(
+            *(
+                post_at(
+                    began_at + seconds,
+                    f'a{number}',
+                    gateways[0],
+                    answers,
+                    record,
                 )
+                for number, seconds in enumerate(SEND_SECONDS)
             )
-        for gateway in gateways:
-            is_ready = await gateway.is_ready()
-            record.note(f'{gateway.name} says that it is ready: {is_ready}')
+        )
+        kill.cancel()
     finally:
         for gateway in gateways:
             await gateway.end()
         for upstream in upstreams:
             upstream.stop()
         store.stop()
-    ran = {attempt for upstream in upstreams for attempt in upstream.finished}
-    lost = [name for name, answer in answers.items() if not answer[0]]
-    record.note(
-        f'without an answer: {len(lost)}, run to their end among these: '
-        f'{len(ran.intersection(lost))}'
-    )
-    return judge(gateways, answers, record)
+    statuses = Counter(status for status, _ in answers.values())
+    record.note(f'answers by status, 0 for none: {statuses}')
+    runs = Counter()
+    for upstream in upstreams:
+        runs.update(upstream.runs)
+    return [
+        f'LOST: {attempt} was passed on and its channel ended without an answer'
+        for attempt, (status, seconds) in answers.items()
+        if runs[attempt] and status == 0 and seconds < TIMEOUT_MS / 1000
+    ]
 
 
-async def send_without_limit(gateway: GatewayProcess, record: Record) -> None:
-    """Send one request whose requester waits as long as it takes."""
-    requester = await gateway.connect()
-    record.note(f'sent one without a time limit to {gateway.name}')
-    requester.send('POST', '/post/1', 'no-limit', 'Infinity', b'disposal')
-    answer = await requester.receive(5.0)
-    record.note(f'answer to it: {status_of(answer)}')
-    requester.close()
+async def kill_after_grace(gateway: GatewayProcess, began_at: float) -> None:
+    """Do what the platform does when the grace is over."""
+    if is_trouble():
+        await asyncio.sleep(began_at + GRACE_SECONDS - time.monotonic())
+        if gateway.process.returncode is None:
+            gateway.signal(signal.SIGKILL)
 
 
-async def call(
+async def post_at(
+    at: float,
     attempt: str,
-    number: int,
     gateway: GatewayProcess,
     answers: dict[str, tuple[int, float]],
     record: Record,
 ) -> None:
-    """Send an ordinary request on a new channel."""
-    await asyncio.sleep(number * GAP_SECONDS)
-    method, path, body = CALLS[number % len(CALLS)]
-    requester: Requester = await gateway.connect()
+    """Post on a new channel; a refused one is not counted."""
+    await asyncio.sleep(at - time.monotonic())
+    try:
+        requester = await gateway.connect()
+    except (OSError, TimeoutError):
+        record.note(f'no channel for {attempt}')
+        return
     sent_at = time.monotonic()
     record.note(f'sent {attempt}')
-    requester.send(method, path, attempt, WAIT_MS, body)
-    answer = await requester.receive(WAIT_MS / 1000)
-    seconds = time.monotonic() - sent_at
+    kind = 'short' if int(attempt[1:]) % LONG_EVERY else 'long'
+    requester.send('POST', f'/post/{kind}', attempt, WAIT_MS, b'payment')
+    answer = await requester.receive(WAIT_MS / 1000 + 1)
     requester.close()
-    answers[attempt] = status_of(answer), seconds
+    answers[attempt] = status_of(answer), time.monotonic() - sent_at
     record.note(f'answer to {attempt}: {status_of(answer) or "none"}')
 
 
-def judge(
-    gateways: list[GatewayProcess],
-    answers: dict[str, tuple[int, float]],
-    record: Record,
-) -> list[str]:
-    """Apply the rule to all requests, whichever gateway took them."""
-    for gateway in gateways:
-        statuses = Counter(
-            status
-            for attempt, (status, _) in answers.items()
-            if attempt.startswith(gateway.name)
-        )
-        record.note(f'{gateway.name}: answers by status, 0 for none: {statuses}')
-    timeout = TIMEOUT_MS / 1000
-    lasting = [
-        status == 0 or seconds > timeout + SLACK_SECONDS
-        for status, seconds in answers.values()
-        if status == 0 or seconds > timeout
-    ]
-    late = sum(lasting)
-    record.note(f'past their timeout: {len(lasting)}, 0.5 s later too: {late}')
-    if late * 2 <= len(lasting) or late < 8:
-        return []
-    return [
-        f'CONFIG: of {len(lasting)} requests still unanswered at the timeout '
-        f'of their route, {late} had no answer half a second later'
-    ]
-
-
 run_case(__file__, play)
