Review: show that an old build keeps an old state after one new VM

The fault is the reviewed code's: since the store's eras the revision in datagrams and states means something else, under the same protocol version. VMs of an earlier build take it for their own and refuse each of their reads as older, as soon as the new VM is gone.

What was done: a script with two VMs of the landing and a new one that joins and is removed, as case 4. Nothing was fixed.

--- a/review/harness.py
+++ b/review/harness.py
@@ -183,6 +183,8 @@
         self.items: dict[str, dict] = {}
         self.revision = 1
         self.is_refusing = False
+        # The era that the store tells in its answers, 0 for none.
+        self.era = 0
 
     def write(self, key: str, value: bytes, lease: int = 0) -> None:
         """Write an item."""
@@ -210,7 +212,7 @@
         path, _, query = target.decode().partition('?')
         await asyncio.sleep(0.004)
         if self.is_refusing:
-            connection.respond(503, [])
+            connection.respond(503, self._era_fields())
             return
         match method, path:
             case b'GET', '/kv-range':
@@ -233,10 +235,13 @@
     ) -> None:
         connection.respond(
             status,
-            [('Content-Type', 'application/json')],
+            [('Content-Type', 'application/json'), *self._era_fields()],
             json.dumps(body).encode(),
         )
 
+    def _era_fields(self) -> list[tuple[str, str]]:
+        return [('Store-Era', str(self.era))] if self.era else []
+
     def _range(self, query: dict[str, list[str]]) -> dict:
         prefix = query.get('prefix', [''])[0]
         after = query.get('after', [''])[0]
@@ -452,6 +457,8 @@
     ) -> None:
         self.name = name
         self.record = record
+        # The root of the build that runs.
+        self.root = ROOT
         self.host = random_host()
         self.ports = _free_ports(self.host, 3)
         self.folder = folder
@@ -515,7 +522,7 @@
 
     async def start(self) -> None:
         """Start the process and wait until it is ready."""
-        deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
+        deploy = tomllib.loads((self.root / 'deploy/system.toml').read_text())
         command = deploy['roles']['gateway']['run'].split()
         path = Path(self.folder) / f'{self.name}.json'
         path.write_text(json.dumps(self.settings))
@@ -528,7 +535,7 @@
         environment['ZINNIATURN_SETTINGS'] = str(path)
         log = open(Path(self.folder) / f'{self.name}.log', 'ab')
         self.process = await asyncio.create_subprocess_exec(
-            *command, cwd=ROOT, env=environment, stdout=log, stderr=log
+            *command, cwd=self.root, env=environment, stdout=log, stderr=log
         )
         log.close()
         self.record.note(f'{self.name} started')
