Send no request in a planned stop that may outlast the process

Cause: the stop looked at its clock alone. It accepted for 0.72 of its time and ended at 0.92, whatever the accepted requests may take. Requests in a queue, retries and hedges had the same fault, and an exception while telling other VMs would have ended the stop at once.

Change: gateway/stop_gate.py stands before every send. In a stop, a request whose deadline comes after 95 % of the time is rejected at once as not run; waiting ones are judged as SIGTERM comes. A VM that took a request of another one refuses it as 'stopping', so that a third VM is tried. Requests sent before the stop get until 97 %. The stop has a module of its own.

Two scenarios of gateway_requests stopped within 1 s while their requests wait 1 s: such requests may outlast the stop now. Their stop takes 5 s instead; they still ask for 200 from every caller.

--- a/features/gateway_requests.feature
+++ b/features/gateway_requests.feature
@@ -253,12 +253,12 @@
     Then the log has 1 line about look-ups, with 6 VMs of 26 in all
 
   Scenario: Requests that wait to be accepted when a planned stop ends listening are served
-    Given the gateway has 1 s for a planned stop
+    Given the gateway has 5 s for a planned stop
     When it stops, and 8 callers connect and send while its loop is held up
     Then each of them gets 200
 
   Scenario: A caller that has just connected when a planned stop ends listening is served
-    Given the gateway has 1 s for a planned stop
+    Given the gateway has 5 s for a planned stop
     When it stops, and 10 callers that have just connected send 0.1 s later
     Then each of them gets 200
 
--- a/zinniaturn/gateway/attempt_runner.py
+++ b/zinniaturn/gateway/attempt_runner.py
@@ -14,6 +14,7 @@
 from zinniaturn.gateway.request_context import Placement, RequestContext
 from zinniaturn.gateway.scheduler import RequestScheduler
 from zinniaturn.gateway.state import GatewayState
+from zinniaturn.gateway.stop_gate import StopGate
 from zinniaturn.http1.messages import Response
 from zinniaturn.outcomes import (
     Event,
@@ -41,6 +42,7 @@
     relay_client: RelayClient
     crash_watch: CrashWatch
     gate: QuarantineGate
+    stop_gate: StopGate
 
     async def run(self, context: RequestContext) -> Response:
         """
@@ -52,15 +54,31 @@
         with QuarantinePass(self.gate, context) as quarantine_pass:
             response = None
             while response is None:
+                self.stop_gate.check(context)
                 await quarantine_pass.obtain()
                 self.gate.avoid_suspects(context)
-                assignment = await self.scheduler.place(context)
+                assignment = await self._place(context)
                 if quarantine_pass.is_valid():
                     response = await self._follow(context, assignment)
                 else:
                     self._give_back(assignment)
         return response
 
+    async def _place(self, context: RequestContext) -> Placement | PassOn:
+        """Return where to send a request; raises `RejectedError`."""
+        try:
+            assignment = await self.scheduler.place(context)
+        except RejectedError:
+            # A stop that began meanwhile may have ended the wait.
+            self.stop_gate.check(context)
+            raise
+        try:
+            self.stop_gate.check(context)
+        except RejectedError:
+            self._give_back(assignment)
+            raise
+        return assignment
+
     async def _follow(
         self, context: RequestContext, assignment: Placement | PassOn
     ) -> Response | None:
@@ -156,7 +174,7 @@
     ) -> None:
         """Send the request to a second server as well, if one is free."""
         try:
-            assignment = await self.scheduler.place(context)
+            assignment = await self._place(context)
         except RejectedError:
             return
         self.state.counters.events['second_send'] += 1
@@ -237,6 +255,8 @@
     def _take_from_retry_budget(self, context: RequestContext) -> bool:
         if context.attempt_count >= context.route.max_attempts:
             return False
+        if self.stop_gate.is_closed_to(context):
+            return False
         if not self.gate.may_repeat(context):
             return False
         retry_budget = self.state.retry_budget(context.pool.name)
--- a/zinniaturn/gateway/dispatch.py
+++ b/zinniaturn/gateway/dispatch.py
@@ -16,6 +16,7 @@
 from zinniaturn.gateway.results import RequestResult
 from zinniaturn.gateway.scheduler import RequestScheduler
 from zinniaturn.gateway.state import GatewayState
+from zinniaturn.gateway.stop_gate import StopGate
 from zinniaturn.http1.exchanges import CallerExchange, Reply
 from zinniaturn.http1.limits import CallerLimits
 from zinniaturn.http1.messages import Request, Response, find_field
@@ -39,6 +40,7 @@
     def __init__(self, state: GatewayState) -> None:
         self.state = state
         scheduler = RequestScheduler(state)
+        self.stop_gate = StopGate(state, scheduler.retry_after_jitter)
         self.crash_watch = CrashWatch(state)
         self.attempt_runner = AttemptRunner(
             state,
@@ -46,6 +48,7 @@
             RelayClient(state),
             self.crash_watch,
             QuarantineGate(state, scheduler.retry_after_jitter),
+            self.stop_gate,
         )
         self.pool_selector = PoolSelector(state.random_source)
         self.elapsed_times = ElapsedTimeEstimator()
@@ -61,6 +64,12 @@
         """Probe the servers that said they leave; call it twice a second."""
         self.attempt_runner.scheduler.search.probe_leaving()
 
+    def begin_stop(self) -> None:
+        """Reject the waiting requests that may outlast the process."""
+        self.stop_gate.reject_waiting(
+            self.attempt_runner.scheduler.queues.values()
+        )
+
     def handle(
         self,
         exchange: CallerExchange,
--- a/zinniaturn/gateway/process.py
+++ b/zinniaturn/gateway/process.py
@@ -11,7 +11,7 @@
 from zinniaturn.admission.table import AdmissionTable
 from zinniaturn.clock import BootClock
 from zinniaturn.events.catalogue import LogEvent
-from zinniaturn.fleet.domain import FleetSnapshot, VmRecord, VmStage
+from zinniaturn.fleet.domain import FleetSnapshot, VmRecord
 from zinniaturn.fleet.failure_detection import PING_INTERVAL_SECONDS
 from zinniaturn.fleet.fleet_state import FleetState
 from zinniaturn.fleet.gossip import GossipProtocol
@@ -35,6 +35,7 @@
     ReadinessEndpoint,
 )
 from zinniaturn.gateway.event_log import EventLog
+from zinniaturn.gateway.graceful_stop import GracefulStop
 from zinniaturn.gateway.metrics import render_metrics
 from zinniaturn.gateway.path_watch import PathWatch
 from zinniaturn.gateway.quarantine_endpoint import QuarantineEndpoint
@@ -53,9 +54,6 @@
 
 _MAINTENANCE_INTERVAL_SECONDS = 0.5
 _RESTART_DELAY_SECONDS = 0.2
-_DRAIN_POLL_SECONDS = 0.05
-_SERVE_SHARE_OF_STOP = 0.72
-_FINISH_SHARE_OF_STOP = 0.92
 
 BackgroundTask = Callable[[], Coroutine[None, None, None]]
 ReloadSettings = Callable[[], GatewaySettings | None]
@@ -184,33 +182,15 @@
         )
 
     async def stop(self) -> None:
-        """
-        Shut down gracefully within the configured time.
-
-        Callers keep using addresses from earlier look-ups for a while. So the
-        process announces that it is stopping, goes on accepting requests for
-        most of the time, and then waits for the requests in flight.
-        """
-        loop = asyncio.get_running_loop()
-        started_at = loop.time()
-        seconds = self.settings.bounds.stop_seconds
-        self.state.stage = VmStage.STOPPING
-        self.event_log.write(
-            LogEvent.GATEWAY_STOPPING,
-            in_flight=self._in_flight(),
-        )
-        await self.peers.announce_stopping()
-        await asyncio.sleep(seconds * _SERVE_SHARE_OF_STOP)
-        await self._finish_requests(
-            started_at + seconds * _FINISH_SHARE_OF_STOP
+        """Shut down gracefully within the configured time."""
+        graceful_stop = GracefulStop(
+            self.state, self.dispatcher, self.listeners
         )
+        await graceful_stop.run(self.settings.bounds.stop_seconds)
         for task in self.tasks:
             task.cancel()
         self.peers.close()
-        self.event_log.write(
-            LogEvent.GATEWAY_STOPPED,
-            in_flight=self._in_flight(),
-        )
+        graceful_stop.log_end()
 
     def apply(self, settings: GatewaySettings) -> None:
         """
@@ -285,26 +265,6 @@
         await listener.start(*address)
         self.listeners.append(listener)
 
-    async def _finish_requests(self, until: float) -> None:
-        """Stop listening and wait for requests in flight, at most ``until``."""
-        loop = asyncio.get_running_loop()
-        self._close_idle_connections()
-        # The connections accepted last are known after this time.
-        await asyncio.sleep(_DRAIN_POLL_SECONDS)
-        while loop.time() < until and not self._is_idle():
-            self._close_idle_connections()
-            await asyncio.sleep(_DRAIN_POLL_SECONDS)
-
-    def _close_idle_connections(self) -> None:
-        for listener in self.listeners:
-            listener.close()
-
-    def _is_idle(self) -> bool:
-        return all(listener.is_idle() for listener in self.listeners)
-
-    def _in_flight(self) -> int:
-        return sum(listener.in_flight for listener in self.listeners)
-
     def _on_change(self, change: StateChange) -> None:
         """Check this VM's record at once when the store may have lost it."""
         if change.store_went_back:
--- a/zinniaturn/gateway/relay_service.py
+++ b/zinniaturn/gateway/relay_service.py
@@ -145,9 +145,10 @@
         finally:
             self.intake.release()
         self.dispatcher.log_result(context, result)
-        if context.is_out_of_reach and result.outcome is Outcome.NOT_RUN:
+        refusal = _late_refusal(context, result)
+        if refusal is not None:
             self.state.hand_over_request(context.pool.name)
-            return _respond(exchange, refuse(RelayRefusal.UNREACHED))
+            return _respond(exchange, refuse(refusal))
         attempts = max(0, context.attempt_count - message.attempts)
         return _respond(exchange, _reply(context, result, attempts))
 
@@ -197,6 +198,17 @@
     )
 
 
+def _late_refusal(
+    context: RequestContext, result: RequestResult
+) -> RelayRefusal | None:
+    """Return why another VM may serve a request that was taken."""
+    if result.outcome is not Outcome.NOT_RUN:
+        return None
+    if context.is_out_of_reach:
+        return RelayRefusal.UNREACHED
+    return RelayRefusal.STOPPING if result.code == 'draining' else None
+
+
 def _pool_names(route: FleetRoute) -> set[str]:
     return {route.pool, *(share.pool for share in route.shares)}
 
--- a/zinniaturn/gateway/state.py
+++ b/zinniaturn/gateway/state.py
@@ -26,6 +26,7 @@
 from zinniaturn.http1.connections import ConnectionPool
 from zinniaturn.placing.candidates import Candidate
 from zinniaturn.placing.demand import fleet_demand, probe_share
+from zinniaturn.placing.planned_stop import PlannedStop
 from zinniaturn.placing.rate_limit import RateLimit
 from zinniaturn.placing.recent_rate import RecentRate
 from zinniaturn.placing.retry_budget import FleetRetryBudget
@@ -44,7 +45,8 @@
     The routes, servers, statistics and lifecycle stage of one process.
 
     ``pools`` holds the servers of each pool by name, with the statistics that
-    this process has gathered of them. ``gossip`` is set once it is built.
+    this process has gathered of them. ``gossip`` is set once it is built, and
+    ``planned_stop`` once the process has been told to stop.
     """
 
     settings: GatewaySettings
@@ -58,6 +60,7 @@
     started_at: float
     gossip: GossipProtocol = field(init=False)
     stage: VmStage = VmStage.STARTING
+    planned_stop: PlannedStop | None = None
     connections: ConnectionPool = field(default_factory=ConnectionPool)
     counters: Counters = field(default_factory=Counters)
     matcher: RouteMatcher[FleetRoute] = field(default_factory=RouteMatcher)
--- a/zinniaturn/placing/request_queue.py
+++ b/zinniaturn/placing/request_queue.py
@@ -201,6 +201,16 @@
         ):
             self._reject(request, seconds(request.priority))
 
+    def reject_after(self, deadline: float, seconds: float) -> None:
+        """
+        Reject the requests that may take longer than until ``deadline``.
+
+        ``seconds`` is their retry-after time.
+        """
+        for request in tuple(self.waiting):
+            if request.deadline > deadline:
+                self._reject(request, seconds)
+
     def _rank(
         self,
         request: QueuedRequest,
--- a/zinniaturn/platform/standins/server.py
+++ b/zinniaturn/platform/standins/server.py
@@ -39,7 +39,8 @@
     ``runs`` counts the executions by request id, and ``arrived_at`` holds the
     time of each id's last arrival. ``faults`` apply to the next requests in
     turn and ``default_fault`` to all others. ``slowness`` is the factor by
-    which the VM stretches ``work_seconds``. With ``echoes_request_id`` each
+    which the VM stretches the work, ``work_seconds`` or what ``work_for``
+    returns for a request. With ``echoes_request_id`` each
     body begins with its request's id, so that a response to another request is
     detected. ``cancelled`` counts the requests whose connection was closed
     while they ran. ``limit`` is the text of the requests per second that the
@@ -54,6 +55,7 @@
     slots: int = 4
     queue: int = 8
     work_seconds: float = 0.01
+    work_for: Callable[[Request], float] | None = None
     slowness: float = 1.0
     body: bytes = b'answer'
     echoes_request_id: bool = False
@@ -154,7 +156,7 @@
             async with asyncio.timeout(
                 int(time_left_ms) / _MILLISECONDS_PER_SECOND
             ):
-                await asyncio.sleep(self.work_seconds * self.slowness)
+                await asyncio.sleep(self._work_for(request) * self.slowness)
         except TimeoutError:
             return self._build_response(request_id, 504, b'')
         except asyncio.CancelledError:
@@ -169,6 +171,11 @@
             )
         return await self._respond_with_fault(exchange, request_id, fault)
 
+    def _work_for(self, request: Request) -> float:
+        if self.work_for is None:
+            return self.work_seconds
+        return self.work_for(request)
+
     async def _respond_with_fault(
         self,
         exchange: CallerExchange,
