Let one bad item of others cost that item alone, at every reader

Cause: the reader of items expected the errors that its author could name. The decoder's RecursionError went through, failed each read, was counted nowhere and restarted the task every 0.2 s.

Change: any exception costs its own item; a read without news for any reason counts as failed, backs off and is logged; an unreadable entry is named once until it is mended, and counted. What is decoded is checked before it is used (fleet/checks.py), in the store's items, datagrams, states and tables of VMs; figures have ranges in the settings file, documents and load reports. Status rows, figures and the start of the process have modules of their own, as their files had grown.

--- a/features/steps/fleet_knowledge_steps.py
+++ b/features/steps/fleet_knowledge_steps.py
@@ -18,9 +18,7 @@
     DatagramKind,
     StateClaim,
     decode_datagram,
-    decode_statuses,
     encode_datagram,
-    encode_statuses,
 )
 from zinniaturn.fleet.domain import VmRecord, VmStage, VmStatus
 from zinniaturn.fleet.exceptions import BadDocumentError, PeerMessageError
@@ -32,6 +30,7 @@
     snapshot_from_message,
 )
 from zinniaturn.fleet.state_exchange import StateFetcher
+from zinniaturn.fleet.status_rows import decode_statuses, encode_statuses
 from zinniaturn.fleet.tables import FleetTables
 from zinniaturn.fleet.vms import VmTable
 from zinniaturn.http1.messages import Response
--- a/features/steps/message_versions_steps.py
+++ b/features/steps/message_versions_steps.py
@@ -17,10 +17,10 @@
     ReachRow,
     StateClaim,
     decode_datagram,
-    decode_statuses,
     encode_datagram,
 )
 from zinniaturn.fleet.domain import VmRecord, VmStage, VmStatus
+from zinniaturn.fleet.status_rows import decode_statuses
 from zinniaturn.outcomes import Outcome
 from zinniaturn.platform.server_entries import decode_server
 from zinniaturn.relay.messages import (
--- a/zinniaturn/errors.py
+++ b/zinniaturn/errors.py
@@ -5,7 +5,9 @@
 layer converts the errors of the layer below into its own.
 """
 
-__all__ = ('CodedError',)
+__all__ = ('CodedError', 'cause_of')
+
+_MOST_CAUSE_CHARACTERS = 160
 
 
 class CodedError(Exception):
@@ -27,3 +29,15 @@
     def __str__(self) -> str:
         """Return the code and the message."""
         return f'{self.code}: {self.message}'
+
+
+def cause_of(error: Exception) -> str:
+    """
+    Return what an exception says, cut to the length of a log field.
+
+    Decoders repeat what they could not decode, which others have written.
+
+    >>> cause_of(RecursionError())
+    'RecursionError'
+    """
+    return str(error)[:_MOST_CAUSE_CHARACTERS] or type(error).__name__
--- a/zinniaturn/fleet/datagrams.py
+++ b/zinniaturn/fleet/datagrams.py
@@ -21,34 +21,29 @@
     'ResponseRow',
     'StateClaim',
     'decode_datagram',
-    'decode_statuses',
     'encode_datagram',
-    'encode_statuses',
 )
 
 import enum
-import zlib
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
-from typing import Annotated
 
 import msgspec
 
-from zinniaturn.fleet.domain import VmRecord, VmStage, VmStatus
+from zinniaturn.errors import cause_of
+from zinniaturn.fleet.domain import VmStatus
 from zinniaturn.fleet.exceptions import PeerMessageError
-from zinniaturn.http1.connections import Address
+from zinniaturn.fleet.figures import (
+    Count,
+    Key,
+    Limit,
+    Milliseconds,
+    Revision,
+)
+from zinniaturn.fleet.status_rows import StatusRow, usable_statuses
 
 PROTOCOL_VERSION = 3
 
-_COMPRESSION_LEVEL = 1
-_MAX_STATUSES_BYTES = 8 * 1024 * 1024
-
-
-Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=10**12)]
-Count = Annotated[int, msgspec.Meta(ge=0, le=10**6)]
-Key = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
-Limit = Annotated[float, msgspec.Meta(ge=0, le=10**9)]
-
 
 class DatagramKind(enum.Enum):
     """
@@ -69,77 +64,6 @@
     PERMIT_GRANT = 5
 
 
-class RecordRow(msgspec.Struct, array_like=True, frozen=True):
-    """
-    A VM record encoded as an array.
-
-    The field names would take up most of the record's bytes. If ``front`` is
-    on the host of ``exchange``, only its colon and port are sent.
-    """
-
-    data_center: str
-    front: str
-    exchange: Address
-    capacity: int
-
-    @classmethod
-    def of(cls, record: VmRecord) -> 'RecordRow':
-        """Return the row of a record."""
-        return cls(
-            record.data_center,
-            record.front.removeprefix(record.exchange[0]),
-            record.exchange,
-            record.capacity,
-        )
-
-    def to_record(self, name: str) -> VmRecord:
-        """Return the record of the VM with this name."""
-        host = self.exchange[0] if self.front.startswith(':') else ''
-        return VmRecord(
-            name,
-            self.data_center,
-            host + self.front,
-            self.exchange,
-            self.capacity,
-        )
-
-
-class StatusRow(msgspec.Struct, array_like=True, frozen=True):
-    """A VM's status encoded as an array."""
-
-    name: str
-    version: int
-    stage: VmStage
-    load: int
-    record: RecordRow | None = None
-    cut_off: Count = 0
-
-    @classmethod
-    def of(cls, status: VmStatus) -> 'StatusRow':
-        """Return the row of a status."""
-        record = status.record
-        return cls(
-            status.name,
-            status.version,
-            status.stage,
-            status.load,
-            None if record is None else RecordRow.of(record),
-            status.cut_off,
-        )
-
-    def to_status(self) -> VmStatus:
-        """Return the status."""
-        record = self.record
-        return VmStatus(
-            self.name,
-            self.version,
-            self.stage,
-            self.load,
-            None if record is None else record.to_record(self.name),
-            self.cut_off,
-        )
-
-
 class StateClaim(msgspec.Struct, array_like=True, frozen=True):
     """
     The fleet state that a datagram's sender holds.
@@ -148,9 +72,9 @@
     was confirmed. ``vms_checksum`` tells which VMs the sender takes for alive.
     """
 
-    revision: int
+    revision: Revision
     digest: int
-    age_ms: int
+    age_ms: Milliseconds
     vms_checksum: int
 
 
@@ -286,8 +210,8 @@
         return self.sender.to_status()
 
     def news_statuses(self) -> list[VmStatus]:
-        """Return the statuses of other VMs."""
-        return [row.to_status() for row in self.news]
+        """Return the usable statuses of other VMs."""
+        return usable_statuses(self.news)
 
 
 @dataclass(frozen=True, slots=True)
@@ -304,7 +228,6 @@
 
 _encoder = msgspec.msgpack.Encoder()
 _datagram_decoder = msgspec.msgpack.Decoder(Datagram)
-_statuses_decoder = msgspec.msgpack.Decoder(tuple[StatusRow, ...])
 
 
 def encode_datagram(
@@ -339,34 +262,10 @@
     """Return a datagram; raises `PeerMessageError`."""
     try:
         datagram = _datagram_decoder.decode(raw)
-    except (msgspec.MsgspecError, ValueError) as error:
-        raise PeerMessageError(str(error)) from error
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        raise PeerMessageError(cause_of(error)) from error
     if datagram.version != PROTOCOL_VERSION:
         raise PeerMessageError(
             f'protocol version {datagram.version} is not supported',
         )
     return datagram
-
-
-def encode_statuses(statuses: Iterable[VmStatus]) -> bytes:
-    """Return the statuses of all VMs, compressed."""
-    rows = [StatusRow.of(status) for status in statuses]
-    return zlib.compress(_encoder.encode(rows), _COMPRESSION_LEVEL)
-
-
-def decode_statuses(raw: bytes) -> list[VmStatus]:
-    """Return the statuses of all VMs; raises `PeerMessageError`."""
-    try:
-        rows = _statuses_decoder.decode(decompress(raw, _MAX_STATUSES_BYTES))
-    except (msgspec.MsgspecError, ValueError, zlib.error) as error:
-        raise PeerMessageError(str(error)) from error
-    return [row.to_status() for row in rows]
-
-
-def decompress(packed: bytes, most: int) -> bytes:
-    """Return the content; raises `ValueError` if it is too large."""
-    decompressor = zlib.decompressobj()
-    raw = decompressor.decompress(packed, most)
-    if decompressor.unconsumed_tail:
-        raise ValueError(f'the message exceeds {most} bytes')
-    return raw
--- a/zinniaturn/fleet/gossip.py
+++ b/zinniaturn/fleet/gossip.py
@@ -208,6 +208,14 @@
         except PeerMessageError as error:
             self.on_peer_error(f'{addr[0]}: {error.message}')
             return
+        try:
+            self._receive(datagram, addr)
+        except Exception as error:
+            # What one datagram says must not end the receiving of others.
+            self.on_peer_error(f'{addr[0]}: unusable: {error!r}')
+
+    def _receive(self, datagram: Datagram, addr: Address) -> None:
+        """Process a datagram; raises `ValueError` for an unusable sender."""
         sender = datagram.sender_status
         self.news.learn_statuses((sender, *datagram.news_statuses()))
         peer = self.vms.note_heard(sender.name, sender.version)
--- a/zinniaturn/fleet/messages.py
+++ b/zinniaturn/fleet/messages.py
@@ -14,11 +14,15 @@
     'snapshot_from_message',
 )
 
+import contextlib
 import zlib
+from collections.abc import Iterable
 
 import msgspec
 
-from zinniaturn.fleet.datagrams import PROTOCOL_VERSION, decompress
+from zinniaturn.errors import cause_of
+from zinniaturn.fleet.checks import check_record, check_server
+from zinniaturn.fleet.datagrams import PROTOCOL_VERSION
 from zinniaturn.fleet.domain import (
     FleetSnapshot,
     RegisteredServer,
@@ -26,7 +30,9 @@
     TablesDocument,
 )
 from zinniaturn.fleet.exceptions import PeerMessageError
+from zinniaturn.fleet.figures import Milliseconds, Revision
 from zinniaturn.fleet.fleet_state import FleetState, StateFingerprint
+from zinniaturn.fleet.packing import decompress
 from zinniaturn.tables.domain import Server
 
 
@@ -64,8 +70,8 @@
     """
 
     version: int
-    revision: int
-    age_ms: int
+    revision: Revision
+    age_ms: Milliseconds
     packed: bytes
 
 
@@ -92,8 +98,13 @@
         return state, _content_decoder.decode(
             decompress(state.packed, _MAX_STATE_BYTES)
         )
-    except (msgspec.MsgspecError, ValueError, zlib.error) as error:
-        raise PeerMessageError(str(error)) from error
+    except (
+        msgspec.MsgspecError,
+        ValueError,
+        RecursionError,
+        zlib.error,
+    ) as error:
+        raise PeerMessageError(cause_of(error)) from error
 
 
 def build_state_message(
@@ -136,7 +147,7 @@
         state.revision,
         document,
         servers,
-        fleet_state.vms if content.vms is None else content.vms,
+        fleet_state.vms if content.vms is None else _usable_vms(content.vms),
     )
 
 
@@ -149,7 +160,7 @@
     if received is None:
         is_same = own == content.parts.servers
         return tuple(fleet_state.shared_servers.values()) if is_same else None
-    rows = [RegisteredServer(*row) for row in received.rows]
+    rows = _usable_servers(received)
     if received.base is None:
         return tuple(rows)
     if received.base != own:
@@ -161,6 +172,27 @@
     return tuple(servers.values())
 
 
+def _usable_servers(received: ServerRows) -> list[RegisteredServer]:
+    """Return the servers without those that this VM can't use."""
+    servers = []
+    for row in received.rows:
+        registered = RegisteredServer(*row)
+        with contextlib.suppress(ValueError):
+            check_server(registered)
+            servers.append(registered)
+    return servers
+
+
+def _usable_vms(stored_vms: Iterable[StoredVm]) -> tuple[StoredVm, ...]:
+    """Return the listed VMs without those that can't be reached."""
+    usable = []
+    for stored in stored_vms:
+        with contextlib.suppress(ValueError):
+            check_record(stored.record)
+            usable.append(stored)
+    return tuple(usable)
+
+
 def _build_content(
     fleet_state: FleetState,
     held: StateFingerprint,
--- a/zinniaturn/fleet/state_exchange.py
+++ b/zinniaturn/fleet/state_exchange.py
@@ -13,7 +13,6 @@
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 
-from zinniaturn.fleet.datagrams import decode_statuses, encode_statuses
 from zinniaturn.fleet.domain import VmRecord, VmStatus
 from zinniaturn.fleet.exceptions import PeerMessageError
 from zinniaturn.fleet.fleet_state import FleetState, StateFingerprint
@@ -23,6 +22,7 @@
     encode_message,
     snapshot_from_message,
 )
+from zinniaturn.fleet.status_rows import decode_statuses, encode_statuses
 from zinniaturn.fleet.vms import VmTable, list_statuses
 from zinniaturn.http1.backend import Exchange
 from zinniaturn.http1.connections import ConnectionPool
--- a/zinniaturn/fleet/store_poller.py
+++ b/zinniaturn/fleet/store_poller.py
@@ -56,16 +56,24 @@
         requested_at = self.fleet_state.clock.monotonic()
         try:
             snapshot = await self.store.read_snapshot()
+            self.fleet_state.install(snapshot, requested_at)
         except FleetStoreError as error:
-            self._notify_reply(error)
-            self.schedule.failures += 1
-            await asyncio.sleep(self.schedule.backoff(self.vms.poll_rank()))
-            return
-        self.schedule.failures = 0
-        self._notify_reply(None)
-        self.fleet_state.install(snapshot, requested_at)
-        for listener in self.on_read:
-            listener(snapshot)
+            await self._fail(error)
+        except Exception as error:
+            # What was read brings no news either, and the next read will fail
+            # in the same way.
+            await self._fail(FleetStoreError(f'unusable state: {error!r}'))
+        else:
+            self.schedule.failures = 0
+            self._notify_reply(None)
+            for listener in self.on_read:
+                listener(snapshot)
+
+    async def _fail(self, error: FleetStoreError) -> None:
+        """Count a read that brought no news, and wait."""
+        self._notify_reply(error)
+        self.schedule.failures += 1
+        await asyncio.sleep(self.schedule.backoff(self.vms.poll_rank()))
 
     def _notify_reply(self, error: FleetStoreError | None) -> None:
         for listener in self.on_reply:
--- a/zinniaturn/gateway/process.py
+++ b/zinniaturn/gateway/process.py
@@ -1,12 +1,12 @@
 """The gateway process: its listeners, background tasks and shutdown."""
 
-__all__ = ('Gateway', 'run_gateway')
+__all__ = ('Gateway',)
 
 import asyncio
 import random
-import signal
 from collections.abc import Callable, Coroutine
 from functools import partial
+from typing import Any
 
 from zinniaturn.admission.table import AdmissionTable
 from zinniaturn.clock import BootClock
@@ -56,7 +56,6 @@
 _RESTART_DELAY_SECONDS = 0.2
 
 BackgroundTask = Callable[[], Coroutine[None, None, None]]
-ReloadSettings = Callable[[], GatewaySettings | None]
 
 
 class Gateway:
@@ -159,6 +158,7 @@
     async def start(self) -> None:
         """Start the listeners and background tasks; raises `OSError`."""
         settings = self.settings
+        asyncio.get_running_loop().set_exception_handler(self._log_exception)
         await self.peers.start()
         await self._listen(
             (settings.host, settings.first_port + 1),
@@ -233,6 +233,15 @@
             for name, task_function in task_functions.items()
         )
 
+    def _log_exception(
+        self, loop: asyncio.AbstractEventLoop, details: dict[str, Any]
+    ) -> None:
+        """Log what the event loop reports, such as a failed callback."""
+        error = details.get('exception')
+        self.state.log_fault(
+            details['message'], error or RuntimeError('no exception')
+        )
+
     async def _keep_running(
         self, name: str, task_function: BackgroundTask
     ) -> None:
@@ -288,41 +297,3 @@
             self.reporter.log_vm_changes()
             if self.fleet_state.document is not None:
                 self.registration.reconcile(self.fleet_state.vms)
-
-
-async def run_gateway(
-    settings: GatewaySettings,
-    store: FleetStore,
-    wire_format: WireFormat,
-    event_log: EventLog,
-    reload_settings: ReloadSettings,
-) -> None:
-    """
-    Run a gateway until SIGTERM or SIGINT.
-
-    ``reload_settings`` returns changed settings, or ``None`` if nothing has
-    changed; it is called on SIGHUP and every second.
-    """
-    gateway = Gateway(settings, store, wire_format, event_log)
-    stopping = asyncio.Event()
-    loop = asyncio.get_running_loop()
-
-    def apply_changed() -> None:
-        changed = reload_settings()
-        if changed is not None:
-            gateway.apply(changed)
-
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, apply_changed)
-    await gateway.start()
-    settings_poll = asyncio.create_task(_poll_settings(apply_changed))
-    await stopping.wait()
-    settings_poll.cancel()
-    await gateway.stop()
-
-
-async def _poll_settings(apply_changed: Callable[[], None]) -> None:
-    while True:
-        await asyncio.sleep(1)
-        apply_changed()
--- a/zinniaturn/gateway/reporting.py
+++ b/zinniaturn/gateway/reporting.py
@@ -25,14 +25,14 @@
     Applies changes of the fleet's state to the process and logs them.
 
     ``alive`` holds the VMs that were alive at the last check, and
-    ``reported_unreadable`` the unreadable entries that were last logged, and
+    ``reported_unreadable`` the keys of the entries that can't be read, and
     ``reported_refusals`` the number of refused bodies.
     """
 
     state: GatewayState
     dispatcher: Dispatcher
     consecutive_store_failures: int = 0
-    reported_unreadable: tuple[str, ...] = ()
+    reported_unreadable: frozenset[str] = frozenset()
     alive: frozenset[str] = frozenset()
     reported_refusals: int = 0
 
@@ -88,14 +88,25 @@
         )
 
     def log_unreadable_entries(self, snapshot: FleetSnapshot) -> None:
-        """Log the store's unreadable entries whenever their set changes."""
-        if snapshot.unreadable != self.reported_unreadable:
-            self.reported_unreadable = snapshot.unreadable
+        """Count and log each unreadable entry once, until it is mended."""
+        by_key = {
+            entry.partition(': ')[0]: entry for entry in snapshot.unreadable
+        }
+        found = [
+            entry
+            for key, entry in by_key.items()
+            if key not in self.reported_unreadable
+        ]
+        has_mended = not self.reported_unreadable <= by_key.keys()
+        self.reported_unreadable = frozenset(by_key)
+        self.state.counters.events['entry_unreadable'] += len(found)
+        if found or has_mended:
             self.state.event_log.write(
                 LogEvent.SERVERS_UNREADABLE,
                 revision=snapshot.revision,
-                entries=snapshot.unreadable[:_MAX_LOGGED_ENTRIES],
-                count=len(snapshot.unreadable),
+                entries=found[:_MAX_LOGGED_ENTRIES],
+                found=len(found),
+                count=len(by_key),
             )
 
     def note_store_reply(self, error: FleetStoreError | None) -> None:
--- a/zinniaturn/http1/connections.py
+++ b/zinniaturn/http1/connections.py
@@ -17,6 +17,7 @@
 _KEEP_ALIVE_TIMEOUT_SHARE = 0.8
 _KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d+)')
 _TCP_USER_TIMEOUT_MS = 3000
+_SHOWN_CHARACTERS = 80
 
 
 def parse_address(text: str) -> Address:
@@ -28,10 +29,10 @@
     """
     host, separator, port = text.rpartition(':')
     if not (separator and host):
-        raise ValueError(f'"{text}" is not HOST:PORT')
+        raise ValueError(f'"{text[:_SHOWN_CHARACTERS]}" is not HOST:PORT')
     number = int(port)
     if not 0 < number < 65536:
-        raise ValueError(f'"{text}" has no valid port')
+        raise ValueError(f'"{text[:_SHOWN_CHARACTERS]}" has no valid port')
     return host, number
 
 
--- a/zinniaturn/platform/documents.py
+++ b/zinniaturn/platform/documents.py
@@ -2,10 +2,11 @@
 
 __all__ = ('decode_document',)
 
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
+from zinniaturn.errors import cause_of
 from zinniaturn.fleet.domain import TablesDocument
 from zinniaturn.fleet.exceptions import BadDocumentError
 from zinniaturn.fleet.tables import (
@@ -22,6 +23,12 @@
 # Versions are written in hexadecimal digits.
 _VERSION_BASE = 16
 
+Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=10**9)]
+Bytes = Annotated[int, msgspec.Meta(ge=0, le=2**31)]
+Weight = Annotated[float, msgspec.Meta(ge=0, le=10**9)]
+Priority = Annotated[int, msgspec.Meta(ge=-(10**6), le=10**6)]
+Attempts = Annotated[int, msgspec.Meta(ge=0, le=1000)]
+
 
 class _ColumnTable(msgspec.Struct):
     """Column names, and rows that hold a value for each column."""
@@ -34,7 +41,7 @@
     """A pool's weight among the pools that share a route's requests."""
 
     service: str
-    weight: float
+    weight: Weight
 
 
 class _Route(msgspec.Struct):
@@ -46,13 +53,13 @@
     # Says only whether the requests are idempotent, see `_IDEMPOTENT_KINDS`.
     kind: str
     # The longest time from a request's arrival to its response.
-    timeout_ms: float
+    timeout_ms: Milliseconds
     # The route's latency objective; 0 means none.
-    target_latency_ms: float = 0
-    priority: int = 0
+    target_latency_ms: Milliseconds = 0
+    priority: Priority = 0
     # The name of the pool; not used where ``traffic_split`` names several.
     service: str | None = None
-    max_attempts: int = 1
+    max_attempts: Attempts = 1
     traffic_split: list[_Share] | None = None
 
 
@@ -66,10 +73,10 @@
 class _Limits(msgspec.Struct):
     """Limits on callers' requests and connections."""
 
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 16 * 1024 * 1024
-    header_timeout_ms: float = 3000
-    idle_timeout_ms: float = 15_000
+    max_header_bytes: Bytes = 16_384
+    max_body_bytes: Bytes = 16 * 1024 * 1024
+    header_timeout_ms: Milliseconds = 3000
+    idle_timeout_ms: Milliseconds = 15_000
 
 
 class _Document(msgspec.Struct):
@@ -93,8 +100,8 @@
         pools = [
             _build_pool(row) for row in _decode_rows(decoded.services, _Service)
         ]
-    except (msgspec.MsgspecError, ValueError) as error:
-        raise BadDocumentError(str(error)) from error
+    except (ValueError, RecursionError, OverflowError) as error:
+        raise BadDocumentError(cause_of(error)) from error
     return FleetTables(
         document.revision,
         {route.name: route for route in routes},
--- a/zinniaturn/platform/running.py
+++ b/zinniaturn/platform/running.py
@@ -9,7 +9,7 @@
 
 from zinniaturn.events.catalogue import LogEvent
 from zinniaturn.gateway.event_log import EventLog
-from zinniaturn.gateway.process import run_gateway
+from zinniaturn.gateway.running import run_gateway
 from zinniaturn.gateway.settings import GatewaySettings
 from zinniaturn.platform.exceptions import SettingsFileError
 from zinniaturn.platform.settings_file import SETTINGS_VARIABLE, read_settings
--- a/zinniaturn/platform/settings_file.py
+++ b/zinniaturn/platform/settings_file.py
@@ -8,9 +8,11 @@
 __all__ = ('SETTINGS_VARIABLE', 'read_settings')
 
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 
+from zinniaturn.errors import cause_of
 from zinniaturn.gateway.settings import FleetBounds, GatewaySettings
 from zinniaturn.http1.connections import Address, parse_address
 from zinniaturn.platform.exceptions import SettingsFileError
@@ -30,33 +32,37 @@
     directory: str | None = None
 
 
+Figure = Annotated[float, msgspec.Meta(ge=0, le=10**9)]
+Port = Annotated[int, msgspec.Meta(ge=1, le=65_534)]
+
+
 class _Bounds(msgspec.Struct):
     """The bounds that the fleet has to keep."""
 
     # The time after which a leaving server gets no new request.
-    drain_ms: float = 2000
+    drain_ms: Figure = 2000
     # The time after which a changed operator's document is in force.
-    config_apply_ms: float = 2000
+    config_apply_ms: Figure = 2000
     # The seconds from SIGTERM to SIGKILL.
-    grace_s: float = 6
+    grace_s: Figure = 6
     # The longest lifetime of a look-up's response that is taken into account.
-    ttl_max_s: float = 5
+    ttl_max_s: Figure = 5
     # Retries and hedged requests to a pool, as a share of its requests.
-    retry_budget_ratio: float = 0.2
+    retry_budget_ratio: Figure = 0.2
     # Retries and hedged requests that are allowed on top of the share.
-    retry_min: float = msgspec.field(default=50, name='budget_min_retries')
+    retry_min: Figure = msgspec.field(default=50, name='budget_min_retries')
     # The seconds over which the share and the number on top of it hold.
-    budget_window_s: float = 10
+    budget_window_s: Figure = 10
     # The probes per second that one server may get from the whole fleet.
-    probes_per_s: float = 60
+    probes_per_s: Figure = 60
 
 
 class _Limits(msgspec.Struct):
     """The VM's resources."""
 
     # The share of a core that one thread gets at most.
-    cpu_share: float = 0
-    link_mbps: float = 0
+    cpu_share: Figure = 0
+    link_mbps: Figure = 0
 
 
 class _Store(msgspec.Struct):
@@ -72,7 +78,7 @@
     ip: str
     zone: str
     listen: _Listen
-    port_range: tuple[int, int]
+    port_range: tuple[Port, Port]
     platform: _Store
     # Whether the whole system starts for the first time.
     first_start: bool = False
@@ -90,8 +96,8 @@
         return _build_settings(file, metrics_port)
     except OSError as error:
         raise SettingsFileError(f'{path}: {error.strerror}') from error
-    except (msgspec.MsgspecError, ValueError) as error:
-        raise SettingsFileError(f'{path}: {error}') from error
+    except (ValueError, RecursionError, OverflowError) as error:
+        raise SettingsFileError(f'{path}: {cause_of(error)}') from error
 
 
 def _build_settings(file: _SettingsFile, metrics_port: int) -> GatewaySettings:
--- a/zinniaturn/platform/statements.py
+++ b/zinniaturn/platform/statements.py
@@ -25,6 +25,7 @@
 # Fields that are for this VM only and not forwarded to callers.
 STATEMENT_FIELDS = frozenset((_LOAD_REPORT, _RESPONDING_SERVER))
 
+_FIGURE = re.compile(rb'[0-9]{1,9}')
 _DECIMAL = re.compile(rb'[0-9]{1,9}(\.[0-9]{0,9})?')
 _LEAVING_TEXTS = MappingProxyType({b'1': True, b'0': False})
 _LONGEST_PAUSE_SECONDS = 60.0
@@ -90,10 +91,10 @@
     text = find_field(fields, _LOAD_REPORT)
     if text is None:
         return None
-    try:
-        figures = [int(figure) for figure in text.split(b',')]
-    except ValueError:
+    texts = [figure.strip() for figure in text.split(b',')]
+    if not all(map(_FIGURE.fullmatch, texts)):
         return None
+    figures = [int(figure) for figure in texts]
     if len(figures) < _REQUIRED_LOAD_FIGURES or figures[2] < 1:
         return None
     slowness = _SLOWNESS_SCALE
--- a/zinniaturn/platform/store.py
+++ b/zinniaturn/platform/store.py
@@ -15,6 +15,8 @@
 
 import msgspec
 
+from zinniaturn.errors import cause_of
+from zinniaturn.fleet.checks import check_record
 from zinniaturn.fleet.domain import (
     FleetSnapshot,
     RegisteredServer,
@@ -43,6 +45,8 @@
 _ERA = b'store-era'
 _HIGHEST_ERA = 2**20
 _OK_STATUS = 200
+# VMs tell each other revisions, in messages that hold no higher ones.
+_HIGHEST_REVISION = 2**61
 
 
 class _Item(msgspec.Struct):
@@ -203,10 +207,12 @@
     try:
         page = _page_decoder.decode(reply.body)
         page.era = int(find_field(reply.fields, _ERA) or 0)
-    except ValueError as error:
-        raise FleetStoreError(f'unreadable reply: {error}') from error
+    except (ValueError, RecursionError) as error:
+        raise FleetStoreError(f'unreadable reply: {cause_of(error)}') from error
     if not 0 <= page.era <= _HIGHEST_ERA:
         raise FleetStoreError(f'the era {page.era} is out of range')
+    if not 0 <= page.current_rev <= _HIGHEST_REVISION:
+        raise FleetStoreError('the revision is out of range')
     return page
 
 
@@ -216,8 +222,10 @@
     for item in items:
         try:
             decoded.add(item)
-        except (msgspec.MsgspecError, ValueError) as error:
-            decoded.unreadable.append(f'{item.key}: {error}')
+        except Exception as error:
+            # Whatever another writer has stored must cost its own item alone;
+            # the decoder gives up in several ways.
+            decoded.unreadable.append(f'{item.key}: {cause_of(error)}')
     return FleetSnapshot(
         join_revision(first.era, first.current_rev),
         decoded.document,
@@ -241,6 +249,8 @@
 
     def add(self, item: _Item) -> None:
         """Decode an item by its key; raises `ValueError`."""
+        if not 0 < item.revision <= _HIGHEST_REVISION:
+            raise ValueError('the revision is out of range')
         raw = base64.b64decode(item.value)
         if item.key == _CONFIG_KEY:
             revision = join_revision(self.era, item.revision)
@@ -249,16 +259,24 @@
             name = item.key.removeprefix(_SERVER_PREFIX)
             self.servers.append(decode_server(name, raw))
         elif item.key.startswith(_VM_PREFIX):
-            record = _record_decoder.decode(raw)
-            self.vms.append(StoredVm(record, item.revision))
+            self.vms.append(_decode_vm(item, raw))
         elif item.key.startswith(_HOLD_PREFIX):
             self.holds.append(_decode_hold(item, raw))
 
 
+def _decode_vm(item: _Item, raw: bytes) -> StoredVm:
+    """Return the VM of an item; raises `ValueError`."""
+    record = _record_decoder.decode(raw)
+    check_record(record)
+    if item.key != _VM_PREFIX + record.name:
+        raise ValueError('the value is of another VM')
+    return StoredVm(record, item.revision)
+
+
 def _decode_hold(item: _Item, raw: bytes) -> StoredHold:
     """Return the held request of an item; raises `ValueError`."""
     hold = _hold_decoder.decode(raw)
     hold.check()
     if item.key != _HOLD_PREFIX + hold.key:
-        raise ValueError(f'the value is of the key "{hold.key}"')
+        raise ValueError('the value is of another key')
     return StoredHold(hold, item.revision)
--- a/zinniaturn/platform/wire_format.py
+++ b/zinniaturn/platform/wire_format.py
@@ -38,6 +38,8 @@
 _NOTHING: frozenset[bytes] = frozenset()
 _MISDIRECTED = 421
 _MILLISECONDS_PER_SECOND = 1000
+_LONGEST_TIMEOUT_MS = 10**9
+_UNLIMITED = b'inf'
 _JSON_CONTENT_TYPE = (b'Content-Type', b'application/json')
 
 
@@ -51,12 +53,20 @@
         return find_field(fields, _REQUEST_ID)
 
     def caller_timeout_seconds(self, fields: Fields) -> float | None:
-        """Return the caller's timeout, if it states one that can be read."""
+        """
+        Return the caller's timeout, if it states one that can be read.
+
+        Callers without a timeout state one that no request lasts, or an
+        infinite one.
+        """
         text = find_field(fields, _TIME_LEFT)
         try:
-            return float(text) / _MILLISECONDS_PER_SECOND if text else None
+            milliseconds = float(text or _UNLIMITED)
         except ValueError:
             return None
+        if not -_LONGEST_TIMEOUT_MS < milliseconds < _LONGEST_TIMEOUT_MS:
+            return None
+        return max(0, milliseconds) / _MILLISECONDS_PER_SECOND
 
     def server_request(
         self,
--- a/zinniaturn/quarantine/hold_record.py
+++ b/zinniaturn/quarantine/hold_record.py
@@ -25,6 +25,8 @@
 )
 
 _MOST_CRASHES = 8
+_MOST_WITNESSES = 64
+_LONGEST_NAME = 200
 _MS_PER_SECOND = 1000
 # A Unix time in milliseconds that no clock shows for thousands of years.
 _LATEST_MS = 10**15
@@ -57,13 +59,26 @@
     def check(self) -> None:
         """Raise `ValueError` if the record tells nothing that can be used."""
         parse_key(self.key)
+        if len(self.crashes) > _MOST_CRASHES:
+            raise ValueError(f'{len(self.crashes)} crashes are too many')
         for crash in self.crashes:
+            _check_names(crash)
             if not 0 <= crash.ended_ms <= _LATEST_MS:
                 raise ValueError(f'no time: {crash.ended_ms} ms')
             if not 0 <= crash.started_ms <= _LATEST_MS:
                 raise ValueError(f'no time: {crash.started_ms} ms')
 
 
+def _check_names(crash: HeldCrash) -> None:
+    """Raise `ValueError` if the names don't fit into a datagram."""
+    if len(crash.witnesses) > _MOST_WITNESSES:
+        raise ValueError(f'{len(crash.witnesses)} witnesses are too many')
+    if any(
+        len(name) > _LONGEST_NAME for name in (crash.server, *crash.witnesses)
+    ):
+        raise ValueError('a name is too long')
+
+
 @dataclass(frozen=True, slots=True)
 class StoredHold:
     """A hold in the store, with the revision of its key."""
--- a/zinniaturn/relay/messages.py
+++ b/zinniaturn/relay/messages.py
@@ -23,6 +23,7 @@
 
 import msgspec
 
+from zinniaturn.errors import cause_of
 from zinniaturn.outcomes import Outcome
 from zinniaturn.relay.exceptions import RelayMessageError
 
@@ -123,8 +124,8 @@
     """Return a request; raises `RelayMessageError`."""
     try:
         request = _request_decoder.decode(raw)
-    except (msgspec.MsgspecError, ValueError) as error:
-        raise RelayMessageError(str(error)) from error
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        raise RelayMessageError(cause_of(error)) from error
     _check_version(request.version)
     return request
 
@@ -133,8 +134,8 @@
     """Return a reply; raises `RelayMessageError`."""
     try:
         reply = _reply_decoder.decode(raw)
-    except (msgspec.MsgspecError, ValueError) as error:
-        raise RelayMessageError(str(error)) from error
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        raise RelayMessageError(cause_of(error)) from error
     _check_version(reply.version)
     return reply
 
