Answer callers whatever a log line can hold, and read no infinite timeout

Cause: the estimate of elapsed time became NaN, and the line for the log, which is written between the run and the answer, raised outside of any handler.

A line that can't be encoded is dropped and counted.

--- a/zinniaturn/gateway/dispatch.py
+++ b/zinniaturn/gateway/dispatch.py
@@ -32,6 +32,9 @@
 
 _FIRST_ERROR_STATUS = 400
 _NOT_READY_RETRY_SECONDS = 0.3
+# In route timeouts. A caller that waits for longer than the others must not let
+# their first attempts look like later ones for long.
+_LONGEST_COUNTED_TIMEOUT = 4
 
 
 class Dispatcher:
@@ -87,7 +90,9 @@
         name = self.pool_selector.select(route)
         pool = tables.pools.get(name, FleetPool(name, ()))
         seconds = self.state.wire_format.caller_timeout_seconds(request.fields)
-        limit = min(route.deadline_seconds, seconds or route.deadline_seconds)
+        limit = route.deadline_seconds
+        if seconds is not None:
+            limit = min(limit, seconds)
         context = RequestContext(
             request,
             decode_text(self.state.wire_format.request_id(request.fields)),
@@ -98,8 +103,9 @@
             bool(route.idempotent),
         )
         if seconds is not None:
+            longest = route.deadline_seconds * _LONGEST_COUNTED_TIMEOUT
             context.elapsed_before = self.elapsed_times.estimate(
-                route.name, seconds
+                route.name, min(seconds, longest)
             )
         self.state.note_request(name, request.started_at)
         return self._serve(exchange, context)
@@ -155,7 +161,11 @@
         else:
             outcome = 'failed by server'
             status = response.status
-        self.log.ended(context, outcome, status)
+        try:
+            self.log.ended(context, outcome, status)
+        except Exception as error:
+            # The caller gets its response whatever the log can hold.
+            self.state.log_fault('logging a request', error)
         return status
 
     async def _serve(
--- a/zinniaturn/gateway/event_log.py
+++ b/zinniaturn/gateway/event_log.py
@@ -82,8 +82,10 @@
         self._write_row(row)
 
     def _write_row(self, row: dict[str, Any]) -> None:
-        line = b'%b\n' % msgspec.json.encode(row)
+        """Write a line; one that can't be encoded or written is dropped."""
         try:
+            line = b'%b\n' % msgspec.json.encode(row)
             os.write(self.output_descriptor, line)
-        except OSError:
+        except (OSError, OverflowError, TypeError, ValueError):
+            # Whoever logs goes on; the next line counts this one as dropped.
             self.dropped_lines += 1
--- a/zinniaturn/http1/callers.py
+++ b/zinniaturn/http1/callers.py
@@ -14,7 +14,11 @@
 import httptools
 
 from zinniaturn.http1.byte_budget import BodyBuffer, ByteBudget
-from zinniaturn.http1.exchanges import CallerExchange, Service
+from zinniaturn.http1.exchanges import (
+    CallerExchange,
+    Service,
+    failure_response,
+)
 from zinniaturn.http1.limits import CallerLimits
 from zinniaturn.http1.messages import (
     Fields,
@@ -228,7 +232,10 @@
         self.exchanges.append(exchange)
         if not request.keep_alive:
             self.is_closing = True
-        reply = self.service.handle(exchange)
+        try:
+            reply = self.service.handle(exchange)
+        except Exception as error:
+            reply = failure_response(error)
         if isinstance(reply, Response):
             exchange.response = reply
             self.flush()
--- a/zinniaturn/http1/exchanges.py
+++ b/zinniaturn/http1/exchanges.py
@@ -1,10 +1,11 @@
 """A caller's request with its response, and the interface of services."""
 
-__all__ = ('CallerExchange', 'Reply', 'Service')
+__all__ = ('CallerExchange', 'Reply', 'Service', 'failure_response')
 
 import asyncio
 from collections.abc import Coroutine
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Protocol
 
 from zinniaturn.http1.limits import CallerLimits
@@ -40,8 +41,16 @@
         return peer[0] if peer else ''
 
     async def serve(self, reply: Coroutine[None, None, Response]) -> None:
-        """Await the response and let the connection write it in order."""
-        self.response = await reply
+        """
+        Await the response and let the connection write it in order.
+
+        An unexpected exception is reported to the event loop and answered with
+        500, which says nothing of whether the request has run.
+        """
+        try:
+            self.response = await reply
+        except Exception as error:
+            self.response = failure_response(error)
         self.connection.flush()
 
     async def wait_for_turn(self) -> None:
@@ -52,6 +61,14 @@
             await self.turn
 
 
+def failure_response(error: Exception) -> Response:
+    """Report an unexpected exception; return the response to its request."""
+    asyncio.get_running_loop().call_exception_handler(
+        {'message': 'a request failed', 'exception': error}
+    )
+    return Response(HTTPStatus.INTERNAL_SERVER_ERROR, b'', [], closes=True)
+
+
 class Service(Protocol):
     """Handler of the requests of a listener."""
 
