Never send a request again on a connection that carried its rejection

Cause: answers were told apart by the id of the attempt, which all its sends share, and a rejection without an id, as status checks get, counted for any request.

Change: a connection keeps the ids whose answer was not the last word, and whether it carried a rejection without id; such a request takes another idle connection or a new one.

--- a/zinniaturn/gateway/attempt.py
+++ b/zinniaturn/gateway/attempt.py
@@ -43,7 +43,10 @@
     """
     server = placement.candidate.registered.server
     address = placement.candidate.address
-    connection = await _acquire_connection(state, address, placement)
+    request_id = state.wire_format.request_id(context.request.fields)
+    connection = await _acquire_connection(
+        state, address, placement, request_id
+    )
     if state.admissions.clock.monotonic() >= placement.send_before:
         state.connections.keep_idle(address, connection)
         raise AttemptError(
@@ -65,7 +68,7 @@
             Exchange(
                 payload,
                 state.wire_format.response_id_field,
-                state.wire_format.request_id(context.request.fields),
+                request_id,
                 context.request.method == b'HEAD',
             ),
         )
@@ -92,6 +95,9 @@
         _check_response(
             state, placement, response, loop.time() - now, loop.time()
         )
+    except AttemptError:
+        connection.rejections.note(request_id)
+        raise
     finally:
         if not offer_connection(connection):
             state.connections.keep_idle(address, connection)
@@ -102,11 +108,16 @@
     state: GatewayState,
     address: Address,
     placement: Placement,
+    request_id: bytes | None,
 ) -> BackendConnection:
-    if placement.connection is not None:
-        return placement.connection
+    """Return a connection that may carry the request; may open one."""
+    offered = placement.connection
+    if offered is not None:
+        if offered.rejections.allow(request_id):
+            return offered
+        state.connections.keep_idle(address, offered)
     loop = asyncio.get_running_loop()
-    pooled = state.connections.take_idle(address, loop.time())
+    pooled = state.connections.take_idle(address, loop.time(), request_id)
     if pooled is not None:
         return pooled
     pool, name = placement.candidate.registered.pool, placement.candidate.name
--- a/zinniaturn/gateway/relay_client.py
+++ b/zinniaturn/gateway/relay_client.py
@@ -36,6 +36,7 @@
 # A connection that was idle for longer may have gone silent unnoticed.
 _TRUSTED_IDLE_SECONDS = 1.0
 _ID_BITS = 64
+_ANY_ID = b''
 _OK_STATUS = 200
 _MS_PER_SECOND = 1000
 
@@ -115,7 +116,8 @@
         """Return a connection to a VM, ``None`` if there is none."""
         loop = asyncio.get_running_loop()
         connections = self.state.connections
-        pooled = connections.take_idle(address, loop.time())
+        # Replies bear the number of one message, which no other one has.
+        pooled = connections.take_idle(address, loop.time(), _ANY_ID)
         if pooled is not None:
             if loop.time() - pooled.last_used_at < _TRUSTED_IDLE_SECONDS:
                 return pooled
--- a/zinniaturn/http1/backend.py
+++ b/zinniaturn/http1/backend.py
@@ -13,6 +13,7 @@
 import httptools
 
 from zinniaturn.http1.byte_budget import BodyBuffer, ByteBudget
+from zinniaturn.http1.carried_rejections import CarriedRejections
 from zinniaturn.http1.exceptions import BadMessageError, ExchangeBrokenError
 from zinniaturn.http1.messages import Fields, Response, find_field
 
@@ -45,6 +46,7 @@
     A connection to a backend server; `send` starts an exchange.
 
     ``is_clean`` is true as long as another exchange may follow.
+    ``rejections`` tells which requests it must not carry.
     """
 
     def __init__(
@@ -56,6 +58,7 @@
         self.is_clean = True
         self.last_used_at = loop.time()
         self.usable_until = float('inf')
+        self.rejections = CarriedRejections()
         self.exchange: Exchange | None = None
         self.response: asyncio.Future[Response] | None = None
         self._reset_parser()
@@ -81,8 +84,9 @@
 
     def is_usable(self, now: float) -> bool:
         """Return whether another exchange may begin."""
+        may_follow = self.is_clean and not self.rejections.is_full
         return (
-            self.is_clean
+            may_follow
             and self.exchange is None
             and self.transport is not None
             and not self.transport.is_closing()
@@ -192,6 +196,9 @@
             return
         if self._is_still_sending():
             self.is_clean = False
+        if self.status >= _FIRST_STATUS_WITHOUT_ID:
+            received_id = find_field(self.fields, exchange.id_field)
+            self.rejections.has_unnamed |= received_id is None
         self.exchange = None
         self.response = None
         self.last_used_at = self.loop.time()
--- a/zinniaturn/http1/connections.py
+++ b/zinniaturn/http1/connections.py
@@ -52,15 +52,21 @@
         self.idle: dict[Address, list[BackendConnection]] = {}
 
     def take_idle(
-        self, address: Address, now: float
+        self, address: Address, now: float, request_id: bytes | None = None
     ) -> BackendConnection | None:
-        """Return an idle connection that is still usable, if there is one."""
-        idle_connections = self.idle.get(address)
-        while idle_connections:
-            connection = idle_connections.pop()
-            if connection.is_usable(now):
+        """
+        Return an idle connection that is still usable, if there is one.
+
+        With ``request_id`` it may carry the request with that id.
+        """
+        idle_connections = self.idle.get(address, [])
+        for connection in reversed(idle_connections.copy()):
+            if not connection.is_usable(now):
+                idle_connections.remove(connection)
+                connection.close()
+            elif connection.rejections.allow(request_id):
+                idle_connections.remove(connection)
                 return connection
-            connection.close()
         return None
 
     def take_expiring(
