--- a/features/foreign_data.feature
+++ b/features/foreign_data.feature
@@ -46,4 +46,4 @@
     Given a platform with servers "s-1" and "s-2" and a gateway
     When installing what was read fails for 1 s with an unexpected exception
     Then the gateway has logged that it gets nothing from the store, with the cause, and later that it does again
-    And the log of the gateway has no fault
+    And the log reports the exception
--- a/zinniaturn/fleet/store_poller.py
+++ b/zinniaturn/fleet/store_poller.py
@@ -18,6 +18,7 @@
 _MAX_SLEEP_SECONDS = 0.25
 
 SnapshotListener = Callable[[FleetSnapshot], None]
+FaultListener = Callable[[Exception], None]
 ReplyListener = Callable[[FleetStoreError | None], None]
 
 
@@ -28,7 +29,8 @@
 
     ``on_read`` listeners are called with each snapshot. ``on_reply`` listeners
     are called after every read, with the error if it failed and ``None``
-    otherwise.
+    otherwise. ``on_fault`` listeners are called with each unexpected exception,
+    which is a fault of this program.
     """
 
     store: FleetStore
@@ -37,6 +39,7 @@
     schedule: PollSchedule
     on_read: list[SnapshotListener] = field(default_factory=list)
     on_reply: list[ReplyListener] = field(default_factory=list)
+    on_fault: list[FaultListener] = field(default_factory=list)
 
     async def run(self) -> None:
         """Poll the store until cancelled."""
@@ -60,8 +63,10 @@
         except FleetStoreError as error:
             await self._fail(error)
         except Exception as error:
-            # What was read brings no news either, and the next read will fail
+            # What was read brings no news either, and the next read may fail
             # in the same way.
+            for fault_listener in self.on_fault:
+                fault_listener(error)
             await self._fail(FleetStoreError(f'unusable state: {error!r}'))
         else:
             self.schedule.failures = 0
--- a/zinniaturn/gateway/process.py
+++ b/zinniaturn/gateway/process.py
@@ -115,6 +115,9 @@
             ),
         )
         self.store_poller.on_reply.append(self.reporter.note_store_reply)
+        self.store_poller.on_fault.append(
+            partial(self.state.log_fault, 'reading the store')
+        )
         self.peers = GossipProtocol(
             record,
             self.fleet_state,
