Take no interim response for the answer when the connection ends

Cause: the end of any head counted as that of the answer, so that the end of the connection completed a body without a length.

Change: only a final response's head counts. The stand-in's broken answers have a module of their own, with three more that break off in the head.

--- a/zinniaturn/http1/backend.py
+++ b/zinniaturn/http1/backend.py
@@ -143,16 +143,17 @@
 
     def on_headers_complete(self) -> None:
         """Determine how the body ends."""
-        self.head_read = True
         self.status = self.parser.get_status_code()
-        if self.exchange is None:
+        # The head of the answer itself comes behind an interim response.
+        self.head_read = self.status >= _FIRST_FINAL_STATUS
+        if self.exchange is None or not self.head_read:
             return
         has_length = find_field(self.fields, b'content-length') is not None
         is_chunked = find_field(self.fields, b'transfer-encoding') is not None
         self.ends_with_connection = not (
             has_length or is_chunked or self.status in _BODYLESS_STATUSES
         )
-        if self.exchange.is_head and self.status >= _FIRST_FINAL_STATUS:
+        if self.exchange.is_head:
             self.is_clean = False
             self._complete()
 
--- a/zinniaturn/platform/standins/faults.py
+++ b/zinniaturn/platform/standins/faults.py
@@ -37,6 +37,11 @@
     UNFRAMED_CUT = 'unframed-cut'
     # The connection is closed before as many bytes as the length states.
     SHORT = 'short'
+    # The connection is closed in the middle of the head, after one of its
+    # lines, or after an interim response.
+    HEAD_CUT = 'head-cut'
+    LINE_CUT = 'line-cut'
+    INTERIM_CUT = 'interim-cut'
     # Bytes that are not an HTTP response.
     GIBBERISH = 'gibberish'
     # A success without the server's signature.
--- a/zinniaturn/platform/standins/server.py
+++ b/zinniaturn/platform/standins/server.py
@@ -13,9 +13,12 @@
     Fields,
     Request,
     Response,
-    encode_response,
     find_field,
 )
+from zinniaturn.platform.standins.broken_answers import (
+    CLOSING_FAULTS,
+    broken_answer,
+)
 from zinniaturn.platform.standins.crashes import CrashRule
 from zinniaturn.platform.standins.endless import (
     ENDLESS_FAULTS,
@@ -29,6 +32,7 @@
 _RESET_DELAY_SECONDS = 0.02
 _SIGNATURE = b'X-Upstream-Signature'
 _HEALTH_PATH = b'/healthz'
+_RESETTING_FAULTS = frozenset((ServerFault.LOST, ServerFault.UNFRAMED_CUT))
 
 
 @dataclass(slots=True)
@@ -188,31 +192,11 @@
             await send_without_end(transport, request_id, fault)
         body = self._body_for(request_id)
         response = self._build_response(request_id, 200, body)
-        complete_response = encode_response(response)
-        head = complete_response[: complete_response.index(b'\r\n\r\n') + 4]
-        unframed_head = head.replace(b'Content-Length', b'X-Length')
-        stale_response = encode_response(
-            self._build_response(b'earlier', 200, b'stale')
-        )
-        half_body = body[: len(body) // 2]
-        writes: dict[ServerFault, tuple[bytes, Callable[[], None]]] = {
-            ServerFault.MUTE: (b'', _keep_open),
-            ServerFault.LOST: (b'', lambda: reset_connection(transport)),
-            ServerFault.EXTRA: (complete_response + stale_response, _keep_open),
-            ServerFault.STALE: (stale_response + complete_response, _keep_open),
-            ServerFault.UNFRAMED: (unframed_head + body, transport.close),
-            ServerFault.UNFRAMED_CUT: (unframed_head + half_body, _keep_open),
-            ServerFault.SHORT: (head + half_body, transport.close),
-            ServerFault.GIBBERISH: (b'\x00\x01 nonsense\r\n\r\n', _keep_open),
-        }
-        fault_response = writes.get(fault)
-        if fault_response is not None:
-            raw, finish = fault_response
+        stale = self._build_response(b'earlier', 200, b'stale')
+        raw = broken_answer(fault, response, stale)
+        if raw is not None:
             transport.write(raw)
-            if fault is ServerFault.UNFRAMED_CUT:
-                await asyncio.sleep(_RESET_DELAY_SECONDS)
-                reset_connection(transport)
-            finish()
+            await _finish(transport, fault)
             await asyncio.Event().wait()
         return self._alter_response(response, fault)
 
@@ -288,5 +272,11 @@
         return b'X-Upstream-Load', report.encode()
 
 
-def _keep_open() -> None:
-    """Leave the connection open after the faulty response."""
+async def _finish(transport: asyncio.Transport, fault: ServerFault) -> None:
+    """Close or reset the connection behind a broken answer, or keep it."""
+    if fault is ServerFault.UNFRAMED_CUT:
+        await asyncio.sleep(_RESET_DELAY_SECONDS)
+    if fault in _RESETTING_FAULTS:
+        reset_connection(transport)
+    if fault in CLOSING_FAULTS:
+        transport.close()
