Answer a request that offers another protocol once, with its whole body

Cause: the parser takes each offer for accepted. It ends behind the head, the request was dispatched without a body, and the offer was rejected after it.

Change: an offer is ignored (RFC 9110, 7.8): the head is parsed again without it, so that the body and the next request follow.

--- a/features/gateway_requests.feature
+++ b/features/gateway_requests.feature
@@ -31,6 +31,20 @@
     When a caller sends a read and a post at once on one connection
     Then the post reaches its server after the response to the read
 
+  Scenario Outline: An offer of another protocol is not taken up, and answered once
+    When a caller <asks>, offering "<protocol>", and again on its connection, <sent>
+    Then each gets 200 with the body "answer"
+    And its connection has brought nothing else
+    And each of its requests ran once
+
+    Examples:
+      | asks  | protocol  | sent             |
+      | reads | h2c       | after the answer |
+      | posts | h2c       | after the answer |
+      | reads | websocket | at once          |
+      | posts | h2c       | at once          |
+      | posts | h2c       | byte by byte     |
+
   Scenario Outline: A non-idempotent request is never run twice
     Given every request meets the fault "<fault>"
     When a caller posts with a timeout of 0.6 s
--- a/features/steps/gateway_requests_steps.py
+++ b/features/steps/gateway_requests_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+from collections import Counter
 from dataclasses import replace
 
 from behave import given, then, when
@@ -664,3 +665,65 @@
 def check_fault_logged(context):
     rows = context.gateway.event_log.rows
     assert any(row['event'] == 706 and row['reason'] for row in rows)
+
+
+@when(
+    'a caller {asks}, offering "{protocol}", and again on its connection, '
+    '{sent}'
+)
+def offer_protocol(context, asks, protocol, sent):
+    method, target, body = {
+        'reads': ('GET', '/reads/1', b''),
+        'posts': ('POST', '/posts/1', b'ledger'),
+    }[asks]
+    offer = (
+        f'Connection: Upgrade, HTTP2-Settings\r\nUpgrade: {protocol}\r\n'
+        'HTTP2-Settings: AAMAAABkAARAAAAAAAIAAAAA\r\n'
+    )
+    payloads = [
+        build_request_bytes(
+            method, target, request_id=f'id-{number}', body=body, extra=offer
+        )
+        for number in range(2)
+    ]
+
+    async def send():
+        reader, writer = await asyncio.open_connection(*context.front)
+        context.responses = []
+        for payload in _parts(payloads, sent):
+            writer.write(payload)
+            if sent == 'after the answer':
+                context.responses.append(await read_response(reader))
+            else:
+                await asyncio.sleep(0)
+        while len(context.responses) < len(payloads):
+            context.responses.append(await read_response(reader))
+        writer.write_eof()
+        context.bytes_after = await asyncio.wait_for(reader.read(), 5)
+        writer.transport.abort()
+
+    _run(context, send())
+
+
+def _parts(payloads, sent):
+    """Return the bytes of two requests in the parts that are written."""
+    whole = b''.join(payloads)
+    parts = {
+        'after the answer': payloads,
+        'at once': [whole],
+        'byte by byte': [whole[at : at + 1] for at in range(len(whole))],
+    }
+    return parts[sent]
+
+
+@then('its connection has brought nothing else')
+def check_nothing_else(context):
+    assert context.bytes_after == b'', context.bytes_after
+
+
+@then('each of its requests ran once')
+def check_ran_once(context):
+    runs = Counter()
+    for server in context.platform.servers:
+        runs.update(server.runs)
+    assert runs == {b'id-0': 1, b'id-1': 1}, runs
--- a/zinniaturn/http1/callers.py
+++ b/zinniaturn/http1/callers.py
@@ -25,7 +25,9 @@
     Request,
     Response,
     encode_response,
+    head_size,
 )
+from zinniaturn.http1.upgrade_offers import head_without_offer
 from zinniaturn.sockets import unread_bytes
 
 _MAX_PIPELINED_REQUESTS = 32
@@ -91,9 +93,7 @@
         if self.receiving:
             self.body.received_bytes += len(data)
         try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(400, b'upgrades are not supported')
+            self._parse(data)
         except httptools.HttpParserError as error:
             self._reject(400, str(error).encode())
         if self.receiving and self.body.has_excess(
@@ -101,6 +101,20 @@
         ):
             self._reject(*_EXCESS_REJECTIONS[self.head_done])
 
+    def _parse(self, data: bytes) -> None:
+        """Parse bytes; raises `HttpParserError`."""
+        while data:
+            try:
+                self.parser.feed_data(data)
+            except httptools.HttpParserUpgrade as offer:
+                head = head_without_offer(
+                    self.parser.get_method(), self.target, self.fields
+                )
+                data = head + data[offer.args[0] :]
+                self.parser = httptools.HttpRequestParser(self)
+            else:
+                return
+
     def on_message_begin(self) -> None:
         """Start a request."""
         self.has_begun = True
@@ -121,7 +135,11 @@
 
     def on_headers_complete(self) -> None:
         """Check the size of the head and answer ``Expect: 100-continue``."""
-        self._check_head_size()
+        if self.parser.should_upgrade():
+            return
+        size = head_size(self.target, self.fields)
+        if size > self.service.limits.header_bytes:
+            self._reject(431, b'the head is too large')
         self.head_done = True
         if self.is_closing or self.transport is None:
             return
@@ -140,6 +158,9 @@
 
     def on_message_complete(self) -> None:
         """Dispatch a complete request."""
+        if self.parser.should_upgrade():
+            # Only the head has been read; it is parsed again.
+            return
         self.receiving = False
         self.head_done = False
         if self.is_closing:
@@ -204,13 +225,6 @@
         if now - since > limits.header_seconds:
             self._reject(408, b'the request took too long')
 
-    def _check_head_size(self) -> None:
-        head_bytes = len(self.target) + sum(
-            len(name) + len(text) for name, text in self.fields
-        )
-        if head_bytes > self.service.limits.header_bytes:
-            self._reject(431, b'the head is too large')
-
     def _reject(self, status: int, detail: bytes) -> None:
         """Answer with an error, after earlier responses, and close."""
         if self.is_closing:
--- a/zinniaturn/http1/messages.py
+++ b/zinniaturn/http1/messages.py
@@ -12,6 +12,7 @@
     'encode_response',
     'end_to_end_fields',
     'find_field',
+    'head_size',
 )
 
 from dataclasses import dataclass
@@ -83,6 +84,11 @@
     return None
 
 
+def head_size(target: bytes, fields: Fields) -> int:
+    """Return the bytes of a request's target and fields."""
+    return len(target) + sum(len(name) + len(text) for name, text in fields)
+
+
 def end_to_end_fields(fields: Fields, dropped: frozenset[bytes]) -> Fields:
     """
     Return the fields without hop-by-hop ones and those in ``dropped``.
