--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -27,6 +27,13 @@
     When VM 1 gets SIGHUP while it serves a request
     Then the request gets 200
 
+  Scenario: SIGHUP does not end a process that is loading its modules
+    When VM 1 is killed
+    And VM 1 is started again, and gets SIGHUP from its first module on until it listens, as its settings change
+    Then a look-up at VM 2 returns 3 addresses
+    And a request through each VM gets 200
+    And VM 1 soon uses the changed settings
+
   Scenario: New tables are in force on every VM within the time limit
     When the operator adds the route "/added/"
     Then a request for "/added/1" gets 200 through each VM within 2 s
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -43,6 +43,8 @@
 )
 _RANGE_PATH = '/kv-range'
 _TIMEOUT_SECONDS = 20
+_SIGHUP_EVERY_SECONDS = 0.02
+_STARTED = 700
 
 
 def _run(context, coroutine):
@@ -407,3 +409,57 @@
     rows = context.failed_vm.log_rows()
     assert [row['event'] for row in rows] == [event]
     assert rows[0]['reason']
+
+
+@when(
+    'VM {number:d} is started again, and gets SIGHUP from its first module on '
+    'until it listens, as its settings change'
+)
+def restart_with_sighup(context, number):
+    vm = _vm(context, number)
+    settings = json.loads(vm.settings_path.read_text())
+    starts = len(_start_rows(vm))
+
+    async def run():
+        vm.start()
+        await wait_until(lambda: _survives_sighup(vm.process.pid))
+        settings.setdefault('bounds', {})['probes_per_s'] = 59
+        vm.settings_path.write_text(json.dumps(settings))
+        while vm.is_running() and len(_start_rows(vm)) == starts:
+            vm.signal(signal.SIGHUP)
+            await asyncio.sleep(_SIGHUP_EVERY_SECONDS)
+
+    _run(context, run())
+
+
+def _survives_sighup(pid):
+    """Return whether a process ignores the signal, or handles it."""
+    lines = Path(f'/proc/{pid}/status').read_text().splitlines()
+    masks = dict(line.split(':', 1) for line in lines)
+    bit = 1 << (signal.SIGHUP - 1)
+    return any(int(masks[name], 16) & bit for name in ('SigIgn', 'SigCgt'))
+
+
+def _start_rows(vm):
+    return [row for row in vm.log_rows() if row['event'] == _STARTED]
+
+
+@then('VM {number:d} soon uses the changed settings')
+def check_settings_used(context, number):
+    vm = _vm(context, number)
+
+    def has_started_or_reloaded():
+        rows = vm.log_rows()
+        last_start = max(
+            index for index, row in enumerate(rows) if row['event'] == _STARTED
+        )
+        events = {row['event'] for row in rows[last_start:]}
+        return 704 in events or _started_with_change(vm, rows[last_start])
+
+    _run(context, wait_until(has_started_or_reloaded))
+
+
+def _started_with_change(vm, started_row):
+    """Return whether a process had begun to listen after the change."""
+    changed_at = vm.settings_path.stat().st_mtime
+    return started_row['time'] > changed_at
--- a/zinniaturn/platform/running.py
+++ b/zinniaturn/platform/running.py
@@ -25,6 +25,8 @@
     path = os.environ.get(SETTINGS_VARIABLE, '')
     event_log = EventLog('')
     event_log.set_nonblocking()
+    # A change while the file is being read differs from this stamp.
+    stamp = _file_stamp(path)
     try:
         settings = read_settings(path, metrics_port)
     except SettingsFileError as error:
@@ -32,7 +34,7 @@
         sys.exit(_USAGE_STATUS)
     event_log.vm = settings.name
     store = PlatformStore(settings.store, settings.host)
-    watcher = _SettingsWatcher(path, metrics_port, settings, event_log)
+    watcher = _SettingsWatcher(path, metrics_port, settings, event_log, stamp)
 
     def reload_settings() -> GatewaySettings | None:
         changed = watcher.read_if_changed()
@@ -56,17 +58,17 @@
         metrics_port: int,
         settings: GatewaySettings,
         event_log: EventLog,
+        stamp: tuple[int, int],
     ) -> None:
         self.path = path
         self.metrics_port = metrics_port
         self.settings = settings
         self.event_log = event_log
-        self.refused = ''
-        self.stamp = self._file_stamp()
+        self.stamp = stamp
 
     def read_if_changed(self) -> GatewaySettings | None:
         """Return changed settings, or ``None``; log those that are invalid."""
-        stamp = self._file_stamp()
+        stamp = _file_stamp(self.path)
         if stamp == self.stamp:
             return None
         self.stamp = stamp
@@ -84,9 +86,11 @@
         self.settings = settings
         return settings
 
-    def _file_stamp(self) -> tuple[int, int]:
-        try:
-            status = Path(self.path).stat()
-        except OSError:
-            return 0, 0
-        return status.st_mtime_ns, status.st_size
+
+def _file_stamp(path: str) -> tuple[int, int]:
+    """Return what changes with the file's content, zeros without a file."""
+    try:
+        status = Path(path).stat()
+    except OSError:
+        return 0, 0
+    return status.st_mtime_ns, status.st_size
