Tell builds before the store's eras the store's own revisions

Cause: revisions with the era joined in, told to builds that know the store's own numbers only.

Change: claims in datagrams and fetched states carry the store's own numbers unless the receiver is known to follow eras; that shows in its datagrams, and in a header of today's fetches. A state that both hold is confirmed across builds.

--- a/features/message_versions.feature
+++ b/features/message_versions.feature
@@ -34,3 +34,16 @@
       | born     | 1000000000000000000000000000000 |
       | born     | -1                             |
       | capacity | 1000000000000000000000000000000 |
+
+  Scenario: A VM of a build before the store's eras is told the store's own revisions
+    Given a platform with servers "s-1" and "s-2" and a gateway
+    And the store has been in its second era from the start
+    When a VM of a build before the eras pings the gateway and fetches its state
+    Then it is told revisions that the store itself has given out
+    And the gateway takes that VM's word for the age of the state that both hold
+
+  Scenario: A VM of a build that knows the eras is told revisions with their era
+    Given a platform with servers "s-1" and "s-2" and a gateway
+    And the store has been in its second era from the start
+    When a VM of a build that knows the eras pings the gateway and fetches its state
+    Then it is told revisions with their era
--- a/zinniaturn/fleet/alive_vms.py
+++ b/zinniaturn/fleet/alive_vms.py
@@ -20,7 +20,8 @@
     Its ``version`` is 0 while nothing but its record is known. ``heard_at`` is
     the time of the last message from the VM itself, which said that it was at
     ``own_version``, and ``changed_at`` is the time of the last change of its
-    status; both times are minus infinity before the first.
+    status; both times are minus infinity before the first. ``follows_eras``
+    is set once a message of its process shows that it knows the store's eras.
     """
 
     record: VmRecord
@@ -31,6 +32,7 @@
     heard_at: float = float('-inf')
     own_version: int = 0
     changed_at: float = float('-inf')
+    follows_eras: bool = False
 
     @property
     def name(self) -> str:
--- a/zinniaturn/fleet/datagrams.py
+++ b/zinniaturn/fleet/datagrams.py
@@ -188,7 +188,8 @@
 
     ``target`` is the VM that a ping request is about. ``news`` are the statuses
     of other VMs, and ``notices`` is what servers have said. Older processes
-    send no more than ``target``, or nothing of ``reach`` or ``quarantine``.
+    send no more than ``target``, or nothing of ``reach`` or ``quarantine``;
+    those without ``notices`` don't know eras of the store either.
     """
 
     version: int
@@ -198,7 +199,7 @@
     state: StateClaim
     news: tuple[StatusRow, ...] = ()
     target: str = ''
-    notices: tuple[NoticeRow, ...] = ()
+    notices: tuple[NoticeRow, ...] | None = None
     permit_request: PermitRequestRow | None = None
     permit_grant: PermitGrantRow | None = None
     reach: ReachRow = _NO_REACH
@@ -209,6 +210,11 @@
         """Return the sender's own status."""
         return self.sender.to_status()
 
+    @property
+    def follows_eras(self) -> bool:
+        """Return whether the sender knows the eras of the store."""
+        return self.notices is not None
+
     def news_statuses(self) -> list[VmStatus]:
         """Return the usable statuses of other VMs."""
         return usable_statuses(self.news)
--- a/zinniaturn/fleet/fleet_state.py
+++ b/zinniaturn/fleet/fleet_state.py
@@ -11,11 +11,11 @@
 lacks have time to register again.
 """
 
-__all__ = ('FleetState', 'StateFingerprint')
+__all__ = ('FleetState', 'StateFingerprint', 'StateIdentity')
 
 import zlib
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import msgspec
 
@@ -28,7 +28,7 @@
 )
 from zinniaturn.fleet.exceptions import BadDocumentError
 from zinniaturn.fleet.gone_servers import GoneServers
-from zinniaturn.fleet.revisions import era_of
+from zinniaturn.fleet.revisions import era_of, number_of
 from zinniaturn.fleet.server_changes import ServerChanges, changed_names
 from zinniaturn.fleet.state_change import StateChange, describe_servers
 from zinniaturn.fleet.tables import FleetTables
@@ -60,6 +60,19 @@
         return _digest((self.tables, self.servers, self.vms))
 
 
+@dataclass(frozen=True, slots=True)
+class StateIdentity:
+    """A state's revision and fingerprint, as some build understands them."""
+
+    revision: int
+    fingerprint: StateFingerprint
+
+    @property
+    def digest(self) -> int:
+        """Return the digest of all parts."""
+        return self.fingerprint.digest
+
+
 @dataclass(slots=True)
 class FleetState:
     """
@@ -95,6 +108,23 @@
         """Return the digest of the whole state."""
         return self.fingerprint.digest
 
+    def identity(self, follows_eras: bool) -> StateIdentity:
+        """
+        Return how a VM identifies the state.
+
+        A process of a build before the eras takes their bits for those of a
+        very new revision, and would refuse all that it reads from the store
+        after it. It gets the store's own numbers.
+        """
+        if follows_eras:
+            return StateIdentity(self.revision, self.fingerprint)
+        return StateIdentity(
+            number_of(self.revision),
+            replace(
+                self.fingerprint, tables=number_of(self.fingerprint.tables)
+            ),
+        )
+
     @property
     def age_seconds(self) -> float:
         """Return the time since the state was last confirmed."""
--- a/zinniaturn/fleet/gossip.py
+++ b/zinniaturn/fleet/gossip.py
@@ -219,6 +219,8 @@
         sender = datagram.sender_status
         self.news.learn_statuses((sender, *datagram.news_statuses()))
         peer = self.vms.note_heard(sender.name, sender.version)
+        if peer is not None:
+            peer.follows_eras = datagram.follows_eras
         if not self.pause_guard.is_after_pause(self.vms.clock.monotonic()):
             self.news.learn_notices(datagram)
             self.news.learn_reach(datagram)
@@ -305,7 +307,7 @@
         gained = requested_at - fleet_state.confirmed_at
         if gained <= 0:
             return
-        if claim.digest == fleet_state.digest:
+        if claim.digest == fleet_state.identity(datagram.follows_eras).digest:
             fleet_state.confirm(claim.revision, requested_at)
             if gained > _PUSHED_CONFIRMATION_SECONDS:
                 self._schedule_push()
--- a/zinniaturn/fleet/gossip_sender.py
+++ b/zinniaturn/fleet/gossip_sender.py
@@ -113,7 +113,7 @@
                 kind,
                 sequence,
                 sender,
-                self._claim(),
+                self._claim(receiver),
                 news,
                 replace(
                     extras,
@@ -171,10 +171,12 @@
             ),
         )
 
-    def _claim(self) -> StateClaim:
+    def _claim(self, receiver: PeerVm | None) -> StateClaim:
+        follows_eras = receiver is not None and receiver.follows_eras
+        identity = self.fleet_state.identity(follows_eras)
         return StateClaim(
-            self.fleet_state.revision,
-            self.fleet_state.digest,
+            identity.revision,
+            identity.digest,
             max(0, self.fleet_state.age_ms) + 1,
             self.vms.checksum(),
         )
--- a/zinniaturn/fleet/messages.py
+++ b/zinniaturn/fleet/messages.py
@@ -31,7 +31,11 @@
 )
 from zinniaturn.fleet.exceptions import PeerMessageError
 from zinniaturn.fleet.figures import Milliseconds, Revision
-from zinniaturn.fleet.fleet_state import FleetState, StateFingerprint
+from zinniaturn.fleet.fleet_state import (
+    FleetState,
+    StateFingerprint,
+    StateIdentity,
+)
 from zinniaturn.fleet.packing import decompress
 from zinniaturn.tables.domain import Server
 
@@ -110,14 +114,20 @@
 def build_state_message(
     fleet_state: FleetState,
     held: StateFingerprint,
+    follows_eras: bool = True,
 ) -> StateMessage:
-    """Return the state for a requester that holds ``held``."""
+    """
+    Return the state for a requester that holds ``held``.
+
+    ``follows_eras`` tells whether it knows the store's eras.
+    """
+    identity = fleet_state.identity(follows_eras)
     return StateMessage(
         PROTOCOL_VERSION,
-        fleet_state.revision,
+        identity.revision,
         max(0, fleet_state.age_ms) + 1,
         zlib.compress(
-            _encoder.encode(_build_content(fleet_state, held)),
+            _encoder.encode(_build_content(fleet_state, held, identity)),
             _COMPRESSION_LEVEL,
         ),
     )
@@ -196,10 +206,11 @@
 def _build_content(
     fleet_state: FleetState,
     held: StateFingerprint,
+    identity: StateIdentity,
 ) -> StateContent:
-    fingerprint = fleet_state.fingerprint
+    fingerprint = identity.fingerprint
     document = fleet_state.document
-    has_newer = document is not None and document.revision > held.tables
+    has_newer = fingerprint.tables > held.tables
     return StateContent(
         fingerprint,
         document.raw if document is not None and has_newer else None,
--- a/zinniaturn/fleet/news.py
+++ b/zinniaturn/fleet/news.py
@@ -55,7 +55,7 @@
     def learn_notices(self, datagram: Datagram) -> None:
         """Apply what servers have told the sender or others."""
         now = self.vms.clock.monotonic()
-        for row in datagram.notices:
+        for row in datagram.notices or ():
             notice = ServerNotice(
                 row.server,
                 row.started_ms,
--- a/zinniaturn/fleet/state_exchange.py
+++ b/zinniaturn/fleet/state_exchange.py
@@ -29,7 +29,7 @@
 from zinniaturn.http1.exceptions import ConnectFailedError, ExchangeBrokenError
 from zinniaturn.http1.exchanges import CallerExchange, Reply
 from zinniaturn.http1.limits import CallerLimits
-from zinniaturn.http1.messages import Response
+from zinniaturn.http1.messages import Response, find_field
 
 NETWORK_DELAY_SECONDS = 0.005
 
@@ -39,6 +39,8 @@
 _MS_PER_SECOND = 1000
 _STATE_PATH = b'/state?held='
 _VMS_PATH = b'/vms'
+# A requester that sends it knows the eras of the store.
+_FOLLOWS_ERAS = b'zinniaturn-eras'
 
 
 @dataclass(slots=True)
@@ -169,9 +171,10 @@
     async def _exchange(self, record: VmRecord, target: bytes) -> Response:
         host, port = record.exchange
         address = host, port + 1
-        payload = b'GET %b HTTP/1.1\r\nHost: %b\r\n\r\n' % (
+        payload = b'GET %b HTTP/1.1\r\nHost: %b\r\n%b: 1\r\n\r\n' % (
             target,
             host.encode(),
+            _FOLLOWS_ERAS,
         )
         loop = asyncio.get_running_loop()
         connection = self.connections.take_idle(address, loop.time())
@@ -232,9 +235,23 @@
         held = _parse_held_fingerprint(target)
         if held is None:
             return Response(404, b'', [])
-        state = build_state_message(self.fleet_state, held)
+        state = build_state_message(
+            self.fleet_state, held, self._follows_eras(exchange)
+        )
         return Response(200, b'', [], encode_message(state))
 
+    def _follows_eras(self, exchange: CallerExchange) -> bool:
+        """Return whether the requester knows the store's eras."""
+        fields = exchange.request.fields
+        if find_field(fields, _FOLLOWS_ERAS) is not None:
+            return True
+        # Builds that know eras, but not this field, say so in datagrams.
+        host = exchange.peer_host
+        return any(
+            peer.follows_eras and peer.record.exchange[0] == host
+            for peer in self.vms.vms.values()
+        )
+
 
 def _parse_held_fingerprint(target: bytes) -> StateFingerprint | None:
     """Return the requester's fingerprint, or ``None`` for another path."""
