Play planned work alone on real processes, and count what it cuts off

For the users' report of LOST without a case: processes replaced by SIGTERM, SIGHUP with new settings, tables in quick succession, servers that come and go, alone and overlapping, under the mixes of three sites.

--- a/zinniaturn/experiments/registry.py
+++ b/zinniaturn/experiments/registry.py
@@ -101,6 +101,11 @@
         'gateway processes under random injected faults, by --seed',
         'zinniaturn.experiments.soak:run_soak',
     ),
+    Experiment(
+        'planned',
+        'gateway processes under planned work alone, by --seed',
+        'zinniaturn.experiments.planned:run_planned',
+    ),
     Experiment(
         'configuration-smoke',
         'operators and entries with a failing store, within 45 s',
--- a/zinniaturn/experiments/soak/fleet.py
+++ b/zinniaturn/experiments/soak/fleet.py
@@ -7,7 +7,7 @@
 import random
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from zinniaturn.experiments.soak.vms import VmProcess, make_vms
 from zinniaturn.platform.standins import (
@@ -75,6 +75,7 @@
     ``added_routes`` and ``removed_routes`` hold the event loop's time at which
     each route was added or removed. ``crashes`` lists the servers that deadly
     requests have ended, which are in ``crashed_servers``.
+    ``server_settings`` are fields of the servers' stand-ins.
     """
 
     seed: int
@@ -93,6 +94,7 @@
     crashed_servers: list[SoakServer] = field(default_factory=list)
     deadly_streams: 'list[DeadlyStream]' = field(default_factory=list)
     crashes: CrashRule = field(init=False)
+    server_settings: dict[str, Any] = field(default_factory=dict)
     server_numbers: 'itertools.count[int]' = field(
         default_factory=lambda: itertools.count(1)
     )
@@ -137,6 +139,7 @@
             echoes_request_id=True,
             body=b'x' * self.random_source.choice((10, 5_000, 90_000)),
             crash_rule=self.crashes,
+            **self.server_settings,
         )
         await server.start()
         soak_server: SoakServer
