--- a/zinniaturn/gateway/request_context.py
+++ b/zinniaturn/gateway/request_context.py
@@ -11,6 +11,7 @@
 from zinniaturn.outcomes import Verdict
 from zinniaturn.placing.candidates import Candidate
 from zinniaturn.quarantine.request_key import RequestKey, request_key
+from zinniaturn.tenants import Tenant
 
 
 @dataclass(slots=True)
@@ -29,7 +30,9 @@
     ``passed_to`` names those that this VM has passed it on to.
     ``responding_server`` is the one whose response the caller gets.
     ``is_out_of_reach`` is set if no server of the pool responds to this VM.
-    ``request_key`` is computed where it is needed first.
+    ``request_key`` is computed where it is needed first. ``tenant`` is the one
+    that the request's key belonged to when it arrived, ``None`` where no key is
+    asked for.
     """
 
     request: Request
@@ -58,6 +61,7 @@
     responding_server: str = ''
     is_out_of_reach: bool = False
     request_key: RequestKey | None = None
+    tenant: Tenant | None = None
 
     @property
     def objective_at(self) -> float:
--- a/zinniaturn/gateway/settings.py
+++ b/zinniaturn/gateway/settings.py
@@ -19,6 +19,14 @@
     and hedged requests to a pool may be ``retry_ratio`` of its requests and
     ``retry_fixed`` more in any ``retry_window_seconds``. ``probes_per_second``
     limits the probes that one server gets.
+
+    With ``fail_closed`` no request whose key was withdrawn runs later than
+    ``revoke_seconds`` after that. ``evacuate_seconds`` is the time after which
+    the servers of an evacuated data centre get no request, 0 where data centres
+    aren't evacuated. A tenant's requests in any ``allowance_window_seconds``
+    may be its allowance, ``allowance_overage`` of it and ``allowance_slack``
+    more. A cold server's requests in any second may be ``warm_up_overage``
+    times what it names and ``warm_up_slack`` more.
     """
 
     leaving_seconds: float = 2.0
@@ -29,6 +37,14 @@
     retry_fixed: float = 50.0
     retry_window_seconds: float = 10.0
     probes_per_second: float = 60.0
+    fail_closed: bool = False
+    revoke_seconds: float = 0
+    evacuate_seconds: float = 0
+    allowance_window_seconds: float = 5.0
+    allowance_overage: float = 0
+    allowance_slack: float = 0
+    warm_up_overage: float = 1.0
+    warm_up_slack: float = 0
 
     @property
     def follow_seconds(self) -> float:
@@ -46,8 +62,10 @@
     means that it does not serve them. ``first_port`` is the first of the ports
     for traffic between VMs. ``metrics_port`` is 0 for none.
     ``is_first_start`` is set while all VMs start for the first time.
-    ``processor_share`` is the share of a core that one thread gets and
-    ``link_megabits`` the link's megabits per second; 0 means unknown.
+    ``processor_share`` is the share of a core that one thread gets,
+    ``link_megabits`` the link's megabits per second, ``memory_megabytes`` what
+    the process may use and ``max_descriptors`` how many files and sockets it
+    may open; 0 means unknown.
     """
 
     name: str
@@ -62,4 +80,6 @@
     is_first_start: bool = False
     processor_share: float = 0
     link_megabits: float = 0
+    memory_megabytes: float = 0
+    max_descriptors: int = 0
     bounds: FleetBounds = field(default_factory=FleetBounds)
--- a/zinniaturn/platform/settings_file.py
+++ b/zinniaturn/platform/settings_file.py
@@ -55,6 +55,21 @@
     budget_window_s: Figure = 10
     # The probes per second that one server may get from the whole fleet.
     probes_per_s: Figure = 60
+    # Whether requests with withdrawn keys are refused rather than risked.
+    fail_closed: bool = False
+    # The time after which a request with a withdrawn key must not run.
+    revoke_ms: Figure = 0
+    # The time after which an evacuated data centre gets no request.
+    evacuate_ms: Figure = 0
+    # The window over which a tenant's allowance holds, and what is tolerated
+    # beyond it: a share of the allowance, and a number of requests.
+    quota_window_s: Figure = 5
+    quota_overage: Figure = 0
+    quota_slack: Figure = 0
+    # What a cold server tolerates beyond the rate that its pool names: a
+    # factor of that rate, and a number of requests a second.
+    warmup_overage: Figure = 1
+    warmup_slack: Figure = 0
 
 
 class _Limits(msgspec.Struct):
@@ -63,6 +78,8 @@
     # The share of a core that one thread gets at most.
     cpu_share: Figure = 0
     link_mbps: Figure = 0
+    memory_mb: Figure = 0
+    max_fds: Annotated[int, msgspec.Meta(ge=0, le=10**9)] = 0
 
 
 class _Store(msgspec.Struct):
@@ -114,6 +131,8 @@
         is_first_start=file.first_start,
         processor_share=file.limits.cpu_share,
         link_megabits=file.limits.link_mbps,
+        memory_megabytes=file.limits.memory_mb,
+        max_descriptors=file.limits.max_fds,
         bounds=_build_bounds(file.bounds),
     )
 
@@ -132,4 +151,12 @@
         retry_fixed=bounds.retry_min,
         retry_window_seconds=bounds.budget_window_s,
         probes_per_second=bounds.probes_per_s,
+        fail_closed=bounds.fail_closed,
+        revoke_seconds=bounds.revoke_ms / _MILLISECONDS_PER_SECOND,
+        evacuate_seconds=bounds.evacuate_ms / _MILLISECONDS_PER_SECOND,
+        allowance_window_seconds=bounds.quota_window_s,
+        allowance_overage=bounds.quota_overage,
+        allowance_slack=bounds.quota_slack,
+        warm_up_overage=bounds.warmup_overage,
+        warm_up_slack=bounds.warmup_slack,
     )
