Decode tenants and public routes; never send a tenant's key to a server

Cause: the operators' document may name tenants and public routes, which were ignored, and a request's Api-Key went to the server like any other header. Change: the document's tenants become a TenantTable and the column public FleetRoute.public, both validated: names and keys must fit into a header field, and a key or name of two tenants refuses the document. No error and no repr of the document holds a key. Api-Key is stripped from what servers get, with or without tenants; X-Tenant is the system's where tenants are configured.

--- a/zinniaturn/fleet/domain.py
+++ b/zinniaturn/fleet/domain.py
@@ -38,10 +38,14 @@
 
 @dataclass(frozen=True, slots=True)
 class TablesDocument:
-    """The operators' routing document as stored, not yet decoded."""
+    """
+    The operators' routing document as stored, not yet decoded.
+
+    It holds tenants' keys, so that it's not shown.
+    """
 
     revision: int
-    raw: bytes
+    raw: bytes = field(repr=False)
 
 
 class VmStage(enum.Enum):
--- a/zinniaturn/gateway/wire_format.py
+++ b/zinniaturn/gateway/wire_format.py
@@ -30,6 +30,9 @@
     def request_id(self, fields: Fields) -> bytes | None:
         """Return the id that the caller gave the request, if any."""
 
+    def tenant_key(self, fields: Fields) -> bytes:
+        """Return the secret key of a tenant, empty if there is none."""
+
     def caller_timeout_seconds(self, fields: Fields) -> float | None:
         """Return the caller's timeout, if it states one."""
 
@@ -38,8 +41,14 @@
         request: Request,
         server: str,
         seconds_left: float,
+        tenant: str | None = None,
     ) -> bytes:
-        """Return the request as it is sent to a certain server."""
+        """
+        Return the request as it is sent to a certain server.
+
+        The server is told the ``tenant``, which is empty for a request of none
+        and ``None`` where no tenants are configured. It is never told a key.
+        """
 
     def load_probe_request(self, path: str, host: str) -> bytes:
         """Return a request that probes a server for its load."""
--- a/zinniaturn/platform/documents.py
+++ b/zinniaturn/platform/documents.py
@@ -16,6 +16,7 @@
     PoolShare,
 )
 from zinniaturn.http1.limits import CallerLimits
+from zinniaturn.tenants import Tenant, TenantTable
 
 # The kinds of routes whose requests may run more than once.
 _IDEMPOTENT_KINDS = frozenset(('idempotent', 'download'))
@@ -28,6 +29,15 @@
 Weight = Annotated[float, msgspec.Meta(ge=0, le=10**9)]
 Priority = Annotated[int, msgspec.Meta(ge=-(10**6), le=10**6)]
 Attempts = Annotated[int, msgspec.Meta(ge=0, le=1000)]
+Rate = Annotated[float, msgspec.Meta(ge=0, le=10**9)]
+# What a header field can hold: no control characters, no space at either end.
+HeaderText = Annotated[
+    str,
+    msgspec.Meta(
+        max_length=1024,
+        pattern=r'^(?!\s)[^\x00-\x1f\x7f]+(?<!\s)\Z',
+    ),
+]
 
 
 class _ColumnTable(msgspec.Struct):
@@ -61,6 +71,20 @@
     service: str | None = None
     max_attempts: Attempts = 1
     traffic_split: list[_Share] | None = None
+    # Whether requests need no key, where tenants are configured.
+    public: bool = False
+
+
+class _Tenant(msgspec.Struct):
+    """A tenant; its keys are secret."""
+
+    name: HeaderText
+    api_keys: list[HeaderText] = []
+    # Replaces the route's.
+    priority: Priority | None = None
+    # The allowance over all VMs; 0 means that there is none.
+    rate_per_s: Rate = 0
+    burst: Rate = 0
 
 
 class _Service(msgspec.Struct):
@@ -83,6 +107,7 @@
     version: str
     routes: _ColumnTable
     services: _ColumnTable
+    tenants: _ColumnTable | None = None
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
@@ -100,6 +125,7 @@
         pools = [
             _build_pool(row) for row in _decode_rows(decoded.services, _Service)
         ]
+        tenants = _build_tenants(decoded.tenants)
     except (ValueError, RecursionError, OverflowError) as error:
         raise BadDocumentError(cause_of(error)) from error
     return FleetTables(
@@ -108,6 +134,7 @@
         {pool.name: pool for pool in pools},
         _build_limits(decoded.limits),
         version,
+        tenants,
     )
 
 
@@ -144,9 +171,27 @@
         objective_seconds=row.target_latency_ms / _MILLISECONDS_PER_SECOND,
         priority=row.priority,
         max_attempts=row.max_attempts,
+        public=row.public,
     )
 
 
+def _build_tenants(table: _ColumnTable | None) -> TenantTable | None:
+    """Return the tenants; no error that it raises holds a key."""
+    if table is None:
+        return None
+    names: set[str] = set()
+    by_key: dict[bytes, Tenant] = {}
+    for row in _decode_rows(table, _Tenant):
+        if row.name in names:
+            raise ValueError(f'there are two tenants "{row.name}"')
+        names.add(row.name)
+        tenant = Tenant(row.name, row.priority, row.rate_per_s, row.burst)
+        for key in row.api_keys:
+            if by_key.setdefault(key.encode(), tenant) is not tenant:
+                raise ValueError(f'tenant "{row.name}" has a key of another')
+    return TenantTable(by_key)
+
+
 def _build_pool(row: _Service) -> FleetPool:
     return FleetPool(row.name, (), health_path=row.health_path)
 
--- a/zinniaturn/platform/wire_format.py
+++ b/zinniaturn/platform/wire_format.py
@@ -30,10 +30,23 @@
 _NOT_RUN = b'x-not-executed'
 # The server's signature of a response, which is forwarded to the caller.
 _SIGNATURE = b'x-upstream-signature'
+# The secret by which a tenant's request is known.
+_TENANT_KEY = b'api-key'
+# The name of the tenant, which servers trust.
+_TENANT_NAME = b'x-tenant'
 
 _REPLACED_REQUEST_FIELDS = frozenset(
-    (_TIME_LEFT, _EXPECTED_SERVER, b'accept-encoding', b'content-length'),
+    (
+        _TIME_LEFT,
+        _EXPECTED_SERVER,
+        _TENANT_KEY,
+        b'accept-encoding',
+        b'content-length',
+    ),
 )
+# Some servers take an underscore in a field's name for a hyphen.
+_TENANT_NAMES = frozenset((_TENANT_NAME, b'x_tenant'))
+_FIELDS_WITH_TENANTS = _REPLACED_REQUEST_FIELDS | _TENANT_NAMES | {b'api_key'}
 _DROPPED_RESPONSE_FIELDS = STATEMENT_FIELDS | {b'content-length'}
 _NOTHING: frozenset[bytes] = frozenset()
 _MISDIRECTED = 421
@@ -52,6 +65,10 @@
         """Return the id that the caller gave the request, if any."""
         return find_field(fields, _REQUEST_ID)
 
+    def tenant_key(self, fields: Fields) -> bytes:
+        """Return the secret key of a tenant, empty if there is none."""
+        return find_field(fields, _TENANT_KEY) or b''
+
     def caller_timeout_seconds(self, fields: Fields) -> float | None:
         """
         Return the caller's timeout, if it states one that can be read.
@@ -73,9 +90,20 @@
         request: Request,
         server: str,
         seconds_left: float,
+        tenant: str | None = None,
     ) -> bytes:
-        """Return the request as it is sent to a certain server."""
-        fields = end_to_end_fields(request.fields, _REPLACED_REQUEST_FIELDS)
+        """
+        Return the request as it is sent to a certain server.
+
+        The server is told the ``tenant``, which is empty for a request of none
+        and ``None`` where no tenants are configured. It is never told a key.
+        """
+        dropped = _REPLACED_REQUEST_FIELDS
+        if tenant is not None:
+            dropped = _FIELDS_WITH_TENANTS
+        fields = end_to_end_fields(request.fields, dropped)
+        if tenant:
+            fields.append((b'X-Tenant', tenant.encode()))
         milliseconds = max(1, int(seconds_left * _MILLISECONDS_PER_SECOND))
         fields.append((b'X-Request-Deadline-Ms', b'%d' % milliseconds))
         fields.append((b'X-Expect-Instance', server.encode()))
