Refuse requests without a valid key with 401, and let tenants have a priority

Cause: nothing asked for a tenant's key; the route's priority held for all. Change: where tenants are configured, a request on a route that isn't public needs a known key, else it gets 401 (unknown-key), after the 404 of a missing route and the 503 of a VM without a configuration. The key is looked up in the tables in force as the request arrives, as it leaves the queue and right before it is sent, also for what other VMs pass on. RequestContext.tenant names the tenant, and its priority replaces the route's in the queue and the retry budget. The quarantine's key of a request holds the tenant's name, so that a request of one tenant isn't held for another's; without a tenant it is as before.

--- a/zinniaturn/gateway/attempt.py
+++ b/zinniaturn/gateway/attempt.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from zinniaturn.admission.admission import ResponseKind
+from zinniaturn.choosing.exceptions import RejectedError
 from zinniaturn.gateway.exceptions import AttemptError
 from zinniaturn.gateway.rejections import NOT_RUN_STATUSES
 from zinniaturn.gateway.request_context import Placement, RequestContext
@@ -25,17 +26,21 @@
 _SUCCESS_STATUSES = range(200, 300)
 
 OfferConnection = Callable[[BackendConnection], bool]
+TenantFor = Callable[[RequestContext], str | None]
 
 
 async def send_attempt(
     state: GatewayState,
     context: RequestContext,
     placement: Placement,
+    tenant_for: TenantFor,
     offer_connection: OfferConnection,
 ) -> Response:
     """
     Return the server's complete response; raises `AttemptError`.
 
+    ``tenant_for`` is asked last before the request is sent which tenant the
+    server is told; what it raises is passed on, and nothing is sent.
     ``offer_connection`` is called with the connection once the response is
     complete. If it returns true it keeps the connection, otherwise the
     connection goes to the pool. Cancelling the attempt closes the connection,
@@ -54,12 +59,18 @@
             Phase.NOT_SENT,
             Event.CONNECT_FAILED,
         )
+    try:
+        tenant = tenant_for(context)
+    except RejectedError:
+        state.connections.keep_idle(address, connection)
+        raise
     loop = connection.loop
     now = loop.time()
     payload = state.wire_format.server_request(
         context.request,
         server.name,
         context.seconds_left(now),
+        tenant,
     )
     stats = placement.candidate.stats
     stats.begin()
--- a/zinniaturn/gateway/attempt_runner.py
+++ b/zinniaturn/gateway/attempt_runner.py
@@ -15,6 +15,7 @@
 from zinniaturn.gateway.scheduler import RequestScheduler
 from zinniaturn.gateway.state import GatewayState
 from zinniaturn.gateway.stop_gate import StopGate
+from zinniaturn.gateway.tenant_gate import TenantGate
 from zinniaturn.http1.messages import Response
 from zinniaturn.outcomes import (
     Event,
@@ -43,6 +44,7 @@
     crash_watch: CrashWatch
     gate: QuarantineGate
     stop_gate: StopGate
+    tenant_gate: TenantGate
 
     async def run(self, context: RequestContext) -> Response:
         """
@@ -55,6 +57,7 @@
             response = None
             while response is None:
                 self.stop_gate.check(context)
+                self.tenant_gate.check(context)
                 await quarantine_pass.obtain()
                 self.gate.avoid_suspects(context)
                 assignment = await self._place(context)
@@ -74,6 +77,7 @@
             raise
         try:
             self.stop_gate.check(context)
+            self.tenant_gate.check(context)
         except RejectedError:
             self._give_back(assignment)
             raise
@@ -207,6 +211,7 @@
                     self.state,
                     context,
                     placement,
+                    self.tenant_gate.name_for_server,
                     lambda connection: self.scheduler.offer_freed_slot(
                         context.pool.name,
                         placement,
@@ -214,6 +219,10 @@
                         loop.time(),
                     ),
                 )
+        except RejectedError:
+            # Nothing was sent, and no further attempt is made.
+            context.attempt_count -= 1
+            raise
         except AttemptError as error:
             if error.response is not None:
                 context.responding_server = placement.candidate.name
@@ -262,7 +271,7 @@
         retry_budget = self.state.retry_budget(context.pool.name)
         now = asyncio.get_running_loop().time()
         return retry_budget.try_withdraw(
-            now, self.state.vms.max_size(), context.route.priority
+            now, self.state.vms.max_size(), context.priority
         )
 
 
@@ -282,8 +291,10 @@
                 return attempt.result()
             if not running:
                 raise error
-            assert isinstance(error, AttemptError)
-            _record_failure(context, error)
+            # One that was rejected was never sent.
+            if not isinstance(error, RejectedError):
+                assert isinstance(error, AttemptError)
+                _record_failure(context, error)
 
 
 def _record_failure(context: RequestContext, error: AttemptError) -> None:
--- a/zinniaturn/gateway/dispatch.py
+++ b/zinniaturn/gateway/dispatch.py
@@ -17,6 +17,7 @@
 from zinniaturn.gateway.scheduler import RequestScheduler
 from zinniaturn.gateway.state import GatewayState
 from zinniaturn.gateway.stop_gate import StopGate
+from zinniaturn.gateway.tenant_gate import KEY_CODES, TenantGate
 from zinniaturn.http1.exchanges import CallerExchange, Reply
 from zinniaturn.http1.limits import CallerLimits
 from zinniaturn.http1.messages import Request, Response, find_field
@@ -45,6 +46,7 @@
         scheduler = RequestScheduler(state)
         self.stop_gate = StopGate(state, scheduler.retry_after_jitter)
         self.crash_watch = CrashWatch(state)
+        self.tenant_gate = TenantGate(state)
         self.attempt_runner = AttemptRunner(
             state,
             scheduler,
@@ -52,6 +54,7 @@
             self.crash_watch,
             QuarantineGate(state, scheduler.retry_after_jitter),
             self.stop_gate,
+            self.tenant_gate,
         )
         self.pool_selector = PoolSelector(state.random_source)
         self.elapsed_times = ElapsedTimeEstimator()
@@ -87,6 +90,12 @@
         route = self.find_route(request)
         if route is None:
             return self._reject_unrouted(request, 'no-route', None)
+        try:
+            tenant = self.tenant_gate.admit(request, route)
+        except RejectedError as error:
+            return self._reject_unrouted(
+                request, error.code, error.retry_after_seconds, route.name
+            )
         name = self.pool_selector.select(route)
         pool = tables.pools.get(name, FleetPool(name, ()))
         seconds = self.state.wire_format.caller_timeout_seconds(request.fields)
@@ -101,6 +110,7 @@
             request.started_at,
             request.started_at + limit,
             bool(route.idempotent),
+            tenant=tenant,
         )
         if seconds is not None:
             longest = route.deadline_seconds * _LONGEST_COUNTED_TIMEOUT
@@ -203,7 +213,9 @@
         verdict = context.verdict
         context.detail = context.detail or error.message
         seconds = error.retry_after_seconds
-        if verdict is None:
+        if verdict is None or (
+            verdict.outcome is Outcome.NOT_RUN and error.code in KEY_CODES
+        ):
             return RequestResult(
                 Outcome.NOT_RUN, code=error.code, retry_after_seconds=seconds
             )
@@ -216,7 +228,8 @@
         request: Request,
         code: str,
         seconds: float | None,
+        route: str = '',
     ) -> Response:
         response = rejection_response(code, Outcome.NOT_RUN, seconds)
-        self.log.unrouted(request, code, response.status)
+        self.log.unserved(request, code, response.status, route)
         return response
--- a/zinniaturn/gateway/relay_service.py
+++ b/zinniaturn/gateway/relay_service.py
@@ -11,6 +11,7 @@
 import asyncio
 from dataclasses import dataclass
 
+from zinniaturn.choosing.exceptions import RejectedError
 from zinniaturn.fleet.state_exchange import StateService
 from zinniaturn.fleet.tables import FleetPool, FleetRoute
 from zinniaturn.gateway.dispatch import Dispatcher
@@ -36,6 +37,7 @@
     encode_message,
     refuse,
 )
+from zinniaturn.tenants import Tenant
 
 _MS_PER_SECOND = 1000
 # The reply needs this long to reach the VM whose caller waits.
@@ -79,7 +81,11 @@
             return _respond(
                 exchange, refuse(refusal or RelayRefusal.OLDER_TABLES)
             )
-        context = self._context(message, request, route)
+        try:
+            tenant = self.dispatcher.tenant_gate.admit(request, route)
+        except RejectedError as error:
+            return _respond(exchange, _key_reply(error))
+        context = self._context(message, request, route, tenant)
         return self._serve(exchange, message, context)
 
     def _is_vm(self, name: str, exchange: CallerExchange) -> bool:
@@ -107,7 +113,11 @@
         return None
 
     def _context(
-        self, message: RelayRequest, request: Request, route: FleetRoute
+        self,
+        message: RelayRequest,
+        request: Request,
+        route: FleetRoute,
+        tenant: Tenant | None,
     ) -> RequestContext:
         tables = self.state.fleet_state.tables
         assert tables is not None
@@ -123,6 +133,7 @@
             request.started_at,
             request.started_at + min(route.deadline_seconds, seconds),
             bool(route.idempotent),
+            tenant=tenant,
         )
         context.elapsed_before = message.elapsed_ms / _MS_PER_SECOND
         context.attempt_count = message.attempts
@@ -243,6 +254,18 @@
     )
 
 
+def _key_reply(error: RejectedError) -> RelayReply:
+    """Return the reply to a request that its key doesn't allow."""
+    return RelayReply(
+        RELAY_VERSION,
+        Outcome.NOT_RUN,
+        0,
+        code=error.code,
+        detail=error.message,
+        retry_after_ms=round(error.retry_after_seconds * _MS_PER_SECOND),
+    )
+
+
 def _respond(exchange: CallerExchange, reply: RelayReply) -> Response:
     relay_id = find_field(exchange.request.fields, RELAY_ID_FIELD) or b''
     return Response(
--- a/zinniaturn/gateway/request_context.py
+++ b/zinniaturn/gateway/request_context.py
@@ -70,6 +70,14 @@
         limit = seconds or self.route.deadline_seconds
         return self.arrived_at - self.elapsed_before + limit
 
+    @property
+    def priority(self) -> int:
+        """Return the tenant's priority, or else the route's; lower is first."""
+        tenant = self.tenant
+        if tenant is None or tenant.priority is None:
+            return self.route.priority
+        return tenant.priority
+
     @property
     def is_relayed(self) -> bool:
         """Return whether another VM has passed the request on to this one."""
@@ -79,7 +87,8 @@
     def key(self) -> RequestKey:
         """Return the key that all copies of the request have."""
         if self.request_key is None:
-            self.request_key = request_key(self.request)
+            tenant = '' if self.tenant is None else self.tenant.name
+            self.request_key = request_key(self.request, tenant)
         return self.request_key
 
     def seconds_left(self, now: float) -> float:
--- a/zinniaturn/gateway/request_log.py
+++ b/zinniaturn/gateway/request_log.py
@@ -20,15 +20,18 @@
 
     state: GatewayState
 
-    def unrouted(self, request: Request, code: str, status: int) -> None:
-        """Count and log a request without a route."""
+    def unserved(
+        self, request: Request, code: str, status: int, route: str = ''
+    ) -> None:
+        """Count and log a request without a route or without a valid key."""
         request_id = self.state.wire_format.request_id(request.fields)
-        self.state.counters.count_request('', code)
+        self.state.counters.count_request(route, code)
         self.state.event_log.write(
             LogEvent.REQUEST_ENDED,
             is_failure=True,
             request=decode_text(request_id),
             target=decode_text(request.target),
+            route=route,
             outcome=code,
             status=status,
             tables_revision=self.state.tables_revision(),
--- a/zinniaturn/gateway/scheduler.py
+++ b/zinniaturn/gateway/scheduler.py
@@ -98,7 +98,7 @@
             context.arrived_at,
             context.objective_at,
             context.deadline,
-            context.route.priority,
+            context.priority,
             lambda offer: self._expected_seconds(
                 service_seconds, offer, loop.time()
             ),
@@ -155,7 +155,7 @@
         if await permits.obtain(survey):
             return
         seconds = self._seconds_at_limits(
-            context.pool, survey, context.route.priority
+            context.pool, survey, context.priority
         )
         raise self._rejection(seconds, 'all servers are at their limits')
 
--- a/zinniaturn/outcomes/rejections.py
+++ b/zinniaturn/outcomes/rejections.py
@@ -24,6 +24,11 @@
 
 _CATALOGUE = (
     Rejection('no-route', HTTPStatus.NOT_FOUND, 'No route matches the request'),
+    Rejection(
+        'unknown-key',
+        HTTPStatus.UNAUTHORIZED,
+        'The request has no key, or one that is not valid',
+    ),
     Rejection(
         'not-ready',
         HTTPStatus.SERVICE_UNAVAILABLE,
--- a/zinniaturn/quarantine/request_key.py
+++ b/zinniaturn/quarantine/request_key.py
@@ -3,7 +3,8 @@
 
 A copy has its own id, connection and way through the fleet, and its body may
 come with a length or in chunks. What a server acts on is the same: the method,
-the host, the target with its query, the caller's credentials and the body.
+the host, the target with its query, the caller's credentials, the tenant and
+the body.
 Callers' addresses are left out, as one caller uses many.
 
 Work: one hash over the target, three fields and the body, computed for requests
@@ -25,10 +26,13 @@
 _HIGHEST_KEY = 2**63 - 1
 
 
-def request_key(request: Request) -> RequestKey:
+def request_key(request: Request, tenant: str = '') -> RequestKey:
     """
     Return a request's key of 63 bits.
 
+    The ``tenant`` is the one that servers are told, so that a request of one
+    tenant isn't taken for another's. Its secret keys don't count.
+
     Each part is hashed with its length, so that no two requests have the same
     text by a shift of a boundary.
     """
@@ -36,6 +40,8 @@
     parts.extend(
         find_field(request.fields, name) or b'' for name in _IDENTIFYING_FIELDS
     )
+    if tenant:
+        parts.append(tenant.encode())
     digest = blake2b(digest_size=_KEY_BYTES)
     for part in parts:
         digest.update(b'%d:' % len(part))
