Keep Api-Key as an application's own header where no tenants are configured

Cause: the header was taken out of every request, so that a deployment without tenants whose application has a key of that name was served differently from before. Change: it is taken out only where the document names tenants, as X-Tenant is. The scenario without tenants asked for the opposite; it now asks that the caller's key arrives.

--- a/features/steps/tenant_request_steps.py
+++ b/features/steps/tenant_request_steps.py
@@ -126,6 +126,17 @@
         assert SECRET_TEXT not in repr(request), request
 
 
+@then("{count:d} requests reached a server, each of them with the caller's key")
+def check_reached_with_key(context, count):
+    requests = requests_at_servers(context)
+    assert len(requests) == count, requests
+    for request in requests:
+        keys = [
+            text for name, text in request.fields if name.lower() == b'api-key'
+        ]
+        assert keys == [KEY.encode()], request
+
+
 @then('the server was told of the tenant "{name}" and of no other')
 def check_told(context, name):
     request = requests_at_servers(context)[0]
--- a/features/tenant_requests.feature
+++ b/features/tenant_requests.feature
@@ -30,11 +30,11 @@
       | its key | open   |      |
       | no key  | open   |      |
 
-  Scenario: Without tenants a caller's X-Tenant goes on as before, and its key stays back
+  Scenario: Without tenants a caller's X-Tenant and Api-Key are the application's, and go on as before
     Given a platform without tenants and a gateway
     When a caller names the tenant "coal" itself and reads on the closed route with its key
     Then the server was told of the tenant "coal" and of no other
-    And 1 requests reached a server, none of them with a key
+    And 1 requests reached a server, each of them with the caller's key
 
   Scenario: A gateway without any configuration answers 503, never 401
     Given a platform without a configuration and a gateway
--- a/zinniaturn/gateway/wire_format.py
+++ b/zinniaturn/gateway/wire_format.py
@@ -47,7 +47,8 @@
         Return the request as it is sent to a certain server.
 
         The server is told the ``tenant``, which is empty for a request of none
-        and ``None`` where no tenants are configured. It is never told a key.
+        and ``None`` where no tenants are configured. It is not told a tenant's
+        key; without tenants the fields of that name are the application's own.
         """
 
     def load_probe_request(self, path: str, host: str) -> bytes:
--- a/zinniaturn/platform/wire_format.py
+++ b/zinniaturn/platform/wire_format.py
@@ -39,14 +39,14 @@
     (
         _TIME_LEFT,
         _EXPECTED_SERVER,
-        _TENANT_KEY,
         b'accept-encoding',
         b'content-length',
     ),
 )
 # Some servers take an underscore in a field's name for a hyphen.
 _TENANT_NAMES = frozenset((_TENANT_NAME, b'x_tenant'))
-_FIELDS_WITH_TENANTS = _REPLACED_REQUEST_FIELDS | _TENANT_NAMES | {b'api_key'}
+_TENANT_KEYS = frozenset((_TENANT_KEY, b'api_key'))
+_FIELDS_WITH_TENANTS = _REPLACED_REQUEST_FIELDS | _TENANT_NAMES | _TENANT_KEYS
 _DROPPED_RESPONSE_FIELDS = STATEMENT_FIELDS | {b'content-length'}
 _NOTHING: frozenset[bytes] = frozenset()
 _MISDIRECTED = 421
@@ -96,7 +96,8 @@
         Return the request as it is sent to a certain server.
 
         The server is told the ``tenant``, which is empty for a request of none
-        and ``None`` where no tenants are configured. It is never told a key.
+        and ``None`` where no tenants are configured. It is not told a tenant's
+        key; without tenants the fields of that name are the application's own.
         """
         dropped = _REPLACED_REQUEST_FIELDS
         if tenant is not None:
