Send nothing to the servers of an evacuated data centre

The store's keys op/evacuate/ZONE had no meaning. They are now read with everything else of the store: that a key exists counts, whatever its value or revision.

FleetState.evacuated holds the names in force. They have a revision and an age of their own, since a later change lets VMs of earlier builds tell newer servers but no evacuations.

A server of such a data centre is withheld with a reason of its own at each survey, at each grant of an offer and right before a request's bytes are written. Where no other server is left, also the waiting requests get 503 at once, with a Retry-After of 1 s.

All of it depends on the setting evacuate_ms; with 0 nothing is withheld.

--- a/zinniaturn/admission/admission.py
+++ b/zinniaturn/admission/admission.py
@@ -35,6 +35,7 @@
 class Withholding(enum.Enum):
     """Why no request may be sent to a server at present."""
 
+    EVACUATED = 'evacuated'
     LEAVING = 'leaving'
     PAUSE = 'pause'
     LIMIT = 'limit'
@@ -90,6 +91,7 @@
 
     ``clock`` counts the time in which the VM is suspended, too.
     ``paused_until`` is the end of the pause that the server asked this VM for.
+    ``is_evacuated`` is set while the server's data centre is evacuated.
     ``permits`` are those for a server with a limit. ``renewals`` limits how
     often an unchanged notice is passed on, and ``checks`` how often a leaving
     server is probed.
@@ -98,6 +100,7 @@
     clock: Clock
     notice: ServerNotice
     paused_until: float = _NEVER
+    is_evacuated: bool = False
     permits: PermitBook = field(default_factory=PermitBook)
     renewals: RateLimit = field(
         default_factory=lambda: RateLimit(_RENEWAL_SECONDS)
@@ -113,6 +116,8 @@
 
     def withholding(self) -> Withholding | None:
         """Return why no request may be sent now, ``None`` if one may."""
+        if self.is_evacuated:
+            return Withholding.EVACUATED
         if self.notice.is_leaving:
             return Withholding.LEAVING
         is_paused = self.paused_until > _NEVER
--- a/zinniaturn/fleet/domain.py
+++ b/zinniaturn/fleet/domain.py
@@ -114,7 +114,8 @@
     Everything that the store holds for the fleet, as of one revision.
 
     ``unreadable`` names the items that could not be decoded, with the reason.
-    ``holds`` are the requests that are kept from the servers.
+    ``holds`` are the requests that are kept from the servers. ``evacuated`` are
+    the data centres whose servers get nothing, ``None`` if that was not told.
     """
 
     revision: int
@@ -123,3 +124,4 @@
     vms: tuple[StoredVm, ...] = ()
     unreadable: tuple[str, ...] = ()
     holds: tuple[StoredHold, ...] = ()
+    evacuated: frozenset[str] | None = None
--- a/zinniaturn/fleet/fleet_state.py
+++ b/zinniaturn/fleet/fleet_state.py
@@ -26,6 +26,7 @@
     StoredVm,
     TablesDocument,
 )
+from zinniaturn.fleet.evacuations import Evacuations, EvacuationsNews
 from zinniaturn.fleet.exceptions import BadDocumentError
 from zinniaturn.fleet.gone_servers import GoneServers
 from zinniaturn.fleet.revisions import era_of, number_of
@@ -84,7 +85,8 @@
     servers that were missing from the store after an outage, with the time
     until which they are kept; ``shared_servers`` are all others, which other
     VMs may get from this one. ``outdated_revision`` is that of a document which
-    is not used because a later version is in force.
+    is not used because a later version is in force. ``evacuations`` have a
+    revision and an age of their own.
     """
 
     clock: Clock
@@ -102,6 +104,16 @@
     gone_servers: GoneServers = field(default_factory=GoneServers)
     outdated_revision: int = 0
     observers: list[Callable[[StateChange], None]] = field(default_factory=list)
+    evacuations: Evacuations = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Begin without evacuations."""
+        self.evacuations = Evacuations(self.clock)
+
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Return the data centres whose servers get no request."""
+        return self.evacuations.in_force
 
     @property
     def digest(self) -> int:
@@ -146,6 +158,12 @@
 
         The change is returned and passed to the observers.
         """
+        if snapshot.evacuated is not None:
+            self.install_evacuations(
+                EvacuationsNews(
+                    snapshot.evacuated, snapshot.revision, requested_at
+                )
+            )
         if snapshot.revision < self.revision:
             return self._notify(
                 StateChange(
@@ -191,6 +209,25 @@
             self.gone_servers.went_back_at = self.clock.monotonic()
         return store_went_back
 
+    def install_evacuations(self, news: EvacuationsNews) -> None:
+        """Install evacuations on their own; tell the observers of changes."""
+        before = self.evacuated
+        self.evacuations.install(news)
+        self._notify_evacuated(before)
+
+    def follow_evacuations(self, bound_seconds: float) -> None:
+        """Apply the bound within which evacuations take effect, 0 for none."""
+        before = self.evacuated
+        self.evacuations.follow(bound_seconds)
+        self._notify_evacuated(before)
+
+    def drop_expired(self) -> None:
+        """End what the store has lost and nobody has written again in time."""
+        before = self.evacuated
+        self.evacuations.drop_expired()
+        self._notify_evacuated(before)
+        self.drop_expired_servers()
+
     def drop_expired_servers(self) -> None:
         """Remove servers that didn't register again after an outage."""
         now = self.clock.monotonic()
@@ -303,6 +340,17 @@
             )
         self.shared_servers = shared
 
+    def _notify_evacuated(self, before: frozenset[str]) -> None:
+        after = self.evacuated
+        if after != before:
+            self._notify(
+                StateChange(
+                    self.evacuations.revision,
+                    evacuated=tuple(sorted(after - before)),
+                    returned=tuple(sorted(before - after)),
+                )
+            )
+
     def _notify(self, change: StateChange) -> StateChange:
         if change:
             for observer in self.observers:
--- a/zinniaturn/fleet/state_change.py
+++ b/zinniaturn/fleet/state_change.py
@@ -15,6 +15,8 @@
 
     ``refused`` says why the snapshot or its document was not used. With
     ``store_went_back`` the store has come back from an older copy.
+    ``evacuated`` and ``returned`` are data centres whose servers get no more
+    requests, or get them again.
     """
 
     revision: int
@@ -25,13 +27,16 @@
     refused: str = ''
     listed_vms_changed: bool = False
     store_went_back: bool = False
+    evacuated: tuple[str, ...] = ()
+    returned: tuple[str, ...] = ()
 
     def __bool__(self) -> bool:
         """Return whether anything has changed."""
         changed = self.joined or self.leaving or self.gone or self.refused
         has_tables = self.tables_revision is not None
         has_other = self.listed_vms_changed or self.store_went_back
-        return bool(changed) or has_tables or has_other
+        has_moved = bool(self.evacuated or self.returned)
+        return bool(changed) or has_tables or has_other or has_moved
 
 
 def describe_servers(
--- a/zinniaturn/fleet/store_poller.py
+++ b/zinniaturn/fleet/store_poller.py
@@ -45,15 +45,25 @@
         """Poll the store until cancelled."""
         while True:
             await asyncio.sleep(self._seconds_until_poll())
-            self.fleet_state.drop_expired_servers()
-            poll_age = self.schedule.poll_age_seconds(self.vms.poll_rank())
-            if self.fleet_state.age_seconds >= poll_age:
+            self.fleet_state.drop_expired()
+            if self._seconds_left() <= 0:
                 await self._read()
 
     def _seconds_until_poll(self) -> float:
+        remaining = self._seconds_left()
+        return max(_MIN_SLEEP_SECONDS, min(_MAX_SLEEP_SECONDS, remaining))
+
+    def _seconds_left(self) -> float:
+        """Return the seconds until the state or its evacuations are too old."""
         poll_age = self.schedule.poll_age_seconds(self.vms.poll_rank())
         remaining = poll_age - self.fleet_state.age_seconds
-        return max(_MIN_SLEEP_SECONDS, min(_MAX_SLEEP_SECONDS, remaining))
+        evacuations = self.fleet_state.evacuations
+        if not evacuations.is_followed:
+            return remaining
+        latest_age = self.schedule.evacuations_age_seconds(
+            evacuations.bound_seconds
+        )
+        return min(remaining, latest_age - evacuations.age_seconds)
 
     async def _read(self) -> None:
         requested_at = self.fleet_state.clock.monotonic()
@@ -61,10 +71,12 @@
             snapshot = await self.store.read_snapshot()
             self.fleet_state.install(snapshot, requested_at)
         except FleetStoreError as error:
+            self.fleet_state.evacuations.unread_at = requested_at
             await self._fail(error)
         except Exception as error:
             # What was read brings no news either, and the next read may fail
             # in the same way.
+            self.fleet_state.evacuations.unread_at = requested_at
             for fault_listener in self.on_fault:
                 fault_listener(error)
             await self._fail(FleetStoreError(f'unusable state: {error!r}'))
@@ -73,6 +85,16 @@
             self._notify_reply(None)
             for listener in self.on_read:
                 listener(snapshot)
+            await self._note_evacuations_read(snapshot, requested_at)
+
+    async def _note_evacuations_read(
+        self, snapshot: FleetSnapshot, requested_at: float
+    ) -> None:
+        """Wait before the next read if this one told no evacuations."""
+        evacuations = self.fleet_state.evacuations
+        if evacuations.is_followed and snapshot.evacuated is None:
+            evacuations.unread_at = requested_at
+            await asyncio.sleep(self.schedule.backoff(self.vms.poll_rank()))
 
     async def _fail(self, error: FleetStoreError) -> None:
         """Count a read that brought no news, and wait."""
--- a/zinniaturn/gateway/attempt.py
+++ b/zinniaturn/gateway/attempt.py
@@ -47,10 +47,11 @@
     connection = await _acquire_connection(
         state, address, placement, request_id
     )
-    if state.admissions.clock.monotonic() >= placement.send_before:
+    obstacle = _find_obstacle(state, placement)
+    if obstacle:
         state.connections.keep_idle(address, connection)
         raise AttemptError(
-            f'{server.name}: the permit expired before the request was sent',
+            f'{server.name}: {obstacle} before the request was sent',
             Phase.NOT_SENT,
             Event.CONNECT_FAILED,
         )
@@ -104,6 +105,19 @@
     return response
 
 
+def _find_obstacle(state: GatewayState, placement: Placement) -> str:
+    """Return what bars a request that is about to be sent, '' if nothing."""
+    if state.admissions.clock.monotonic() >= placement.send_before:
+        return 'the permit expired'
+    if state.is_evacuated(placement.candidate):
+        state.counters.events['evacuated_before_send'] += 1
+        return 'its data centre was evacuated'
+    if state.evacuations_are_in_doubt():
+        state.counters.events['evacuations_in_doubt'] += 1
+        return 'evacuations were not known any more'
+    return ''
+
+
 async def _acquire_connection(
     state: GatewayState,
     address: Address,
--- a/zinniaturn/gateway/permit_search.py
+++ b/zinniaturn/gateway/permit_search.py
@@ -32,6 +32,19 @@
     limited: list[Candidate] = field(default_factory=list)
     withheld: list[tuple[Candidate, Withholding]] = field(default_factory=list)
 
+    @property
+    def is_evacuated(self) -> bool:
+        """
+        Return whether no server is left as data centres are evacuated.
+
+        A server that has asked for a pause may be back soon.
+        """
+        if self.usable or self.limited:
+            return False
+        reasons = {reason for _, reason in self.withheld}
+        is_evacuated = Withholding.EVACUATED in reasons
+        return is_evacuated and Withholding.PAUSE not in reasons
+
     def describe_withheld(self) -> list[str]:
         """Return a few of the servers that get no request, with the reason."""
         described = [
--- a/zinniaturn/gateway/process.py
+++ b/zinniaturn/gateway/process.py
@@ -82,6 +82,7 @@
         )
         self.byte_budget = ByteBudget()
         self.fleet_state = FleetState(clock, store.decode_tables)
+        self.fleet_state.follow_evacuations(settings.bounds.evacuate_seconds)
         self.vms = VmTable(record, clock)
         admissions = AdmissionTable(clock)
         reach = ReachTable(
@@ -205,6 +206,7 @@
         self.settings = settings
         self.state.settings = settings
         self.state.update_retry_budgets()
+        self.fleet_state.follow_evacuations(settings.bounds.evacuate_seconds)
         self.event_log.write(LogEvent.SETTINGS_RELOADED)
 
     def _endpoints(
--- a/zinniaturn/gateway/relay_service.py
+++ b/zinniaturn/gateway/relay_service.py
@@ -97,7 +97,8 @@
         now = self.state.vms.clock.monotonic()
         if self.state.is_stopping:
             return RelayRefusal.STOPPING
-        if gossip.pause_guard.is_after_pause(now):
+        is_paused = gossip.pause_guard.is_after_pause(now)
+        if is_paused or self.state.evacuations_are_in_doubt():
             return RelayRefusal.PAUSED
         is_behind = self.state.tables_revision() < message.tables_revision
         if is_behind or route is None:
--- a/zinniaturn/gateway/scheduler.py
+++ b/zinniaturn/gateway/scheduler.py
@@ -37,6 +37,9 @@
 # Between turns of probes, and with a turn whose probes get no response.
 _LONGEST_PAUSE_SECONDS = 0.1
 _LONGEST_TURN_SECONDS = 0.45
+# Callers return at the rate at which the store is read.
+_EVACUATED_RETRY_SECONDS = 1.0
+_DOUBT_RETRY_SECONDS = 0.2
 _RESERVED_PROBES = 6
 _RESERVED_PROBES_WHEN_ALL_LATE = 15
 
@@ -144,12 +147,20 @@
 
         Raises `RejectedError` if none may, also after requests for permits.
         """
+        if self.state.evacuations_are_in_doubt():
+            raise self._rejection(
+                _DOUBT_RETRY_SECONDS, 'evacuations are not known yet'
+            )
         permits = self.search.permits
         survey = permits.survey(context.pool)
         context.withheld = survey.describe_withheld()
         if survey.usable:
             permits.request_ahead(survey)
             return
+        if survey.is_evacuated:
+            raise self._rejection(
+                _EVACUATED_RETRY_SECONDS, 'all servers are evacuated'
+            )
         if not survey.limited:
             raise self._rejection(service_seconds, 'no server is known')
         if await permits.obtain(survey):
@@ -325,7 +336,7 @@
             had_offers &= loop.time() - began_at < _LONGEST_PAUSE_SECONDS
             queue.reject_unservable(loop.time(), had_offers=had_offers)
             self.paths.withdraw_unreachable(pool, queue)
-            if queue.waiting and not self._reject_at_limits(pool, queue):
+            if queue.waiting and not self._reject_without_servers(pool, queue):
                 reserve = self._reserved_probes(queue)
                 offers = await self.search.poll_candidates(pool, reserve)
                 if offers is not None:
@@ -333,9 +344,18 @@
                     queue.note_offer_round(loop.time())
             had_offers = loop.time() - began_at < _LONGEST_TURN_SECONDS
 
-    def _reject_at_limits(self, pool: FleetPool, queue: RequestQueue) -> bool:
-        """Reject all waiting requests if every server is at its limit."""
+    def _reject_without_servers(
+        self, pool: FleetPool, queue: RequestQueue
+    ) -> bool:
+        """
+        Reject all waiting requests if no server may get one.
+
+        That is if every server is at its limit or evacuated.
+        """
         survey = self.search.permits.survey(pool)
+        if survey.is_evacuated:
+            queue.reject_all(lambda priority: _EVACUATED_RETRY_SECONDS)
+            return True
         if survey.usable or not survey.limited:
             return False
         queue.reject_all(
--- a/zinniaturn/gateway/searching.py
+++ b/zinniaturn/gateway/searching.py
@@ -196,6 +196,7 @@
         self._refill_budgets()
         for candidate in self.state.pools.get(pool, {}).values():
             is_left = candidate.registered.server.leaving
+            is_left = is_left or candidate.admission.is_evacuated
             if is_left or not self.budgets.take(pool, 1):
                 continue
             if not self.prober.refresh(candidate, known.health_path):
--- a/zinniaturn/gateway/settings.py
+++ b/zinniaturn/gateway/settings.py
@@ -49,7 +49,11 @@
     @property
     def follow_seconds(self) -> float:
         """Return how soon a change in the store must take effect."""
-        return min(self.leaving_seconds, self.tables_seconds)
+        return min(
+            self.leaving_seconds,
+            self.tables_seconds,
+            self.evacuate_seconds or self.tables_seconds,
+        )
 
 
 @dataclass(frozen=True, slots=True)
--- a/zinniaturn/gateway/state.py
+++ b/zinniaturn/gateway/state.py
@@ -136,14 +136,31 @@
             ):
                 stats = previous_candidate.stats
             candidates = self.pools.setdefault(registered.pool, {})
-            candidates[name] = Candidate(
-                registered,
-                stats,
-                self.admissions.of_process(name, registered.started_ms),
+            admission = self.admissions.of_process(name, registered.started_ms)
+            admission.is_evacuated = (
+                registered.server.data_center in self.fleet_state.evacuated
             )
+            candidates[name] = Candidate(registered, stats, admission)
         self.admissions.retain(self.fleet_state.servers)
         self.reach.own.retain(self.usable_server_counts())
 
+    def evacuations_are_in_doubt(self) -> bool:
+        """
+        Return whether requests have to wait for the store's evacuations.
+
+        That is so for a moment after the start and after a long pause.
+        """
+        guard = self.gossip.pause_guard
+        now = self.vms.clock.monotonic()
+        return self.fleet_state.evacuations.is_in_doubt(
+            guard.resumed_at_latest(now)
+        )
+
+    def is_evacuated(self, candidate: Candidate) -> bool:
+        """Return whether a server's data centre is evacuated."""
+        data_center = candidate.registered.server.data_center
+        return data_center in self.fleet_state.evacuated
+
     def learn(
         self,
         candidate: Candidate,
@@ -223,10 +240,15 @@
         )
 
     def usable_server_counts(self) -> dict[str, int]:
-        """Return the number of servers of each pool that are not leaving."""
+        """
+        Return the number of servers of each pool that may get requests.
+
+        Those that are leaving or evacuated aren't counted.
+        """
         return {
             pool: sum(
                 not candidate.registered.server.leaving
+                and not candidate.admission.is_evacuated
                 for candidate in candidates.values()
             )
             for pool, candidates in self.pools.items()
--- a/zinniaturn/platform/store.py
+++ b/zinniaturn/platform/store.py
@@ -9,17 +9,15 @@
 
 import asyncio
 import base64
-from dataclasses import dataclass, field
+from dataclasses import replace
 from typing import Any
 from urllib.parse import quote
 
 import msgspec
 
 from zinniaturn.errors import cause_of
-from zinniaturn.fleet.checks import check_record
 from zinniaturn.fleet.domain import (
     FleetSnapshot,
-    RegisteredServer,
     StoredVm,
     TablesDocument,
     VmRecord,
@@ -32,29 +30,21 @@
 from zinniaturn.http1.exceptions import ConnectFailedError, ExchangeBrokenError
 from zinniaturn.http1.messages import Response, find_field
 from zinniaturn.platform.documents import decode_document
-from zinniaturn.platform.server_entries import decode_server
+from zinniaturn.platform.stored_items import (
+    HIGHEST_REVISION,
+    HOLD_PREFIX,
+    VM_PREFIX,
+    DecodedItems,
+    StoredItem,
+)
 from zinniaturn.quarantine.hold_record import HoldRecord, StoredHold
 
-_CONFIG_KEY = 'op/config'
-_SERVER_PREFIX = 'servers/'
-_VM_PREFIX = 'zinniaturn/vms/'
-_HOLD_PREFIX = 'zinniaturn/held/'
 _CALL_TIMEOUT_SECONDS = 0.7
 _NO_ID_FIELD = b'-'
 # Rises each time that the store has come back from an older copy.
 _ERA = b'store-era'
 _HIGHEST_ERA = 2**20
 _OK_STATUS = 200
-# VMs tell each other revisions, in messages that hold no higher ones.
-_HIGHEST_REVISION = 2**61
-
-
-class _Item(msgspec.Struct):
-    """A key and its value, which is base64 text."""
-
-    key: str
-    value: str
-    revision: int
 
 
 class _Page(msgspec.Struct):
@@ -64,15 +54,13 @@
     ``era`` is not part of the body; a header of the reply tells it.
     """
 
-    items: list[_Item]
+    items: list[StoredItem]
     more_pages: bool
     current_rev: int
     era: int = 0
 
 
 _page_decoder = msgspec.json.Decoder(_Page)
-_record_decoder = msgspec.json.Decoder(VmRecord)
-_hold_decoder = msgspec.json.Decoder(HoldRecord)
 
 
 class PlatformStore:
@@ -83,27 +71,37 @@
         self.connections = ConnectionPool(own_host)
 
     async def read_snapshot(self) -> FleetSnapshot:
-        """Read all keys of the store, page by page."""
-        items: list[_Item] = []
+        """
+        Read all keys of the store, page by page.
+
+        A page that is older than the first may lack an evacuation; then none
+        are told.
+        """
+        items: list[StoredItem] = []
         first: _Page | None = None
         after = ''
+        is_consistent = True
         while True:
             page = await self._read_page(after)
             first = first or page
+            is_consistent = is_consistent and _follows(first, page)
             if page.era != first.era:
                 raise FleetStoreError(
                     f'the era changed from {first.era} to {page.era} in a read'
                 )
             items.extend(page.items)
             if not (page.more_pages and page.items):
-                return _build_snapshot(first, items)
+                snapshot = _build_snapshot(first, items)
+                if is_consistent:
+                    return snapshot
+                return replace(snapshot, evacuated=None)
             after = page.items[-1].key
 
     async def list_vms(self) -> tuple[StoredVm, ...]:
         """Return the records of VMs; the copy may be seconds old."""
         page = _decode_page(
             await self._call(
-                b'GET', f'/kv-range?prefix={quote(_VM_PREFIX)}&serializable=1'
+                b'GET', f'/kv-range?prefix={quote(VM_PREFIX)}&serializable=1'
             ),
         )
         return _build_snapshot(page, page.items).vms
@@ -114,19 +112,19 @@
 
     async def register(self, record: VmRecord) -> None:
         """Write a VM's record, replacing its previous one."""
-        await self._put(_VM_PREFIX + record.name, record)
+        await self._put(VM_PREFIX + record.name, record)
 
     async def unregister(self, listed: StoredVm) -> None:
         """Remove a VM's record if it is still the one that was read."""
-        await self._remove(_VM_PREFIX + listed.record.name, listed.revision)
+        await self._remove(VM_PREFIX + listed.record.name, listed.revision)
 
     async def write_hold(self, hold: HoldRecord) -> None:
         """Write a held request, replacing what the store has of it."""
-        await self._put(_HOLD_PREFIX + hold.key, hold)
+        await self._put(HOLD_PREFIX + hold.key, hold)
 
     async def remove_hold(self, stored: StoredHold) -> None:
         """Remove a held request if it is still the one that was read."""
-        await self._remove(_HOLD_PREFIX + stored.record.key, stored.revision)
+        await self._remove(HOLD_PREFIX + stored.record.key, stored.revision)
 
     async def _put(self, key: str, content: VmRecord | HoldRecord) -> None:
         """Write an item, replacing the previous one."""
@@ -211,14 +209,19 @@
         raise FleetStoreError(f'unreadable reply: {cause_of(error)}') from error
     if not 0 <= page.era <= _HIGHEST_ERA:
         raise FleetStoreError(f'the era {page.era} is out of range')
-    if not 0 <= page.current_rev <= _HIGHEST_REVISION:
+    if not 0 <= page.current_rev <= HIGHEST_REVISION:
         raise FleetStoreError('the revision is out of range')
     return page
 
 
-def _build_snapshot(first: _Page, items: list[_Item]) -> FleetSnapshot:
+def _follows(first: _Page, page: _Page) -> bool:
+    """Return whether a page shows all that had been written by the first."""
+    return page.current_rev >= first.current_rev
+
+
+def _build_snapshot(first: _Page, items: list[StoredItem]) -> FleetSnapshot:
     """Return the snapshot of pages whose first one is given."""
-    decoded = _DecodedItems(first.era)
+    decoded = DecodedItems(first.era)
     for item in items:
         try:
             decoded.add(item)
@@ -226,6 +229,7 @@
             # Whatever another writer has stored must cost its own item alone;
             # the decoder gives up in several ways.
             decoded.unreadable.append(f'{item.key}: {cause_of(error)}')
+    evacuated = decoded.bounded_evacuated()
     return FleetSnapshot(
         join_revision(first.era, first.current_rev),
         decoded.document,
@@ -233,50 +237,5 @@
         tuple(decoded.vms),
         tuple(decoded.unreadable),
         tuple(decoded.holds),
+        evacuated,
     )
-
-
-@dataclass(slots=True)
-class _DecodedItems:
-    """The store's items that were decoded, and the errors of the others."""
-
-    era: int
-    document: TablesDocument | None = None
-    servers: list[RegisteredServer] = field(default_factory=list)
-    vms: list[StoredVm] = field(default_factory=list)
-    holds: list[StoredHold] = field(default_factory=list)
-    unreadable: list[str] = field(default_factory=list)
-
-    def add(self, item: _Item) -> None:
-        """Decode an item by its key; raises `ValueError`."""
-        if not 0 < item.revision <= _HIGHEST_REVISION:
-            raise ValueError('the revision is out of range')
-        raw = base64.b64decode(item.value)
-        if item.key == _CONFIG_KEY:
-            revision = join_revision(self.era, item.revision)
-            self.document = TablesDocument(revision, raw)
-        elif item.key.startswith(_SERVER_PREFIX):
-            name = item.key.removeprefix(_SERVER_PREFIX)
-            self.servers.append(decode_server(name, raw))
-        elif item.key.startswith(_VM_PREFIX):
-            self.vms.append(_decode_vm(item, raw))
-        elif item.key.startswith(_HOLD_PREFIX):
-            self.holds.append(_decode_hold(item, raw))
-
-
-def _decode_vm(item: _Item, raw: bytes) -> StoredVm:
-    """Return the VM of an item; raises `ValueError`."""
-    record = _record_decoder.decode(raw)
-    check_record(record)
-    if item.key != _VM_PREFIX + record.name:
-        raise ValueError('the value is of another VM')
-    return StoredVm(record, item.revision)
-
-
-def _decode_hold(item: _Item, raw: bytes) -> StoredHold:
-    """Return the held request of an item; raises `ValueError`."""
-    hold = _hold_decoder.decode(raw)
-    hold.check()
-    if item.key != _HOLD_PREFIX + hold.key:
-        raise ValueError('the value is of another key')
-    return StoredHold(hold, item.revision)
