Let VMs tell each other of evacuated data centres

Without this each VM would have to read the store for evacuations, and with a build beside that doesn't know them its confirmations would hide one: it tells a newer revision with the same digest.

Each datagram's state claim gets a last part (revision, digest and age of the evacuations), each transferred state one with the names. The digest of the state has no part in it, so it matches that of the build whatever is evacuated. A VM confirms evacuations by nothing but these parts, and fetches from VMs that tell newer ones. Requests are passed on only to VMs that tell evacuations while there are any.

--- a/features/evacuation.feature
+++ b/features/evacuation.feature
@@ -79,6 +79,14 @@
     Then it sends nothing to "-"
     And it has reported "dc-b" as returned
 
+  Scenario: A VM that starts gets from another one what the store has lost
+    Given a VM that has read "dc-a" at revision 6
+    And it reads "dc-c" at revision 4 of the next era
+    When another VM starts and gets the state of the first
+    Then the other sends nothing to "dc-a dc-c"
+    When 30 s go by at the VMs
+    Then the other sends nothing to "dc-c"
+
   Scenario Outline: A process that resumes or starts waits for the evacuations of now
     Given a VM with a bound of 5 s that knows the evacuations of <age> s ago
     When a long pause of it ended <resumed> s ago and its last failed read began <failed> s ago
--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -20,6 +20,11 @@
     seeded_random,
 )
 from zinniaturn.admission.admission import Withholding
+from zinniaturn.fleet.messages import (
+    build_state_message,
+    decode_state,
+    encode_message,
+)
 from zinniaturn.fleet.poll_schedule import PollSchedule
 from zinniaturn.fleet.store_poller import StorePoller
 from zinniaturn.gateway.settings import FleetBounds
@@ -181,6 +186,8 @@
 def let_time_pass(context, seconds):
     context.fleet_state.clock.advance(seconds)
     context.fleet_state.drop_expired()
+    if hasattr(context, 'other'):
+        context.other.drop_expired()
 
 
 @then('it sends nothing to "{names}"')
@@ -189,6 +196,11 @@
     assert evacuated == names_in(names), evacuated
 
 
+@then('the other sends nothing to "{names}"')
+def check_other(context, names):
+    assert context.other.evacuated == names_in(names), context.other.evacuated
+
+
 @then('it has reported "{names}" as {kind}')
 def check_reported(context, names, kind):
     assert set(getattr(context.changes[-1], kind)) == names_in(names)
@@ -199,6 +211,16 @@
     assert context.fleet_state.evacuations.age_seconds == seconds
 
 
+@when('another VM starts and gets the state of the first')
+def start_other(context):
+    fleet_state = context.fleet_state
+    context.other = build_follower(clock=fleet_state.clock)
+    message = build_state_message(fleet_state, context.other.fingerprint)
+    _, content = decode_state(encode_message(message))
+    now = fleet_state.clock.monotonic()
+    context.other.install_evacuations(content.evacuations.news(now))
+
+
 @given(
     'a VM with a bound of {bound:g} s that knows the evacuations of {age:g} s '
     'ago'
--- a/features/support/recorded_messages.py
+++ b/features/support/recorded_messages.py
@@ -41,3 +41,25 @@
         ),
     }
 )
+
+# By the build 109eea4: a VM's state of revision 9 that was confirmed 250 ms
+# ago, with the document of revision 5, server s-1 and the record of vm-1.
+B109EEA4 = MappingProxyType(
+    {
+        'state': (
+            '940309ccfbc4cb78014d8dbd6a02411446578d4f616963b361d7c6e893d8'
+            'c9cdec5507666764ee65f0079b08a9b3ea03088eba2ae421425a6d53fb26'
+            '110495d37ee73bcbd996e15d21957784d6a1a5335f1ad9daa574be34677f'
+            'bfc5c9741164cb4faf21c53585b1ef1be27d5c6fbc4657623f30964fd5da'
+            '8694617a3926c0d011a819ed6aa7109cd4bd9febc8a842f0957d6c2d0a63'
+            '93db9d7769183f1b3e11216cbad668febe175a6f5114e538147dd03d9c3f'
+            'd2a74a3b1730002179141cba0a913b24c718e4169d246974e91fe49f5b24'
+        ),
+        'datagram': (
+            '9c03000796a4766d2d31050103c0009409ce353bcfc8ccfa0690a090c0c0'
+            '929090c0'
+        ),
+    }
+)
+# The digest of that state.
+B109EEA4_DIGEST = 893112264
--- a/zinniaturn/experiments/gossip_model.py
+++ b/zinniaturn/experiments/gossip_model.py
@@ -82,6 +82,9 @@
     def want_state(self, revision: int, holder: VmRecord) -> None:
         """Do nothing; the model has no fleet state."""
 
+    def want_evacuations(self, revision: int, holder: VmRecord) -> None:
+        """Do nothing; no data centre of the model is evacuated."""
+
     def close(self) -> None:
         """Do nothing; transfers end by themselves."""
 
--- a/zinniaturn/fleet/datagrams.py
+++ b/zinniaturn/fleet/datagrams.py
@@ -16,6 +16,7 @@
     'NoticeRow',
     'PermitGrantRow',
     'PermitRequestRow',
+    'PlainClaim',
     'QuarantineRow',
     'ReachRow',
     'ResponseRow',
@@ -27,11 +28,13 @@
 import enum
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
+from typing import cast
 
 import msgspec
 
 from zinniaturn.errors import cause_of
 from zinniaturn.fleet.domain import VmStatus
+from zinniaturn.fleet.evacuation_messages import EvacuationsRow
 from zinniaturn.fleet.exceptions import PeerMessageError
 from zinniaturn.fleet.figures import (
     Count,
@@ -64,18 +67,34 @@
     PERMIT_GRANT = 5
 
 
-class StateClaim(msgspec.Struct, array_like=True, frozen=True):
+class PlainClaim(msgspec.Struct, array_like=True, frozen=True):
+    """A `StateClaim` without the parts that need not be told."""
+
+    revision: Revision
+    digest: int
+    age_ms: Milliseconds
+    vms_checksum: int
+
+
+class StateClaim(PlainClaim, array_like=True, frozen=True):
     """
     The fleet state that a datagram's sender holds.
 
     ``digest`` and ``revision`` identify it, and ``age_ms`` is the time since it
     was confirmed. ``vms_checksum`` tells which VMs the sender takes for alive.
+    ``evacuations`` are no part of the digest. ``None`` means that the sender
+    tells nothing of them: it is of an older build, or doesn't know them yet.
     """
 
-    revision: Revision
-    digest: int
-    age_ms: Milliseconds
-    vms_checksum: int
+    evacuations: EvacuationsRow | None = None
+
+    def shortened(self) -> PlainClaim:
+        """Return the claim without the last part where that tells nothing."""
+        if self.evacuations is not None:
+            return self
+        return PlainClaim(
+            self.revision, self.digest, self.age_ms, self.vms_checksum
+        )
 
 
 class NoticeRow(msgspec.Struct, array_like=True, frozen=True):
@@ -215,6 +234,11 @@
         """Return whether the sender knows the eras of the store."""
         return self.notices is not None
 
+    @property
+    def follows_evacuations(self) -> bool:
+        """Return whether the sender keeps to evacuations of data centres."""
+        return self.state.evacuations is not None
+
     def news_statuses(self) -> list[VmStatus]:
         """Return the usable statuses of other VMs."""
         return usable_statuses(self.news)
@@ -252,7 +276,7 @@
             kind,
             sequence,
             StatusRow.of(sender),
-            state,
+            cast(StateClaim, state.shortened()),
             tuple(StatusRow.of(status) for status in news),
             extras.target,
             tuple(extras.notices),
--- a/zinniaturn/fleet/gossip.py
+++ b/zinniaturn/fleet/gossip.py
@@ -28,6 +28,7 @@
     decode_datagram,
 )
 from zinniaturn.fleet.domain import VmRecord, VmStage
+from zinniaturn.fleet.evacuations import Verdict
 from zinniaturn.fleet.exceptions import PeerMessageError
 from zinniaturn.fleet.failure_detection import FailureDetector
 from zinniaturn.fleet.fleet_state import FleetState
@@ -221,12 +222,14 @@
         peer = self.vms.note_heard(sender.name, sender.version)
         if peer is not None:
             peer.follows_eras = datagram.follows_eras
+            peer.follows_evacuations = datagram.follows_evacuations
         if not self.pause_guard.is_after_pause(self.vms.clock.monotonic()):
             self.news.learn_notices(datagram)
             self.news.learn_reach(datagram)
             if datagram.quarantine is not None:
                 self.crash_news.learn(datagram.quarantine)
             self._compare_state(datagram)
+            self._compare_evacuations(datagram)
         self._compare_tables(datagram, peer)
         self._respond(datagram, peer, addr)
 
@@ -316,6 +319,22 @@
             if peer is not None:
                 self.fetcher.want_state(claim.revision, peer.record)
 
+    def _compare_evacuations(self, datagram: Datagram) -> None:
+        """Confirm the known evacuations by the sender's, or fetch newer."""
+        row = datagram.state.evacuations
+        if row is None:
+            return
+        held = self.fleet_state.evacuations
+        claim = row.claim(held.clock.monotonic() - NETWORK_DELAY_SECONDS)
+        gained = claim.confirmed_at - held.confirmed_at
+        match held.assess(claim):
+            case Verdict.CONFIRMED if gained > _PUSHED_CONFIRMATION_SECONDS:
+                self._schedule_push()
+            case Verdict.NEWER:
+                peer = self.vms.vms.get(datagram.sender.name)
+                if peer is not None:
+                    self.fetcher.want_evacuations(row.revision, peer.record)
+
     def _compare_tables(self, datagram: Datagram, peer: PeerVm | None) -> None:
         """Fetch the sender's table if this VM's lacks VMs for long."""
         now = self.vms.clock.monotonic()
--- a/zinniaturn/fleet/gossip_sender.py
+++ b/zinniaturn/fleet/gossip_sender.py
@@ -19,6 +19,7 @@
     encode_datagram,
 )
 from zinniaturn.fleet.domain import VmStage
+from zinniaturn.fleet.evacuation_messages import evacuations_row
 from zinniaturn.fleet.failure_detection import PingRound
 from zinniaturn.fleet.fleet_state import FleetState
 from zinniaturn.fleet.status_queue import StatusQueue
@@ -179,4 +180,5 @@
             identity.digest,
             max(0, self.fleet_state.age_ms) + 1,
             self.vms.checksum(),
+            evacuations_row(self.fleet_state.evacuations),
         )
--- a/zinniaturn/fleet/messages.py
+++ b/zinniaturn/fleet/messages.py
@@ -29,6 +29,10 @@
     StoredVm,
     TablesDocument,
 )
+from zinniaturn.fleet.evacuation_messages import (
+    EvacuationsPart,
+    evacuations_part,
+)
 from zinniaturn.fleet.exceptions import PeerMessageError
 from zinniaturn.fleet.figures import Milliseconds, Revision
 from zinniaturn.fleet.fleet_state import (
@@ -57,13 +61,16 @@
     """
     The parts of a state that its requester lacks; the others are ``None``.
 
-    ``parts`` is the fingerprint of the whole state.
+    ``parts`` is the fingerprint of the whole state. It has no part for
+    ``evacuations``, which an older build doesn't tell: ``None`` says nothing of
+    them, an empty part that there are none.
     """
 
     parts: StateFingerprint
     raw_tables: bytes | None
     servers: ServerRows | None
     vms: tuple[StoredVm, ...] | None
+    evacuations: EvacuationsPart | None = None
 
 
 class StateMessage(msgspec.Struct, array_like=True, frozen=True):
@@ -218,6 +225,7 @@
         if fingerprint.servers == held.servers
         else _server_rows(fleet_state, held),
         None if fingerprint.vms == held.vms else fleet_state.vms,
+        evacuations_part(fleet_state.evacuations),
     )
 
 
--- a/zinniaturn/fleet/state_exchange.py
+++ b/zinniaturn/fleet/state_exchange.py
@@ -48,7 +48,9 @@
     """
     Fetches newer states and VM tables, at most one of each at a time.
 
-    ``holders`` are the VMs known to hold the state of ``wanted_revision``.
+    ``holders`` are the VMs known to hold the state of ``wanted_revision``, and
+    ``evacuations_holders`` those that know the evacuations as of
+    ``wanted_evacuations``. Each of these tells the rest of its state as well.
     ``on_state`` is called after a newer state was installed, and ``on_vms``
     with the statuses of a fetched table. ``on_peer_error`` is called with the
     description of each failed fetch.
@@ -66,6 +68,8 @@
     vms_task: 'asyncio.Task[None] | None' = None
     holders: dict[str, VmRecord] = field(default_factory=dict)
     wanted_revision: int = 0
+    evacuations_holders: dict[str, VmRecord] = field(default_factory=dict)
+    wanted_evacuations: int = 0
 
     def want_state(self, revision: int, holder: VmRecord) -> None:
         """Note the holder of a newer state and start a fetch if none runs."""
@@ -73,6 +77,17 @@
             self.wanted_revision = revision
             self.holders.clear()
         self.holders[holder.name] = holder
+        self._start_state_fetch()
+
+    def want_evacuations(self, revision: int, holder: VmRecord) -> None:
+        """Note who knows newer evacuations and start a fetch if none runs."""
+        if revision > self.wanted_evacuations:
+            self.wanted_evacuations = revision
+            self.evacuations_holders.clear()
+        self.evacuations_holders[holder.name] = holder
+        self._start_state_fetch()
+
+    def _start_state_fetch(self) -> None:
         if self.state_task is None:
             self.state_task = self._start(self._fetch_state())
             self.state_task.add_done_callback(self._on_state_done)
@@ -111,10 +126,11 @@
         await asyncio.sleep(
             self.random_source.uniform(0, self._max_fetch_delay())
         )
-        if self.fleet_state.revision >= self.wanted_revision:
+        holders = self._holders()
+        if not holders:
             return
-        record = self._choose_holder()
-        self.holders.pop(record.name)
+        record = self._choose_holder(holders)
+        holders.pop(record.name)
         held = self.fleet_state.fingerprint
         target = b'%b%d,%d,%d' % (
             _STATE_PATH,
@@ -138,15 +154,24 @@
             return
         self.on_vms(statuses)
 
-    def _choose_holder(self) -> VmRecord:
+    def _holders(self) -> dict[str, VmRecord]:
+        """Return the VMs to fetch from; there are none if nothing is newer."""
+        evacuations = self.fleet_state.evacuations
+        is_behind = evacuations.revision < self.wanted_evacuations
+        if evacuations.is_followed and is_behind and self.evacuations_holders:
+            return self.evacuations_holders
+        if self.fleet_state.revision < self.wanted_revision:
+            return self.holders
+        return {}
+
+    def _choose_holder(self, holders: dict[str, VmRecord]) -> VmRecord:
         """Return a random holder, of the own data centre if there is one."""
-        holders = list(self.holders.values())
         near = [
             record
-            for record in holders
+            for record in holders.values()
             if record.data_center == self.own.data_center
         ]
-        return self.random_source.choice(near or holders)
+        return self.random_source.choice(near or list(holders.values()))
 
     def _max_fetch_delay(self) -> float:
         """Return the longest delay in seconds; it grows with the fleet."""
@@ -203,13 +228,18 @@
         except PeerMessageError as error:
             self.on_peer_error(error.message)
             return
-        if state.revision <= self.fleet_state.revision:
-            return
-        snapshot = snapshot_from_message(state, content, self.fleet_state)
-        if snapshot is None:
+        told = content.evacuations
+        sent_at -= NETWORK_DELAY_SECONDS
+        if told is not None:
+            self.fleet_state.install_evacuations(told.news(sent_at))
+        if state.revision > self.fleet_state.revision:
+            snapshot = snapshot_from_message(state, content, self.fleet_state)
+            if snapshot is None:
+                return
+            age = state.age_ms / _MS_PER_SECOND
+            self.fleet_state.install(snapshot, sent_at - age)
+        elif told is None:
             return
-        age = state.age_ms / _MS_PER_SECOND + NETWORK_DELAY_SECONDS
-        self.fleet_state.install(snapshot, sent_at - age)
         self.on_state()
 
 
--- a/zinniaturn/gateway/relay_client.py
+++ b/zinniaturn/gateway/relay_client.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from zinniaturn.admission.admission import ResponseKind
+from zinniaturn.fleet.alive_vms import PeerVm
 from zinniaturn.fleet.domain import VmStage
 from zinniaturn.gateway.exceptions import AttemptError
 from zinniaturn.gateway.request_context import RequestContext
@@ -84,9 +85,14 @@
             if peer is not None
             and peer.is_alive
             and peer.stage is VmStage.READY
+            and self._keeps_to_evacuations(peer)
         ]
         return select_relays(ready, self.state.random_source)
 
+    def _keeps_to_evacuations(self, peer: PeerVm) -> bool:
+        """Return whether a VM would not send to evacuated servers."""
+        return peer.follows_evacuations or not self.state.fleet_state.evacuated
+
     async def _try(
         self, context: RequestContext, relay: RelayVm, attempts_before: int
     ) -> RelayReply:
