Refuse tenants' requests before a withdrawn key could be used too late

Cause: a VM that lost the store went on with the keys that it held, and the age of its state is no proof of them: a datagram that was late, or waited in a buffer, made it younger than the store's read, and so did a document that can't be decoded. Change: TablesProof tells until when the tables in force were certainly the store's newest: from a read as of its start, or from another VM as of this VM's ping less the age that the acknowledgement states. Datagrams and fetched states carry the age in a last part; a VM that hears of a younger proof pings its holder. With fail_closed, RevocationRule refuses a tenant's request from 0.86 of revoke_ms on: 503, configuration-too-old, not run. It is asked as the request arrives, as it leaves the queue and right before the write, so for retries, hedges and a process that was paused too. Public routes go on. An empty datagram is one byte longer; the feature on message versions names the parts that it counts.

--- a/features/message_versions.feature
+++ b/features/message_versions.feature
@@ -19,12 +19,21 @@
     Then that build finds the parts that it knows
 
     Examples:
-      | lacking              |
-      | quarantine           |
-      | quarantine and reach |
+      | lacking                        |
+      | proof                          |
+      | proof and quarantine           |
+      | proof and quarantine and reach |
 
-  Scenario: A datagram without news of crashes costs one byte more than before
-    Then an empty datagram is one byte longer than that of the build f0f2c2e
+  Scenario: A datagram without later parts costs one byte more for each than before
+    Then an empty datagram is 2 bytes longer than that of the build f0f2c2e, for "quarantine" and "proof"
+
+  Scenario: A state with the age of its tables' proof is read by a build that lacks it
+    When a state with a proof of its tables is read by a build that lacks "proof_age_ms"
+    Then that build finds the state's revision, age and content
+
+  Scenario: A state of a build that tells no proof proves nothing
+    When a state that lacks "proof_age_ms" is read
+    Then its content is read whole, and it proves no tables
 
   Scenario Outline: A server whose <figure> no message between VMs can hold is not used
     Then a server entry with a <figure> of <value> names no server
--- a/zinniaturn/fleet/alive_vms.py
+++ b/zinniaturn/fleet/alive_vms.py
@@ -21,7 +21,8 @@
     the time of the last message from the VM itself, which said that it was at
     ``own_version``, and ``changed_at`` is the time of the last change of its
     status; both times are minus infinity before the first. ``follows_eras``
-    is set once a message of its process shows that it knows the store's eras.
+    is set once a message of its process shows that it knows the store's eras,
+    and ``knows_tenants`` if its last one shows that it asks for tenants' keys.
     """
 
     record: VmRecord
@@ -33,6 +34,7 @@
     own_version: int = 0
     changed_at: float = float('-inf')
     follows_eras: bool = False
+    knows_tenants: bool = False
 
     @property
     def name(self) -> str:
--- a/zinniaturn/fleet/datagrams.py
+++ b/zinniaturn/fleet/datagrams.py
@@ -16,6 +16,7 @@
     'NoticeRow',
     'PermitGrantRow',
     'PermitRequestRow',
+    'ProofRow',
     'QuarantineRow',
     'ReachRow',
     'ResponseRow',
@@ -182,6 +183,18 @@
     lifts: tuple[LiftRow, ...] = ()
 
 
+class ProofRow(msgspec.Struct, array_like=True, frozen=True):
+    """
+    How old the sender's tables may be, as `TablesProof` tells it.
+
+    ``revision`` is that of their document, with the store's era. Without
+    ``age_ms`` nothing is proven. Whoever sends it asks for tenants' keys.
+    """
+
+    revision: Revision
+    age_ms: Milliseconds | None = None
+
+
 class Datagram(msgspec.Struct, array_like=True, frozen=True):
     """
     A message between two VMs.
@@ -189,7 +202,8 @@
     ``target`` is the VM that a ping request is about. ``news`` are the statuses
     of other VMs, and ``notices`` is what servers have said. Older processes
     send no more than ``target``, or nothing of ``reach`` or ``quarantine``;
-    those without ``notices`` don't know eras of the store either.
+    those without ``notices`` don't know eras of the store either. Only those
+    that know tenants send ``proof``, while tenants are configured.
     """
 
     version: int
@@ -204,6 +218,7 @@
     permit_grant: PermitGrantRow | None = None
     reach: ReachRow = _NO_REACH
     quarantine: QuarantineRow | None = None
+    proof: ProofRow | None = None
 
     @property
     def sender_status(self) -> VmStatus:
@@ -230,6 +245,7 @@
     permit_grant: PermitGrantRow | None = None
     reach: ReachRow = _NO_REACH
     quarantine: QuarantineRow | None = None
+    proof: ProofRow | None = None
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -260,6 +276,7 @@
             extras.permit_grant,
             extras.reach,
             extras.quarantine,
+            extras.proof,
         ),
     )
 
--- a/zinniaturn/fleet/failure_detection.py
+++ b/zinniaturn/fleet/failure_detection.py
@@ -83,9 +83,18 @@
             rounds.append(self._start(silent, now))
         return rounds, dead
 
-    def acknowledge(self, sequence: int) -> None:
-        """Record the acknowledgement of a ping, whichever way it came."""
-        self.pending.pop(sequence, None)
+    def acknowledge(self, sequence: int) -> float | None:
+        """
+        Record the acknowledgement of a ping, whichever way it came.
+
+        Returns when the ping was first sent, ``None`` if none is pending.
+        """
+        ping = self.pending.pop(sequence, None)
+        return None if ping is None else ping.started_at
+
+    def ping(self, target: PeerVm, now: float) -> PingRound:
+        """Start a ping between those of the intervals."""
+        return self._start(target, now)
 
     def _start(self, target: PeerVm, now: float) -> PingRound:
         sequence = self.random_source.getrandbits(_SEQUENCE_BITS)
--- a/zinniaturn/fleet/fleet_state.py
+++ b/zinniaturn/fleet/fleet_state.py
@@ -32,6 +32,7 @@
 from zinniaturn.fleet.server_changes import ServerChanges, changed_names
 from zinniaturn.fleet.state_change import StateChange, describe_servers
 from zinniaturn.fleet.tables import FleetTables
+from zinniaturn.fleet.tables_proof import TablesProof
 
 _OUTAGE_THRESHOLD_SECONDS = 3.0
 _REREGISTRATION_GRACE_SECONDS = 2.0
@@ -84,7 +85,9 @@
     servers that were missing from the store after an outage, with the time
     until which they are kept; ``shared_servers`` are all others, which other
     VMs may get from this one. ``outdated_revision`` is that of a document which
-    is not used because a later version is in force.
+    is not used because a later version is in force. ``proof`` tells how old
+    the ``tables`` may be, which `age_seconds` doesn't where a document can't be
+    decoded or a datagram was late.
     """
 
     clock: Clock
@@ -102,6 +105,11 @@
     gone_servers: GoneServers = field(default_factory=GoneServers)
     outdated_revision: int = 0
     observers: list[Callable[[StateChange], None]] = field(default_factory=list)
+    proof: TablesProof = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Begin without a proof of any tables."""
+        self.proof = TablesProof(self.clock)
 
     @property
     def digest(self) -> int:
@@ -218,11 +226,14 @@
             tables = self.decode(document)
         except BadDocumentError as error:
             self.document = document
+            self.proof.revision = 0
             return None, error.message
         if self._is_reverted(document, tables):
             self.outdated_revision = document.revision
+            self.proof.outdated_revision = document.revision
             return None, ''
         self.document = document
+        self.proof.revision = document.revision
         self.tables = tables
         return document.revision, ''
 
--- a/zinniaturn/fleet/gossip.py
+++ b/zinniaturn/fleet/gossip.py
@@ -35,6 +35,7 @@
 from zinniaturn.fleet.news import NewsReceiver
 from zinniaturn.fleet.pause_guard import PauseGuard
 from zinniaturn.fleet.permit_exchange import PermitExchange
+from zinniaturn.fleet.proof_exchange import ProofExchange
 from zinniaturn.fleet.relays import PingRelays
 from zinniaturn.fleet.state_exchange import NETWORK_DELAY_SECONDS, StateFetcher
 from zinniaturn.fleet.table_sync import TableSync
@@ -94,6 +95,7 @@
     sender: GossipSender = field(init=False)
     news: NewsReceiver = field(init=False)
     detector: FailureDetector = field(init=False)
+    proofs: ProofExchange = field(init=False)
     fetcher: StateFetcher = field(init=False)
     table_sync: TableSync = field(init=False)
     pause_guard: PauseGuard = field(init=False)
@@ -125,6 +127,9 @@
         )
         self.sender.quarantine_row = self.crash_news.row
         self.detector = FailureDetector(self.vms, self.random_source)
+        self.proofs = ProofExchange(
+            self.fleet_state.proof, self.detector, self.sender
+        )
         self.table_sync = TableSync(self.vms)
         self.news = NewsReceiver(
             self.vms,
@@ -227,6 +232,7 @@
             if datagram.quarantine is not None:
                 self.crash_news.learn(datagram.quarantine)
             self._compare_state(datagram)
+        self._compare_proof(datagram, peer)
         self._compare_tables(datagram, peer)
         self._respond(datagram, peer, addr)
 
@@ -254,7 +260,6 @@
                     DatagramKind.ACK, datagram.sequence, addr, peer
                 )
             case DatagramKind.ACK:
-                self.detector.acknowledge(datagram.sequence)
                 self._pass_on_acknowledgement(datagram.sequence)
             case DatagramKind.PING_REQUEST:
                 self._ping_for_other(datagram, addr)
@@ -316,6 +321,14 @@
             if peer is not None:
                 self.fetcher.want_state(claim.revision, peer.record)
 
+    def _compare_proof(self, datagram: Datagram, peer: PeerVm | None) -> None:
+        """Learn how old the tables may be; a pause makes no difference."""
+        pinged_at = None
+        if datagram.kind is DatagramKind.ACK:
+            pinged_at = self.detector.acknowledge(datagram.sequence)
+        if self.proofs.receive(datagram, peer, pinged_at):
+            self._schedule_push()
+
     def _compare_tables(self, datagram: Datagram, peer: PeerVm | None) -> None:
         """Fetch the sender's table if this VM's lacks VMs for long."""
         now = self.vms.clock.monotonic()
--- a/zinniaturn/fleet/gossip_sender.py
+++ b/zinniaturn/fleet/gossip_sender.py
@@ -12,6 +12,7 @@
     DatagramExtras,
     DatagramKind,
     NoticeRow,
+    ProofRow,
     QuarantineRow,
     ReachRow,
     ResponseRow,
@@ -120,6 +121,7 @@
                     notices=self._notice_rows(receiver),
                     reach=self._reach_row(receiver),
                     quarantine=self.quarantine_row(receiver),
+                    proof=self._proof_row(),
                 ),
             ),
             address,
@@ -171,6 +173,14 @@
             ),
         )
 
+    def _proof_row(self) -> ProofRow | None:
+        """Return how old the tables may be, where tenants are configured."""
+        tables = self.fleet_state.tables
+        if tables is None or tables.tenants is None:
+            return None
+        proof = self.fleet_state.proof
+        return ProofRow(proof.revision, proof.age_ms)
+
     def _claim(self, receiver: PeerVm | None) -> StateClaim:
         follows_eras = receiver is not None and receiver.follows_eras
         identity = self.fleet_state.identity(follows_eras)
--- a/zinniaturn/fleet/messages.py
+++ b/zinniaturn/fleet/messages.py
@@ -70,13 +70,15 @@
     """
     The state that a VM holds, with its age.
 
-    ``packed`` is a compressed `StateContent`.
+    ``packed`` is a compressed `StateContent`. ``proof_age_ms`` is the age of
+    the proof of its tables, ``None`` if there is none or it isn't told.
     """
 
     version: int
     revision: Revision
     age_ms: Milliseconds
     packed: bytes
+    proof_age_ms: Milliseconds | None = None
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -130,6 +132,7 @@
             _encoder.encode(_build_content(fleet_state, held, identity)),
             _COMPRESSION_LEVEL,
         ),
+        fleet_state.proof.age_ms,
     )
 
 
--- a/zinniaturn/fleet/state_exchange.py
+++ b/zinniaturn/fleet/state_exchange.py
@@ -210,6 +210,11 @@
             return
         age = state.age_ms / _MS_PER_SECOND + NETWORK_DELAY_SECONDS
         self.fleet_state.install(snapshot, sent_at - age)
+        if state.proof_age_ms is not None:
+            self.fleet_state.proof.prove(
+                content.parts.tables,
+                sent_at - state.proof_age_ms / _MS_PER_SECOND,
+            )
         self.on_state()
 
 
--- a/zinniaturn/fleet/store_poller.py
+++ b/zinniaturn/fleet/store_poller.py
@@ -16,6 +16,8 @@
 _MIN_SLEEP_SECONDS = 0.02
 # The rank may change meanwhile.
 _MAX_SLEEP_SECONDS = 0.25
+# A proof reaches other VMs later than what confirms their states.
+_PROOF_LAG_SECONDS = 0.7
 
 SnapshotListener = Callable[[FleetSnapshot], None]
 FaultListener = Callable[[Exception], None]
@@ -40,26 +42,63 @@
     on_read: list[SnapshotListener] = field(default_factory=list)
     on_reply: list[ReplyListener] = field(default_factory=list)
     on_fault: list[FaultListener] = field(default_factory=list)
+    read_at: float = float('-inf')
 
     async def run(self) -> None:
         """Poll the store until cancelled."""
         while True:
             await asyncio.sleep(self._seconds_until_poll())
             self.fleet_state.drop_expired_servers()
-            poll_age = self.schedule.poll_age_seconds(self.vms.poll_rank())
-            if self.fleet_state.age_seconds >= poll_age:
+            if self.is_due():
                 await self._read()
 
+    def is_due(self) -> bool:
+        """Return whether the state is so old that this VM should read."""
+        poll_age = self.schedule.poll_age_seconds(self.vms.poll_rank())
+        return self._age_seconds() >= poll_age
+
+    def install(self, snapshot: FleetSnapshot, requested_at: float) -> None:
+        """Install what a read has brought that began at ``requested_at``."""
+        self.fleet_state.install(snapshot, requested_at)
+        if snapshot.revision != self.fleet_state.revision:
+            # An older copy, or newer tables came meanwhile from another VM.
+            return
+        proof = self.fleet_state.proof
+        if snapshot.document is None:
+            proof.is_missing = True
+        else:
+            proof.prove(snapshot.document.revision, requested_at)
+
     def _seconds_until_poll(self) -> float:
         poll_age = self.schedule.poll_age_seconds(self.vms.poll_rank())
-        remaining = poll_age - self.fleet_state.age_seconds
+        remaining = poll_age - self._age_seconds()
         return max(_MIN_SLEEP_SECONDS, min(_MAX_SLEEP_SECONDS, remaining))
 
+    def _age_seconds(self) -> float:
+        """
+        Return the age of what a read would renew.
+
+        The tables' proof counts too where tenants are configured, as VMs of
+        earlier builds pass no proof on. It makes a VM read no more often than
+        the schedule has it read.
+        """
+        fleet_state = self.fleet_state
+        age = fleet_state.age_seconds
+        tables = fleet_state.tables
+        if tables is None or tables.tenants is None:
+            return age
+        if not fleet_state.proof.is_possible:
+            return age
+        unproven = fleet_state.proof.age_seconds - _PROOF_LAG_SECONDS
+        since_read = fleet_state.clock.monotonic() - self.read_at
+        return max(age, min(unproven, since_read))
+
     async def _read(self) -> None:
         requested_at = self.fleet_state.clock.monotonic()
+        self.read_at = requested_at
         try:
             snapshot = await self.store.read_snapshot()
-            self.fleet_state.install(snapshot, requested_at)
+            self.install(snapshot, requested_at)
         except FleetStoreError as error:
             await self._fail(error)
         except Exception as error:
--- a/zinniaturn/gateway/dispatch.py
+++ b/zinniaturn/gateway/dispatch.py
@@ -46,7 +46,7 @@
         scheduler = RequestScheduler(state)
         self.stop_gate = StopGate(state, scheduler.retry_after_jitter)
         self.crash_watch = CrashWatch(state)
-        self.tenant_gate = TenantGate(state)
+        self.tenant_gate = TenantGate(state, scheduler.retry_after_jitter)
         self.attempt_runner = AttemptRunner(
             state,
             scheduler,
--- a/zinniaturn/gateway/settings.py
+++ b/zinniaturn/gateway/settings.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from zinniaturn.http1.connections import Address
+from zinniaturn.tenants import RevocationRule
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,7 +39,7 @@
     retry_window_seconds: float = 10.0
     probes_per_second: float = 60.0
     fail_closed: bool = False
-    revoke_seconds: float = 0
+    revoke_seconds: float = 5.0
     evacuate_seconds: float = 0
     allowance_window_seconds: float = 5.0
     allowance_overage: float = 0
@@ -46,6 +47,11 @@
     warm_up_overage: float = 1.0
     warm_up_slack: float = 0
 
+    @property
+    def revocation(self) -> RevocationRule:
+        """Return the rule by which withdrawn keys are refused in time."""
+        return RevocationRule(self.fail_closed, self.revoke_seconds)
+
     @property
     def follow_seconds(self) -> float:
         """Return how soon a change in the store must take effect."""
--- a/zinniaturn/gateway/tenant_gate.py
+++ b/zinniaturn/gateway/tenant_gate.py
@@ -1,12 +1,13 @@
 """
 Keeps requests without a valid key from servers, where tenants are configured.
 
-The key is looked up in the tables that are in force at the moment: as the
-request arrives, as it leaves the queue, and right before it is sent. So a
-withdrawn key also stops retries, hedged requests and those of other VMs.
+The key is looked up in the tables that are in force at the moment, and the age
+of their proof is read: as the request arrives, as it leaves the queue, and
+right before it is sent. So a withdrawn key also stops retries, hedged requests
+and those of other VMs, and requests of a process that was paused.
 
-Work: two look-ups in hash tables for each question, whatever the number of
-tenants and keys, and no memory for a request.
+Work: two look-ups in hash tables and one reading of the clock for each
+question, whatever the number of tenants and keys, and no memory for a request.
 """
 
 __all__ = ('KEY_CODES', 'TenantGate')
@@ -18,37 +19,46 @@
 from zinniaturn.gateway.request_context import RequestContext
 from zinniaturn.gateway.state import GatewayState
 from zinniaturn.http1.messages import Request
-from zinniaturn.tenants import Tenant
+from zinniaturn.placing.retry_after import RetryAfterJitter
+from zinniaturn.tenants import KeyRuling, Tenant
 
 # The codes of requests that their keys don't allow.
-KEY_CODES = frozenset(('unknown-key',))
+KEY_CODES = frozenset(('unknown-key', 'configuration-too-old'))
+# The caller meets another VM when it returns, or this one has read the store.
+_TOO_OLD_RETRY_SECONDS = 0.3
 
 
 @dataclass(slots=True)
 class TenantGate:
-    """Rejects the requests whose key is not valid now."""
+    """Rejects the requests whose key is not certain to be valid now."""
 
     state: GatewayState
+    retry_after_jitter: RetryAfterJitter
 
     def admit(self, request: Request, route: FleetRoute) -> Tenant | None:
         """
         Return the tenant that a request's key belongs to.
 
         Returns ``None`` where no key is asked for, and raises `RejectedError`
-        for a request whose key is missing or unknown.
+        for a request whose key is missing, unknown or perhaps withdrawn.
         """
-        tables = self.state.fleet_state.tables
+        fleet_state = self.state.fleet_state
+        tables = fleet_state.tables
         if tables is None or tables.tenants is None:
             return None
         # The route may have become public, or be so no more, since the request
         # arrived.
         if tables.routes.get(route.name, route).public:
             return None
-        key = self.state.wire_format.tenant_key(request.fields)
-        tenant = tables.tenants.find(key)
-        if tenant is None:
-            raise RejectedError('the key is not known', 'unknown-key')
-        return tenant
+        bounds = self.state.settings.bounds
+        ruling, tenant = bounds.revocation.decide(
+            tables.tenants,
+            self.state.wire_format.tenant_key(request.fields),
+            fleet_state.proof.age_seconds,
+        )
+        if ruling is KeyRuling.SERVE:
+            return tenant
+        raise self._rejection(ruling)
 
     def check(self, context: RequestContext) -> None:
         """Raise `RejectedError` if a request must not be sent any more."""
@@ -67,3 +77,15 @@
         tables = self.state.fleet_state.tables
         has_tenants = tables is not None and tables.tenants is not None
         return '' if has_tenants else None
+
+    def _rejection(self, ruling: KeyRuling) -> RejectedError:
+        if ruling is KeyRuling.UNKNOWN_KEY:
+            self.state.counters.events['key_unknown'] += 1
+            return RejectedError('the key is not known', ruling.value)
+        self.state.counters.events['configuration_too_old'] += 1
+        age = self.state.fleet_state.proof.age_seconds
+        return RejectedError(
+            f'keys may have been withdrawn for {age:.2f} s',
+            ruling.value,
+            self.retry_after_jitter.seconds(_TOO_OLD_RETRY_SECONDS),
+        )
--- a/zinniaturn/outcomes/rejections.py
+++ b/zinniaturn/outcomes/rejections.py
@@ -34,6 +34,11 @@
         HTTPStatus.SERVICE_UNAVAILABLE,
         'The entry has no tables yet',
     ),
+    Rejection(
+        'configuration-too-old',
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'The key may have been withdrawn since the configuration was read',
+    ),
     Rejection(
         'no-server',
         HTTPStatus.SERVICE_UNAVAILABLE,
--- a/zinniaturn/platform/settings_file.py
+++ b/zinniaturn/platform/settings_file.py
@@ -58,7 +58,7 @@
     # Whether requests with withdrawn keys are refused rather than risked.
     fail_closed: bool = False
     # The time after which a request with a withdrawn key must not run.
-    revoke_ms: Figure = 0
+    revoke_ms: Figure = 5000
     # The time after which an evacuated data centre gets no request.
     evacuate_ms: Figure = 0
     # The window over which a tenant's allowance holds, and what is tolerated
