--- a/features/steps/foreign_data_steps.py
+++ b/features/steps/foreign_data_steps.py
@@ -322,11 +322,11 @@
     raw = encode_message(
         build_state_message(_sound_state(), StateFingerprint())
     )
-    version, revision, age, packed = msgspec.msgpack.decode(raw)
+    version, revision, age, packed, *later = msgspec.msgpack.decode(raw)
     contents = changed_messages(zlib.decompress(packed))
     packed_states = contents.map(
         lambda content: msgspec.msgpack.encode(
-            [version, revision, age, zlib.compress(content)]
+            [version, revision, age, zlib.compress(content), *later]
         )
     )
     return st.one_of(packed_states, changed_messages(raw))
--- a/zinniaturn/fleet/alive_vms.py
+++ b/zinniaturn/fleet/alive_vms.py
@@ -23,6 +23,8 @@
     status; both times are minus infinity before the first. ``follows_eras``
     is set once a message of its process shows that it knows the store's eras,
     and ``follows_evacuations`` while its messages tell evacuations.
+    ``knows_tenants`` is set if its last one shows that it asks for tenants'
+    keys.
     """
 
     record: VmRecord
@@ -35,6 +37,7 @@
     changed_at: float = float('-inf')
     follows_eras: bool = False
     follows_evacuations: bool = False
+    knows_tenants: bool = False
 
     @property
     def name(self) -> str:
--- a/zinniaturn/fleet/datagrams.py
+++ b/zinniaturn/fleet/datagrams.py
@@ -17,6 +17,7 @@
     'PermitGrantRow',
     'PermitRequestRow',
     'PlainClaim',
+    'ProofRow',
     'QuarantineRow',
     'ReachRow',
     'ResponseRow',
@@ -201,6 +202,18 @@
     lifts: tuple[LiftRow, ...] = ()
 
 
+class ProofRow(msgspec.Struct, array_like=True, frozen=True):
+    """
+    How old the sender's tables may be, as `TablesProof` tells it.
+
+    ``revision`` is that of their document, with the store's era. Without
+    ``age_ms`` nothing is proven. Whoever sends it asks for tenants' keys.
+    """
+
+    revision: Revision
+    age_ms: Milliseconds | None = None
+
+
 class Datagram(msgspec.Struct, array_like=True, frozen=True):
     """
     A message between two VMs.
@@ -208,7 +221,8 @@
     ``target`` is the VM that a ping request is about. ``news`` are the statuses
     of other VMs, and ``notices`` is what servers have said. Older processes
     send no more than ``target``, or nothing of ``reach`` or ``quarantine``;
-    those without ``notices`` don't know eras of the store either.
+    those without ``notices`` don't know eras of the store either. Only those
+    that know tenants send ``proof``, while tenants are configured.
     """
 
     version: int
@@ -223,6 +237,7 @@
     permit_grant: PermitGrantRow | None = None
     reach: ReachRow = _NO_REACH
     quarantine: QuarantineRow | None = None
+    proof: ProofRow | None = None
 
     @property
     def sender_status(self) -> VmStatus:
@@ -254,6 +269,7 @@
     permit_grant: PermitGrantRow | None = None
     reach: ReachRow = _NO_REACH
     quarantine: QuarantineRow | None = None
+    proof: ProofRow | None = None
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -284,6 +300,7 @@
             extras.permit_grant,
             extras.reach,
             extras.quarantine,
+            extras.proof,
         ),
     )
 
--- a/zinniaturn/fleet/state_exchange.py
+++ b/zinniaturn/fleet/state_exchange.py
@@ -240,6 +240,11 @@
             self.fleet_state.install(snapshot, sent_at - age)
         elif told is None:
             return
+        if state.proof_age_ms is not None:
+            self.fleet_state.proof.prove(
+                content.parts.tables,
+                sent_at - state.proof_age_ms / _MS_PER_SECOND,
+            )
         self.on_state()
 
 
