Decide from kept news when a pool's requests should leave their data centre

Cause: servers are chosen without regard to data centres, so most requests and bytes cross them without need. Change: a package with the decision as plain functions and small types. A VM keeps, for each pool and data centre, the share of probed servers with room, the ratio of actual to expected latency, the share of failures and the shortest round trip; and the usual response size of each route. A request begins at home as long as the way and bytes that this saves outweigh the rounds of probes that find nothing. Settings: an optional object "locality" with enabled, ms_per_mb (40), ms_per_way_ms (1) and way_ms (4, used until the way is measured).

--- a/zinniaturn/gateway/settings.py
+++ b/zinniaturn/gateway/settings.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from zinniaturn.http1.connections import Address
+from zinniaturn.locality.weights import LocalityWeights
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,7 +66,8 @@
     ``processor_share`` is the share of a core that one thread gets,
     ``link_megabits`` the link's megabits per second, ``memory_megabytes`` what
     the process may use and ``max_descriptors`` how many files and sockets it
-    may open; 0 means unknown.
+    may open; 0 means unknown. ``locality`` says what it counts for that a
+    request leaves the data centre.
     """
 
     name: str
@@ -83,3 +85,4 @@
     memory_megabytes: float = 0
     max_descriptors: int = 0
     bounds: FleetBounds = field(default_factory=FleetBounds)
+    locality: LocalityWeights = field(default_factory=LocalityWeights)
--- /dev/null
+++ b/zinniaturn/locality/table.py
@@ -0,0 +1,41 @@
+"""What a VM keeps of all pools for deciding when requests leave."""
+
+__all__ = ('LocalityTable',)
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from zinniaturn.locality.pool_locality import PoolLocality
+from zinniaturn.locality.response_sizes import ResponseSizes
+from zinniaturn.locality.weights import LocalityWeights
+
+
+@dataclass(slots=True)
+class LocalityTable:
+    """The decisions of each pool and the usual sizes of responses."""
+
+    data_center: str
+    weights: LocalityWeights = field(default_factory=LocalityWeights)
+    pools: dict[str, PoolLocality] = field(default_factory=dict)
+    sizes: ResponseSizes = field(default_factory=ResponseSizes)
+
+    def pool(self, name: str) -> PoolLocality:
+        """Return the decisions of a pool."""
+        known = self.pools.get(name)
+        if known is None:
+            known = PoolLocality(self.data_center, self.weights)
+            self.pools[name] = known
+        return known
+
+    def set_servers(self, counts: Mapping[str, Mapping[str, int]]) -> None:
+        """Set how many servers each pool has in each data centre."""
+        for gone in self.pools.keys() - counts.keys():
+            self.pools.pop(gone)
+        for name, pool_counts in counts.items():
+            self.pool(name).set_servers(pool_counts)
+
+    def set_weights(self, weights: LocalityWeights) -> None:
+        """Apply changed settings."""
+        self.weights = weights
+        for pool in self.pools.values():
+            pool.weights = weights
--- a/zinniaturn/platform/settings_file.py
+++ b/zinniaturn/platform/settings_file.py
@@ -15,6 +15,7 @@
 from zinniaturn.errors import cause_of
 from zinniaturn.gateway.settings import FleetBounds, GatewaySettings
 from zinniaturn.http1.connections import Address, parse_address
+from zinniaturn.locality.weights import LocalityWeights
 from zinniaturn.platform.exceptions import SettingsFileError
 
 SETTINGS_VARIABLE = 'ZINNIATURN_SETTINGS'
@@ -82,6 +83,24 @@
     max_fds: Annotated[int, msgspec.Meta(ge=0, le=10**9)] = 0
 
 
+_DEFAULT_LOCALITY = LocalityWeights()
+
+
+class _Locality(msgspec.Struct):
+    """What it counts for that requests leave their data centre."""
+
+    # Whether servers and VMs of the own data centre are preferred.
+    enabled: bool = True
+    # What a megabyte between data centres counts as.
+    ms_per_mb: Figure = (
+        _DEFAULT_LOCALITY.seconds_per_megabyte * _MILLISECONDS_PER_SECOND
+    )
+    # What a millisecond on the way counts as.
+    ms_per_way_ms: Figure = _DEFAULT_LOCALITY.seconds_per_way_second
+    # The round trip to another data centre, until it is measured.
+    way_ms: Figure = _DEFAULT_LOCALITY.way_seconds * _MILLISECONDS_PER_SECOND
+
+
 class _Store(msgspec.Struct):
     """The address of the platform's store."""
 
@@ -101,6 +120,7 @@
     first_start: bool = False
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    locality: _Locality = msgspec.field(default_factory=_Locality)
 
 
 _file_decoder = msgspec.json.Decoder(_SettingsFile)
@@ -134,6 +154,13 @@
         memory_megabytes=file.limits.memory_mb,
         max_descriptors=file.limits.max_fds,
         bounds=_build_bounds(file.bounds),
+        locality=LocalityWeights(
+            seconds_per_megabyte=file.locality.ms_per_mb
+            / _MILLISECONDS_PER_SECOND,
+            seconds_per_way_second=file.locality.ms_per_way_ms,
+            way_seconds=file.locality.way_ms / _MILLISECONDS_PER_SECOND,
+            is_enabled=file.locality.enabled,
+        ),
     )
 
 
