Prefer servers of the own data centre where leaving is not better for callers

Cause: the first server with room was taken wherever it was; near servers were only a last tie-break in the order of probes. Change: rounds of probes begin with own servers, with both sides, or elsewhere where the own servers have got their part of the probes; a round of own servers without room is followed by one of others at once, also with a small probe budget. Offers are ranked by expected time plus the price of the way. Hedges and retries take the same path, with one round at home at most. Nothing changes for pools in one data centre or without servers in the VM's own.

--- a/zinniaturn/gateway/attempt_runner.py
+++ b/zinniaturn/gateway/attempt_runner.py
@@ -215,6 +215,7 @@
                     ),
                 )
         except AttemptError as error:
+            self.scheduler.costs.note_failure(placement, loop.time())
             if error.response is not None:
                 context.responding_server = placement.candidate.name
                 self.gate.note_completed(context)
@@ -225,11 +226,9 @@
             raise
         self.gate.note_completed(context)
         context.responding_server = placement.candidate.name
-        self.scheduler.service_times.update(
-            context.route.name,
-            context.route.objective_seconds,
-            loop.time() - sent_at,
-            placement.expected_seconds,
+        now = loop.time()
+        self.scheduler.costs.note_response(
+            context, placement, response, now - sent_at, now
         )
         return response
 
--- a/zinniaturn/gateway/prober.py
+++ b/zinniaturn/gateway/prober.py
@@ -33,12 +33,17 @@
 
 @dataclass(slots=True)
 class ProbeResult:
-    """A server's load report and the open connection that it came on."""
+    """
+    A server's load report and the open connection that it came on.
+
+    ``seconds`` is the time from the probe to its response.
+    """
 
     candidate: Candidate
     report: LoadReport
     connection: BackendConnection
     is_healthy: bool = True
+    seconds: float = 0
 
 
 @dataclass(slots=True, eq=False)
@@ -252,7 +257,11 @@
         candidate.stats.note_report(report, connection.loop.time())
         apply_keep_alive(connection, response)
         result = ProbeResult(
-            candidate, report, connection, statement.is_healthy
+            candidate,
+            report,
+            connection,
+            statement.is_healthy,
+            connection.loop.time() - sent_at,
         )
         if probe_round.is_closed or not connection.is_clean:
             self.connections.keep_idle(candidate.address, connection)
--- a/zinniaturn/gateway/process.py
+++ b/zinniaturn/gateway/process.py
@@ -204,6 +204,7 @@
         """
         self.settings = settings
         self.state.settings = settings
+        self.state.locality.set_weights(settings.locality)
         self.state.update_retry_budgets()
         self.event_log.write(LogEvent.SETTINGS_RELOADED)
 
--- a/zinniaturn/gateway/scheduler.py
+++ b/zinniaturn/gateway/scheduler.py
@@ -13,6 +13,7 @@
 from zinniaturn.choosing.exceptions import RejectedError
 from zinniaturn.choosing.reports import LoadReport
 from zinniaturn.fleet.tables import FleetPool
+from zinniaturn.gateway.offer_costs import OfferCosts
 from zinniaturn.gateway.path_decider import PathDecider
 from zinniaturn.gateway.permit_search import PoolSurvey
 from zinniaturn.gateway.request_context import Placement, RequestContext
@@ -20,19 +21,13 @@
 from zinniaturn.gateway.state import GatewayState
 from zinniaturn.http1.backend import BackendConnection
 from zinniaturn.placing.candidates import Candidate
-from zinniaturn.placing.latency_estimates import (
-    ServiceTimeEstimates,
-    expected_seconds,
-)
 from zinniaturn.placing.probe_order import ProbeEffort
 from zinniaturn.placing.request_queue import Offer, QueuedRequest, RequestQueue
 from zinniaturn.placing.retry_after import RetryAfterJitter
 from zinniaturn.placing.return_schedule import ReturnSchedule
 from zinniaturn.reach.decision import PassOn
 
-_UNHEALTHY_PENALTY_FACTOR = 3.0
 _GOOD_ENOUGH_FACTOR = 1.4
-_RANKING_SERVICE_SECONDS = 0.1
 _POLL_INTERVAL_SECONDS = 0.03
 # Between turns of probes, and with a turn whose probes get no response.
 _LONGEST_PAUSE_SECONDS = 0.1
@@ -45,7 +40,7 @@
     """
     Assigns requests to servers, with one queue for each pool.
 
-    ``service_times`` holds the estimated service time of each route,
+    ``costs`` holds what is known of service times and of data centres,
     ``poll_tasks`` the task that keeps probing for a pool's queue, and
     ``return_schedules`` when the callers that a pool's limits bar come back.
     """
@@ -53,7 +48,8 @@
     def __init__(self, state: GatewayState) -> None:
         self.state = state
         self.search = ServerSearch(state)
-        self.service_times = ServiceTimeEstimates()
+        self.costs = OfferCosts(state.locality)
+        self.service_times = self.costs.service_times
         self.retry_after_jitter = RetryAfterJitter(state.random_source)
         self.paths = PathDecider(state, self.retry_after_jitter)
         self.queues: dict[str, RequestQueue] = {}
@@ -99,7 +95,7 @@
             context.objective_at,
             context.deadline,
             context.route.priority,
-            lambda offer: self._expected_seconds(
+            lambda offer: self.costs.expected_seconds(
                 service_seconds, offer, loop.time()
             ),
             lambda: _resolve(decided),
@@ -211,9 +207,14 @@
             context,
             probe_order,
             effort,
-            lambda offer: queued.expect(offer) <= good_seconds,
+            lambda offer: self.costs.is_good(
+                offer,
+                queued.expect(offer),
+                good_seconds,
+                asyncio.get_running_loop().time(),
+            ),
         )
-        self._match_offers(queue, offers)
+        self._match_offers(queue, offers, context)
         if queued.granted is not None:
             return
         self.paths.withdraw_unreachable(context.pool, queue)
@@ -223,11 +224,15 @@
             not offers
             and self.search.probe_effort(context.pool) is ProbeEffort.MINIMAL
         ):
-            self._match_offers(queue, self.search.recent_offers(probe_order))
+            self._match_offers(
+                queue, self.search.recent_offers(probe_order), context
+            )
         was_refused_probes = context.probe_count == probes_before
         if was_refused_probes and effort is not ProbeEffort.NO_PROBES:
             self._match_offers(
-                queue, self.search.unprobed_offers(context.pool, probe_order)
+                queue,
+                self.search.unprobed_offers(context.pool, probe_order),
+                context,
             )
         if probe_order and not any(
             candidate.stats.unanswered == 0 for candidate in probe_order
@@ -251,13 +256,20 @@
             else probe_effort
         )
 
-    def _match_offers(self, queue: RequestQueue, offers: list[Offer]) -> None:
-        """Offer servers to the queue, the fastest first."""
+    def _match_offers(
+        self,
+        queue: RequestQueue,
+        offers: list[Offer],
+        context: RequestContext | None = None,
+    ) -> None:
+        """
+        Offer servers to the queue, the one of the least cost first.
+
+        ``context`` is the request that they were found for, if it was one.
+        """
         now = asyncio.get_running_loop().time()
         offers.sort(
-            key=lambda offer: self._expected_seconds(
-                _RANKING_SERVICE_SECONDS, offer, now
-            )
+            key=lambda offer: self.costs.cost_seconds(offer, context, now)
         )
         for offer in offers:
             if not queue.match(offer, now):
@@ -279,15 +291,6 @@
         report = LoadReport(candidate.stats.in_flight, 0, slots)
         queue.match(Offer(candidate, report), now)
 
-    def _expected_seconds(
-        self, service_seconds: float, offer: Offer, now: float
-    ) -> float:
-        stats = offer.candidate.stats
-        expected = expected_seconds(service_seconds, offer.report, stats, now)
-        if stats.ejected_until > now or not offer.is_healthy:
-            expected *= _UNHEALTHY_PENALTY_FACTOR
-        return expected
-
     def _start_polling(self, pool: FleetPool) -> None:
         """Start the task that probes while requests wait, unless it runs."""
         if pool.name not in self.poll_tasks:
--- a/zinniaturn/gateway/searching.py
+++ b/zinniaturn/gateway/searching.py
@@ -9,6 +9,7 @@
 from zinniaturn.admission.admission import Withholding
 from zinniaturn.choosing.reports import LoadReport
 from zinniaturn.fleet.tables import FleetPool
+from zinniaturn.gateway.local_search import LocalSearch
 from zinniaturn.gateway.permit_search import PermitSearch
 from zinniaturn.gateway.prober import Prober, ProbeResult
 from zinniaturn.gateway.request_context import RequestContext
@@ -46,6 +47,7 @@
         )
         self.budgets = ProbeBudgets(state.started_at)
         self.permits = PermitSearch(state)
+        self.local = LocalSearch(state)
 
     def candidates(self, pool: FleetPool) -> list[Candidate]:
         """Return the servers of a pool that accept new requests."""
@@ -66,14 +68,21 @@
         ]
         if not untried:
             context.tried_servers.clear()
-        return self._order(untried or candidates)
+        return self._order(context.pool, untried or candidates, context)
 
-    def _order(self, candidates: list[Candidate]) -> list[Candidate]:
+    def _order(
+        self,
+        pool: FleetPool,
+        candidates: list[Candidate],
+        context: RequestContext | None = None,
+    ) -> list[Candidate]:
         """Return the servers to probe at the VM's present request rate."""
         rate = self.state.own_request_rate()
         self.probe_order.plan = ProbePlan.for_rate(rate)
         now = asyncio.get_running_loop().time()
-        return self.probe_order.order(candidates, now)
+        probes = self.probe_order.plan.round_sizes[0]
+        start = self.local.start(pool.name, probes, now, context)
+        return self.probe_order.order(candidates, now, start)
 
     async def probe_rounds(
         self,
@@ -84,7 +93,10 @@
     ) -> list[Offer]:
         """Probe in rounds until one finds a good server."""
         offers: list[Offer] = []
-        for group in self.probe_order.rounds(order, probe_effort):
+        rounds = self.probe_order.rounds(order, probe_effort)
+        if self.state.locality.pool(context.pool.name).is_active:
+            rounds = self.probe_order.with_other_side(rounds, order)
+        for group in rounds:
             if not self._take_probes(context.pool, len(group)):
                 break
             context.probe_count += len(group)
@@ -104,12 +116,12 @@
         """
         survey = self.permits.survey(pool)
         self.permits.request_ahead(survey)
-        order = self._order(survey.usable)
+        order = self._order(pool, survey.usable)
         rounds = self.probe_order.rounds(order, self.probe_effort(pool))
         group = list(chain(*rounds[:_ROUNDS_PER_POLL]))
         if not self._take_probes(pool, len(group), reserve):
             return None
-        return self._offers(await self.prober.probe(group, pool.health_path))
+        return self._offers(await self._probe(group, pool))
 
     def recent_offers(self, order: list[Candidate]) -> list[Offer]:
         """Return offers from recent load reports, without probing."""
@@ -215,14 +227,23 @@
     ) -> list[Offer]:
         """Probe a group of servers; if cancelled, release the held offers."""
         try:
-            return self._offers(
-                await self.prober.probe(group, pool.health_path)
-            )
+            return self._offers(await self._probe(group, pool))
         except asyncio.CancelledError:
             for offer in held_offers:
                 self.release(offer)
             raise
 
+    async def _probe(
+        self, group: Sequence[Candidate], pool: FleetPool
+    ) -> list[ProbeResult]:
+        """Probe a group of servers and note what it says of data centres."""
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        results = await self.prober.probe(group, pool.health_path)
+        now = loop.time()
+        self.local.note_round(pool.name, group, results, now - began_at, now)
+        return results
+
     def _offers(self, results: Iterable[ProbeResult]) -> list[Offer]:
         """Return offers for free servers and release the other connections."""
         offers = []
--- a/zinniaturn/gateway/state.py
+++ b/zinniaturn/gateway/state.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from dataclasses import dataclass, field
 
 from zinniaturn.admission.admission import (
@@ -24,6 +25,7 @@
 from zinniaturn.gateway.settings import GatewaySettings
 from zinniaturn.gateway.wire_format import WireFormat
 from zinniaturn.http1.connections import ConnectionPool
+from zinniaturn.locality.table import LocalityTable
 from zinniaturn.placing.candidates import Candidate
 from zinniaturn.placing.demand import fleet_demand, probe_share
 from zinniaturn.placing.planned_stop import PlannedStop
@@ -61,6 +63,7 @@
     gossip: GossipProtocol = field(init=False)
     stage: VmStage = VmStage.STARTING
     planned_stop: PlannedStop | None = None
+    locality: LocalityTable = field(init=False)
     connections: ConnectionPool = field(default_factory=ConnectionPool)
     counters: Counters = field(default_factory=Counters)
     matcher: RouteMatcher[FleetRoute] = field(default_factory=RouteMatcher)
@@ -71,6 +74,12 @@
         default_factory=lambda: RateLimit(_UNREADABLE_REPORT_SECONDS)
     )
 
+    def __post_init__(self) -> None:
+        """Begin without any news of data centres."""
+        self.locality = LocalityTable(
+            self.settings.data_center, self.settings.locality
+        )
+
     @property
     def quarantine(self) -> QuarantineTable:
         """Return what is known of requests that end servers."""
@@ -141,6 +150,15 @@
                 stats,
                 self.admissions.of_process(name, registered.started_ms),
             )
+        self.locality.set_servers(
+            {
+                pool: Counter(
+                    candidate.registered.server.data_center
+                    for candidate in candidates.values()
+                )
+                for pool, candidates in self.pools.items()
+            }
+        )
         self.admissions.retain(self.fleet_state.servers)
         self.reach.own.retain(self.usable_server_counts())
 
--- a/zinniaturn/placing/demand.py
+++ b/zinniaturn/placing/demand.py
@@ -10,8 +10,10 @@
 __all__ = (
     'capacity',
     'fleet_demand',
+    'load_of_data_center',
     'probe_share',
     'share_of_capacity',
+    'share_of_data_center',
     'share_of_fleet',
 )
 
@@ -45,6 +47,16 @@
     return math.inf if others is None else own + others
 
 
+def load_of_data_center(vms: VmTable, data_center: str, own: float) -> float:
+    """Return the requests per second to the VMs of a data centre."""
+    total = own if vms.own.data_center == data_center else 0
+    return total + sum(
+        peer.load
+        for peer in vms.alive_vms()
+        if peer.record.data_center == data_center
+    )
+
+
 def probe_share(vms: VmTable, own: float) -> float:
     """
     Return a VM's share of the fleet's probes.
@@ -72,6 +84,26 @@
     return min(1, vms.own.capacity / mean / vms.max_size())
 
 
+def share_of_data_center(vms: VmTable, own: float) -> float:
+    """
+    Return a VM's share of the requests to the VMs of its data centre.
+
+    It is an equal share while the loads of the others are not known. It is
+    computed over all VMs that are alive.
+    """
+    loads = [
+        peer.load
+        for peer in vms.alive_vms()
+        if peer.record.data_center == vms.own.data_center
+    ]
+    total = own + sum(loads)
+    if not vms.has_quorum() or not total:
+        return 1 / (len(loads) + 1)
+    # A VM that callers begin to use has some probes from the start.
+    equal = _EQUALLY_SHARED_PART / (len(loads) + 1)
+    return equal + (1 - _EQUALLY_SHARED_PART) * own / total
+
+
 def share_of_fleet(own: float, others: float, vms: int) -> float:
     """
     Return a VM's share of the fleet's probe budget.
--- a/zinniaturn/placing/probe_order.py
+++ b/zinniaturn/placing/probe_order.py
@@ -16,8 +16,11 @@
 from enum import Enum, auto
 from itertools import accumulate
 
+from zinniaturn.locality.arrangement import arrange_sides
+from zinniaturn.locality.decision import SearchStart
 from zinniaturn.placing.candidates import (
     Candidate,
+    ReportRating,
     rate_report,
     unavailability_rank,
 )
@@ -71,6 +74,10 @@
     that had room and were fast in a recent report, then the near ones. Near are
     some servers of the VM's own data centre, always the same ones, so that
     connections to them stay open. Otherwise the order is random.
+
+    Where a request's search begins on one side, the rounds take the servers of
+    each side in this order. Servers that were full or slow in a recent report
+    come after all others, also after those of other data centres.
     """
 
     random_source: random.Random
@@ -84,8 +91,13 @@
         self,
         candidates: Sequence[Candidate],
         now: float,
+        start: SearchStart | None = None,
     ) -> list[Candidate]:
-        """Return the servers to probe, the first one first."""
+        """
+        Return the servers to probe, the first one first.
+
+        ``start`` is ``None`` where data centres make no difference.
+        """
         near = self._near_names(candidates)
         shuffled = list(candidates)
         self.random_source.shuffle(shuffled)
@@ -96,7 +108,9 @@
                 candidate.name not in near,
             ),
         )
-        return shuffled[: sum(self.plan.round_sizes)]
+        if start is None:
+            return shuffled[: sum(self.plan.round_sizes)]
+        return self._arrange(shuffled, now, start)
 
     def rounds(
         self,
@@ -119,11 +133,60 @@
         rounds = [order[start:end] for start, end in spans]
         return [group for group in rounds if group]
 
+    def with_other_side(
+        self,
+        rounds: Sequence[Sequence[Candidate]],
+        order: Sequence[Candidate],
+    ) -> list[Sequence[Candidate]]:
+        """
+        Return the rounds and, if all are of own servers, one of others.
+
+        So also a request that may probe few servers goes on elsewhere where
+        the own data centre has no room.
+        """
+        if not rounds or any(
+            not self.is_own(candidate)
+            for group in rounds
+            for candidate in group
+        ):
+            return list(rounds)
+        others = [
+            candidate for candidate in order if not self.is_own(candidate)
+        ]
+        group = others[: len(rounds[0])]
+        return [*rounds, group] if group else list(rounds)
+
+    def is_own(self, candidate: Candidate) -> bool:
+        """Return whether a server is in the VM's own data centre."""
+        return candidate.registered.server.data_center == self.data_center
+
+    def _arrange(
+        self, ordered: Sequence[Candidate], now: float, start: SearchStart
+    ) -> list[Candidate]:
+        sides: dict[tuple[bool, bool], list[Candidate]] = {
+            (is_own, is_poor): []
+            for is_own in (True, False)
+            for is_poor in (True, False)
+        }
+        for candidate in ordered:
+            is_poor = (
+                unavailability_rank(candidate.stats, now) > 0
+                or rate_report(candidate, now) is ReportRating.BAD
+            )
+            sides[self.is_own(candidate), is_poor].append(candidate)
+        sizes = self.plan.round_sizes
+        most = sum(sizes)
+        arranged = arrange_sides(
+            sides[True, False][:most], sides[False, False][:most], sizes, start
+        )
+        poor = arrange_sides(
+            sides[True, True][:most], sides[False, True][:most], sizes, start
+        )
+        return [*arranged, *poor][:most]
+
     def _near_names(self, candidates: Sequence[Candidate]) -> set[str]:
         own = [
-            candidate.name
-            for candidate in candidates
-            if candidate.registered.server.data_center == self.data_center
+            candidate.name for candidate in candidates if self.is_own(candidate)
         ]
         own.sort(key=lambda name: zlib.crc32(f'{self.vm} {name}'.encode()))
         return set(own[: self.plan.near_count])
