Send callers that name their data centre to its VMs while these have room

Cause: look-ups ignored the caller's data centre, so that two thirds of the callers crossed data centres to reach a VM at all. Change: of the VMs that look-ups return today (the largest that carry the demand), a caller gets those of its own data centre, as long as they carry twice what they get; else a mix by what is lacking, corrected by the loads that it leads to, every 4 s and only outside of 0.4 to 0.6 of the capacity. All VMs as before where the caller names no data centre or one without such VMs, and where capacities or the demand are not known. A data centre's only VM makes up half of the addresses.

--- a/zinniaturn/gateway/endpoints.py
+++ b/zinniaturn/gateway/endpoints.py
@@ -14,12 +14,14 @@
 from zinniaturn.http1.exchanges import CallerExchange
 from zinniaturn.http1.limits import CallerLimits
 from zinniaturn.http1.messages import Response
+from zinniaturn.locality.look_ups import LocalShare, LocalVms
 from zinniaturn.placing.address_selection import (
     AddressSelector,
     demand_step,
     vms_for_demand,
     vms_with_paths,
 )
+from zinniaturn.placing.demand import load_of_data_center
 
 _MAX_LOGGED_VMS = 64
 _METRICS_TYPE = (b'Content-Type', b'text/plain; version=0.0.4')
@@ -41,6 +43,14 @@
     selected_for: tuple[int, bool, float] | None = None
     limits: CallerLimits = field(default_factory=CallerLimits)
     is_stopping: bool = False
+    local: LocalVms = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Begin without any VM."""
+        self.local = LocalVms(
+            self.address_selector.random_source,
+            self.address_selector.max_addresses,
+        )
 
     def handle(self, exchange: CallerExchange) -> Response:
         """Return the addresses to use, or 503 if no gateway serves."""
@@ -49,7 +59,7 @@
         if query is None:
             return Response(404, b'', [])
         self.update_selected()
-        fronts = self.address_selector.select(self.selected)
+        fronts = self.fronts_for(query.data_center)
         if not fronts:
             return Response(503, b'', [(b'Retry-After', b'0.1')])
         self.state.counters.events['lookup'] += 1
@@ -57,6 +67,20 @@
             fronts, self.address_selector.lifetime_seconds
         )
 
+    def fronts_for(self, data_center: str) -> list[str]:
+        """Return the addresses for a caller of a data centre, '' if unknown."""
+        demand = self.state.fleet_request_rate()
+        is_local = (
+            self.state.locality.weights.is_enabled
+            and self.local.is_mixed(data_center)
+            and self.local.capacity(data_center)
+            and math.isfinite(demand)
+        )
+        if not is_local:
+            return self.address_selector.select(self.selected)
+        self._review_share(data_center, demand)
+        return [vm.front for vm in self.local.choose(data_center)]
+
     def update_selected(self) -> None:
         """Select the VMs anew if the situation has changed."""
         own_is_ready = self.state.stage is VmStage.READY
@@ -81,6 +105,26 @@
                 cut_off=len(cut_off),
             )
         self.selected = selected
+        self.local.set_selected(selected)
+
+    def _review_share(self, data_center: str, demand: float) -> None:
+        """Correct the share of own VMs by their loads."""
+        capacity = self.local.capacity(data_center)
+        now = self.state.vms.clock.monotonic()
+        share = self.local.shares.get(data_center)
+        if share is None:
+            expected = demand / len(self.local.by_data_center)
+            share = LocalShare.for_demand(capacity, expected)
+            share.reviewed_at = now
+            self.local.shares[data_center] = share
+        if share.is_due(now):
+            share.review(
+                load_of_data_center(
+                    self.state.vms, data_center, self.state.own_request_rate()
+                ),
+                capacity,
+                now,
+            )
 
 
 @dataclass(slots=True)
