Count and log how much leaves a data centre, where to and why

Change: metrics zinniaturn_gateway_departures_total and _departure_bytes_total by data centre (64 at most, then 'other') and one of five reasons; event 780 with the inputs of the decision when the share of a pool's requests that leaves has changed by 0.2 or more, once in 10 s for a pool at most.

--- a/features/locality.feature
+++ b/features/locality.feature
@@ -57,6 +57,35 @@
     Given pools of 30 servers in 3 data centres and of 26000 in 31
     Then a decision calls as many functions in one as in the other
 
+  Scenario: Metrics of what leaves don't grow with the fleet
+    Given 100 requests of which each was served in another of 100 data centres
+    Then at most 65 data centres are counted, and 100 requests in all
+
+  Scenario: A share that changes to and fro doesn't flood the log
+    Given a pool whose share that leaves changes between 0 and 1 every half second
+    When it is checked every half second for 60 s
+    Then at most 6 changes are logged
+    And the first one is of all requests and says why
+
+  Scenario Outline: The reason why a request leaves is known
+    Given 12 servers in the VM's own data centre and 12 in another
+    When a request finds <found>
+    Then the reason to leave is <reason>
+
+    Examples:
+      | found                        | reason        |
+      | no own server that may serve | no_own_server |
+      | no own server with room      | no_room       |
+      | an own server with room      | faster        |
+
+  Scenario: Settings that can't be read don't start a process with other weights
+    Given a settings file whose locality is {"ms_per_mb": "much"}
+    Then the settings are rejected
+
+  Scenario: Weights can be set
+    Given a settings file whose locality is {"ms_per_mb": 80, "way_ms": 6}
+    Then a megabyte counts as 80 ms and the way as 6 ms
+
   Scenario Outline: Uneven data centres leave less and serve no worse than without the decision
     Given 32, 42 and 32 servers of 3 slots at <load> of what they can serve
     When the same load is played with and without the decision
--- /dev/null
+++ b/features/steps/locality_model_steps.py
@@ -0,0 +1,72 @@
+"""Steps for the model of servers in several data centres."""
+
+from statistics import pstdev
+
+from behave import given, then, when
+
+from zinniaturn.experiments.locality.model_server import ServerTraits
+from zinniaturn.experiments.locality.play import Play
+from zinniaturn.locality.weights import LocalityWeights
+
+
+@given('32, 42 and 32 servers of 3 slots at {load:g} of what they can serve')
+def uneven(context, load):
+    context.load = load
+    context.traits = {}
+
+
+@given('load reports that are {milliseconds:d} ms old')
+def late_news(context, milliseconds):
+    traits = ServerTraits(delay_seconds=milliseconds / 1000)
+    context.traits = dict.fromkeys('abc', traits)
+
+
+def _play(context, is_enabled, seconds):
+    weights = LocalityWeights(is_enabled=is_enabled)
+    return Play(
+        {'a': 32, 'b': 42, 'c': 32},
+        context.load,
+        seconds=seconds,
+        traits=context.traits,
+        settings={'locality': weights},
+    ).run()
+
+
+@when('the same load is played with and without the decision')
+def play_both(context):
+    context.with_it = _play(context, is_enabled=True, seconds=2)
+    context.without = _play(context, is_enabled=False, seconds=2)
+
+
+@then('a share of at most {most:g} of the bytes leaves with it')
+def check_leaving(context, most):
+    assert context.with_it.bytes_share <= most, context.with_it.summary()
+    assert context.without.bytes_share > context.with_it.bytes_share
+
+
+@then('callers are served no worse')
+def check_served(context):
+    # The margins are what other seeds of the same load differ by.
+    assert context.with_it.mean_ms <= context.without.mean_ms * 1.02
+    assert context.with_it.p99_ms <= context.without.p99_ms * 1.1
+    assert context.with_it.refused_share <= context.without.refused_share
+
+
+@when('it is played for {steps:d} steps of 10 ms')
+def play_long(context, steps):
+    context.played = _play(context, is_enabled=True, seconds=steps / 100)
+
+
+@then(
+    'the share of requests that leaves in half a second varies by at most '
+    '{most:g}'
+)
+def check_steps(context, most):
+    # Swings between all and nothing would vary by 0.5, chance does by 0.05.
+    shares = {}
+    for (data_center, half_second), left in context.played.steps.items():
+        shares.setdefault(data_center, {})[half_second] = sum(left) / len(left)
+    for by_time in shares.values():
+        # The first second and a half is the start of the model.
+        settled = [by_time[moment] for moment in sorted(by_time)[3:-1]]
+        assert pstdev(settled) <= most, settled
--- a/features/steps/locality_steps.py
+++ b/features/steps/locality_steps.py
@@ -1,8 +1,8 @@
 """Steps for when requests leave their data centre."""
 
 import cProfile
+import math
 from collections import Counter
-from statistics import pstdev
 from types import SimpleNamespace
 
 from behave import given, then, when
@@ -14,14 +14,13 @@
     seeded_random,
 )
 from zinniaturn.clock import ManualClock
-from zinniaturn.experiments.locality.model_server import ServerTraits
-from zinniaturn.experiments.locality.play import Play
 from zinniaturn.fleet.tables import FleetRoute
 from zinniaturn.fleet.vms import VmTable
 from zinniaturn.gateway.local_search import LocalSearch
 from zinniaturn.gateway.offer_costs import OfferCosts
 from zinniaturn.gateway.settings import FleetBounds
 from zinniaturn.locality.decision import SearchStart
+from zinniaturn.locality.departures import LeaveReason
 from zinniaturn.locality.pool_locality import PoolLocality
 from zinniaturn.locality.table import LocalityTable
 from zinniaturn.locality.weights import LocalityWeights
@@ -282,64 +281,36 @@
     assert context.calls[0] == context.calls[1], context.calls
 
 
-@given('32, 42 and 32 servers of 3 slots at {load:g} of what they can serve')
-def uneven(context, load):
-    context.load = load
-    context.traits = {}
-
-
-@given('load reports that are {milliseconds:d} ms old')
-def late_news(context, milliseconds):
-    traits = ServerTraits(delay_seconds=milliseconds / 1000)
-    context.traits = dict.fromkeys('abc', traits)
-
-
-def _play(context, is_enabled, seconds):
-    weights = LocalityWeights(is_enabled=is_enabled)
-    return Play(
-        {'a': 32, 'b': 42, 'c': 32},
-        context.load,
-        seconds=seconds,
-        traits=context.traits,
-        settings={'locality': weights},
-    ).run()
-
-
-@when('the same load is played with and without the decision')
-def play_both(context):
-    context.with_it = _play(context, is_enabled=True, seconds=2)
-    context.without = _play(context, is_enabled=False, seconds=2)
-
-
-@then('a share of at most {most:g} of the bytes leaves with it')
-def check_leaving(context, most):
-    assert context.with_it.bytes_share <= most, context.with_it.summary()
-    assert context.without.bytes_share > context.with_it.bytes_share
-
-
-@then('callers are served no worse')
-def check_served(context):
-    # The margins are what other seeds of the same load differ by.
-    assert context.with_it.mean_ms <= context.without.mean_ms * 1.02
-    assert context.with_it.p99_ms <= context.without.p99_ms * 1.1
-    assert context.with_it.refused_share <= context.without.refused_share
+@when('a request finds {found}')
+def find(context, found):
+    _locality(context)
+    search = LocalSearch(
+        SimpleNamespace(settings=SimpleNamespace(data_center=_OWN))
+    )
+    context.request = SimpleNamespace(leave_reason=LeaveReason.NO_ROOM)
+    usable = context.candidates
+    if found == 'no own server that may serve':
+        usable = [
+            candidate
+            for candidate in usable
+            if candidate.registered.server.data_center == _OTHER
+        ]
+    search.note_order(context.request, usable)
+    offered = usable if found == 'an own server with room' else usable[-1:]
+    search.note_offers(
+        context.request,
+        [Offer(candidate, build_report()) for candidate in offered],
+    )
 
 
-@when('it is played for {steps:d} steps of 10 ms')
-def play_long(context, steps):
-    context.played = _play(context, is_enabled=True, seconds=steps / 100)
+@then('the reason to leave is {reason}')
+def check_reason(context, reason):
+    assert context.request.leave_reason.value == reason
 
 
-@then(
-    'the share of requests that leaves in half a second varies by at most '
-    '{most:g}'
-)
-def check_steps(context, most):
-    # Swings between all and nothing would vary by 0.5, chance does by 0.05.
-    shares = {}
-    for (data_center, half_second), left in context.played.steps.items():
-        shares.setdefault(data_center, {})[half_second] = sum(left) / len(left)
-    for by_time in shares.values():
-        # The first second and a half is the start of the model.
-        settled = [by_time[moment] for moment in sorted(by_time)[3:-1]]
-        assert pstdev(settled) <= most, settled
+@then('a megabyte counts as {megabyte:g} ms and the way as {way:g} ms')
+def check_weights(context, megabyte, way):
+    weights = context.settings.locality
+    assert math.isclose(weights.seconds_per_megabyte * 1000, megabyte)
+    assert math.isclose(weights.way_seconds * 1000, way)
+    assert weights.is_enabled
--- a/features/steps/look_up_steps.py
+++ b/features/steps/look_up_steps.py
@@ -152,8 +152,17 @@
 
 @given('a settings file whose limits are {limits}')
 def limited_settings(context, limits):
+    _read(context, 'limits', limits)
+
+
+@given('a settings file whose locality is {locality}')
+def local_settings(context, locality):
+    _read(context, 'locality', locality)
+
+
+def _read(context, name, text):
     document = build_settings_document('127.0.3.1', 'vm-1', 7, {}, 7000)
-    document['limits'] = json.loads(limits)
+    document[name] = json.loads(text)
     with tempfile.NamedTemporaryFile(suffix='.json') as file:
         file.write(json.dumps(document).encode())
         file.flush()
--- a/zinniaturn/events/catalogue.py
+++ b/zinniaturn/events/catalogue.py
@@ -71,6 +71,7 @@
     REQUEST_SUSPECTED = 761
     REQUEST_HELD = 762
     REQUEST_CLEARED = 763
+    LEAVING_CHANGED = 780
 
 
 _INFO = logging.INFO
@@ -266,5 +267,9 @@
             _INFO,
             'a request that was suspected or held may run again',
         ),
+        LogEvent.LEAVING_CHANGED: (
+            _INFO,
+            'another share of the requests leaves this data centre',
+        ),
     }
 )
--- a/zinniaturn/gateway/local_search.py
+++ b/zinniaturn/gateway/local_search.py
@@ -2,13 +2,14 @@
 
 __all__ = ('LocalSearch',)
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
 from zinniaturn.gateway.prober import ProbeResult
 from zinniaturn.gateway.request_context import RequestContext
 from zinniaturn.gateway.state import GatewayState
 from zinniaturn.locality.decision import SearchStart
+from zinniaturn.locality.departures import LeaveReason
 from zinniaturn.placing.candidates import (
     Candidate,
     ReportRating,
@@ -16,6 +17,7 @@
 )
 from zinniaturn.placing.demand import share_of_data_center
 from zinniaturn.placing.probe_budget import ProbeBudget
+from zinniaturn.placing.request_queue import Offer
 
 # The part of the probes that servers may get that goes to them from the VMs of
 # their own data centre. It keeps all servers within the limit where callers
@@ -59,7 +61,14 @@
         locality = self.state.locality.pool(pool)
         if not locality.is_active:
             return None
-        if not self._may_probe_own(pool, probes, now):
+        may_probe_own = self._may_probe_own(pool, probes, now)
+        if context is not None:
+            context.leave_reason = (
+                LeaveReason.NO_ROOM
+                if may_probe_own
+                else LeaveReason.OWN_PROBES_USED
+            )
+        if not may_probe_own:
             return SearchStart.ELSEWHERE
         if context is None:
             return SearchStart.BOTH_SIDES
@@ -73,6 +82,28 @@
             return SearchStart.OWN_FIRST
         return start
 
+    def note_offers(
+        self, context: RequestContext, offers: Iterable[Offer]
+    ) -> None:
+        """Record whether own servers were offered to a request."""
+        own = self.state.settings.data_center
+        if any(
+            offer.candidate.registered.server.data_center == own
+            for offer in offers
+        ):
+            context.leave_reason = LeaveReason.FASTER
+
+    def note_order(
+        self, context: RequestContext, order: Iterable[Candidate]
+    ) -> None:
+        """Record whether a request may be sent to an own server at all."""
+        own = self.state.settings.data_center
+        if not any(
+            candidate.registered.server.data_center == own
+            for candidate in order
+        ):
+            context.leave_reason = LeaveReason.NO_OWN_SERVER
+
     def note_round(
         self,
         pool: str,
--- a/zinniaturn/gateway/metrics.py
+++ b/zinniaturn/gateway/metrics.py
@@ -8,12 +8,13 @@
 
 __all__ = ('MetricsSnapshot', 'build_registry', 'render_metrics')
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from itertools import accumulate
 from typing import TYPE_CHECKING
 
 from zinniaturn.gateway.counters import BUCKET_BOUNDS_SECONDS, Counters
 from zinniaturn.gateway.state import GatewayState
+from zinniaturn.locality.departures import Departures
 
 if TYPE_CHECKING:
     from aioprometheus import Counter, Registry
@@ -29,6 +30,7 @@
     state_age_seconds: float
     vms_alive: int
     requests_held: int = 0
+    departures: Departures = field(default_factory=Departures)
 
 
 def render_metrics(state: GatewayState) -> bytes:
@@ -46,6 +48,7 @@
         age,
         len(state.vms.alive_vms()),
         len(state.quarantine.held()),
+        state.locality.departures,
     )
     return text.TextFormatter().marshall(build_registry(snapshot))
 
@@ -67,6 +70,7 @@
     for name, count in counters.events.items():
         events.set({'event': name}, count)
     _add_latency_histograms(registry, counters)
+    _add_departures(registry, snapshot.departures)
     age = Gauge(
         'zinniaturn_gateway_state_age_seconds',
         'Seconds since the state held was last confirmed',
@@ -94,6 +98,23 @@
     return Counter(name, help_text, registry=registry)
 
 
+def _add_departures(registry: 'Registry', departures: Departures) -> None:
+    requests = _counter(
+        registry,
+        'zinniaturn_gateway_departures_total',
+        'Requests served in other data centres',
+    )
+    size = _counter(
+        registry,
+        'zinniaturn_gateway_departure_bytes_total',
+        'Bytes of responses from other data centres',
+    )
+    for (data_center, reason), count in departures.requests.items():
+        labels = {'data_center': data_center, 'reason': reason}
+        requests.set(labels, count)
+        size.set(labels, departures.size[data_center, reason])
+
+
 def _add_latency_histograms(registry: 'Registry', counters: Counters) -> None:
     from aioprometheus import Histogram
     from aioprometheus.histogram import Histogram as BucketCounts
--- a/zinniaturn/gateway/offer_costs.py
+++ b/zinniaturn/gateway/offer_costs.py
@@ -116,8 +116,22 @@
             self.locality.sizes.note(route.name, len(response.body))
             data_center = placement.candidate.registered.server.data_center
             locality.note_end(data_center, has_failed=False, now=now)
+            self._count(context, data_center, len(response.body))
             if placement.is_estimate_settled:
                 locality.note_latency(data_center, seconds, expected, now)
         self.service_times.update(
             route.name, route.objective_seconds, seconds, expected
         )
+
+    def _count(
+        self, context: RequestContext, data_center: str, size: int
+    ) -> None:
+        """Count a response by whether it came from the own data centre."""
+        departures = self.locality.departures
+        pool = context.pool.name
+        if data_center == self.locality.data_center:
+            departures.note_stay(pool)
+        else:
+            departures.note_departure(
+                pool, data_center, context.leave_reason, size
+            )
--- a/zinniaturn/gateway/process.py
+++ b/zinniaturn/gateway/process.py
@@ -299,5 +299,6 @@
             self.dispatcher.probe_leaving_servers()
             self.reporter.log_refused_bodies(self.byte_budget)
             self.reporter.log_vm_changes()
+            self.reporter.log_departures(loop.time())
             if self.fleet_state.document is not None:
                 self.registration.reconcile(self.fleet_state.vms)
--- a/zinniaturn/gateway/reporting.py
+++ b/zinniaturn/gateway/reporting.py
@@ -147,6 +147,20 @@
             most_bytes=byte_budget.most,
         )
 
+    def log_departures(self, now: float) -> None:
+        """Log the pools of which another share leaves the data centre."""
+        locality = self.state.locality
+        for change in locality.departures.take_changes(now):
+            self.state.event_log.write(
+                LogEvent.LEAVING_CHANGED,
+                pool=change.pool,
+                share=round(change.share, 2),
+                before=round(change.before, 2),
+                requests=change.requests,
+                reason=change.reason,
+                **locality.pool(change.pool).inputs(now),
+            )
+
     def log_vm_changes(self) -> None:
         """Log newly alive and newly silent VMs, one line for each kind."""
         alive_vms = self.state.vms.alive_vms()
--- a/zinniaturn/gateway/request_context.py
+++ b/zinniaturn/gateway/request_context.py
@@ -8,6 +8,7 @@
 from zinniaturn.fleet.tables import FleetPool, FleetRoute
 from zinniaturn.http1.backend import BackendConnection
 from zinniaturn.http1.messages import Request
+from zinniaturn.locality.departures import LeaveReason
 from zinniaturn.outcomes import Verdict
 from zinniaturn.placing.candidates import Candidate
 from zinniaturn.quarantine.request_key import RequestKey, request_key
@@ -32,7 +33,8 @@
     ``is_out_of_reach`` is set if no server of the pool responds to this VM.
     ``request_key`` is computed where it is needed first. ``tenant`` is the one
     that the request's key belonged to when it arrived, ``None`` where no key is
-    asked for.
+    asked for. ``leave_reason`` is why the request is served in another data
+    centre, if it is.
     """
 
     request: Request
@@ -62,6 +64,7 @@
     is_out_of_reach: bool = False
     request_key: RequestKey | None = None
     tenant: Tenant | None = None
+    leave_reason: LeaveReason = LeaveReason.NO_ROOM
 
     @property
     def objective_at(self) -> float:
--- a/zinniaturn/gateway/scheduler.py
+++ b/zinniaturn/gateway/scheduler.py
@@ -20,6 +20,7 @@
 from zinniaturn.gateway.searching import ServerSearch, offer_if_free
 from zinniaturn.gateway.state import GatewayState
 from zinniaturn.http1.backend import BackendConnection
+from zinniaturn.locality.departures import LeaveReason
 from zinniaturn.placing.candidates import Candidate
 from zinniaturn.placing.probe_order import ProbeEffort
 from zinniaturn.placing.request_queue import Offer, QueuedRequest, RequestQueue
@@ -108,6 +109,7 @@
             if queued.is_undecided:
                 queue.note_unmatched(queued, loop.time())
                 self._start_polling(context.pool)
+                context.leave_reason = LeaveReason.QUEUED
                 await decided
         except asyncio.CancelledError:
             queue.remove(queued)
@@ -268,6 +270,8 @@
         ``context`` is the request that they were found for, if it was one.
         """
         now = asyncio.get_running_loop().time()
+        if context is not None:
+            self.search.local.note_offers(context, offers)
         offers.sort(
             key=lambda offer: self.costs.cost_seconds(offer, context, now)
         )
--- a/zinniaturn/gateway/searching.py
+++ b/zinniaturn/gateway/searching.py
@@ -82,6 +82,8 @@
         now = asyncio.get_running_loop().time()
         probes = self.probe_order.plan.round_sizes[0]
         start = self.local.start(pool.name, probes, now, context)
+        if context is not None and start is not None:
+            self.local.note_order(context, candidates)
         return self.probe_order.order(candidates, now, start)
 
     async def probe_rounds(
--- a/zinniaturn/locality/pool_locality.py
+++ b/zinniaturn/locality/pool_locality.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from typing import Any
 
 from zinniaturn.locality.arrangement import own_in_mixed_round
 from zinniaturn.locality.decision import (
@@ -20,6 +21,7 @@
 # A round of probes in the own data centre, before one was measured.
 _ROUND_SECONDS = 0.0015
 _ROUND_SMOOTHING = 0.1
+_MS_PER_SECOND = 1000
 # A way that is measured as shorter than this still counts as this long, as
 # probes measure it to about a fifth of a millisecond.
 _LEAST_WAY_SECONDS = 0.0002
@@ -156,6 +158,20 @@
         """Return where a request begins; ``draw`` is random, from 0 to 1."""
         return start_for(self.stay_ratio(probes, megabytes, now), draw)
 
+    def inputs(self, now: float) -> dict[str, Any]:
+        """Return what the decisions rest on, for the log."""
+        way = self._way_seconds(self.elsewhere, now)
+        return {
+            'own_servers': self.own_servers,
+            'own_room': round(self.own.room_at(now), 2),
+            'other_room': round(self.elsewhere.room_at(now), 2),
+            'own_slowness': round(self.own.latency_ratio_at(now), 2),
+            'other_slowness': round(self.elsewhere.latency_ratio_at(now), 2),
+            'own_failures': round(self.own.failure_share_at(now), 2),
+            'way_ms': round(way * _MS_PER_SECOND, 2),
+            'round_ms': round(self.round_seconds * _MS_PER_SECOND, 2),
+        }
+
     def _compared(self, data_center: str) -> PlaceNews:
         """Return the news of the other side."""
         if data_center == self.data_center:
--- a/zinniaturn/locality/table.py
+++ b/zinniaturn/locality/table.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from zinniaturn.locality.departures import Departures
 from zinniaturn.locality.pool_locality import PoolLocality
 from zinniaturn.locality.response_sizes import ResponseSizes
 from zinniaturn.locality.weights import LocalityWeights
@@ -12,12 +13,13 @@
 
 @dataclass(slots=True)
 class LocalityTable:
-    """The decisions of each pool and the usual sizes of responses."""
+    """Each pool's decisions, what left, and the usual sizes of responses."""
 
     data_center: str
     weights: LocalityWeights = field(default_factory=LocalityWeights)
     pools: dict[str, PoolLocality] = field(default_factory=dict)
     sizes: ResponseSizes = field(default_factory=ResponseSizes)
+    departures: Departures = field(default_factory=Departures)
 
     def pool(self, name: str) -> PoolLocality:
         """Return the decisions of a pool."""
@@ -31,6 +33,7 @@
         """Set how many servers each pool has in each data centre."""
         for gone in self.pools.keys() - counts.keys():
             self.pools.pop(gone)
+        self.departures.retain(set(counts))
         for name, pool_counts in counts.items():
             self.pool(name).set_servers(pool_counts)
 
