--- a/features/message_versions.feature
+++ b/features/message_versions.feature
@@ -24,8 +24,8 @@
       | proof and quarantine           |
       | proof and quarantine and reach |
 
-  Scenario: A datagram without later parts costs one byte more for each than before
-    Then an empty datagram is 2 bytes longer than that of the build f0f2c2e, for "quarantine" and "proof"
+  Scenario: A datagram without later parts costs one byte more for "quarantine" and nothing for others
+    Then an empty datagram is 1 bytes longer than that of the build f0f2c2e, for "quarantine"
 
   Scenario: A state with the age of its tables' proof is read by a build that lacks it
     When a state with a proof of its tables is read by a build that lacks "proof_age_ms"
--- a/features/steps/foreign_data_steps.py
+++ b/features/steps/foreign_data_steps.py
@@ -69,6 +69,8 @@
 from zinniaturn.relay.messages import decode_reply, decode_request
 from zinniaturn.tables.matching import RouteMatcher
 
+# The place of the compressed content in a state message.
+_PACKED_PART = 3
 _EXAMPLES = 200
 _DEEP_ENTRY = b'{"trace":%b' % (b'[' * 1200)
 _MOST_CHARACTERS = 300
@@ -322,11 +324,15 @@
     raw = encode_message(
         build_state_message(_sound_state(), StateFingerprint())
     )
-    version, revision, age, packed, *later = msgspec.msgpack.decode(raw)
-    contents = changed_messages(zlib.decompress(packed))
+    parts = msgspec.msgpack.decode(raw)
+    contents = changed_messages(zlib.decompress(parts[_PACKED_PART]))
     packed_states = contents.map(
         lambda content: msgspec.msgpack.encode(
-            [version, revision, age, zlib.compress(content), *later]
+            [
+                *parts[:_PACKED_PART],
+                zlib.compress(content),
+                *parts[_PACKED_PART + 1 :],
+            ]
         )
     )
     return st.one_of(packed_states, changed_messages(raw))
--- a/zinniaturn/admission/admission.py
+++ b/zinniaturn/admission/admission.py
@@ -59,7 +59,8 @@
     ``started_ms`` is the Unix time of the server's start, ``limit`` the rate of
     requests per second that it takes from all VMs together. ``said_at`` is the
     boot clock's time at which it said so, and ``source`` the VM that heard it,
-    '' for this one.
+    '' for this one. A ``depth`` is that of the bucket of a tenant's allowance,
+    which is requested like a server's.
     """
 
     server: str
@@ -68,6 +69,7 @@
     is_leaving: bool = False
     said_at: float = _NEVER
     source: str = ''
+    depth: float = 0
 
     @property
     def is_active(self) -> bool:
--- a/zinniaturn/admission/grantor.py
+++ b/zinniaturn/admission/grantor.py
@@ -8,7 +8,7 @@
 while the callers move from some VMs to others.
 """
 
-__all__ = ('Grant', 'PermitGrantor', 'PermitRequest')
+__all__ = ('START_TOKENS', 'Grant', 'PermitGrantor', 'PermitRequest')
 
 from collections import OrderedDict
 from dataclasses import dataclass, field
@@ -25,6 +25,8 @@
 _MOST_UNCONFIRMED = 4
 _CONFIRMATION_WAIT_SECONDS = 0.1
 _MOST_REPLIES_KEPT = 64
+# What a new owner may grant of a tenant's allowance at once.
+START_TOKENS = 4.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,7 +35,9 @@
     A VM's request for ``count`` permits for a server.
 
     ``limit`` is the server's limit per second as the VM heard it at
-    ``said_at``. A request that is repeated has the same ``sequence``.
+    ``said_at``. A request that is repeated has the same ``sequence``. With a
+    ``depth`` it is about a tenant's allowance, which ``server`` names, and
+    ``started_ms`` is the version of the operators' document with the limit.
     """
 
     vm: str
@@ -43,6 +47,7 @@
     count: int
     limit: float
     said_at: float
+    depth: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,7 +71,7 @@
     content a moment ago. ``replies`` are the last grant to each VM, by sequence
     number, for requests that are repeated because a reply was lost.
     ``granted_unconfirmed`` counts the permits since a limit that nobody has
-    heard lately was last confirmed.
+    heard lately was last confirmed. A ``depth`` of 0 follows from the limit.
     """
 
     started_ms: int
@@ -75,6 +80,7 @@
     updated_at: float
     tokens: float = 0
     granted_unconfirmed: int = 0
+    depth: float = 0
     replies: 'OrderedDict[str, tuple[int, Grant]]' = field(
         default_factory=OrderedDict
     )
@@ -82,7 +88,7 @@
     def refill(self, share: float, now: float) -> None:
         """Add the tokens since the last call at ``share`` of the limit."""
         added = (now - self.updated_at) * self.rate(share)
-        most = 1 + self.rate(1) * _BUCKET_SECONDS
+        most = self.depth or 1 + self.rate(1) * _BUCKET_SECONDS
         self.tokens = min(most, self.tokens + added)
         self.updated_at = now
 
@@ -98,7 +104,7 @@
         have to do until a response has named it again.
         """
         granted = min(count, int(self.tokens))
-        is_old = now - self.said_at > _CONFIRMED_SECONDS
+        is_old = not self.depth and now - self.said_at > _CONFIRMED_SECONDS
         if is_old:
             most = max(1, int(_MOST_UNCONFIRMED * share))
             granted = min(granted, max(0, most - self.granted_unconfirmed))
@@ -116,6 +122,13 @@
         self.said_at = said_at
         self.granted_unconfirmed = 0
 
+    def follow(self, request: PermitRequest) -> None:
+        """Apply a later version of a tenant's allowance; keep the tokens."""
+        if request.started_ms > self.started_ms:
+            self.started_ms = request.started_ms
+            self.limit = request.limit
+            self.depth = request.depth
+
     def keep_reply(self, vm: str, sequence: int, grant: Grant) -> None:
         """Keep a reply; the oldest is dropped when there are too many."""
         self.replies[vm] = sequence, grant
@@ -152,14 +165,21 @@
     def _bucket(self, request: PermitRequest, now: float) -> _Bucket:
         """Return the server's bucket with the newest limit that is known."""
         bucket = self.buckets.get(request.server)
+        if bucket is not None and request.depth:
+            bucket.follow(request)
         if bucket is None or bucket.started_ms < request.started_ms:
             bucket = _Bucket(
-                request.started_ms, request.limit, request.said_at, now
+                request.started_ms,
+                request.limit,
+                request.said_at,
+                now,
+                tokens=min(START_TOKENS, request.depth),
+                depth=request.depth,
             )
             self.buckets[request.server] = bucket
             if len(self.buckets) > _MOST_BUCKETS:
                 self.buckets.popitem(last=False)
         self.buckets.move_to_end(request.server)
-        if request.said_at > bucket.said_at:
+        if not bucket.depth and request.said_at > bucket.said_at:
             bucket.confirm(request.limit, request.said_at)
         return bucket
--- a/zinniaturn/admission/permits.py
+++ b/zinniaturn/admission/permits.py
@@ -45,6 +45,12 @@
         self.taken.note(now)
         return self.expiries.popleft()
 
+    def give_back(self, expiry: float) -> None:
+        """Hold a permit again whose request was not sent or not run."""
+        self.expiries.append(expiry)
+        if len(self.expiries) > 1 and expiry < self.expiries[-2]:
+            self.expiries = deque(sorted(self.expiries))
+
     def shortage(self, now: float) -> int:
         """Return how many permits to request, 0 while there are enough."""
         wanted = math.ceil(self.taken.per_second(now) * _AHEAD_SECONDS)
--- a/zinniaturn/events/catalogue.py
+++ b/zinniaturn/events/catalogue.py
@@ -59,6 +59,7 @@
     SERVER_STATEMENT = 731
     SERVER_STATEMENT_UNREADABLE = 732
     BODIES_REFUSED = 733
+    OVER_ALLOWANCE = 734
     VM_ALIVE = 740
     VM_SILENT = 741
     VM_MESSAGE_REFUSED = 742
@@ -71,6 +72,7 @@
     REQUEST_SUSPECTED = 761
     REQUEST_HELD = 762
     REQUEST_CLEARED = 763
+    LEAVING_CHANGED = 780
 
 
 _INFO = logging.INFO
@@ -208,6 +210,10 @@
             _WARNING,
             'a failing backend server was ejected for a limited time',
         ),
+        LogEvent.OVER_ALLOWANCE: (
+            _INFO,
+            'requests of a tenant were rejected as its allowance is used up',
+        ),
         LogEvent.SERVER_STATEMENT: (
             _INFO,
             'a backend server has named, changed or ended a limit, its leaving '
@@ -266,5 +272,9 @@
             _INFO,
             'a request that was suspected or held may run again',
         ),
+        LogEvent.LEAVING_CHANGED: (
+            _INFO,
+            'another share of the requests leaves this data centre',
+        ),
     }
 )
--- a/zinniaturn/fleet/datagrams.py
+++ b/zinniaturn/fleet/datagrams.py
@@ -47,6 +47,9 @@
 from zinniaturn.fleet.status_rows import StatusRow, usable_statuses
 
 PROTOCOL_VERSION = 3
+# All builds in use send these; the later parts are left out at the end where
+# they tell nothing.
+_ALWAYS_SENT_PARTS = 12
 
 
 class DatagramKind(enum.Enum):
@@ -117,7 +120,10 @@
     """
     The server for which ``count`` permits are requested.
 
-    ``limit`` is its limit per second, as heard ``age_ms`` ago.
+    ``limit`` is its limit per second, as heard ``age_ms`` ago. With a ``depth``
+    the permits are of a tenant's allowance that ``server`` names, and
+    ``started_ms`` is the version of the document. Older builds ignore the depth
+    and grant by the limit alone.
     """
 
     server: str
@@ -125,6 +131,7 @@
     count: Count
     limit: Limit
     age_ms: Milliseconds
+    depth: Limit = 0
 
 
 class PermitGrantRow(msgspec.Struct, array_like=True, frozen=True):
@@ -286,23 +293,30 @@
 ) -> bytes:
     """Return an encoded datagram."""
     extras = extras or DatagramExtras()
-    return _encoder.encode(
-        Datagram(
-            PROTOCOL_VERSION,
-            kind,
-            sequence,
-            StatusRow.of(sender),
-            cast(StateClaim, state.shortened()),
-            tuple(StatusRow.of(status) for status in news),
-            extras.target,
-            tuple(extras.notices),
-            extras.permit_request,
-            extras.permit_grant,
-            extras.reach,
-            extras.quarantine,
-            extras.proof,
-        ),
+    datagram = Datagram(
+        PROTOCOL_VERSION,
+        kind,
+        sequence,
+        StatusRow.of(sender),
+        cast(StateClaim, state.shortened()),
+        tuple(StatusRow.of(status) for status in news),
+        extras.target,
+        tuple(extras.notices),
+        extras.permit_request,
+        extras.permit_grant,
+        extras.reach,
+        extras.quarantine,
+        extras.proof,
     )
+    return _encoder.encode(_without_untold_parts(datagram))
+
+
+def _without_untold_parts(datagram: Datagram) -> list[object]:
+    """Return the parts up to the last one that tells something."""
+    parts = list(msgspec.structs.astuple(datagram))
+    while len(parts) > _ALWAYS_SENT_PARTS and parts[-1] is None:
+        parts.pop()
+    return parts
 
 
 def decode_datagram(raw: bytes) -> Datagram:
--- a/zinniaturn/fleet/permit_exchange.py
+++ b/zinniaturn/fleet/permit_exchange.py
@@ -37,6 +37,8 @@
 _REQUESTS_PER_SECOND = 40.0
 _REQUEST_BURST = 20.0
 _FAILED_WAIT_SECONDS = 0.1
+_OWNERLESS_SECONDS = 0.5
+_OVER_BUDGET_SECONDS = 0.05
 _SHORTEST_WAIT_SECONDS = 0.05
 _LONGEST_WAIT_SECONDS = 1.0
 # After a pause an owner grants nothing until others could tell it of changes.
@@ -73,7 +75,9 @@
 
     ``pending`` are the requests without a reply, and ``blocked_until`` the
     times before which no further permit is requested, both by server.
-    ``waiters`` are futures that are resolved at the next reply.
+    ``waiters`` are futures that are resolved at the next reply, and
+    ``ownerless_until`` tells how long those count as without an owner from whom
+    no permit could be had.
     """
 
     vms: VmTable
@@ -86,6 +90,7 @@
     pending: dict[str, _PendingRequest] = field(default_factory=dict)
     blocked_until: dict[str, float] = field(default_factory=dict)
     waiters: list['asyncio.Future[None]'] = field(default_factory=list)
+    ownerless_until: dict[str, float] = field(default_factory=dict)
     budget: TokenBucket = field(init=False)
     requested: int = 0
     granted: int = 0
@@ -99,11 +104,8 @@
     def tick(self) -> None:
         """Drop what has expired; call it ten times a second."""
         now = self.vms.clock.monotonic()
-        self.blocked_until = {
-            server: until
-            for server, until in self.blocked_until.items()
-            if until > now
-        }
+        self.blocked_until = _unexpired(self.blocked_until, now)
+        self.ownerless_until = _unexpired(self.ownerless_until, now)
         for pending in list(self.pending.values()):
             if now - pending.started_at > _MOST_SENDS * _REPEAT_SECONDS * 2:
                 self._finish(pending, Grant(0, _FAILED_WAIT_SECONDS))
@@ -124,6 +126,7 @@
         if not count or self.blocked_until.get(server, now) > now:
             return False
         if not self.budget.take(1, now):
+            self.ownerless_until[server] = now + _OVER_BUDGET_SECONDS
             return False
         self.requested += 1
         pending = _PendingRequest(
@@ -136,6 +139,11 @@
         self._send(pending)
         return server in self.pending
 
+    def has_no_owner(self, admission: Admission) -> bool:
+        """Return whether lately no owner could be asked for permits."""
+        now = self.vms.clock.monotonic()
+        return self.ownerless_until.get(admission.notice.server, now) > now
+
     def is_pending(self, admission: Admission) -> bool:
         """Return whether a request for a server has no reply so far."""
         return admission.notice.server in self.pending
@@ -163,6 +171,7 @@
                 row.count,
                 row.limit,
                 now - row.age_ms / _MS_PER_SECOND,
+                row.depth,
             ),
             now,
         )
@@ -222,6 +231,7 @@
             pending.count,
             notice.limit or 0,
             notice.said_at,
+            notice.depth,
         )
 
     def _send_to(self, owner: PeerVm, pending: _PendingRequest) -> None:
@@ -239,6 +249,7 @@
                     pending.count,
                     notice.limit or 0,
                     round(age * _MS_PER_SECOND),
+                    notice.depth,
                 )
             ),
         )
@@ -260,6 +271,9 @@
             pending.admission.permits.add(grant.count, pending.started_at)
         else:
             self.refused += 1
+            if grant.wait_seconds == _FAILED_WAIT_SECONDS:
+                now = self.vms.clock.monotonic()
+                self.ownerless_until[server] = now + _OWNERLESS_SECONDS
             wait = max(_SHORTEST_WAIT_SECONDS, grant.wait_seconds)
             wait = min(_LONGEST_WAIT_SECONDS, wait)
             wait *= self.random_source.uniform(1, 1.5)
@@ -271,3 +285,8 @@
             if not waiter.done():
                 waiter.set_result(None)
         self.waiters = []
+
+
+def _unexpired(times: dict[str, float], now: float) -> dict[str, float]:
+    """Return the times that are not over."""
+    return {server: until for server, until in times.items() if until > now}
--- a/zinniaturn/gateway/dispatch.py
+++ b/zinniaturn/gateway/dispatch.py
@@ -6,6 +6,7 @@
 
 from zinniaturn.choosing.exceptions import RejectedError
 from zinniaturn.fleet.tables import FleetPool, FleetRoute
+from zinniaturn.gateway.allowance_gate import AllowanceGate
 from zinniaturn.gateway.attempt_runner import AttemptRunner
 from zinniaturn.gateway.crash_watch import CrashWatch
 from zinniaturn.gateway.quarantine_gate import QuarantineGate
@@ -55,6 +56,7 @@
             QuarantineGate(state, scheduler.retry_after_jitter),
             self.stop_gate,
             self.tenant_gate,
+            AllowanceGate(state),
         )
         self.pool_selector = PoolSelector(state.random_source)
         self.elapsed_times = ElapsedTimeEstimator()
--- a/zinniaturn/gateway/process.py
+++ b/zinniaturn/gateway/process.py
@@ -205,6 +205,7 @@
         """
         self.settings = settings
         self.state.settings = settings
+        self.state.locality.set_weights(settings.locality)
         self.state.update_retry_budgets()
         self.fleet_state.follow_evacuations(settings.bounds.evacuate_seconds)
         self.event_log.write(LogEvent.SETTINGS_RELOADED)
@@ -300,5 +301,6 @@
             self.dispatcher.probe_leaving_servers()
             self.reporter.log_refused_bodies(self.byte_budget)
             self.reporter.log_vm_changes()
+            self.reporter.log_departures(loop.time())
             if self.fleet_state.document is not None:
                 self.registration.reconcile(self.fleet_state.vms)
--- a/zinniaturn/gateway/rejections.py
+++ b/zinniaturn/gateway/rejections.py
@@ -18,6 +18,9 @@
         HTTPStatus.SERVICE_UNAVAILABLE,
     )
 )
+_STATUSES_WITH_RETRY_AFTER = frozenset(
+    (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
+)
 _DEFAULT_RETRY_AFTER_SECONDS = 0.2
 
 
@@ -42,7 +45,7 @@
     elif status in NOT_RUN_STATUSES:
         status = HTTPStatus.BAD_GATEWAY
     fields = [(b'Content-Type', b'application/json')]
-    if status is HTTPStatus.SERVICE_UNAVAILABLE:
+    if status in _STATUSES_WITH_RETRY_AFTER:
         seconds = retry_after_seconds or _DEFAULT_RETRY_AFTER_SECONDS
         fields.append((b'Retry-After', b'%.3f' % seconds))
     body = msgspec.json.encode(
--- a/zinniaturn/gateway/settings.py
+++ b/zinniaturn/gateway/settings.py
@@ -5,7 +5,9 @@
 from dataclasses import dataclass, field
 
 from zinniaturn.http1.connections import Address
+from zinniaturn.locality.weights import LocalityWeights
 from zinniaturn.tenants import RevocationRule
+from zinniaturn.tenants.allowance import AllowanceBounds
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +54,15 @@
         """Return the rule by which withdrawn keys are refused in time."""
         return RevocationRule(self.fail_closed, self.revoke_seconds)
 
+    @property
+    def allowance(self) -> AllowanceBounds:
+        """Return the bounds of tenants' allowances."""
+        return AllowanceBounds(
+            self.allowance_window_seconds,
+            self.allowance_overage,
+            self.allowance_slack,
+        )
+
     @property
     def follow_seconds(self) -> float:
         """Return how soon a change in the store must take effect."""
@@ -75,7 +86,8 @@
     ``processor_share`` is the share of a core that one thread gets,
     ``link_megabits`` the link's megabits per second, ``memory_megabytes`` what
     the process may use and ``max_descriptors`` how many files and sockets it
-    may open; 0 means unknown.
+    may open; 0 means unknown. ``locality`` says what it counts for that a
+    request leaves the data centre.
     """
 
     name: str
@@ -93,3 +105,4 @@
     memory_megabytes: float = 0
     max_descriptors: int = 0
     bounds: FleetBounds = field(default_factory=FleetBounds)
+    locality: LocalityWeights = field(default_factory=LocalityWeights)
--- a/zinniaturn/outcomes/rejections.py
+++ b/zinniaturn/outcomes/rejections.py
@@ -34,6 +34,11 @@
         HTTPStatus.SERVICE_UNAVAILABLE,
         'The entry has no tables yet',
     ),
+    Rejection(
+        'over-allowance',
+        HTTPStatus.TOO_MANY_REQUESTS,
+        "The tenant's allowance is used up",
+    ),
     Rejection(
         'configuration-too-old',
         HTTPStatus.SERVICE_UNAVAILABLE,
