--- a/zinniaturn/experiments/locality/play.py
+++ b/zinniaturn/experiments/locality/play.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from itertools import combinations
 from statistics import fmean
@@ -122,11 +122,11 @@
     model before the load begins.
     """
 
-    servers: dict[str, int]
+    servers: Mapping[str, int]
     load: float
     seconds: float = 6.0
     vms: int = 4
-    callers: dict[str, float] | None = None
+    callers: Mapping[str, float] | None = None
     way_seconds: float = 0.004
     seed: int = 1
     traits: dict[str, ServerTraits] = field(default_factory=dict)
--- a/zinniaturn/experiments/registry.py
+++ b/zinniaturn/experiments/registry.py
@@ -96,6 +96,11 @@
         '2 random days of servers with limits before 97 VMs, from --seed on',
         'zinniaturn.experiments.limit_days:run_large_limit_days',
     ),
+    Experiment(
+        'data-centres',
+        'what leaves data centres in 24 cases, without and with the decision',
+        'zinniaturn.experiments.locality.cases:run_cases',
+    ),
     Experiment(
         'soak',
         'gateway processes under random injected faults, by --seed',
