Read evacuations alone, in one call, where they are too old

A VM among VMs of an earlier build had to read the whole state for them, 52 pages for 26,000 servers. A read that takes longer than the bound, or a VM that had just resumed, held them back. A poller of its own now reads the keys op/evacuate/ alone once they are older than 0.5 to 0.65 of the bound, at any rank, beside the polls of the whole state. Those follow their schedule as before.

--- a/features/evacuation.feature
+++ b/features/evacuation.feature
@@ -107,8 +107,8 @@
     Then nothing waits at it, whatever pause it had
 
   Scenario: A VM of any rank reads the store before its evacuations are outdated
-    Then a VM of rank 200 whose state others confirm polls for a bound of 5 s at 2.5 to 3.25 s
-    And a VM that follows no evacuations polls by the state's age alone
+    Then a VM of rank 200 whose state others confirm reads them for a bound of 5 s at 2.5 to 3.25 s
+    And a VM that follows no evacuations never reads them alone
 
   Scenario: The smallest bound sets the pace of the polls
     Then bounds of 2 s, 2 s and 1 s for evacuations are followed within 1 s
--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -16,6 +16,7 @@
 )
 from features.support.gateway import (
     build_candidate,
+    build_document,
     build_snapshot,
     seeded_random,
 )
@@ -25,8 +26,7 @@
     decode_state,
     encode_message,
 )
-from zinniaturn.fleet.poll_schedule import PollSchedule
-from zinniaturn.fleet.store_poller import StorePoller
+from zinniaturn.fleet.store_poller import EvacuationsPoller
 from zinniaturn.gateway.settings import FleetBounds
 from zinniaturn.http1.messages import Response
 from zinniaturn.platform.store import PlatformStore
@@ -262,8 +262,12 @@
 
 def _poller(bound):
     fleet_state = build_follower(bound)
-    schedule = PollSchedule.within_bound(seeded_random(), 2)
-    return StorePoller(None, fleet_state, _LastVm(), schedule)
+    fleet_state.install(
+        build_snapshot(1, document=build_document()), CLOCK_START
+    )
+    return EvacuationsPoller(
+        None, fleet_state, _LastVm(), seeded_random(), list, str
+    )
 
 
 def _poll_age(poller):
@@ -272,7 +276,7 @@
     fleet_state.evacuations.confirmed_at = CLOCK_START
     fleet_state.confirmed_at = CLOCK_START
     fleet_state.clock.now = CLOCK_START
-    while poller._seconds_left() > 0:
+    while poller.seconds_left() > 0:
         fleet_state.clock.advance(0.01)
         fleet_state.confirmed_at = fleet_state.clock.now
         if fleet_state.clock.now > CLOCK_START + 100:
@@ -281,7 +285,7 @@
 
 
 @then(
-    'a VM of rank 200 whose state others confirm polls for a bound of '
+    'a VM of rank 200 whose state others confirm reads them for a bound of '
     '{bound:g} s at {least:g} to {most:g} s'
 )
 def check_poll_ages(context, bound, least, most):
@@ -290,7 +294,7 @@
     assert least <= min(ages) and max(ages) <= most, ages
 
 
-@then("a VM that follows no evacuations polls by the state's age alone")
+@then('a VM that follows no evacuations never reads them alone')
 def check_no_polls(context):
     assert _poll_age(_poller(0)) is None
 
--- a/zinniaturn/fleet/poll_schedule.py
+++ b/zinniaturn/fleet/poll_schedule.py
@@ -10,10 +10,6 @@
 an outage of the store doesn't make every VM of a large fleet call it. A VM
 whose last read failed leaves the first reads to the others, as the store may
 refuse just this VM.
-
-Where data centres are evacuated, a VM of any rank reads once what it knows of
-evacuations is older than half of their bound. The first VMs by rank may be of a
-build that tells the others nothing of evacuations.
 """
 
 __all__ = ('PollSchedule',)
@@ -33,9 +29,6 @@
 _LATER_SHARE_OF_BOUND = 0.55
 _LATER_STEP_SHARE_OF_BOUND = 0.013
 _RESERVE_SHARE_OF_BOUND = 2.0
-# What follows leaves time within the bound for one read that gets no reply.
-_EVACUATIONS_SHARE_OF_BOUND = 0.5
-_EVACUATIONS_JITTER_SHARE = 0.15
 
 
 @dataclass(slots=True)
@@ -100,11 +93,6 @@
             )
         return self.reserve_seconds + jitter * rank
 
-    def evacuations_age_seconds(self, bound_seconds: float) -> float:
-        """Return the age of known evacuations at which any VM polls."""
-        jitter = self.random_source.uniform(0, _EVACUATIONS_JITTER_SHARE)
-        return bound_seconds * (_EVACUATIONS_SHARE_OF_BOUND + jitter)
-
     def backoff(self, rank: int) -> float:
         """Return the delay in seconds after consecutive failed reads."""
         most = (
--- a/zinniaturn/fleet/store.py
+++ b/zinniaturn/fleet/store.py
@@ -6,6 +6,7 @@
 
 __all__ = ('FleetStore',)
 
+from collections.abc import Collection
 from typing import Protocol
 
 from zinniaturn.fleet.domain import (
@@ -28,6 +29,15 @@
     async def read_snapshot(self) -> FleetSnapshot:
         """Return everything that the store holds, never from a stale copy."""
 
+    async def read_evacuations(
+        self, used: Collection[str]
+    ) -> tuple[int, frozenset[str]]:
+        """
+        Return the revision and the evacuated data centres, never stale ones.
+
+        If they are too many, those in ``used`` come first.
+        """
+
     def decode_tables(self, document: TablesDocument) -> FleetTables:
         """Return the tables of a document; raises `BadDocumentError`."""
 
--- a/zinniaturn/fleet/store_poller.py
+++ b/zinniaturn/fleet/store_poller.py
@@ -1,12 +1,14 @@
 """Polling of the store."""
 
-__all__ = ('StorePoller',)
+__all__ = ('EvacuationsPoller', 'StorePoller')
 
 import asyncio
+import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from zinniaturn.fleet.domain import FleetSnapshot
+from zinniaturn.fleet.evacuations import EvacuationsNews
 from zinniaturn.fleet.exceptions import FleetStoreError
 from zinniaturn.fleet.fleet_state import FleetState
 from zinniaturn.fleet.poll_schedule import PollSchedule
@@ -16,6 +18,9 @@
 _MIN_SLEEP_SECONDS = 0.02
 # The rank may change meanwhile.
 _MAX_SLEEP_SECONDS = 0.25
+# What follows leaves time within the bound for one read that gets no reply.
+_EVACUATIONS_SHARE_OF_BOUND = 0.5
+_EVACUATIONS_JITTER_SHARE = 0.15
 
 SnapshotListener = Callable[[FleetSnapshot], None]
 FaultListener = Callable[[Exception], None]
@@ -46,24 +51,14 @@
         while True:
             await asyncio.sleep(self._seconds_until_poll())
             self.fleet_state.drop_expired()
-            if self._seconds_left() <= 0:
+            poll_age = self.schedule.poll_age_seconds(self.vms.poll_rank())
+            if self.fleet_state.age_seconds >= poll_age:
                 await self._read()
 
     def _seconds_until_poll(self) -> float:
-        remaining = self._seconds_left()
-        return max(_MIN_SLEEP_SECONDS, min(_MAX_SLEEP_SECONDS, remaining))
-
-    def _seconds_left(self) -> float:
-        """Return the seconds until the state or its evacuations are too old."""
         poll_age = self.schedule.poll_age_seconds(self.vms.poll_rank())
         remaining = poll_age - self.fleet_state.age_seconds
-        evacuations = self.fleet_state.evacuations
-        if not evacuations.is_followed:
-            return remaining
-        latest_age = self.schedule.evacuations_age_seconds(
-            evacuations.bound_seconds
-        )
-        return min(remaining, latest_age - evacuations.age_seconds)
+        return max(_MIN_SLEEP_SECONDS, min(_MAX_SLEEP_SECONDS, remaining))
 
     async def _read(self) -> None:
         requested_at = self.fleet_state.clock.monotonic()
@@ -85,16 +80,6 @@
             self._notify_reply(None)
             for listener in self.on_read:
                 listener(snapshot)
-            await self._note_evacuations_read(snapshot, requested_at)
-
-    async def _note_evacuations_read(
-        self, snapshot: FleetSnapshot, requested_at: float
-    ) -> None:
-        """Wait before the next read if this one told no evacuations."""
-        evacuations = self.fleet_state.evacuations
-        if evacuations.is_followed and snapshot.evacuated is None:
-            evacuations.unread_at = requested_at
-            await asyncio.sleep(self.schedule.backoff(self.vms.poll_rank()))
 
     async def _fail(self, error: FleetStoreError) -> None:
         """Count a read that brought no news, and wait."""
@@ -105,3 +90,70 @@
     def _notify_reply(self, error: FleetStoreError | None) -> None:
         for listener in self.on_reply:
             listener(error)
+
+
+@dataclass(slots=True)
+class EvacuationsPoller:
+    """
+    Reads the evacuated data centres alone, in one call, if they are too old.
+
+    The store's polls and the other VMs usually keep them current. They don't
+    where the first VMs by rank are of a build that tells nothing of
+    evacuations, after a pause, or where the whole state takes long to read. So
+    a VM of any rank reads them once they are older than half of their bound.
+    ``on_news`` is called after a read, ``on_failure`` with the error of one.
+    """
+
+    store: FleetStore
+    fleet_state: FleetState
+    vms: VmTable
+    random_source: random.Random
+    on_news: Callable[[], None]
+    on_failure: Callable[[FleetStoreError], None]
+    schedule: PollSchedule = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Begin without failures."""
+        self.schedule = PollSchedule(self.random_source)
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        while True:
+            seconds = self.seconds_left()
+            await asyncio.sleep(
+                max(_MIN_SLEEP_SECONDS, min(_MAX_SLEEP_SECONDS, seconds))
+            )
+            if self.seconds_left() <= 0:
+                await self._read()
+
+    def seconds_left(self) -> float:
+        """Return the seconds until a read is due."""
+        evacuations = self.fleet_state.evacuations
+        # The first state tells them, unless a VM of an older build has sent it.
+        if not evacuations.is_followed or self.fleet_state.document is None:
+            return _MAX_SLEEP_SECONDS
+        jitter = self.random_source.uniform(0, _EVACUATIONS_JITTER_SHARE)
+        latest_age = evacuations.bound_seconds * (
+            _EVACUATIONS_SHARE_OF_BOUND + jitter
+        )
+        return latest_age - evacuations.age_seconds
+
+    async def _read(self) -> None:
+        requested_at = self.fleet_state.clock.monotonic()
+        used = {
+            registered.server.data_center
+            for registered in self.fleet_state.servers.values()
+        }
+        try:
+            revision, names = await self.store.read_evacuations(used)
+        except FleetStoreError as error:
+            self.fleet_state.evacuations.unread_at = requested_at
+            self.on_failure(error)
+            self.schedule.failures += 1
+            await asyncio.sleep(self.schedule.backoff(self.vms.poll_rank()))
+            return
+        self.schedule.failures = 0
+        self.fleet_state.install_evacuations(
+            EvacuationsNews(names, revision, requested_at)
+        )
+        self.on_news()
--- a/zinniaturn/gateway/process.py
+++ b/zinniaturn/gateway/process.py
@@ -26,7 +26,7 @@
 from zinniaturn.fleet.state_change import StateChange
 from zinniaturn.fleet.state_exchange import StateService
 from zinniaturn.fleet.store import FleetStore
-from zinniaturn.fleet.store_poller import StorePoller
+from zinniaturn.fleet.store_poller import EvacuationsPoller, StorePoller
 from zinniaturn.fleet.vms import VmTable
 from zinniaturn.gateway.dispatch import Dispatcher
 from zinniaturn.gateway.endpoints import (
@@ -115,6 +115,14 @@
                 random_source, settings.bounds.follow_seconds
             ),
         )
+        self.evacuations_poller = EvacuationsPoller(
+            store,
+            self.fleet_state,
+            self.vms,
+            random_source,
+            lambda: self.peers.push(),
+            self.reporter.note_store_reply,
+        )
         self.store_poller.on_reply.append(self.reporter.note_store_reply)
         self.store_poller.on_fault.append(
             partial(self.state.log_fault, 'reading the store')
@@ -230,6 +238,7 @@
     def _start_background_tasks(self) -> None:
         task_functions: dict[str, BackgroundTask] = {
             'reading the store': self._follow_store,
+            'reading evacuations': self.evacuations_poller.run,
             'gossip': self._run_gossip,
             'ticks': self._run_maintenance,
         }
--- a/zinniaturn/platform/store.py
+++ b/zinniaturn/platform/store.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import base64
+from collections.abc import Collection
 from dataclasses import replace
 from typing import Any
 from urllib.parse import quote
@@ -31,6 +32,7 @@
 from zinniaturn.http1.messages import Response, find_field
 from zinniaturn.platform.documents import decode_document
 from zinniaturn.platform.stored_items import (
+    EVACUATION_PREFIX,
     HIGHEST_REVISION,
     HOLD_PREFIX,
     VM_PREFIX,
@@ -71,8 +73,27 @@
         self.connections = ConnectionPool(own_host)
 
     async def read_snapshot(self) -> FleetSnapshot:
+        """Read all keys of the store, page by page."""
+        return await self._read_snapshot('')
+
+    async def read_evacuations(
+        self, used: Collection[str]
+    ) -> tuple[int, frozenset[str]]:
+        """
+        Return the store's revision and the evacuated data centres.
+
+        If they are too many, those in ``used`` come first.
+        """
+        snapshot = await self._read_snapshot(EVACUATION_PREFIX, used)
+        if snapshot.evacuated is None:
+            raise FleetStoreError('a page is older than the first')
+        return snapshot.revision, snapshot.evacuated
+
+    async def _read_snapshot(
+        self, prefix: str, used: Collection[str] = ()
+    ) -> FleetSnapshot:
         """
-        Read all keys of the store, page by page.
+        Read the keys with a prefix, page by page.
 
         A page that is older than the first may lack an evacuation; then none
         are told.
@@ -82,7 +103,7 @@
         after = ''
         is_consistent = True
         while True:
-            page = await self._read_page(after)
+            page = await self._read_page(prefix, after)
             first = first or page
             is_consistent = is_consistent and _follows(first, page)
             if page.era != first.era:
@@ -91,7 +112,7 @@
                 )
             items.extend(page.items)
             if not (page.more_pages and page.items):
-                snapshot = _build_snapshot(first, items)
+                snapshot = _build_snapshot(first, items, used)
                 if is_consistent:
                     return snapshot
                 return replace(snapshot, evacuated=None)
@@ -144,8 +165,10 @@
     async def _transact(self, body: dict[str, Any]) -> None:
         await self._call(b'POST', '/kv-txn', body)
 
-    async def _read_page(self, after: str) -> _Page:
-        query = f'?prefix=&after={quote(after)}' if after else '?prefix='
+    async def _read_page(self, prefix: str, after: str) -> _Page:
+        query = f'?prefix={quote(prefix)}'
+        if after:
+            query = f'{query}&after={quote(after)}'
         reply = await self._call(b'GET', f'/kv-range{query}')
         return _decode_page(reply)
 
@@ -219,7 +242,9 @@
     return page.current_rev >= first.current_rev
 
 
-def _build_snapshot(first: _Page, items: list[StoredItem]) -> FleetSnapshot:
+def _build_snapshot(
+    first: _Page, items: list[StoredItem], used: Collection[str] = ()
+) -> FleetSnapshot:
     """Return the snapshot of pages whose first one is given."""
     decoded = DecodedItems(first.era)
     for item in items:
@@ -229,7 +254,7 @@
             # Whatever another writer has stored must cost its own item alone;
             # the decoder gives up in several ways.
             decoded.unreadable.append(f'{item.key}: {cause_of(error)}')
-    evacuated = decoded.bounded_evacuated()
+    evacuated = decoded.bounded_evacuated(used)
     return FleetSnapshot(
         join_revision(first.era, first.current_rev),
         decoded.document,
--- a/zinniaturn/platform/stored_items.py
+++ b/zinniaturn/platform/stored_items.py
@@ -1,6 +1,7 @@
 """Decodes the items that the store holds, each on its own."""
 
 __all__ = (
+    'EVACUATION_PREFIX',
     'HIGHEST_REVISION',
     'HOLD_PREFIX',
     'VM_PREFIX',
@@ -9,6 +10,7 @@
 )
 
 import base64
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 import msgspec
@@ -31,11 +33,11 @@
 
 # VMs tell each other revisions, in messages that hold no higher ones.
 HIGHEST_REVISION = 2**61
+EVACUATION_PREFIX = 'op/evacuate/'
 VM_PREFIX = 'zinniaturn/vms/'
 HOLD_PREFIX = 'zinniaturn/held/'
 
 _CONFIG_KEY = 'op/config'
-_EVACUATION_PREFIX = 'op/evacuate/'
 _SERVER_PREFIX = 'servers/'
 
 _record_decoder = msgspec.json.Decoder(VmRecord)
@@ -64,9 +66,9 @@
 
     def add(self, item: StoredItem) -> None:
         """Decode an item by its key; raises `ValueError`."""
-        if item.key.startswith(_EVACUATION_PREFIX):
+        if item.key.startswith(EVACUATION_PREFIX):
             # That the key exists counts, whatever its value.
-            name = item.key.removeprefix(_EVACUATION_PREFIX)
+            name = item.key.removeprefix(EVACUATION_PREFIX)
             self.evacuated.add(check_data_center(name))
             return
         if not 0 < item.revision <= HIGHEST_REVISION:
@@ -83,15 +85,19 @@
         elif item.key.startswith(HOLD_PREFIX):
             self.holds.append(_decode_hold(item, raw))
 
-    def bounded_evacuated(self) -> frozenset[str]:
-        """Return the evacuated data centres; tell of those in excess."""
+    def bounded_evacuated(self, used: Collection[str] = ()) -> frozenset[str]:
+        """
+        Return the evacuated data centres; tell of those in excess.
+
+        Those of the decoded servers and those in ``used`` come first.
+        """
         excess = len(self.evacuated) - MOST_EVACUATED
         if excess > 0:
             self.unreadable.append(
-                f'{_EVACUATION_PREFIX}: {excess} names too many'
+                f'{EVACUATION_PREFIX}: {excess} names too many'
             )
-        used = (registered.server.data_center for registered in self.servers)
-        return bound_names(self.evacuated, used)
+        known = (registered.server.data_center for registered in self.servers)
+        return bound_names(self.evacuated, {*known, *used})
 
 
 def _decode_vm(item: StoredItem, raw: bytes) -> StoredVm:
