--- a/zinniaturn/events/catalogue.py
+++ b/zinniaturn/events/catalogue.py
@@ -71,6 +71,8 @@
     REQUEST_SUSPECTED = 761
     REQUEST_HELD = 762
     REQUEST_CLEARED = 763
+    DATA_CENTRES_EVACUATED = 780
+    DATA_CENTRES_RETURNED = 781
 
 
 _INFO = logging.INFO
@@ -266,5 +268,13 @@
             _INFO,
             'a request that was suspected or held may run again',
         ),
+        LogEvent.DATA_CENTRES_EVACUATED: (
+            _WARNING,
+            'the servers of evacuated data centres get no more requests',
+        ),
+        LogEvent.DATA_CENTRES_RETURNED: (
+            _INFO,
+            'the servers of data centres get requests again',
+        ),
     }
 )
--- a/zinniaturn/fleet/evacuation_messages.py
+++ b/zinniaturn/fleet/evacuation_messages.py
@@ -1,8 +1,8 @@
 """
 What VMs tell each other of evacuated data centres.
 
-A row in each datagram identifies the names that its sender holds, in 11 to 25
-bytes. A part of each transferred state has the names themselves, whatever the
+A row in each datagram identifies the names that its sender holds, in 20 bytes
+at most. A part of each transferred state has the names themselves, whatever the
 requester holds: the requests of landed builds can't tell what they hold of
 them, and there are few.
 """
--- a/zinniaturn/gateway/metrics.py
+++ b/zinniaturn/gateway/metrics.py
@@ -29,6 +29,7 @@
     state_age_seconds: float
     vms_alive: int
     requests_held: int = 0
+    data_centres_evacuated: int = 0
 
 
 def render_metrics(state: GatewayState) -> bytes:
@@ -46,6 +47,7 @@
         age,
         len(state.vms.alive_vms()),
         len(state.quarantine.held()),
+        len(state.fleet_state.evacuated),
     )
     return text.TextFormatter().marshall(build_registry(snapshot))
 
@@ -85,6 +87,12 @@
         registry=registry,
     )
     held.set({}, snapshot.requests_held)
+    evacuated = Gauge(
+        'zinniaturn_gateway_data_centres_evacuated',
+        'Data centres whose servers get no requests',
+        registry=registry,
+    )
+    evacuated.set({}, snapshot.data_centres_evacuated)
     return registry
 
 
--- a/zinniaturn/gateway/reporting.py
+++ b/zinniaturn/gateway/reporting.py
@@ -17,6 +17,8 @@
 _MAX_LOGGED_ENTRIES = 5
 _MAX_LOGGED_SERVERS = 40
 _MAX_LOGGED_VMS = 40
+_MAX_LOGGED_DATA_CENTRES = 8
+_MS_PER_SECOND = 1000
 
 
 @dataclass(slots=True)
@@ -45,6 +47,7 @@
         self.state.apply_change(change)
         if change.store_went_back:
             self._log_store_went_back(change)
+        self._log_evacuations(change)
         if change.refused:
             self.state.event_log.write(
                 LogEvent.TABLES_REFUSED,
@@ -77,6 +80,34 @@
             tables_version=tables.version if tables else 0,
         )
 
+    def _log_evacuations(self, change: StateChange) -> None:
+        """Log data centres that are newly evacuated or back, if any."""
+        for event, names in (
+            (LogEvent.DATA_CENTRES_EVACUATED, change.evacuated),
+            (LogEvent.DATA_CENTRES_RETURNED, change.returned),
+        ):
+            if not names:
+                continue
+            servers = self.state.fleet_state.servers.values()
+            self.state.event_log.write(
+                event,
+                data_centres=names[:_MAX_LOGGED_DATA_CENTRES],
+                count=len(names),
+                servers=sum(
+                    registered.server.data_center in names
+                    for registered in servers
+                ),
+                revision=change.revision,
+                age_ms=self._evacuations_age_ms(),
+            )
+
+    def _evacuations_age_ms(self) -> int | None:
+        """Return how old the news is, ``None`` if nothing was told yet."""
+        evacuations = self.state.fleet_state.evacuations
+        if not evacuations.is_known:
+            return None
+        return round(evacuations.age_seconds * _MS_PER_SECOND)
+
     def _log_tables(self, change: StateChange) -> None:
         tables = self.state.fleet_state.tables
         assert tables is not None
