Place a request anew if its server was evacuated before it was sent

Such a request took a part of the budget for retries, and was rejected where that was used up: at a gateway that had just started, the first one got 503 though another data centre had room. No server gets anything from it, so it is placed anew without the budget.

--- a/features/support/cut_links.py
+++ b/features/support/cut_links.py
@@ -30,10 +30,12 @@
     await wait_until_acquainted(context)
 
 
-async def add_cut_gateway(context, name):
+async def add_cut_gateway(context, name, **bounds):
     """Start one more gateway, which the cuts of its host apply to."""
     return await context.platform.add_gateway(
-        name, before_start=lambda gateway: _cut_connects(context, gateway)
+        name,
+        before_start=lambda gateway: _cut_connects(context, gateway),
+        **bounds,
     )
 
 
--- a/features/support/gateway.py
+++ b/features/support/gateway.py
@@ -214,9 +214,15 @@
         self.context.closers.append(proxy.stop)
         self.servers.append(server)
         self.proxies[server.name] = proxy
+        self.store.write(f'servers/{server.name}', self.entry_of(server))
+
+    def entry_of(self, server):
+        """Return a server's entry, with the address of its proxy if any."""
         entry = server.entry()
-        entry['address'] = f'127.0.0.1:{proxy.port}'
-        self.store.write(f'servers/{server.name}', entry)
+        proxy = self.proxies.get(server.name)
+        if proxy is not None:
+            entry['address'] = f'127.0.0.1:{proxy.port}'
+        return entry
 
     async def add_gateway(
         self,
--- a/zinniaturn/gateway/attempt.py
+++ b/zinniaturn/gateway/attempt.py
@@ -6,7 +6,10 @@
 from collections.abc import Callable
 
 from zinniaturn.admission.admission import ResponseKind
-from zinniaturn.gateway.exceptions import AttemptError
+from zinniaturn.gateway.exceptions import (
+    AttemptError,
+    PlacementOutdatedError,
+)
 from zinniaturn.gateway.rejections import NOT_RUN_STATUSES
 from zinniaturn.gateway.request_context import Placement, RequestContext
 from zinniaturn.gateway.state import GatewayState
@@ -47,14 +50,17 @@
     connection = await _acquire_connection(
         state, address, placement, request_id
     )
-    obstacle = _find_obstacle(state, placement)
-    if obstacle:
+    if state.admissions.clock.monotonic() >= placement.send_before:
         state.connections.keep_idle(address, connection)
         raise AttemptError(
-            f'{server.name}: {obstacle} before the request was sent',
+            f'{server.name}: the permit expired before the request was sent',
             Phase.NOT_SENT,
             Event.CONNECT_FAILED,
         )
+    obstacle = _find_evacuation(state, placement)
+    if obstacle:
+        state.connections.keep_idle(address, connection)
+        raise PlacementOutdatedError(f'{server.name}: {obstacle}')
     loop = connection.loop
     now = loop.time()
     payload = state.wire_format.server_request(
@@ -105,16 +111,14 @@
     return response
 
 
-def _find_obstacle(state: GatewayState, placement: Placement) -> str:
-    """Return what bars a request that is about to be sent, '' if nothing."""
-    if state.admissions.clock.monotonic() >= placement.send_before:
-        return 'the permit expired'
+def _find_evacuation(state: GatewayState, placement: Placement) -> str:
+    """Return why a request must not be sent any more, '' if it may be."""
     if state.is_evacuated(placement.candidate):
         state.counters.events['evacuated_before_send'] += 1
-        return 'its data centre was evacuated'
+        return 'its data centre was evacuated before the request was sent'
     if state.evacuations_are_in_doubt():
         state.counters.events['evacuations_in_doubt'] += 1
-        return 'evacuations were not known any more'
+        return 'the evacuations have to be read first'
     return ''
 
 
--- a/zinniaturn/gateway/attempt_runner.py
+++ b/zinniaturn/gateway/attempt_runner.py
@@ -8,7 +8,10 @@
 from zinniaturn.choosing.exceptions import RejectedError
 from zinniaturn.gateway.attempt import send_attempt
 from zinniaturn.gateway.crash_watch import CrashWatch
-from zinniaturn.gateway.exceptions import AttemptError
+from zinniaturn.gateway.exceptions import (
+    AttemptError,
+    PlacementOutdatedError,
+)
 from zinniaturn.gateway.quarantine_gate import QuarantineGate, QuarantinePass
 from zinniaturn.gateway.relay_client import RelayClient
 from zinniaturn.gateway.request_context import Placement, RequestContext
@@ -104,7 +107,8 @@
             return await self._attempt_with_hedge(context, placement)
         except AttemptError as error:
             _record_failure(context, error)
-            if self._may_retry(context):
+            is_outdated = isinstance(error, PlacementOutdatedError)
+            if is_outdated or self._may_retry(context):
                 return None
             if error.response is not None:
                 return error.response
--- a/zinniaturn/gateway/exceptions.py
+++ b/zinniaturn/gateway/exceptions.py
@@ -1,6 +1,11 @@
 """Errors of the gateway process."""
 
-__all__ = ('AttemptError', 'GatewayError', 'GatewaySettingsError')
+__all__ = (
+    'AttemptError',
+    'GatewayError',
+    'GatewaySettingsError',
+    'PlacementOutdatedError',
+)
 
 from zinniaturn.errors import CodedError
 from zinniaturn.http1.messages import Response
@@ -43,3 +48,17 @@
         self.event = event
         self.response = response
         self.retry_after_seconds = retry_after_seconds
+
+
+class PlacementOutdatedError(AttemptError):
+    """
+    A request was not sent, as its server may get none any more.
+
+    It is placed anew without a part of the budget for retries, since no server
+    got anything.
+    """
+
+    code = 'placement-outdated'
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, Phase.NOT_SENT, Event.CONNECT_FAILED)
--- a/zinniaturn/platform/standins/server.py
+++ b/zinniaturn/platform/standins/server.py
@@ -56,6 +56,7 @@
 
     name: str = ''
     pool: str = 'pool'
+    data_center: str = 'dc-a'
     slots: int = 4
     queue: int = 8
     work_seconds: float = 0.01
@@ -93,7 +94,7 @@
         return {
             'service': self.pool,
             'address': f'{self.host}:{self.port}',
-            'zone': 'dc-a',
+            'zone': self.data_center,
             'version': 'v1',
             'capacity': self.slots,
             'state': state,
