--- a/zinniaturn/events/catalogue.py
+++ b/zinniaturn/events/catalogue.py
@@ -72,7 +72,9 @@
     REQUEST_SUSPECTED = 761
     REQUEST_HELD = 762
     REQUEST_CLEARED = 763
-    LEAVING_CHANGED = 780
+    DATA_CENTRES_EVACUATED = 780
+    DATA_CENTRES_RETURNED = 781
+    LEAVING_CHANGED = 790
 
 
 _INFO = logging.INFO
@@ -272,6 +274,14 @@
             _INFO,
             'a request that was suspected or held may run again',
         ),
+        LogEvent.DATA_CENTRES_EVACUATED: (
+            _WARNING,
+            'the servers of evacuated data centres get no more requests',
+        ),
+        LogEvent.DATA_CENTRES_RETURNED: (
+            _INFO,
+            'the servers of data centres get requests again',
+        ),
         LogEvent.LEAVING_CHANGED: (
             _INFO,
             'another share of the requests leaves this data centre',
--- a/zinniaturn/gateway/attempt_runner.py
+++ b/zinniaturn/gateway/attempt_runner.py
@@ -14,7 +14,10 @@
     record_failure,
 )
 from zinniaturn.gateway.crash_watch import CrashWatch
-from zinniaturn.gateway.exceptions import AttemptError
+from zinniaturn.gateway.exceptions import (
+    AttemptError,
+    PlacementOutdatedError,
+)
 from zinniaturn.gateway.quarantine_gate import QuarantineGate, QuarantinePass
 from zinniaturn.gateway.relay_client import RelayClient
 from zinniaturn.gateway.request_context import Placement, RequestContext
@@ -151,7 +154,8 @@
             return await self._attempt_with_hedge(context, placement)
         except AttemptError as error:
             record_failure(context, error)
-            if self._may_retry(context):
+            is_outdated = isinstance(error, PlacementOutdatedError)
+            if is_outdated or self._may_retry(context):
                 return None
             if error.response is not None:
                 return error.response
--- a/zinniaturn/gateway/metrics.py
+++ b/zinniaturn/gateway/metrics.py
@@ -31,6 +31,7 @@
     vms_alive: int
     requests_held: int = 0
     departures: Departures = field(default_factory=Departures)
+    data_centres_evacuated: int = 0
 
 
 def render_metrics(state: GatewayState) -> bytes:
@@ -49,6 +50,7 @@
         len(state.vms.alive_vms()),
         len(state.quarantine.held()),
         state.locality.departures,
+        len(state.fleet_state.evacuated),
     )
     return text.TextFormatter().marshall(build_registry(snapshot))
 
@@ -89,6 +91,12 @@
         registry=registry,
     )
     held.set({}, snapshot.requests_held)
+    evacuated = Gauge(
+        'zinniaturn_gateway_data_centres_evacuated',
+        'Data centres whose servers get no requests',
+        registry=registry,
+    )
+    evacuated.set({}, snapshot.data_centres_evacuated)
     return registry
 
 
--- a/zinniaturn/tenants/allowance.py
+++ b/zinniaturn/tenants/allowance.py
@@ -63,7 +63,7 @@
     most = allowance * (1 + bounds.overage) + bounds.slack
     most -= _OWNERS_IN_WINDOW * min(START_TOKENS, most / 10)
     seconds = bounds.window_seconds + PERMIT_LIFETIME_SECONDS
-    rate = min(per_second, max(0.0, most - _SMALLEST_DEPTH) / seconds)
+    rate = min(per_second, max(0, most - _SMALLEST_DEPTH) / seconds)
     room = most - rate * seconds
     depth = min(burst + bounds.slack * _USED_SLACK_SHARE, room)
     return Bucket(rate, max(_SMALLEST_DEPTH, round(depth, 3)))
