Pass tenants' requests on only to VMs that know tenants; leave outdated VMs out

Cause: an earlier build would send the key of a request that is passed on to a server, and look-ups went on naming a VM that is about to refuse tenants. Change: a tenant's request is passed on only to VMs whose datagrams have the part proof. They look its key up themselves; an unknown key becomes 401 for the caller, and tables that are too old count as older tables, so that another VM is tried. Other VMs get no key, and none gets a tenant that a caller names. Events 770 and 771, and the gauge of the proof's age.

--- a/features/message_versions.feature
+++ b/features/message_versions.feature
@@ -25,7 +25,11 @@
       | proof and quarantine and reach |
 
   Scenario: A datagram without later parts costs one byte more for each than before
-    Then an empty datagram is 2 bytes longer than that of the build f0f2c2e, for "quarantine" and "proof"
+    Then an empty datagram is 3 bytes longer than that of the build f0f2c2e, for "quarantine" and "proof" and "is_outdated" of its sender
+
+  Scenario: A status without the last part is that of a VM whose tables are up to date
+    When the recorded statuses of the build f0f2c2e is read
+    Then no VM in it is outdated
 
   Scenario: A state with the age of its tables' proof is read by a build that lacks it
     When a state with a proof of its tables is read by a build that lacks "proof_age_ms"
--- a/features/revocation.feature
+++ b/features/revocation.feature
@@ -74,3 +74,14 @@
   Scenario: Without faults all VMs hold proofs that are far from the bound
     Given 20 VMs whose keys are withdrawn and added at random, with seed 1
     Then without faults no proof gets older than 1.3 s
+
+  Scenario: Look-ups of all VMs stop naming one whose tables get too old, before it refuses requests
+    Given 4 VMs whose keys are withdrawn and added at random, with seed 1
+    When 1 VM gets no proof any more, and 3.4 s pass
+    Then the look-ups of each VM name all but that VM
+    And that VM still serves tenants
+
+  Scenario: Callers get addresses also while no VM has fresh tables
+    Given 4 VMs whose keys are withdrawn and added at random, with seed 1
+    When 4 VM gets no proof any more, and 8 s pass
+    Then the look-ups of each VM name all VMs
--- a/features/steps/message_versions_steps.py
+++ b/features/steps/message_versions_steps.py
@@ -34,7 +34,7 @@
     decode_state,
     encode_message,
 )
-from zinniaturn.fleet.status_rows import decode_statuses
+from zinniaturn.fleet.status_rows import StatusRow, decode_statuses
 from zinniaturn.outcomes import Outcome
 from zinniaturn.platform.server_entries import decode_server
 from zinniaturn.relay.messages import (
@@ -213,10 +213,11 @@
 
 @then(
     'an empty datagram is {count:d} bytes longer than that of the build '
-    'f0f2c2e, for "{first}" and "{second}"'
+    'f0f2c2e, for "{first}" and "{second}" and "{third}" of its sender'
 )
-def check_length(context, count, first, second):
-    assert Datagram.__struct_fields__[-count:] == (first, second)
+def check_length(context, count, first, second, third):
+    assert Datagram.__struct_fields__[1 - count :] == (first, second)
+    assert StatusRow.__struct_fields__[-1] == third
     raw = encode_datagram(
         DatagramKind.PING, 7, VmStatus('vm-1', 5, VmStage.READY, 3), _CLAIM
     )
@@ -224,6 +225,12 @@
     assert len(raw) == len(recorded) + count, (len(raw), len(recorded))
 
 
+@then('no VM in it is outdated')
+def check_up_to_date(context):
+    assert context.content
+    assert not any(status.is_outdated for status in context.content)
+
+
 @then('a server entry with a {figure} of {value:d} names no server')
 def check_entry(context, figure, value):
     entry = {
--- a/features/steps/revocation_steps.py
+++ b/features/steps/revocation_steps.py
@@ -27,7 +27,16 @@
 from zinniaturn.fleet.status_rows import StatusRow
 from zinniaturn.fleet.store_poller import StorePoller
 from zinniaturn.fleet.tables import FleetTables
-from zinniaturn.tenants import KeyRuling, RevocationRule, Tenant, TenantTable
+from zinniaturn.fleet.tables_proof import TablesProof
+from zinniaturn.fleet.vms import outdated_vms, serving_vms
+from zinniaturn.placing.address_selection import vms_up_to_date
+from zinniaturn.tenants import (
+    KeyRuling,
+    RevocationRule,
+    Standing,
+    Tenant,
+    TenantTable,
+)
 
 _TENANTS = TenantTable.build([(Tenant('gold'), [b'known'])])
 _KEYS = MappingProxyType(
@@ -307,3 +316,53 @@
     assert model.rulings[KeyRuling.SERVE], model.rulings
     assert not model.rulings[KeyRuling.TOO_OLD], model.rulings
     assert len(KEYS) == 3
+
+
+@when('{count:d} VM gets no proof any more, and {seconds:g} s pass')
+def lose_proofs(context, count, seconds):
+    model = context.model
+    for vm in model.vms:
+        gossip = vm.gossip
+        gossip.is_outdated = _outdated_check(model.rule, gossip)
+    model.run(2)
+    context.lost = model.vms[:count]
+    for vm in context.lost:
+        model.cut_from_store.add(vm.name)
+        # What it learns from others counts for tables that it doesn't use.
+        vm.gossip.proofs.proof = TablesProof(model.clock)
+    model.run(seconds)
+
+
+def _outdated_check(rule, gossip):
+    proof = gossip.fleet_state.proof
+    return lambda: rule.standing(proof.age_seconds) is not Standing.FRESH
+
+
+def _named(vm):
+    """Return the VMs that a VM's look-ups name."""
+    table = vm.gossip.vms
+    serving = serving_vms(table, own_is_ready=True)
+    return {
+        record.name for record in vms_up_to_date(serving, outdated_vms(table))
+    }
+
+
+@then('the look-ups of each VM name all but that VM')
+def check_unnamed(context):
+    names = {vm.name for vm in context.model.vms} - {context.lost[0].name}
+    for vm in context.model.vms:
+        assert _named(vm) == names, vm.name
+
+
+@then('the look-ups of each VM name all VMs')
+def check_all_named(context):
+    names = {vm.name for vm in context.model.vms}
+    for vm in context.model.vms:
+        assert vm.gossip.vms.own_status.is_outdated
+        assert _named(vm) == names, vm.name
+
+
+@then('that VM still serves tenants')
+def check_still_served(context):
+    age = _proof(context.lost[0]).age_seconds
+    assert context.model.rule.standing(age) is Standing.DOUBTFUL, age
--- a/features/steps/tenant_request_steps.py
+++ b/features/steps/tenant_request_steps.py
@@ -23,10 +23,10 @@
 from zinniaturn.platform.standins import ServerStandIn
 from zinniaturn.tenants import Tenant
 
-_TARGETS = MappingProxyType(
+TARGETS = MappingProxyType(
     {'closed': '/reads/1', 'open': '/open/1', 'missing': '/nowhere/1'}
 )
-_HEADERS = MappingProxyType(
+HEADERS = MappingProxyType(
     {
         'its key': f'Api-Key: {KEY}\r\n',
         'its key in lower case fields': f'api-key: {KEY}\r\n',
@@ -61,7 +61,7 @@
 def call(context, route, key, extra='', **request):
     """Send a read and keep the response."""
     payload = build_request_bytes(
-        target=_TARGETS[route], extra=_HEADERS[key] + extra, **request
+        target=TARGETS[route], extra=HEADERS[key] + extra, **request
     )
     context.response = _run(context, send_request(context.front, payload))
 
@@ -173,8 +173,8 @@
     'and one names its key in a broken document'
 )
 def read_with_all_keys(context):
-    for key in _HEADERS:
-        for route in _TARGETS:
+    for key in HEADERS:
+        for route in TARGETS:
             call(context, route, key)
     rows = [tenant_row('gold', (KEY,)), tenant_row('coal', (KEY,))]
     broken = build_tenant_config(rows, version='00000002')
@@ -196,6 +196,6 @@
     shown = [str(row) for row in state.event_log.rows]
     shown.append(repr(state.counters))
     shown.append(repr(state.fleet_state.tables))
-    assert len(shown) > len(_HEADERS), shown
+    assert len(shown) > len(HEADERS), shown
     for text in shown:
         assert SECRET_TEXT not in text, text
--- a/features/support/tenants.py
+++ b/features/support/tenants.py
@@ -27,7 +27,14 @@
     """Return a document with tenants and a route that is public."""
     config = build_config(
         [
-            build_route_row('reads', '/reads/', 'idempotent', max_attempts=3),
+            build_route_row(
+                'reads',
+                '/reads/',
+                'idempotent',
+                max_attempts=3,
+                timeout_ms=8000,
+                target_ms=8000,
+            ),
             build_route_row('posts', '/posts/', 'non_idempotent'),
             build_route_row('open', '/open/', 'idempotent'),
         ],
--- a/zinniaturn/events/catalogue.py
+++ b/zinniaturn/events/catalogue.py
@@ -71,6 +71,8 @@
     REQUEST_SUSPECTED = 761
     REQUEST_HELD = 762
     REQUEST_CLEARED = 763
+    TABLES_TOO_OLD = 770
+    TABLES_PROVEN = 771
 
 
 _INFO = logging.INFO
@@ -266,5 +268,13 @@
             _INFO,
             'a request that was suspected or held may run again',
         ),
+        LogEvent.TABLES_TOO_OLD: (
+            _WARNING,
+            "keys may have been withdrawn; tenants' requests are rejected",
+        ),
+        LogEvent.TABLES_PROVEN: (
+            _INFO,
+            "the tables are the store's newest; tenants are served again",
+        ),
     }
 )
--- a/zinniaturn/fleet/alive_vms.py
+++ b/zinniaturn/fleet/alive_vms.py
@@ -30,6 +30,7 @@
     stage: VmStage = VmStage.STARTING
     load: int = 0
     cut_off: int = 0
+    is_outdated: bool = False
     heard_at: float = float('-inf')
     own_version: int = 0
     changed_at: float = float('-inf')
@@ -60,6 +61,7 @@
             self.stage,
             self.load,
             cut_off=self.cut_off,
+            is_outdated=self.is_outdated,
         )
 
 
--- a/zinniaturn/fleet/domain.py
+++ b/zinniaturn/fleet/domain.py
@@ -89,6 +89,7 @@
     ``load`` is the rate of callers' requests at the VM, per second. ``record``
     is left out where the receiver is expected to know it. ``cut_off`` is the
     number of pools whose servers respond to other VMs but not to this one.
+    ``is_outdated`` is set while its tables may soon be too old for tenants.
     """
 
     name: str
@@ -97,6 +98,7 @@
     load: int = 0
     record: VmRecord | None = None
     cut_off: int = 0
+    is_outdated: bool = False
 
     def supersedes(self, version: int, stage: VmStage) -> bool:
         """Return whether this status is newer than another one."""
--- a/zinniaturn/fleet/gossip.py
+++ b/zinniaturn/fleet/gossip.py
@@ -74,8 +74,8 @@
 
     ``on_peer_error`` is called with the description of each invalid message
     and failed fetch, and ``on_notice`` with each admission that another VM has
-    changed. ``call_later`` schedules pushes; `start` sets it to that of the
-    event loop.
+    changed. ``is_outdated`` tells whether this VM may soon serve no tenants.
+    ``call_later`` schedules pushes; `start` sets it to that of the event loop.
     """
 
     own: VmRecord
@@ -89,6 +89,7 @@
     on_peer_error: Callable[[str], None]
     on_notice: Callable[[Admission], None]
     random_source: random.Random = field(default_factory=random.Random)
+    is_outdated: Callable[[], bool] = bool
     call_later: CallLater | None = None
     push_timer: PushTimer | None = None
     relays: PingRelays = field(default_factory=PingRelays)
@@ -298,9 +299,10 @@
         if change <= max(_LOAD_CHANGE, own.load * _LOAD_CHANGE_SHARE):
             load = own.load
         cut_off = len(self.reach.cut_off)
-        if self.vms.set_own(stage, load, cut_off):
+        is_outdated = self.is_outdated()
+        if self.vms.set_own(stage, load, cut_off, is_outdated=is_outdated):
             self.sender.pass_on(own.name)
-        if own.cut_off != cut_off:
+        if (own.cut_off, own.is_outdated) != (cut_off, is_outdated):
             self._schedule_push()
 
     def _compare_state(self, datagram: Datagram) -> None:
--- a/zinniaturn/fleet/status_rows.py
+++ b/zinniaturn/fleet/status_rows.py
@@ -67,7 +67,12 @@
 
 
 class StatusRow(msgspec.Struct, array_like=True, frozen=True):
-    """A VM's status encoded as an array."""
+    """
+    A VM's status encoded as an array.
+
+    Older processes send no more than ``cut_off``, so that their VMs count as
+    up to date, and drop the rest of what they pass on.
+    """
 
     name: str
     version: Version
@@ -75,6 +80,7 @@
     load: Load
     record: RecordRow | None = None
     cut_off: Count = 0
+    is_outdated: bool = False
 
     @classmethod
     def of(cls, status: VmStatus) -> 'StatusRow':
@@ -87,6 +93,7 @@
             status.load,
             None if record is None else RecordRow.of(record),
             status.cut_off,
+            status.is_outdated,
         )
 
     def to_status(self) -> VmStatus:
@@ -99,6 +106,7 @@
             self.load,
             None if record is None else record.to_record(self.name),
             self.cut_off,
+            self.is_outdated,
         )
 
 
--- a/zinniaturn/fleet/vms.py
+++ b/zinniaturn/fleet/vms.py
@@ -9,7 +9,13 @@
 than its predecessor's, whatever its clock says.
 """
 
-__all__ = ('VmTable', 'cut_off_vms', 'list_statuses', 'serving_vms')
+__all__ = (
+    'VmTable',
+    'cut_off_vms',
+    'list_statuses',
+    'outdated_vms',
+    'serving_vms',
+)
 
 import zlib
 from collections.abc import Collection
@@ -62,23 +68,32 @@
                 self.change_count += 1
         self._forget_silent()
 
-    def set_own(self, stage: VmStage, load: int, cut_off: int = 0) -> bool:
+    def set_own(
+        self,
+        stage: VmStage,
+        load: int,
+        cut_off: int = 0,
+        *,
+        is_outdated: bool = False,
+    ) -> bool:
         """Set this VM's own status; return whether it changed."""
         own = self.own_status
-        if (own.stage, own.load, own.cut_off) == (stage, load, cut_off):
-            return False
-        if own.stage is not stage:
-            self.alive.ready.discard(own.name)
-            if stage is VmStage.READY:
-                self.alive.ready.add(own.name)
-        self.change_count += own.cut_off != cut_off
-        self.own_status = replace(
+        changed = replace(
             own,
-            version=own.version + 1,
             stage=stage,
             load=load,
             cut_off=cut_off,
+            is_outdated=is_outdated,
         )
+        if changed == own:
+            return False
+        if own.stage is not stage:
+            self.alive.ready.discard(own.name)
+            if stage is VmStage.READY:
+                self.alive.ready.add(own.name)
+        is_same = (own.cut_off, own.is_outdated) == (cut_off, is_outdated)
+        self.change_count += not is_same
+        self.own_status = replace(changed, version=own.version + 1)
         return True
 
     def apply(self, status: VmStatus) -> bool:
@@ -98,6 +113,7 @@
             status.stage is peer.stage
             and record == peer.record
             and status.cut_off == peer.cut_off
+            and status.is_outdated == peer.is_outdated
         )
         self.change_count += not (is_same and peer.version)
         self.alive.discard(peer)
@@ -105,6 +121,7 @@
         peer.stage = status.stage
         peer.load = status.load
         peer.cut_off = status.cut_off
+        peer.is_outdated = status.is_outdated
         peer.record = record
         peer.changed_at = self.clock.monotonic()
         self.alive.add(peer)
@@ -251,6 +268,14 @@
     return serving
 
 
+def outdated_vms(vms: VmTable) -> set[str]:
+    """Return the VMs, this one too, that may soon serve no tenants."""
+    names = {peer.name for peer in vms.alive_vms() if peer.is_outdated}
+    if vms.own_status.is_outdated:
+        names.add(vms.own.name)
+    return names
+
+
 def cut_off_vms(vms: VmTable) -> set[str]:
     """Return the VMs, this one too, that have lost their path to some pool."""
     names = {peer.name for peer in vms.alive_vms() if peer.cut_off}
--- a/zinniaturn/gateway/endpoints.py
+++ b/zinniaturn/gateway/endpoints.py
@@ -8,7 +8,7 @@
 
 from zinniaturn.events.catalogue import LogEvent
 from zinniaturn.fleet.domain import VmRecord, VmStage
-from zinniaturn.fleet.vms import cut_off_vms, serving_vms
+from zinniaturn.fleet.vms import cut_off_vms, outdated_vms, serving_vms
 from zinniaturn.gateway.quarantine_endpoint import QuarantineEndpoint
 from zinniaturn.gateway.state import GatewayState
 from zinniaturn.http1.exchanges import CallerExchange
@@ -18,6 +18,7 @@
     AddressSelector,
     demand_step,
     vms_for_demand,
+    vms_up_to_date,
     vms_with_paths,
 )
 
@@ -67,8 +68,11 @@
             return
         self.selected_for = situation
         cut_off = cut_off_vms(vms)
+        outdated = outdated_vms(vms)
         serving = vms_with_paths(
-            serving_vms(vms, own_is_ready), cut_off, demand
+            vms_up_to_date(serving_vms(vms, own_is_ready), outdated),
+            cut_off,
+            demand,
         )
         selected = vms_for_demand(serving, demand)
         if selected != self.selected:
@@ -79,6 +83,7 @@
                 demand=demand if math.isfinite(demand) else None,
                 alive=len(vms.alive_vms()),
                 cut_off=len(cut_off),
+                outdated=len(outdated),
             )
         self.selected = selected
 
--- a/zinniaturn/gateway/metrics.py
+++ b/zinniaturn/gateway/metrics.py
@@ -29,6 +29,7 @@
     state_age_seconds: float
     vms_alive: int
     requests_held: int = 0
+    proof_age_seconds: float = 0
 
 
 def render_metrics(state: GatewayState) -> bytes:
@@ -46,6 +47,7 @@
         age,
         len(state.vms.alive_vms()),
         len(state.quarantine.held()),
+        min(_MAX_AGE_SECONDS, state.fleet_state.proof.age_seconds),
     )
     return text.TextFormatter().marshall(build_registry(snapshot))
 
@@ -73,6 +75,12 @@
         registry=registry,
     )
     age.set({}, snapshot.state_age_seconds)
+    proof_age = Gauge(
+        'zinniaturn_gateway_tables_proof_age_seconds',
+        "Seconds since the tables in force were surely the store's newest",
+        registry=registry,
+    )
+    proof_age.set({}, snapshot.proof_age_seconds)
     vms = Gauge(
         'zinniaturn_gateway_vms_alive',
         'Other VMs that are heard',
--- a/zinniaturn/gateway/process.py
+++ b/zinniaturn/gateway/process.py
@@ -131,6 +131,7 @@
             self.state.log_admission,
         )
         self.state.gossip = self.peers
+        self.peers.is_outdated = self.dispatcher.tenant_gate.is_outdated
         self.peers.crash_news.on_crash = self.dispatcher.crash_watch.check_told
         self.peers.quarantine.on_change = partial(log_standing, self.state)
         self.registration = VmRegistration(
@@ -298,5 +299,6 @@
             self.dispatcher.probe_leaving_servers()
             self.reporter.log_refused_bodies(self.byte_budget)
             self.reporter.log_vm_changes()
+            self.reporter.log_tables_age()
             if self.fleet_state.document is not None:
                 self.registration.reconcile(self.fleet_state.vms)
--- a/zinniaturn/gateway/relay_client.py
+++ b/zinniaturn/gateway/relay_client.py
@@ -6,14 +6,16 @@
 from dataclasses import dataclass
 
 from zinniaturn.admission.admission import ResponseKind
+from zinniaturn.choosing.exceptions import RejectedError
 from zinniaturn.fleet.domain import VmStage
 from zinniaturn.gateway.exceptions import AttemptError
 from zinniaturn.gateway.request_context import RequestContext
 from zinniaturn.gateway.state import GatewayState
+from zinniaturn.gateway.tenant_gate import KEY_CODES
 from zinniaturn.http1.backend import BackendConnection, Exchange
 from zinniaturn.http1.connections import Address
 from zinniaturn.http1.exceptions import ConnectFailedError, ExchangeBrokenError
-from zinniaturn.http1.messages import Response
+from zinniaturn.http1.messages import Fields, Request, Response
 from zinniaturn.outcomes import Event, Outcome, Phase
 from zinniaturn.reach.decision import PassOn
 from zinniaturn.relay.exceptions import RelayMessageError
@@ -48,15 +50,22 @@
 
     Only a VM that surely has not taken it is followed by another one. A lost
     reply leaves the outcome unknown.
+
+    A tenant's request goes only to VMs that know tenants. They look its key up
+    themselves; others would send the key to a server.
     """
 
     state: GatewayState
 
     async def pass_on(self, context: RequestContext, plan: PassOn) -> Response:
-        """Return the server's response; raises `AttemptError`."""
+        """
+        Return the server's response; raises `AttemptError`.
+
+        Raises `RejectedError` if the other VM finds that the key isn't valid.
+        """
         attempts_before = context.attempt_count
         refusals: list[str] = []
-        for relay in self._select(plan):
+        for relay in self._select(context, plan):
             reply = await self._try(context, relay, attempts_before)
             if reply.refusal is None:
                 return self._conclude(context, relay, reply, attempts_before)
@@ -73,17 +82,22 @@
             f'no VM has taken the request: {", ".join(refusals)}',
         )
 
-    def _select(self, plan: PassOn) -> list[RelayVm]:
-        """Return some of the planned VMs, those that are ready."""
+    def _select(self, context: RequestContext, plan: PassOn) -> list[RelayVm]:
+        """Return some of the planned VMs that are ready and may get it."""
         peers = (self.state.vms.vms.get(name) for name in plan.vms)
         ready = [
             RelayVm(
-                peer.name, peer.record.exchange, peer.record.capacity, peer.load
+                peer.name,
+                peer.record.exchange,
+                peer.record.capacity,
+                peer.load,
+                peer.knows_tenants,
             )
             for peer in peers
             if peer is not None
             and peer.is_alive
             and peer.stage is VmStage.READY
+            and (context.tenant is None or peer.knows_tenants)
         ]
         return select_relays(ready, self.state.random_source)
 
@@ -104,7 +118,7 @@
         )
         self.state.counters.events['request_passed_on'] += 1
         self.state.hand_over_request(context.pool.name)
-        message = self._message(context, attempts_before)
+        message = self._message(context, relay, attempts_before)
         response = await self._exchange(address, connection, message)
         reply = _read_reply(relay, response)
         if reply.refusal is not None:
@@ -154,7 +168,7 @@
         return response
 
     def _message(
-        self, context: RequestContext, attempts_before: int
+        self, context: RequestContext, relay: RelayVm, attempts_before: int
     ) -> RelayRequest:
         now = asyncio.get_running_loop().time()
         request = context.request
@@ -170,10 +184,18 @@
             tuple(sorted(context.tried_servers)),
             request.method,
             request.target,
-            tuple(request.fields),
+            tuple(self._fields_for(request, relay)),
             request.body,
         )
 
+    def _fields_for(self, request: Request, relay: RelayVm) -> Fields:
+        tables = self.state.fleet_state.tables
+        return self.state.wire_format.passed_on_fields(
+            request.fields,
+            keeps_key=relay.knows_tenants,
+            has_tenants=tables is not None and tables.tenants is not None,
+        )
+
     def _conclude(
         self,
         context: RequestContext,
@@ -181,11 +203,14 @@
         reply: RelayReply,
         attempts_before: int,
     ) -> Response:
-        """Return the server's response; raises `AttemptError` without one."""
+        """Return the server's response; raises an error without one."""
         context.attempt_count = attempts_before + reply.attempts
         context.detail = reply.detail or context.detail
         if reply.response is not None:
             return self._accept(context, reply.response)
+        if reply.code in KEY_CODES and relay.knows_tenants:
+            context.attempt_count = attempts_before
+            raise RejectedError(reply.detail, reply.code)
         if reply.outcome is Outcome.NOT_RUN:
             raise _not_run_error(
                 context,
--- a/zinniaturn/gateway/relay_service.py
+++ b/zinniaturn/gateway/relay_service.py
@@ -10,6 +10,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from types import MappingProxyType
 
 from zinniaturn.choosing.exceptions import RejectedError
 from zinniaturn.fleet.state_exchange import StateService
@@ -42,6 +43,15 @@
 _MS_PER_SECOND = 1000
 # The reply needs this long to reach the VM whose caller waits.
 _HOP_SECONDS = 0.01
+# Another VM may serve what was rejected for these reasons. Earlier builds would
+# not understand a new refusal.
+_TOO_OLD_CODE = 'configuration-too-old'
+_REFUSALS_BY_CODE = MappingProxyType(
+    {
+        'draining': RelayRefusal.STOPPING,
+        _TOO_OLD_CODE: RelayRefusal.OLDER_TABLES,
+    }
+)
 # What a message adds to a request's head and body.
 _ENVELOPE_BYTES = 64 * 1024
 
@@ -217,7 +227,7 @@
         return None
     if context.is_out_of_reach:
         return RelayRefusal.UNREACHED
-    return RelayRefusal.STOPPING if result.code == 'draining' else None
+    return _REFUSALS_BY_CODE.get(result.code)
 
 
 def _pool_names(route: FleetRoute) -> set[str]:
@@ -256,6 +266,8 @@
 
 def _key_reply(error: RejectedError) -> RelayReply:
     """Return the reply to a request that its key doesn't allow."""
+    if error.code == _TOO_OLD_CODE:
+        return refuse(RelayRefusal.OLDER_TABLES)
     return RelayReply(
         RELAY_VERSION,
         Outcome.NOT_RUN,
--- a/zinniaturn/gateway/reporting.py
+++ b/zinniaturn/gateway/reporting.py
@@ -13,6 +13,7 @@
 from zinniaturn.gateway.dispatch import Dispatcher
 from zinniaturn.gateway.state import GatewayState
 from zinniaturn.http1.byte_budget import ByteBudget
+from zinniaturn.tenants import Standing
 
 _MAX_LOGGED_ENTRIES = 5
 _MAX_LOGGED_SERVERS = 40
@@ -26,7 +27,8 @@
 
     ``alive`` holds the VMs that were alive at the last check, and
     ``reported_unreadable`` the keys of the entries that can't be read, and
-    ``reported_refusals`` the number of refused bodies.
+    ``reported_refusals`` the number of refused bodies. ``reported_too_old`` is
+    set while the tables were last said to be too old for tenants.
     """
 
     state: GatewayState
@@ -35,6 +37,7 @@
     reported_unreadable: frozenset[str] = frozenset()
     alive: frozenset[str] = frozenset()
     reported_refusals: int = 0
+    reported_too_old: bool = False
 
     def apply_change(self, change: StateChange) -> None:
         """Apply a change of tables, servers or VMs, and log it."""
@@ -128,6 +131,25 @@
             )
             self.consecutive_store_failures = 0
 
+    def log_tables_age(self) -> None:
+        """Log when the tables become too old for tenants, and when no more."""
+        standing = self.dispatcher.tenant_gate.standing()
+        is_too_old = standing is Standing.TOO_OLD
+        if is_too_old == self.reported_too_old:
+            return
+        if not is_too_old and standing is not Standing.FRESH:
+            return
+        self.reported_too_old = is_too_old
+        proof = self.state.fleet_state.proof
+        self.state.event_log.write(
+            LogEvent.TABLES_TOO_OLD if is_too_old else LogEvent.TABLES_PROVEN,
+            proof_age_ms=proof.age_ms,
+            state_age_ms=self.state.fleet_state.age_ms,
+            is_document_readable=bool(proof.revision),
+            is_document_missing=proof.is_missing,
+            store_failures=self.consecutive_store_failures,
+        )
+
     def note_rejected_message(self, reason: str) -> None:
         """Count and log an unusable message from another VM."""
         self.state.counters.events['vm_message_refused'] += 1
--- a/zinniaturn/gateway/tenant_gate.py
+++ b/zinniaturn/gateway/tenant_gate.py
@@ -20,7 +20,7 @@
 from zinniaturn.gateway.state import GatewayState
 from zinniaturn.http1.messages import Request
 from zinniaturn.placing.retry_after import RetryAfterJitter
-from zinniaturn.tenants import KeyRuling, Tenant
+from zinniaturn.tenants import KeyRuling, Standing, Tenant
 
 # The codes of requests that their keys don't allow.
 KEY_CODES = frozenset(('unknown-key', 'configuration-too-old'))
@@ -60,6 +60,19 @@
             return tenant
         raise self._rejection(ruling)
 
+    def standing(self) -> Standing:
+        """Return what the tables in force are good for, by their proof."""
+        fleet_state = self.state.fleet_state
+        tables = fleet_state.tables
+        if tables is None or tables.tenants is None:
+            return Standing.FRESH
+        rule = self.state.settings.bounds.revocation
+        return rule.standing(fleet_state.proof.age_seconds)
+
+    def is_outdated(self) -> bool:
+        """Return whether other VMs may serve tenants better soon."""
+        return self.standing() is not Standing.FRESH
+
     def check(self, context: RequestContext) -> None:
         """Raise `RejectedError` if a request must not be sent any more."""
         self.admit(context.request, context.route)
--- a/zinniaturn/gateway/wire_format.py
+++ b/zinniaturn/gateway/wire_format.py
@@ -33,6 +33,16 @@
     def tenant_key(self, fields: Fields) -> bytes:
         """Return the secret key of a tenant, empty if there is none."""
 
+    def passed_on_fields(
+        self, fields: Fields, *, keeps_key: bool, has_tenants: bool
+    ) -> Fields:
+        """
+        Return a request's fields as another VM gets them.
+
+        Without ``keeps_key`` they hold no tenant's key, and with
+        ``has_tenants`` not the tenant that the caller names.
+        """
+
     def caller_timeout_seconds(self, fields: Fields) -> float | None:
         """Return the caller's timeout, if it states one."""
 
--- a/zinniaturn/placing/address_selection.py
+++ b/zinniaturn/placing/address_selection.py
@@ -4,6 +4,7 @@
     'AddressSelector',
     'demand_step',
     'vms_for_demand',
+    'vms_up_to_date',
     'vms_with_paths',
 )
 
@@ -57,6 +58,18 @@
     return float(_DEMAND_STEP**steps)
 
 
+def vms_up_to_date(
+    vms: Sequence[VmRecord], outdated: Collection[str]
+) -> Sequence[VmRecord]:
+    """
+    Return the VMs whose tables are fresh enough to serve tenants for a while.
+
+    ``outdated`` names the others. They are returned if there are no better
+    ones, since they still serve public routes.
+    """
+    return [vm for vm in vms if vm.name not in outdated] or vms
+
+
 def vms_with_paths(
     vms: Sequence[VmRecord], cut_off: Collection[str], demand: float
 ) -> Sequence[VmRecord]:
--- a/zinniaturn/platform/wire_format.py
+++ b/zinniaturn/platform/wire_format.py
@@ -69,6 +69,20 @@
         """Return the secret key of a tenant, empty if there is none."""
         return find_field(fields, _TENANT_KEY) or b''
 
+    def passed_on_fields(
+        self, fields: Fields, *, keeps_key: bool, has_tenants: bool
+    ) -> Fields:
+        """
+        Return a request's fields as another VM gets them.
+
+        Without ``keeps_key`` they hold no tenant's key, and with
+        ``has_tenants`` not the tenant that the caller names.
+        """
+        dropped = _TENANT_NAMES if has_tenants else _NOTHING
+        if not keeps_key:
+            dropped |= {_TENANT_KEY}
+        return [field for field in fields if field[0].lower() not in dropped]
+
     def caller_timeout_seconds(self, fields: Fields) -> float | None:
         """
         Return the caller's timeout, if it states one that can be read.
--- a/zinniaturn/relay/selection.py
+++ b/zinniaturn/relay/selection.py
@@ -19,13 +19,15 @@
     A VM that may take a request.
 
     ``capacity`` and ``load`` are in requests per second; a capacity of 0 is not
-    known.
+    known. With ``knows_tenants`` it asks for tenants' keys, and never sends one
+    to a server.
     """
 
     name: str
     address: Address
     capacity: int = 0
     load: int = 0
+    knows_tenants: bool = False
 
     @property
     def weight(self) -> float:
