--- a/zinniaturn/gateway/dispatch.py
+++ b/zinniaturn/gateway/dispatch.py
@@ -94,7 +94,11 @@
             tenant = self.tenant_gate.admit(request, route)
         except RejectedError as error:
             return self._reject_unrouted(
-                request, error.code, error.retry_after_seconds, route.name
+                request,
+                error.code,
+                error.retry_after_seconds,
+                route.name,
+                error.message,
             )
         name = self.pool_selector.select(route)
         pool = tables.pools.get(name, FleetPool(name, ()))
@@ -229,7 +233,8 @@
         code: str,
         seconds: float | None,
         route: str = '',
+        detail: str = '',
     ) -> Response:
         response = rejection_response(code, Outcome.NOT_RUN, seconds)
-        self.log.unserved(request, code, response.status, route)
+        self.log.unserved(request, code, response.status, route, detail)
         return response
--- a/zinniaturn/gateway/request_log.py
+++ b/zinniaturn/gateway/request_log.py
@@ -21,7 +21,12 @@
     state: GatewayState
 
     def unserved(
-        self, request: Request, code: str, status: int, route: str = ''
+        self,
+        request: Request,
+        code: str,
+        status: int,
+        route: str = '',
+        detail: str = '',
     ) -> None:
         """Count and log a request without a route or without a valid key."""
         request_id = self.state.wire_format.request_id(request.fields)
@@ -34,6 +39,7 @@
             route=route,
             outcome=code,
             status=status,
+            detail=detail,
             tables_revision=self.state.tables_revision(),
         )
 
@@ -49,6 +55,7 @@
             request=context.request_id,
             route=context.route.name,
             pool=context.pool.name,
+            tenant='' if context.tenant is None else context.tenant.name,
             outcome=outcome,
             status=status,
             milliseconds=_tenths(now - context.arrived_at),
