Let each VM read the store when no other one proves its tables

Cause: the reads for a proof followed the ranks of the schedule, so that a VM of a high rank among VMs of an earlier build, which tell no proof, would have read after its tables had become too old for tenants. Change: each rank reads once the proof is 1.7 to 2.7 times the later age of the schedule old (1.9 to 2.9 s), one after the other, at most as often. The reader of states in foreign_data varies the new last part, and its documents have tenants.

--- a/features/revocation.feature
+++ b/features/revocation.feature
@@ -64,7 +64,7 @@
       | 1    |
       | 2    |
       | 3    |
-      | 4    |
+      | 5    |
 
   Scenario: The model finds VMs that take late datagrams for proofs
     Given 4 VMs that trust datagrams however late, whose keys are withdrawn and added at random, with seed 7
--- a/features/steps/foreign_data_steps.py
+++ b/features/steps/foreign_data_steps.py
@@ -53,6 +53,7 @@
 from zinniaturn.fleet.domain import VmStage, VmStatus
 from zinniaturn.fleet.fleet_state import FleetState, StateFingerprint
 from zinniaturn.fleet.messages import (
+    StateMessage,
     build_state_message,
     decode_state,
     encode_message,
@@ -68,11 +69,13 @@
 from zinniaturn.platform.wire_format import PlatformWireFormat
 from zinniaturn.relay.messages import decode_reply, decode_request
 from zinniaturn.tables.matching import RouteMatcher
+from zinniaturn.tenants import TenantTable
 
 _EXAMPLES = 200
 _DEEP_ENTRY = b'{"trace":%b' % (b'[' * 1200)
 _MOST_CHARACTERS = 300
 _LONGEST_SECONDS = 1e6
+_MS_PER_SECOND = 1000
 _WIRE = PlatformWireFormat()
 
 
@@ -226,6 +229,11 @@
         assert 0 <= route.objective_seconds <= _LONGEST_SECONDS
         assert 0 <= route.max_attempts <= 1000
         assert all(0 <= share.weight < math.inf for share in route.shares)
+    for key, tenant in (tables.tenants or TenantTable()).by_key.items():
+        assert key == key.strip()
+        assert not set(b'\r\n') & {*key, *tenant.name.encode()}
+        assert 0 <= tenant.requests_per_second <= 10**9
+        assert 0 <= tenant.burst <= 10**9
 
 
 def _read_settings_file(raw):
@@ -273,6 +281,10 @@
     snapshot = snapshot_from_message(state, content, other)
     if snapshot is not None:
         other.install(snapshot, 100)
+        if state.proof_age_ms is not None:
+            as_of = 100 - state.proof_age_ms / _MS_PER_SECOND
+            other.proof.prove(content.parts.tables, as_of)
+        assert other.proof.age_seconds >= 0, other.proof
         _tell_other_vm(other)
         _tell_of_vms(other)
 
@@ -314,6 +326,7 @@
         build_document(2),
     )
     state.install(snapshot, 100)
+    state.proof.prove(2, 100)
     return state
 
 
@@ -322,11 +335,12 @@
     raw = encode_message(
         build_state_message(_sound_state(), StateFingerprint())
     )
-    version, revision, age, packed = msgspec.msgpack.decode(raw)
-    contents = changed_messages(zlib.decompress(packed))
+    parts = msgspec.msgpack.decode(raw)
+    packed = StateMessage.__struct_fields__.index('packed')
+    contents = changed_messages(zlib.decompress(parts[packed]))
     packed_states = contents.map(
         lambda content: msgspec.msgpack.encode(
-            [version, revision, age, zlib.compress(content)]
+            [*parts[:packed], zlib.compress(content), *parts[packed + 1 :]]
         )
     )
     return st.one_of(packed_states, changed_messages(raw))
--- a/features/support/foreign_data.py
+++ b/features/support/foreign_data.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 
 from features.support.gateway import build_config
+from features.support.tenants import build_tenant_config
 from zinniaturn.platform.standins.wire import build_settings_document
 
 _DEPTHS = (3, 300, 1_200, 100_000)
@@ -166,14 +167,23 @@
 
 def documents():
     """Return a strategy for the operator's document."""
-    return changed_documents(build_config(max_body_bytes=1000))
+    return st.one_of(
+        changed_documents(build_config(max_body_bytes=1000)),
+        changed_documents(build_tenant_config()),
+    )
 
 
 def settings_files():
     """Return a strategy for a settings file."""
     listen = {'front': 8641, 'readiness': 8640, 'directory': 8644}
     document = build_settings_document('10.0.0.1', 'vm-1', 8642, listen, 7620)
-    bounds = {'grace_s': 6, 'drain_ms': 2000, 'probes_per_s': 60}
+    bounds = {
+        'grace_s': 6,
+        'drain_ms': 2000,
+        'probes_per_s': 60,
+        'fail_closed': True,
+        'revoke_ms': 5000,
+    }
     limits = {'cpu_share': 0.5, 'link_mbps': 10}
     return changed_documents({**document, 'bounds': bounds, 'limits': limits})
 
--- a/zinniaturn/fleet/poll_schedule.py
+++ b/zinniaturn/fleet/poll_schedule.py
@@ -29,6 +29,10 @@
 _LATER_SHARE_OF_BOUND = 0.55
 _LATER_STEP_SHARE_OF_BOUND = 0.013
 _RESERVE_SHARE_OF_BOUND = 2.0
+# Ranks read for a proof one after the other, before the tables of a bound of
+# 5 s count as outdated.
+_FIRST_PROOF_FACTOR = 1.7
+_PROOF_PLACES = 20
 
 
 @dataclass(slots=True)
@@ -93,6 +97,17 @@
             )
         return self.reserve_seconds + jitter * rank
 
+    def proof_age_seconds(self, rank: int) -> float:
+        """
+        Return the age of the tables' proof at which the VM of this rank reads.
+
+        Other VMs tell it younger ones much earlier, unless none of them can.
+        Each rank reads then, as one in a fleet of an earlier build has nobody
+        to ask.
+        """
+        place = rank % _PROOF_PLACES / _PROOF_PLACES
+        return self.later_seconds * (_FIRST_PROOF_FACTOR + place)
+
     def backoff(self, rank: int) -> float:
         """Return the delay in seconds after consecutive failed reads."""
         most = (
--- a/zinniaturn/fleet/store_poller.py
+++ b/zinniaturn/fleet/store_poller.py
@@ -16,8 +16,6 @@
 _MIN_SLEEP_SECONDS = 0.02
 # The rank may change meanwhile.
 _MAX_SLEEP_SECONDS = 0.25
-# A proof reaches other VMs later than what confirms their states.
-_PROOF_LAG_SECONDS = 0.7
 
 SnapshotListener = Callable[[FleetSnapshot], None]
 FaultListener = Callable[[Exception], None]
@@ -54,8 +52,7 @@
 
     def is_due(self) -> bool:
         """Return whether the state is so old that this VM should read."""
-        poll_age = self.schedule.poll_age_seconds(self.vms.poll_rank())
-        return self._age_seconds() >= poll_age
+        return self._remaining_seconds() <= 0
 
     def install(self, snapshot: FleetSnapshot, requested_at: float) -> None:
         """Install what a read has brought that began at ``requested_at``."""
@@ -70,28 +67,28 @@
             proof.prove(snapshot.document.revision, requested_at)
 
     def _seconds_until_poll(self) -> float:
-        poll_age = self.schedule.poll_age_seconds(self.vms.poll_rank())
-        remaining = poll_age - self._age_seconds()
+        remaining = self._remaining_seconds()
         return max(_MIN_SLEEP_SECONDS, min(_MAX_SLEEP_SECONDS, remaining))
 
-    def _age_seconds(self) -> float:
+    def _remaining_seconds(self) -> float:
         """
-        Return the age of what a read would renew.
+        Return the seconds until this VM should read.
 
         The tables' proof counts too where tenants are configured, as VMs of
-        earlier builds pass no proof on. It makes a VM read no more often than
-        the schedule has it read.
+        earlier builds pass none on.
         """
         fleet_state = self.fleet_state
-        age = fleet_state.age_seconds
+        rank = self.vms.poll_rank()
+        poll_age = self.schedule.poll_age_seconds(rank)
+        remaining = poll_age - fleet_state.age_seconds
         tables = fleet_state.tables
         if tables is None or tables.tenants is None:
-            return age
+            return remaining
         if not fleet_state.proof.is_possible:
-            return age
-        unproven = fleet_state.proof.age_seconds - _PROOF_LAG_SECONDS
+            return remaining
         since_read = fleet_state.clock.monotonic() - self.read_at
-        return max(age, min(unproven, since_read))
+        proof_age = min(fleet_state.proof.age_seconds, since_read)
+        return min(remaining, self.schedule.proof_age_seconds(rank) - proof_age)
 
     async def _read(self) -> None:
         requested_at = self.fleet_state.clock.monotonic()
