--- a/features/message_versions.feature
+++ b/features/message_versions.feature
@@ -27,6 +27,10 @@
   Scenario: A datagram without later parts costs one byte more for "quarantine" and nothing for others
     Then an empty datagram is 1 bytes longer than that of the build f0f2c2e, for "quarantine"
 
+  Scenario: A status without the last part is that of a VM whose tables are up to date
+    When the recorded statuses of the build f0f2c2e is read
+    Then no VM in it is outdated
+
   Scenario: A state with the age of its tables' proof is read by a build that lacks it
     When a state with a proof of its tables is read by a build that lacks "proof_age_ms"
     Then that build finds the state's revision, age and content
--- a/features/steps/message_versions_steps.py
+++ b/features/steps/message_versions_steps.py
@@ -225,6 +225,12 @@
     assert Datagram.__struct_fields__[parts - 1] == part
 
 
+@then('no VM in it is outdated')
+def check_up_to_date(context):
+    assert context.content
+    assert not any(status.is_outdated for status in context.content)
+
+
 @then('a server entry with a {figure} of {value:d} names no server')
 def check_entry(context, figure, value):
     entry = {
--- a/zinniaturn/events/catalogue.py
+++ b/zinniaturn/events/catalogue.py
@@ -72,6 +72,8 @@
     REQUEST_SUSPECTED = 761
     REQUEST_HELD = 762
     REQUEST_CLEARED = 763
+    TABLES_TOO_OLD = 770
+    TABLES_PROVEN = 771
     DATA_CENTRES_EVACUATED = 780
     DATA_CENTRES_RETURNED = 781
     LEAVING_CHANGED = 790
@@ -274,6 +276,14 @@
             _INFO,
             'a request that was suspected or held may run again',
         ),
+        LogEvent.TABLES_TOO_OLD: (
+            _WARNING,
+            "keys may have been withdrawn; tenants' requests are rejected",
+        ),
+        LogEvent.TABLES_PROVEN: (
+            _INFO,
+            "the tables are the store's newest; tenants are served again",
+        ),
         LogEvent.DATA_CENTRES_EVACUATED: (
             _WARNING,
             'the servers of evacuated data centres get no more requests',
--- a/zinniaturn/fleet/status_rows.py
+++ b/zinniaturn/fleet/status_rows.py
@@ -14,6 +14,7 @@
 import contextlib
 import zlib
 from collections.abc import Iterable
+from typing import cast
 
 import msgspec
 
@@ -66,8 +67,8 @@
         return record
 
 
-class StatusRow(msgspec.Struct, array_like=True, frozen=True):
-    """A VM's status encoded as an array."""
+class _PlainStatusRow(msgspec.Struct, array_like=True, frozen=True):
+    """A `StatusRow` of a VM that is up to date."""
 
     name: str
     version: Version
@@ -76,11 +77,23 @@
     record: RecordRow | None = None
     cut_off: Count = 0
 
+
+class StatusRow(_PlainStatusRow, array_like=True, frozen=True):
+    """
+    A VM's status encoded as an array.
+
+    Older processes send no more than ``cut_off``, so that their VMs count as
+    up to date, and drop the rest of what they pass on. Nor is the rest sent of
+    a VM that is up to date.
+    """
+
+    is_outdated: bool = False
+
     @classmethod
     def of(cls, status: VmStatus) -> 'StatusRow':
-        """Return the row of a status."""
+        """Return the row of a status, as short as it can be."""
         record = status.record
-        return cls(
+        plain = _PlainStatusRow(
             status.name,
             status.version,
             status.stage,
@@ -88,6 +101,17 @@
             None if record is None else RecordRow.of(record),
             status.cut_off,
         )
+        if not status.is_outdated:
+            return cast(StatusRow, plain)
+        return cls(
+            plain.name,
+            plain.version,
+            plain.stage,
+            plain.load,
+            plain.record,
+            plain.cut_off,
+            status.is_outdated,
+        )
 
     def to_status(self) -> VmStatus:
         """Return the status; raises `ValueError` if its record is unusable."""
@@ -99,6 +123,7 @@
             self.load,
             None if record is None else record.to_record(self.name),
             self.cut_off,
+            self.is_outdated,
         )
 
 
--- a/zinniaturn/gateway/allowance_gate.py
+++ b/zinniaturn/gateway/allowance_gate.py
@@ -91,12 +91,14 @@
         until = clock.monotonic() + _REPLY_SECONDS
         expiry = admission.permits.take(clock.monotonic())
         while expiry is None:
+            # This VM's own allowances are granted at once.
+            is_asked = exchange.request(admission)
             seconds = until - clock.monotonic()
-            if seconds <= 0 or not exchange.request(admission):
-                break
-            if exchange.is_pending(admission):
+            if is_asked and seconds > 0:
                 await exchange.wait_for_reply(seconds)
             expiry = admission.permits.take(clock.monotonic())
+            if not is_asked or seconds <= 0:
+                break
         if expiry is not None:
             exchange.request(admission)
             return expiry
--- a/zinniaturn/gateway/attempt.py
+++ b/zinniaturn/gateway/attempt.py
@@ -55,20 +55,10 @@
     connection = await _acquire_connection(
         state, address, placement, request_id
     )
-    if state.admissions.clock.monotonic() >= placement.send_before:
-        state.connections.keep_idle(address, connection)
-        raise AttemptError(
-            f'{server.name}: the permit expired before the request was sent',
-            Phase.NOT_SENT,
-            Event.CONNECT_FAILED,
-        )
-    obstacle = _find_evacuation(state, placement)
-    if obstacle:
-        state.connections.keep_idle(address, connection)
-        raise PlacementOutdatedError(f'{server.name}: {obstacle}')
     try:
+        _check_placement(state, placement)
         tenant = tenant_for(context)
-    except RejectedError:
+    except (AttemptError, RejectedError):
         state.connections.keep_idle(address, connection)
         raise
     loop = connection.loop
@@ -122,6 +112,20 @@
     return response
 
 
+def _check_placement(state: GatewayState, placement: Placement) -> None:
+    """Raise `AttemptError` if a placement must not be used any more."""
+    name = placement.candidate.name
+    if state.admissions.clock.monotonic() >= placement.send_before:
+        raise AttemptError(
+            f'{name}: the permit expired before the request was sent',
+            Phase.NOT_SENT,
+            Event.CONNECT_FAILED,
+        )
+    obstacle = _find_evacuation(state, placement)
+    if obstacle:
+        raise PlacementOutdatedError(f'{name}: {obstacle}')
+
+
 def _find_evacuation(state: GatewayState, placement: Placement) -> str:
     """Return why a request must not be sent any more, '' if it may be."""
     if state.is_evacuated(placement.candidate):
--- a/zinniaturn/gateway/metrics.py
+++ b/zinniaturn/gateway/metrics.py
@@ -32,6 +32,7 @@
     requests_held: int = 0
     departures: Departures = field(default_factory=Departures)
     data_centres_evacuated: int = 0
+    proof_age_seconds: float = 0
 
 
 def render_metrics(state: GatewayState) -> bytes:
@@ -51,6 +52,7 @@
         len(state.quarantine.held()),
         state.locality.departures,
         len(state.fleet_state.evacuated),
+        min(_MAX_AGE_SECONDS, state.fleet_state.proof.age_seconds),
     )
     return text.TextFormatter().marshall(build_registry(snapshot))
 
@@ -73,33 +75,44 @@
         events.set({'event': name}, count)
     _add_latency_histograms(registry, counters)
     _add_departures(registry, snapshot.departures)
-    age = Gauge(
-        'zinniaturn_gateway_state_age_seconds',
-        'Seconds since the state held was last confirmed',
-        registry=registry,
-    )
-    age.set({}, snapshot.state_age_seconds)
-    vms = Gauge(
-        'zinniaturn_gateway_vms_alive',
-        'Other VMs that are heard',
-        registry=registry,
-    )
-    vms.set({}, snapshot.vms_alive)
-    held = Gauge(
-        'zinniaturn_gateway_requests_held',
-        'Requests that are kept from servers, as they end them',
-        registry=registry,
-    )
-    held.set({}, snapshot.requests_held)
-    evacuated = Gauge(
-        'zinniaturn_gateway_data_centres_evacuated',
-        'Data centres whose servers get no requests',
-        registry=registry,
-    )
-    evacuated.set({}, snapshot.data_centres_evacuated)
+    for name, help_text, figure in _gauges(snapshot):
+        Gauge(name, help_text, registry=registry).set({}, figure)
     return registry
 
 
+def _gauges(
+    snapshot: MetricsSnapshot,
+) -> tuple[tuple[str, str, float], ...]:
+    """Return the names, help texts and figures of gauges without labels."""
+    return (
+        (
+            'zinniaturn_gateway_state_age_seconds',
+            'Seconds since the state held was last confirmed',
+            snapshot.state_age_seconds,
+        ),
+        (
+            'zinniaturn_gateway_tables_proof_age_seconds',
+            "Seconds since the tables in force were surely the store's newest",
+            snapshot.proof_age_seconds,
+        ),
+        (
+            'zinniaturn_gateway_vms_alive',
+            'Other VMs that are heard',
+            snapshot.vms_alive,
+        ),
+        (
+            'zinniaturn_gateway_requests_held',
+            'Requests that are kept from servers, as they end them',
+            snapshot.requests_held,
+        ),
+        (
+            'zinniaturn_gateway_data_centres_evacuated',
+            'Data centres whose servers get no requests',
+            snapshot.data_centres_evacuated,
+        ),
+    )
+
+
 def _counter(registry: 'Registry', name: str, help_text: str) -> 'Counter':
     from aioprometheus import Counter
 
