Let the evacuation scenarios detect two faults that they missed

Trials with faults put in: without the rejection of waiting requests all passed, as they were rejected as late; routes now have an objective of 1 s. Without the reads of evacuations alone the scenario of VMs that tell none passed, as the VM that follows was first by rank; now the others are. Both are found. The scenario of requests in flight has work of 0.4 s, since 0.8 s missed the deadline of 1 s once on the loaded machine.

features/evacuation_gateway.feature: 16 of 16 pass in one run; in a second one the scenario of callers served by the other data centre failed once, cause not known yet.

--- a/features/evacuation_gateway.feature
+++ b/features/evacuation_gateway.feature
@@ -25,9 +25,9 @@
 
   Scenario: Requests in flight end normally
     Given 1 gateways that follow evacuations before two data centres
-    And each server takes 0.8 s for a request
+    And each server takes 0.4 s for a request
     When 8 posts run at the servers
-    And "dc-a" is evacuated and all gateways know it
+    And "dc-a" is evacuated without a moment's delay
     Then the posts in flight are all answered by the servers that ran them
 
   Scenario: Where all servers are evacuated callers get 503 at once and nothing runs
--- a/features/steps/evacuation_gateway_steps.py
+++ b/features/steps/evacuation_gateway_steps.py
@@ -10,6 +10,8 @@
 from features.support.gateway import SmallPlatform, wait_until
 from features.support.two_centers import (
     EVACUATE_SECONDS,
+    FOLLOWERS,
+    OTHERS,
     add_gateways,
     arrivals_at,
     evacuate,
@@ -36,9 +38,9 @@
     async def start():
         context.platform = SmallPlatform(context)
         await start_servers(context.platform)
-        context.others = await add_gateways(context, others, 0, 'other')
+        context.others = await add_gateways(context, OTHERS[:others], 0)
         context.followers = await add_gateways(
-            context, following, EVACUATE_SECONDS, 'vm'
+            context, FOLLOWERS[:following], EVACUATE_SECONDS
         )
         await wait_until_acquainted(context)
 
@@ -401,7 +403,7 @@
 
     async def start():
         context.followers = await add_gateways(
-            context, 1, EVACUATE_SECONDS, 'late'
+            context, FOLLOWERS[:1], EVACUATE_SECONDS
         )
         number = len(context.platform.gateways)
         tries = []
--- a/features/support/two_centers.py
+++ b/features/support/two_centers.py
@@ -1,18 +1,28 @@
 """Servers in two data centres, and gateways that follow evacuations or not."""
 
 from features.support.cut_links import add_cut_gateway
+from features.support.gateway import build_config, build_route_row
 from zinniaturn.fleet.evacuations import EvacuationsNews
 from zinniaturn.fleet.revisions import join_revision
 from zinniaturn.platform.standins import ServerStandIn
 
 EVACUATE_SECONDS = 5
+FOLLOWERS = ('vm-1', 'vm-2')
+# By rank they come before the others, so that they read the store first.
+OTHERS = ('old-2', 'old-6')
 _WORK_SECONDS = 0.03
+_ROUTES = (('reads', 'idempotent'), ('posts', 'non_idempotent'))
 _CENTERS = ('dc-a', 'dc-a', 'dc-b', 'dc-b')
 
 
 async def start_servers(platform):
     """Start two servers in each data centre, behind proxies."""
-    await platform.start([])
+    # A request may wait for as long as its route lets it.
+    rows = [
+        build_route_row(name, f'/{name}/', kind, target_ms=1000)
+        for name, kind in _ROUTES
+    ]
+    await platform.start([], build_config(rows))
     for number, data_center in enumerate(_CENTERS, 1):
         await platform.add_proxied_server(
             ServerStandIn(
@@ -24,15 +34,11 @@
         )
 
 
-async def add_gateways(context, count, bound_seconds, prefix):
+async def add_gateways(context, names, bound_seconds):
     """Start gateways and return them; with a bound of 0 they don't follow."""
     return [
-        await add_cut_gateway(
-            context,
-            f'{prefix}-{number + 1}',
-            evacuate_seconds=bound_seconds,
-        )
-        for number in range(count)
+        await add_cut_gateway(context, name, evacuate_seconds=bound_seconds)
+        for name in names
     ]
 
 
