Forget the response sizes of routes that no longer exist

Cause: the sizes of removed routes were kept for the life of the process. Change: they go when new tables come into force; an unused method is removed. An example in a docstring showed the figure of an earlier constant.

--- a/zinniaturn/gateway/state.py
+++ b/zinniaturn/gateway/state.py
@@ -126,6 +126,7 @@
         tables = self.fleet_state.tables
         if change.tables_revision is not None and tables is not None:
             self.matcher = RouteMatcher(tables.routes.values())
+            self.locality.sizes.retain(set(tables.routes))
             if self.stage is VmStage.STARTING:
                 self.stage = VmStage.READY
         previous = {
--- a/zinniaturn/locality/place_news.py
+++ b/zinniaturn/locality/place_news.py
@@ -43,7 +43,7 @@
     >>> for number in range(30):
     ...     news.note_probe(False, 1 + number / 100)
     >>> round(news.room_at(1.3), 2)
-    0.03
+    0.04
     >>> round(news.room_at(9), 2)
     0.7
     """
--- a/zinniaturn/locality/response_sizes.py
+++ b/zinniaturn/locality/response_sizes.py
@@ -8,8 +8,6 @@
 # The first samples of a route count more.
 _FIRST_SAMPLES = 20
 _BYTES_PER_MEGABYTE = 1_000_000
-# A route counts as one of downloads from this size on.
-_DOWNLOAD_BYTES = 32_768
 
 
 @dataclass(slots=True)
@@ -24,8 +22,8 @@
     >>> sizes.note('files', 1_000_000)
     >>> sizes.megabytes('files'), sizes.megabytes('reads')
     (1.0, 0.0)
-    >>> sizes.is_download('files'), sizes.is_download('reads')
-    (True, False)
+    >>> sizes.retain({'reads'}), sizes.megabytes('files')
+    (None, 0.0)
     """
 
     means: dict[str, float] = field(default_factory=dict)
@@ -43,10 +41,6 @@
         """Return the usual size of a route's responses in megabytes."""
         return self.means.get(route, 0) / _BYTES_PER_MEGABYTE
 
-    def is_download(self, route: str) -> bool:
-        """Return whether a route's responses are usually large."""
-        return self.means.get(route, 0) >= _DOWNLOAD_BYTES
-
     def retain(self, routes: set[str]) -> None:
         """Forget the routes that no longer exist."""
         for route in self.means.keys() - routes:
