--- a/features/run.py
+++ b/features/run.py
@@ -1,7 +1,9 @@
 """
 Run feature files in parallel and print the totals of all on the last line.
 
-Each feature file runs in a process of its own. A scenario that is listed in
+Each feature file runs in a process of its own. Those tagged ``@alone`` measure
+what a crowd of clients costs; they run after all others, one at a time, so that
+no two crowds share the machine. A scenario that is listed in
 ``KNOWN-RED.txt`` is run and printed, but its failure does not fail the run.
 """
 
@@ -16,6 +18,7 @@
 
 _MAX_PARALLEL_RUNS = 4
 _TIMEOUT_SECONDS = 1200
+_ALONE_TAG = '@alone'
 
 
 def main(arguments):
@@ -23,12 +26,12 @@
     paths = [
         path for argument in arguments for path in _feature_files(argument)
     ]
+    alone = [path for path in paths if _runs_alone(path)]
+    parallel = [path for path in paths if path not in alone]
     with ThreadPoolExecutor(_MAX_PARALLEL_RUNS) as workers:
-        results = [
-            result
-            for results in workers.map(_run_feature, paths)
-            for result in results
-        ]
+        results_by_file = list(workers.map(_run_feature, parallel))
+    results_by_file.extend(_run_feature(path) for path in alone)
+    results = [result for results in results_by_file for result in results]
     counts = Counter(verdict for _, verdict in results)
     failed = {name for name, verdict in results if verdict == 'failed'}
     known_red = read_known_red(FILE_NAME)
@@ -49,6 +52,11 @@
     return [argument]
 
 
+def _runs_alone(path):
+    with Path(path).open(encoding='utf-8') as feature:
+        return _ALONE_TAG in feature.readline().split()
+
+
 def _run_feature(path):
     """Run a feature file and return its results; a crash counts as failed."""
     try:
--- a/zinniaturn/experiments/soak/vms.py
+++ b/zinniaturn/experiments/soak/vms.py
@@ -55,7 +55,8 @@
     may keep the VM from meeting its time bounds. ``stopping_since`` and
     ``killed_at`` tell whether a planned stop or a kill closed a connection.
     ``starts`` counts the processes. If the variable `OTHER_BUILD_VARIABLE`
-    names the folder of another build, it runs each second one.
+    names the folder of another build, it runs each second one. With a
+    ``metrics_port`` it serves its metrics there.
     """
 
     name: str
@@ -67,6 +68,7 @@
     stopping_since: float | None = None
     killed_at: list[float] = field(default_factory=list)
     starts: int = 0
+    metrics_port: int = 0
 
     @property
     def address(self) -> Address:
@@ -89,7 +91,12 @@
         process_environment[SETTINGS_VARIABLE] = str(self.settings_path)
         with self.log_path.open('ab') as log:
             self.process = subprocess.Popen(
-                [sys.executable, '-m', 'zinniaturn.platform'],
+                [
+                    sys.executable,
+                    '-m',
+                    'zinniaturn.platform',
+                    str(self.metrics_port),
+                ],
                 env=process_environment,
                 cwd=self._build_folder(),
                 stdout=log,
