Keep the count of a response right that waited for room

Cause: the bytes that came with a waiting response's head were counted twice once it had room, and a response that was given up while it waited did not let the next one in until something else was released.

Change: only what is missing is taken, and giving up admits the next one. Changed memory and descriptors in the settings take effect without a restart.

--- a/features/client_account.feature
+++ b/features/client_account.feature
@@ -43,6 +43,14 @@
     When the response of 600 KB is complete
     Then no response waits
 
+  Scenario: What came with a response's head is not counted twice, and one that leaves lets the next in
+    Given an account of 1000 KB
+    When servers begin to send responses of 600, 500, 300 and 20 KB
+    And 100 KB of the response of 500 KB have come, and it is given up
+    Then the account holds 900 KB
+    When all responses are complete
+    Then the account holds 0 KB
+
   Scenario: A body declared over the limit is refused on its head and takes no room
     When a reader with a limit of 100 bytes gets a head that declares 101
     Then it refuses with 413 and holds nothing
--- a/features/steps/client_account_steps.py
+++ b/features/steps/client_account_steps.py
@@ -215,6 +215,24 @@
     context.rooms[600].release()
 
 
+@when('100 KB of the response of 500 KB have come, and it is given up')
+def give_up_response(context):
+    context.rooms[500].hold(100 * _KILOBYTE)
+    context.rooms[500].release()
+
+
+@when('all responses are complete')
+def complete_all(context):
+    for room in context.rooms.values():
+        room.release()
+
+
+@then('the account holds {kilobytes:d} KB')
+def check_held(context, kilobytes):
+    held = context.account.budget.held
+    assert held == kilobytes * _KILOBYTE, held
+
+
 @then('no response waits')
 def check_none_waits(context):
     assert not any(room.wanted for room in context.rooms.values())
--- a/zinniaturn/gateway/process.py
+++ b/zinniaturn/gateway/process.py
@@ -195,6 +195,11 @@
         self.settings = settings
         self.state.settings = settings
         self.state.update_retry_budgets()
+        self.clients.set_resources(
+            settings.memory_megabytes, settings.max_descriptors
+        )
+        slots = self.state.connections.slots
+        slots.most = self.clients.most_server_connections
         self.event_log.write(LogEvent.SETTINGS_RELOADED)
 
     def _start_background_tasks(self) -> None:
--- a/zinniaturn/http1/client_account.py
+++ b/zinniaturn/http1/client_account.py
@@ -79,13 +79,22 @@
         max_descriptors: int = 0,
     ) -> 'ClientAccount':
         """Return the account of a process on a VM with these resources."""
-        budget = ByteBudget(client_bytes(memory_megabytes))
-        account = cls(budget, clock, max_descriptors)
-        callers = client_connections(max_descriptors, Place.CALLERS)
-        account.most_pipelined = callers * account.limits.pipelined_share
-        budget.make_room = account.make_room
+        account = cls(ByteBudget(), clock)
+        account.budget.make_room = account.make_room
+        account.set_resources(memory_megabytes, max_descriptors)
         return account
 
+    def set_resources(
+        self, memory_megabytes: float, max_descriptors: int
+    ) -> None:
+        """Apply what the VM has by now; who holds more gives way later."""
+        self.budget.most = client_bytes(memory_megabytes)
+        self.max_descriptors = max_descriptors
+        callers = client_connections(max_descriptors, Place.CALLERS)
+        self.most_pipelined = callers * self.limits.pipelined_share
+        for door in self.doors.values():
+            door.most = client_connections(max_descriptors, door.place)
+
     @property
     def connection_count(self) -> int:
         """Return the number of clients' connections."""
--- a/zinniaturn/http1/response_room.py
+++ b/zinniaturn/http1/response_room.py
@@ -62,6 +62,8 @@
         if self.wanted:
             self.wanted = 0
             self._read_on()
+            # Those behind it may have waited for it alone.
+            self.budget.admit_waiting()
         if held:
             self.budget.give_back(held)
 
@@ -69,9 +71,10 @@
         """Return whether there is room, or it is not needed any more."""
         if not self.wanted:
             return True
-        if not self.budget.take(self.wanted):
+        # Its first bytes may have come with its head.
+        if not self.budget.take(max(0, self.wanted - self.held)):
             return False
-        self.held = self.wanted
+        self.held = max(self.held, self.wanted)
         self.wanted = 0
         self._read_on()
         return True
