Start one request in a turn, and spare idle callers at a full port

Cause: a slice of bytes with 150 short requests that are answered at once kept the process busy for all of them; a full port closed idle callers before clients that had sent half a head; a refused request could not be told from a lost one; ports were built from the settings of the state, so a metrics port that is set before the start was not served (features/deadly_requests.feature, 2 scenarios).

Change: a connection starts one request in a turn; clients without a whole request count 32 times as long as idle ones; ports are built from the process's settings. A pause alone is counted and not logged.

--- a/features/client_account.feature
+++ b/features/client_account.feature
@@ -55,6 +55,10 @@
     When a reader with a limit of 100 bytes gets a head that declares 101
     Then it refuses with 413 and holds nothing
 
+  Scenario: Many short requests that are answered at once don't keep the process from others
+    When a connection gets 150 requests that are answered at once
+    Then it starts one of them in each turn
+
   Scenario: A connection that gave up waiting for a slot takes none
     Given 1 slot for connections, in use
     When one waits for it in vain, another waits, and the slot is given back
--- a/features/endless_bytes.feature
+++ b/features/endless_bytes.feature
@@ -35,6 +35,10 @@
       | a chunked body     | 413    |
       | a chunk extension  | 413    |
 
+  Scenario: A caller reads why its body was refused, and no reset, after it has sent more of it
+    When a caller declares a body of 100 MB, sends 2 MB of it and only then reads
+    Then it reads 413
+
   Scenario: Bodies of many callers together stay within the bound of the process
     Given the process may hold 6 MB of bodies that are being received
     When 8 callers each send 1 MB of a body of 2 MB and wait
--- a/features/steps/client_account_steps.py
+++ b/features/steps/client_account_steps.py
@@ -11,10 +11,12 @@
 from zinniaturn.http1.connections import ConnectionPool
 from zinniaturn.http1.exceptions import NoSlotError
 from zinniaturn.http1.holdings import Holding
+from zinniaturn.http1.intake import Intake
 from zinniaturn.http1.limits import CallerLimits
 from zinniaturn.http1.request_reader import RequestReader
 from zinniaturn.http1.response_room import ResponseRoom
 from zinniaturn.http1.sending import SendingProtocol
+from zinniaturn.http1.turns import Turns
 
 _KILOBYTE = 1024
 _ADDRESS = ('192.0.2.1', 80)
@@ -29,7 +31,7 @@
         self, context, kilobytes, progress_at=0, in_work=False, silent=False
     ):
         self.door = context.door
-        self.holding = Holding(self, progress_at, is_silent=silent)
+        self.holding = Holding(self, progress_at, is_unproven=silent)
         self.has_given_way = False
         self.is_admitted = self.door.enter(self.holding)
         self.in_work = in_work
@@ -255,6 +257,42 @@
     assert not context.reader.body.size
 
 
+class _Owner(_Receiver):
+    """A connection that answers each request at once."""
+
+    def __init__(self):
+        super().__init__()
+        self.started = 0
+        self.turns = Turns()
+
+    def may_start(self):
+        return True
+
+    def dispatch(self, request, held_bytes):
+        self.started += 1
+
+    def settle(self, moved_bytes=0):
+        """Do nothing."""
+
+
+@when('a connection gets {count:d} requests that are answered at once')
+def put_requests(context, count):
+    context.owner = _Owner()
+    source = ConnectionPool()
+    source.limits = CallerLimits()
+    reader = RequestReader(context.loop, context.owner, source)
+    context.intake = Intake(context.owner, reader, context.owner.turns)
+    context.intake.put(b'GET /metrics HTTP/1.1\r\n\r\n' * count)
+
+
+@then('it starts one of them in each turn')
+def check_turns(context):
+    assert context.owner.started == 1, context.owner.started
+    for expected in range(2, 10):
+        context.intake.take_turn()
+        assert context.owner.started == expected, context.owner.started
+
+
 @given('1 slot for connections, in use')
 def use_slot(context):
     context.slots = ConnectionSlots(1, bool)
--- a/features/steps/endless_bytes_steps.py
+++ b/features/steps/endless_bytes_steps.py
@@ -132,6 +132,34 @@
     )
 
 
+@when(
+    'a caller declares a body of 100 MB, sends 2 MB of it and only then reads'
+)
+def send_declared(context):
+    head = (
+        f'{_HEAD.format(1)}Content-Length: {100 * _BYTES_PER_MEGABYTE}\r\n\r\n'
+    )
+
+    async def send():
+        reader, writer = await asyncio.open_connection(*context.front)
+        writer.transport.pause_reading()
+        writer.write(head.encode())
+        for _ in range(32):
+            writer.write(b'x' * 65_536)
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        writer.transport.resume_reading()
+        context.status = (await asyncio.wait_for(read_response(reader), 5))[0]
+        writer.transport.abort()
+
+    _run(context, send())
+
+
+@then('it reads {status:d}')
+def check_status_read(context, status):
+    assert context.status == status, context.status
+
+
 @given(
     'the process may hold {megabytes:d} MB of bodies that are being received'
 )
--- a/zinniaturn/gateway/client_report.py
+++ b/zinniaturn/gateway/client_report.py
@@ -15,7 +15,7 @@
 @dataclass(slots=True)
 class ClientReport:
     """
-    Writes one line for all clients of some seconds.
+    Writes one line for all clients of some seconds; waiting alone isn't logged.
 
     The cost doesn't depend on the number of clients.
     """
@@ -32,7 +32,7 @@
         for key, count in losses.counts.items():
             self.state.counters.events[key[0].value] += count
         losses.move_to_log()
-        if not losses.logged or not self.limit.admit(now):
+        if not losses.has_given_way or not self.limit.admit(now):
             return
         logged, hosts = losses.take_logged()
         self.state.event_log.write(
--- a/zinniaturn/gateway/ports.py
+++ b/zinniaturn/gateway/ports.py
@@ -14,6 +14,7 @@
 from zinniaturn.gateway.metrics import render_metrics
 from zinniaturn.gateway.quarantine_endpoint import QuarantineEndpoint
 from zinniaturn.gateway.relay_service import PeerService, RelayService
+from zinniaturn.gateway.settings import GatewaySettings
 from zinniaturn.gateway.state import GatewayState
 from zinniaturn.http1.client_account import ClientAccount, Place
 from zinniaturn.http1.connections import Address
@@ -31,10 +32,12 @@
 
 
 def build_ports(
-    state: GatewayState, dispatcher: Dispatcher, clients: ClientAccount
+    settings: GatewaySettings,
+    state: GatewayState,
+    dispatcher: Dispatcher,
+    clients: ClientAccount,
 ) -> tuple[Port, ...]:
     """Return the ports that a process with these settings may have."""
-    settings = state.settings
     host = settings.host
     has_metrics = settings.metrics_port > 0
     address_selector = AddressSelector(
--- a/zinniaturn/gateway/process.py
+++ b/zinniaturn/gateway/process.py
@@ -165,7 +165,10 @@
         settings = self.settings
         asyncio.get_running_loop().set_exception_handler(self._log_exception)
         await self.peers.start()
-        for port in build_ports(self.state, self.dispatcher, self.clients):
+        ports = build_ports(
+            self.settings, self.state, self.dispatcher, self.clients
+        )
+        for port in ports:
             await self._listen(port)
         self._start_background_tasks()
         self.event_log.write(
--- a/zinniaturn/http1/callers.py
+++ b/zinniaturn/http1/callers.py
@@ -148,6 +148,7 @@
         """Start a request, which takes so many bytes."""
         exchange = CallerExchange(request, self)
         self.line.add(exchange, held_bytes)
+        self.holding.is_unproven = False
         if not request.keep_alive:
             self.is_closing = True
         try:
@@ -162,10 +163,14 @@
         exchange.task = self.loop.create_task(exchange.serve(reply))
 
     def reject(self, status: int, detail: bytes) -> None:
-        """Answer with an error, after earlier responses, and close."""
+        """
+        Answer with an error, after earlier responses, and close.
+
+        Of many requests that wait for their turn only the first are served.
+        """
         if self.is_closing:
             return
-        self.intake.start_all()
+        self.intake.start_last(self.door.account.limits.requests)
         self.is_closing = True
         # The client is still sending.
         self.lingers = True
@@ -227,11 +232,11 @@
         self._update(moved_bytes)
 
     def _pause_or_resume(self) -> None:
-        """Read on only when what has been received is handled."""
+        """Read on only when most of what has been received is handled."""
         transport = self.transport
         if transport is None or transport.is_closing():
             return
-        may_read = not self.intake.has_more and self.may_start()
+        may_read = not self.intake.is_full and self.may_start()
         if may_read == self.is_reading:
             return
         self.is_reading = may_read
--- a/zinniaturn/http1/holdings.py
+++ b/zinniaturn/http1/holdings.py
@@ -15,15 +15,16 @@
 OwnerT = TypeVar('OwnerT')
 
 _CLASS_COUNT = 40
-_SILENT_CLASS = 0
+_UNPROVEN_CLASS = 0
 # Fewer bytes are no progress: else a client that sends one byte now and then
 # would rank behind one that sends a large body in bursts.
 _PROGRESS_BYTES = 1024
 # Makes the sizes decide between connections that have just made progress.
 _LEAST_SECONDS = 0.05
-# A client that has never sent anything counts as this much longer without
-# progress than one whose connection is idle between requests.
-_SILENT_FACTOR = 8
+# A client that has never sent a whole request counts as this much longer
+# without progress than one whose connection is idle, for up to 12 s.
+_UNPROVEN_FACTOR = 32
+_UNPROVEN_BYTES = 32 * 1024
 
 
 @dataclass(slots=True, eq=False)
@@ -31,23 +32,22 @@
     """
     What one connection holds, in bytes, and when it last made progress.
 
-    ``is_silent`` is set until its first byte. One that must not be cut, such
-    as one with a request in work, is not ``is_listed``. ``is_open`` is set
-    while it counts.
+    ``is_unproven`` is set until its first whole request. One that must not be
+    cut, such as one with a request in work, is not ``is_listed``. ``is_open``
+    is set while it counts.
     """
 
     owner: OwnerT
     progress_at: float
     held: int = 0
     uncounted_bytes: int = 0
-    is_silent: bool = True
+    is_unproven: bool = True
     is_listed: bool = False
     size_class: int = 0
     is_open: bool = False
 
     def note_progress(self, count: int, now: float) -> bool:
         """Count bytes that moved; return whether they are progress by now."""
-        self.is_silent = False
         self.uncounted_bytes += count
         if self.uncounted_bytes < _PROGRESS_BYTES:
             return False
@@ -58,8 +58,8 @@
     def weight(self, now: float) -> float:
         """Return the bytes held times the seconds without progress."""
         seconds = now - self.progress_at + _LEAST_SECONDS
-        if self.is_silent:
-            seconds *= _SILENT_FACTOR
+        if self.size_class == _UNPROVEN_CLASS:
+            seconds *= _UNPROVEN_FACTOR
         return self.held * seconds
 
 
@@ -70,7 +70,7 @@
 
     >>> holdings = Holdings()
     >>> for name, size in (('small', 10), ('large', 999)):
-    ...     holding = Holding(name, 0, is_silent=False)
+    ...     holding = Holding(name, 0, is_unproven=False)
     ...     holdings.update(holding, size, True, False)
     >>> holdings.first_to_go(1).owner
     'large'
@@ -129,7 +129,7 @@
 
 
 def _class_of(holding: Holding[OwnerT]) -> int:
-    """Return the class; those who have sent nothing have one of their own."""
-    if holding.is_silent:
-        return _SILENT_CLASS
+    """Return the class; small ones without a request have one of their own."""
+    if holding.is_unproven and holding.held < _UNPROVEN_BYTES:
+        return _UNPROVEN_CLASS
     return min(holding.held.bit_length(), _CLASS_COUNT - 1)
--- a/zinniaturn/http1/intake.py
+++ b/zinniaturn/http1/intake.py
@@ -11,6 +11,8 @@
 from zinniaturn.http1.turns import Turns
 
 _NOTHING = memoryview(b'')
+# A few requests ahead fit, so that those who send no more are read on.
+_AHEAD_BYTES = 16 * 1024
 
 
 class IntakeOwner(Protocol):
@@ -34,7 +36,8 @@
     Bytes that wait to be parsed, and parsed requests that wait to be started.
 
     Few requests are parsed ahead: those in the slice of bytes that was parsed
-    last. ``waiting_bytes`` is what they hold.
+    last. ``waiting_bytes`` is what they hold. One request is started in a turn,
+    as some are answered at once and take milliseconds.
     """
 
     owner: IntakeOwner
@@ -43,7 +46,7 @@
     unparsed: memoryview = _NOTHING
     waiting: deque[tuple[Request, int]] = field(default_factory=deque)
     waiting_bytes: int = 0
-    started: int = 0
+    has_started: bool = False
     is_handling: bool = False
     has_turn: bool = False
 
@@ -55,6 +58,11 @@
         """Return whether bytes or requests wait to be handled."""
         return bool(self.unparsed or self.waiting)
 
+    @property
+    def is_full(self) -> bool:
+        """Return whether no more should be read."""
+        return len(self.unparsed) > _AHEAD_BYTES
+
     @property
     def held_bytes(self) -> int:
         """Return what it takes together with the request being received."""
@@ -71,11 +79,12 @@
 
     def receive(self, request: Request, held_bytes: int) -> None:
         """Start a request that is complete, or let it wait."""
-        if self.waiting or not self.owner.may_start():
+        is_first = not (self.waiting or self.has_started)
+        if is_first and self.owner.may_start():
+            self._start(request, held_bytes)
+        else:
             self.waiting_bytes += held_bytes
             self.waiting.append((request, held_bytes))
-        else:
-            self._start(request, held_bytes)
 
     def take_turn(self) -> None:
         """Handle a little of what has been received."""
@@ -100,9 +109,9 @@
         is_body = self.reader.is_head_done
         return progress_at if is_body else self.reader.started_at
 
-    def start_all(self) -> None:
-        """Start the requests that wait, as the last ones of the connection."""
-        while self.waiting:
+    def start_last(self, most: int) -> None:
+        """Start requests that wait, as the last ones of the connection."""
+        for _ in range(min(most, len(self.waiting))):
             self._start_waiting()
 
     def drop(self) -> None:
@@ -113,11 +122,11 @@
         self.reader.drop()
 
     def _handle(self) -> None:
-        """Parse slices up to the first with requests, and start these."""
+        """Parse slices up to the first request, and start that."""
         self.is_handling = True
-        count = self.started
+        self.has_started = False
         try:
-            while count == self.started and self._can_go_on():
+            while not self.has_started and self._can_go_on():
                 if self.waiting:
                     self._start_waiting()
                 else:
@@ -141,5 +150,5 @@
         self._start(request, held_bytes)
 
     def _start(self, request: Request, held_bytes: int) -> None:
-        self.started += 1
+        self.has_started = True
         self.owner.dispatch(request, held_bytes)
--- a/zinniaturn/http1/losses.py
+++ b/zinniaturn/http1/losses.py
@@ -55,6 +55,11 @@
         is_named = host in self.hosts or len(self.hosts) < _MOST_HOSTS
         self.hosts[host if is_named else _OTHER_HOSTS] += 1
 
+    @property
+    def has_given_way(self) -> bool:
+        """Return whether a client to be logged did more than wait."""
+        return any(loss is not Loss.PAUSED for loss, _ in self.logged)
+
     def move_to_log(self) -> None:
         """Keep what has been counted elsewhere for the log alone."""
         self.logged.update(self.counts)
