--- a/zinniaturn/gateway/metrics.py
+++ b/zinniaturn/gateway/metrics.py
@@ -14,6 +14,7 @@
 
 from zinniaturn.gateway.counters import BUCKET_BOUNDS_SECONDS, Counters
 from zinniaturn.gateway.state import GatewayState
+from zinniaturn.http1.client_account import ClientAccount
 from zinniaturn.locality.departures import Departures
 
 if TYPE_CHECKING:
@@ -33,9 +34,13 @@
     departures: Departures = field(default_factory=Departures)
     data_centres_evacuated: int = 0
     proof_age_seconds: float = 0
+    client_bytes: int = 0
+    client_connections: int = 0
 
 
-def render_metrics(state: GatewayState) -> bytes:
+def render_metrics(
+    state: GatewayState, clients: ClientAccount | None = None
+) -> bytes:
     """Return the body of the response to a scrape."""
     from aioprometheus.formats import text
 
@@ -53,6 +58,8 @@
         state.locality.departures,
         len(state.fleet_state.evacuated),
         min(_MAX_AGE_SECONDS, state.fleet_state.proof.age_seconds),
+        0 if clients is None else clients.budget.held,
+        0 if clients is None else clients.connection_count,
     )
     return text.TextFormatter().marshall(build_registry(snapshot))
 
@@ -110,6 +117,16 @@
             'Data centres whose servers get no requests',
             snapshot.data_centres_evacuated,
         ),
+        (
+            'zinniaturn_gateway_client_bytes',
+            'Bytes held for clients and of responses',
+            snapshot.client_bytes,
+        ),
+        (
+            'zinniaturn_gateway_client_connections',
+            'Connections of clients at all ports',
+            snapshot.client_connections,
+        ),
     )
 
 
--- a/zinniaturn/gateway/wire_format.py
+++ b/zinniaturn/gateway/wire_format.py
@@ -54,7 +54,7 @@
         tenant: str | None = None,
     ) -> bytes:
         """
-        Return the request as it is sent to a certain server.
+        Return the head of the request as it is sent to a certain server.
 
         The server is told the ``tenant``, which is empty for a request of none
         and ``None`` where no tenants are configured. It is not told a tenant's
