Let a tenant use its burst in each window anew

Change: the bucket fills at the rate of whole windows, as far as 0.9 of the bound covers it; the rest is its depth. The bound is the same inequality as before.

--- a/zinniaturn/tenants/allowance.py
+++ b/zinniaturn/tenants/allowance.py
@@ -18,8 +18,8 @@
 
 # Owners that may follow each other within a window.
 _OWNERS_IN_WINDOW = 2
-# Callers may be a little ahead of their allowance, as clocks and paths differ.
-_USED_SLACK_SHARE = 0.5
+# The rest of what a window may have is for requests that come in a clump.
+_SUSTAINED_SHARE = 0.9
 _SMALLEST_DEPTH = 1.0
 
 
@@ -50,20 +50,24 @@
     """
     Return the bucket that keeps an allowance in any window.
 
-    Where the tolerance is too small for the life of permits, the rate is lower
-    than the tenant's own.
+    An allowance of a window may be used in each window anew, its burst too. So
+    the rate is that of whole windows, as far as the tolerance covers the life
+    of permits, and what is left of the bound is the depth.
 
     >>> bucket_for(54, 54, AllowanceBounds(5, 0.1, 20))
-    Bucket(per_second=54, depth=55.2)
+    Bucket(per_second=57.166, depth=36.84)
     >>> bucket = bucket_for(10, 0, AllowanceBounds(5, 0, 0))
-    >>> round(bucket.per_second, 2), bucket.depth
-    (7.07, 1.0)
+    >>> bucket.per_second, bucket.depth
+    (6.517, 4.2)
     """
     allowance = per_second * bounds.window_seconds + burst
     most = allowance * (1 + bounds.overage) + bounds.slack
     most -= _OWNERS_IN_WINDOW * min(START_TOKENS, most / 10)
     seconds = bounds.window_seconds + PERMIT_LIFETIME_SECONDS
-    rate = min(per_second, max(0, most - _SMALLEST_DEPTH) / seconds)
-    room = most - rate * seconds
-    depth = min(burst + bounds.slack * _USED_SLACK_SHARE, room)
-    return Bucket(rate, max(_SMALLEST_DEPTH, round(depth, 3)))
+    rate = min(
+        allowance / bounds.window_seconds,
+        most * _SUSTAINED_SHARE / seconds,
+    )
+    rate = round(rate, 3)
+    depth = max(_SMALLEST_DEPTH, round(most - rate * seconds, 2))
+    return Bucket(rate, depth)
