Start the bucket of an allowance full where its owner has not changed lately

Change: an owner that has seen no VM come, go or stand still for 8 s begins with the whole depth; after such a change a bucket that lay unused keeps 4 tokens at most, as another VM may have granted meanwhile. An account renews its limit with the document and not at each request; the test of costs counts allowances, too.

--- a/features/steps/tenant_cost_steps.py
+++ b/features/steps/tenant_cost_steps.py
@@ -11,8 +11,9 @@
 from features.support.step_count import fewest_steps
 from features.support.tenants import (
     KEY,
+    OTHER_KEY,
+    THIRD_KEY,
     build_tenant_config,
-    default_tenants,
     tenant_row,
 )
 from zinniaturn.platform.standins import ServerStandIn
@@ -24,6 +25,12 @@
 _NOISE_SHARE = 0.01
 
 
+def _few_tenants():
+    """Return the rows of two tenants; the counted one has room for all."""
+    limited = tenant_row('gold', (KEY, OTHER_KEY), 0, 40_000, 10_000)
+    return [limited, tenant_row('coal', (THIRD_KEY,))]
+
+
 def _many_tenants():
     rows = [
         tenant_row(
@@ -31,7 +38,7 @@
         )
         for number in range(74)
     ]
-    return [*rows, *default_tenants()]
+    return [*rows, *_few_tenants()]
 
 
 def _count(context, config, field):
@@ -73,7 +80,8 @@
     plain.pop('tenants')
     # Another field of the same length, as a key is dropped without tenants too.
     context.plain = _count(context, plain, 'Not-Key')
-    context.few = _count(context, build_tenant_config(), 'Api-Key')
+    few = build_tenant_config(_few_tenants())
+    context.few = _count(context, few, 'Api-Key')
     many = build_tenant_config(_many_tenants())
     context.many = _count(context, many, 'Api-Key')
 
--- a/features/support/allowance_model.py
+++ b/features/support/allowance_model.py
@@ -29,6 +29,7 @@
     seed: int
     now: float = 0
     version: int = 1
+    changed_at: float = 0
     grantor: PermitGrantor = field(default_factory=PermitGrantor)
     books: list = field(init=False)
     sent: list = field(default_factory=list)
@@ -51,6 +52,7 @@
     def replace_owner(self):
         """Let another VM, which knows nothing, grant from now on."""
         self.grantor = PermitGrantor()
+        self.changed_at = self.now
 
     def play(self, seconds, demand_per_second, owner_life=None):
         """Send requests at random VMs; replace the owner each so often."""
@@ -108,5 +110,6 @@
             ),
             1,
             self.now,
+            self.changed_at,
         )
         book.add(grant.count, self.now - _ROUND_TRIP_SECONDS)
--- a/zinniaturn/admission/grantor.py
+++ b/zinniaturn/admission/grantor.py
@@ -10,6 +10,7 @@
 
 __all__ = ('START_TOKENS', 'Grant', 'PermitGrantor', 'PermitRequest')
 
+import math
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
@@ -27,6 +28,8 @@
 _MOST_REPLIES_KEPT = 64
 # What a new owner may grant of a tenant's allowance at once.
 START_TOKENS = 4.0
+# Permits of an owner before have been used for a whole window by then.
+_SETTLED_SECONDS = 8.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,6 +125,12 @@
         self.said_at = said_at
         self.granted_unconfirmed = 0
 
+    def resume(self, changed_at: float, now: float) -> None:
+        """Keep few tokens if another VM may have granted since the last use."""
+        if self.depth and self.updated_at < changed_at:
+            self.tokens = min(START_TOKENS, self.tokens)
+            self.updated_at = now
+
     def follow(self, request: PermitRequest) -> None:
         """Apply a later version of a tenant's allowance; keep the tokens."""
         if request.started_ms > self.started_ms:
@@ -147,13 +156,21 @@
 
     buckets: 'OrderedDict[str, _Bucket]' = field(default_factory=OrderedDict)
 
-    def grant(self, request: PermitRequest, share: float, now: float) -> Grant:
+    def grant(
+        self,
+        request: PermitRequest,
+        share: float,
+        now: float,
+        changed_at: float = math.inf,
+    ) -> Grant:
         """
         Return the permits granted for a request.
 
-        ``share`` is the part of each limit that this VM may grant.
+        ``share`` is the part of each limit that this VM may grant, and
+        ``changed_at`` the last time at which allowances may have got another
+        owner.
         """
-        bucket = self._bucket(request, now)
+        bucket = self._bucket(request, changed_at, now)
         kept = bucket.replies.get(request.vm)
         if kept is not None and kept[0] == request.sequence:
             return kept[1]
@@ -162,10 +179,13 @@
         bucket.keep_reply(request.vm, request.sequence, grant)
         return grant
 
-    def _bucket(self, request: PermitRequest, now: float) -> _Bucket:
+    def _bucket(
+        self, request: PermitRequest, changed_at: float, now: float
+    ) -> _Bucket:
         """Return the server's bucket with the newest limit that is known."""
         bucket = self.buckets.get(request.server)
         if bucket is not None and request.depth:
+            bucket.resume(changed_at, now)
             bucket.follow(request)
         if bucket is None or bucket.started_ms < request.started_ms:
             bucket = _Bucket(
@@ -173,7 +193,7 @@
                 request.limit,
                 request.said_at,
                 now,
-                tokens=min(START_TOKENS, request.depth),
+                tokens=_first_tokens(request.depth, now - changed_at),
                 depth=request.depth,
             )
             self.buckets[request.server] = bucket
@@ -183,3 +203,10 @@
         if not bucket.depth and request.said_at > bucket.said_at:
             bucket.confirm(request.limit, request.said_at)
         return bucket
+
+
+def _first_tokens(depth: float, settled_seconds: float) -> float:
+    """Return what a new bucket of an allowance holds, 0 for a server's."""
+    if settled_seconds > _SETTLED_SECONDS:
+        return depth
+    return min(START_TOKENS, depth)
--- a/zinniaturn/fleet/permit_exchange.py
+++ b/zinniaturn/fleet/permit_exchange.py
@@ -9,6 +9,7 @@
 __all__ = ('PermitExchange',)
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -77,7 +78,8 @@
     times before which no further permit is requested, both by server.
     ``waiters`` are futures that are resolved at the next reply, and
     ``ownerless_until`` tells how long those count as without an owner from whom
-    no permit could be had.
+    no permit could be had. ``vms_changed_at`` is the last time at which a VM
+    has come, gone or stood still, so that owners may have changed.
     """
 
     vms: VmTable
@@ -91,6 +93,8 @@
     blocked_until: dict[str, float] = field(default_factory=dict)
     waiters: list['asyncio.Future[None]'] = field(default_factory=list)
     ownerless_until: dict[str, float] = field(default_factory=dict)
+    known_vms: tuple[int, float] = (-1, 0)
+    vms_changed_at: float = math.inf
     budget: TokenBucket = field(init=False)
     requested: int = 0
     granted: int = 0
@@ -104,6 +108,11 @@
     def tick(self) -> None:
         """Drop what has expired; call it ten times a second."""
         now = self.vms.clock.monotonic()
+        resumed_at = self.pause_guard.long_resumed_at
+        known = self.vms.change_count, resumed_at
+        if known != self.known_vms:
+            self.known_vms = known
+            self.vms_changed_at = now
         self.blocked_until = _unexpired(self.blocked_until, now)
         self.ownerless_until = _unexpired(self.ownerless_until, now)
         for pending in list(self.pending.values()):
@@ -260,7 +269,9 @@
         is_unsure = self.pause_guard.is_after_pause(now, _CATCH_UP_SECONDS)
         if not is_owner or is_unsure:
             return Grant(0, _FAILED_WAIT_SECONDS)
-        return self.grantor.grant(request, grantable_share(self.vms), now)
+        return self.grantor.grant(
+            request, grantable_share(self.vms), now, self.vms_changed_at
+        )
 
     def _finish(self, pending: _PendingRequest, grant: Grant) -> None:
         """Apply the reply to a request."""
--- a/zinniaturn/gateway/allowance_gate.py
+++ b/zinniaturn/gateway/allowance_gate.py
@@ -126,16 +126,19 @@
             self.accounts[tenant.name] = account
             if len(self.accounts) > _MOST_TENANTS:
                 self.accounts.popitem(last=False)
+        if account.tenant is not tenant:
+            self._follow(account, tenant)
+        return account
+
+    def _follow(self, account: _Account, tenant: Tenant) -> None:
+        """Apply a later document; a tenant in it is another object."""
         if account.tenant != tenant:
-            account.tenant = tenant
             # Permits by an earlier limit may be more than the new one allows.
             account.admission.permits.expiries.clear()
-        notice = account.admission.notice
-        now = self.state.admissions.clock.monotonic()
-        if now > notice.said_at:
-            # The configuration says it at each moment.
-            account.admission.notice = self._notice(tenant, now)
-        return account
+        account.tenant = tenant
+        account.admission.notice = self._notice(
+            tenant, self.state.admissions.clock.monotonic()
+        )
 
     def _open(self, tenant: Tenant) -> _Account:
         clock = self.state.admissions.clock
