Let requests wait for the first tables of a process that has just started

A request in between was rejected, which costs its caller a connection and a pause for what is ready sooner.

Change: until 0.6 s after its start a process holds such requests until it has tables, for a quarter of the caller's timeout at most; then it rejects at once as before.

The scenario fails on the code before (503), and passes now.

--- a/features/fleet_start.feature
+++ b/features/fleet_start.feature
@@ -19,3 +19,13 @@
     When one more gateway is started
     Then all of them are ready and know each other
     And the new one has not read the whole store before it was ready
+
+  Scenario: A request that comes before a VM's first tables is answered once it has them
+    Given a gateway that has just started while the store answers late
+    When a request comes and the store answers after it
+    Then the request gets 200
+
+  Scenario: A VM that gets no tables rejects a request a moment after its start
+    Given a gateway that has just started while the store answers late
+    When a request comes
+    Then the request gets 503, and a later one gets it at once
--- a/features/steps/fleet_start_steps.py
+++ b/features/steps/fleet_start_steps.py
@@ -7,7 +7,9 @@
 
 from features.support.gateway import (
     SmallPlatform,
+    build_request_bytes,
     close_gateway,
+    send_request,
     wait_until,
 )
 from zinniaturn.fleet.domain import VmStage
@@ -16,6 +18,7 @@
 _CONVERGE_SECONDS = 60
 _WRITE_PATH = '/kv-txn'
 _READ_PATH = '/kv-range?prefix='
+_BEFORE_STORE_SECONDS = 0.05
 _RECORD_PREFIX = 'zinniaturn/vms/'
 
 
@@ -131,3 +134,63 @@
     state = context.newest.fleet_state
     assert state.document is not None
     assert _whole_reads(own) == 0, own
+
+
+@given('a gateway that has just started while the store answers late')
+def start_with_late_store(context):
+    context.platform = SmallPlatform(context)
+    context.may_call = asyncio.Event()
+    _run(context, context.platform.start([ServerStandIn(name='s-1')]))
+    context.gateway = _run(
+        context,
+        context.platform.add_gateway(
+            before_start=functools.partial(_hold_calls, context.may_call)
+        ),
+    )
+
+
+def _hold_calls(may_call, gateway):
+    """Hold a gateway's calls to the store until the event is set."""
+    store = gateway.store
+    call = store._call
+
+    async def hold(method, path, body=None):
+        await may_call.wait()
+        return await call(method, path, body)
+
+    store._call = hold
+
+
+async def _request(context):
+    front = context.gateway.settings.front
+    return await send_request(front, build_request_bytes(wait_ms=5000))
+
+
+@when('a request comes and the store answers after it')
+def request_before_store(context):
+    async def run():
+        request = asyncio.ensure_future(_request(context))
+        await asyncio.sleep(_BEFORE_STORE_SECONDS)
+        context.may_call.set()
+        return await request
+
+    context.response = _run(context, run())
+
+
+@when('a request comes')
+def request_without_store(context):
+    context.response = _run(context, _request(context))
+
+
+@then('the request gets 200')
+def check_answered(context):
+    assert context.response[0] == 200, context.response
+
+
+@then('the request gets 503, and a later one gets it at once')
+def check_rejected(context):
+    assert context.response[0] == 503, context.response
+    counts = context.gateway.state.counters.events
+    assert counts['start_wait_ended'] == 1, counts
+    assert _run(context, _request(context))[0] == 503
+    assert counts['start_wait_ended'] == 1, 'the second one was held, too'
--- a/zinniaturn/gateway/dispatch.py
+++ b/zinniaturn/gateway/dispatch.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from zinniaturn.choosing.exceptions import RejectedError
-from zinniaturn.fleet.tables import FleetPool, FleetRoute
+from zinniaturn.fleet.tables import FleetPool, FleetRoute, FleetTables
 from zinniaturn.gateway.allowance_gate import AllowanceGate
 from zinniaturn.gateway.attempt_runner import AttemptRunner
 from zinniaturn.gateway.crash_watch import CrashWatch
@@ -16,6 +16,7 @@
 from zinniaturn.gateway.request_log import RequestLog, decode_text
 from zinniaturn.gateway.results import RequestResult
 from zinniaturn.gateway.scheduler import RequestScheduler
+from zinniaturn.gateway.start_gate import StartGate
 from zinniaturn.gateway.state import GatewayState
 from zinniaturn.gateway.stop_gate import StopGate
 from zinniaturn.gateway.tenant_gate import KEY_CODES, TenantGate
@@ -45,6 +46,8 @@
     def __init__(self, state: GatewayState) -> None:
         self.state = state
         scheduler = RequestScheduler(state)
+        self.start_gate = StartGate(state)
+        state.fleet_state.observers.append(self.start_gate.note_change)
         self.stop_gate = StopGate(state, scheduler.retry_after_jitter)
         self.crash_watch = CrashWatch(state)
         self.tenant_gate = TenantGate(state, scheduler.retry_after_jitter)
@@ -83,12 +86,33 @@
         exchange: CallerExchange,
     ) -> Reply:
         """Return the response to a request, or a coroutine that returns it."""
+        tables = self.state.fleet_state.tables
+        if tables is not None:
+            return self._handle_by(tables, exchange)
         request = exchange.request
+        seconds = self.start_gate.seconds_left(
+            self.state.wire_format.caller_timeout_seconds(request.fields)
+        )
+        if seconds:
+            return self._handle_after_start(exchange, seconds)
+        return self._reject_unready(request)
+
+    async def _handle_after_start(
+        self, exchange: CallerExchange, seconds: float
+    ) -> Response:
+        """Return the response to a request that came before any tables."""
+        await self.start_gate.wait(seconds)
         tables = self.state.fleet_state.tables
         if tables is None:
-            return self._reject_unrouted(
-                request, 'not-ready', _NOT_READY_RETRY_SECONDS
-            )
+            return self._reject_unready(exchange.request)
+        reply = self._handle_by(tables, exchange)
+        return reply if isinstance(reply, Response) else await reply
+
+    def _handle_by(
+        self, tables: FleetTables, exchange: CallerExchange
+    ) -> Reply:
+        """Return the response by some tables, or a coroutine for it."""
+        request = exchange.request
         route = self.find_route(request)
         if route is None:
             return self._reject_unrouted(request, 'no-route', None)
@@ -229,6 +253,11 @@
             verdict.outcome, code=verdict.code, retry_after_seconds=seconds
         )
 
+    def _reject_unready(self, request: Request) -> Response:
+        return self._reject_unrouted(
+            request, 'not-ready', _NOT_READY_RETRY_SECONDS
+        )
+
     def _reject_unrouted(
         self,
         request: Request,
