Take data centres into account only where a deployment asks for it

Cause: the choice by data centre ran in every fleet with servers in several data centres, also where the others are 0.5 to 1.4 ms away and staying brings less than it costs.

Change: each VM decides whether it is on, by the setting locality.enabled (auto, on, off; true and false are taken as on and off), and with auto where the bounds have an evacuate_ms, or where the round trip to another data centre exceeds one inside by 4 ms or more (off again below 3.3 ms). The round trips are those of the pings that VMs send each other anyway; the shortest of 8 or more in the last 20 to 40 s counts. It is off until they are known. Event 791 and a gauge tell operators.

Tests: LocalityWeights no longer says whether the part is on, so the steps of locality, local_look_ups and the model set the mode instead; what they check is unchanged.

--- a/features/steps/local_look_up_steps.py
+++ b/features/steps/local_look_up_steps.py
@@ -12,6 +12,7 @@
 from zinniaturn.fleet.vms import VmTable
 from zinniaturn.gateway.endpoints import LookupEndpoint
 from zinniaturn.gateway.event_log import EventLog
+from zinniaturn.locality.activation import Activation, LocalityMode
 from zinniaturn.locality.look_ups import LocalShare, LocalVms
 from zinniaturn.locality.table import LocalityTable
 from zinniaturn.placing.address_selection import AddressSelector
@@ -112,7 +113,7 @@
     state = SimpleNamespace(
         vms=vms,
         stage=VmStage.READY,
-        locality=LocalityTable('dc-b'),
+        locality=LocalityTable('dc-b', activation=Activation(LocalityMode.ON)),
         event_log=EventLog('vm', -1),
         fleet_request_rate=lambda: 100.0,
         own_request_rate=lambda: 10.0,
--- a/features/steps/locality_model_steps.py
+++ b/features/steps/locality_model_steps.py
@@ -6,7 +6,7 @@
 
 from zinniaturn.experiments.locality.model_server import ServerTraits
 from zinniaturn.experiments.locality.play import Play
-from zinniaturn.locality.weights import LocalityWeights
+from zinniaturn.locality.activation import LocalityMode
 
 
 @given('32, 42 and 32 servers of 3 slots at {load:g} of what they can serve')
@@ -22,13 +22,13 @@
 
 
 def _play(context, is_enabled, seconds):
-    weights = LocalityWeights(is_enabled=is_enabled)
+    mode = LocalityMode.ON if is_enabled else LocalityMode.OFF
     return Play(
         {'a': 32, 'b': 42, 'c': 32},
         context.load,
         seconds=seconds,
         traits=context.traits,
-        settings={'locality': weights},
+        settings={'locality_mode': mode},
     ).run()
 
 
--- a/zinniaturn/events/catalogue.py
+++ b/zinniaturn/events/catalogue.py
@@ -78,6 +78,7 @@
     DATA_CENTRES_EVACUATED = 780
     DATA_CENTRES_RETURNED = 781
     LEAVING_CHANGED = 790
+    LOCALITY_SWITCHED = 791
 
 
 _INFO = logging.INFO
@@ -301,5 +302,9 @@
             _INFO,
             'another share of the requests leaves this data centre',
         ),
+        LogEvent.LOCALITY_SWITCHED: (
+            _INFO,
+            'data centres are or are not taken into account',
+        ),
     }
 )
--- a/zinniaturn/experiments/locality/cases.py
+++ b/zinniaturn/experiments/locality/cases.py
@@ -11,7 +11,7 @@
 from zinniaturn.experiments.locality.model_server import ServerTraits
 from zinniaturn.experiments.locality.play import Play
 from zinniaturn.experiments.registry import ExperimentOptions
-from zinniaturn.locality.weights import LocalityWeights
+from zinniaturn.locality.activation import LocalityMode
 
 _EQUAL = MappingProxyType({'a': 32, 'b': 32, 'c': 32})
 _UNEVEN = MappingProxyType({'a': 32, 'b': 42, 'c': 32})
@@ -122,13 +122,13 @@
 def _means(
     case: dict[str, Any], is_enabled: bool, options: ExperimentOptions
 ) -> dict[str, float]:
-    weights = LocalityWeights(is_enabled=is_enabled)
+    mode = LocalityMode.ON if is_enabled else LocalityMode.OFF
     rows = [
         Play(
             **case,
             seconds=options.seconds or _SECONDS,
             seed=options.seed + number,
-            settings={'locality': weights},
+            settings={'locality_mode': mode},
         )
         .run()
         .summary()
--- a/zinniaturn/fleet/failure_detection.py
+++ b/zinniaturn/fleet/failure_detection.py
@@ -15,6 +15,7 @@
 __all__ = ('FailureDetector', 'PingRound')
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from zinniaturn.fleet.alive_vms import PeerVm
@@ -29,6 +30,8 @@
 _SILENT_PING_SHARE = 0.2
 _SEQUENCE_BITS = 31
 
+NoteRoundTrip = Callable[[str, float], None]
+
 
 @dataclass(frozen=True, slots=True)
 class PingRound:
@@ -56,6 +59,9 @@
     acknowledged in time, and in a fifth of the intervals one to a VM that is
     not known to be alive. The cost in messages doesn't depend on the number of
     VMs; while many VMs die at once it grows up to twofold.
+
+    ``on_round_trip`` is called with a VM's data centre and the seconds that a
+    ping to it and its acknowledgement took.
     """
 
     vms: VmTable
@@ -63,6 +69,7 @@
     pending: dict[int, _PendingPing] = field(default_factory=dict)
     order: list[str] = field(default_factory=list)
     extra_pings: int = 0
+    on_round_trip: NoteRoundTrip | None = None
 
     def tick(self, now: float) -> tuple[list[PingRound], list[str]]:
         """Return the pings to send and the VMs that were found dead."""
@@ -90,7 +97,13 @@
         Returns when the ping was first sent, ``None`` if none is pending.
         """
         ping = self.pending.pop(sequence, None)
-        return None if ping is None else ping.started_at
+        if ping is None:
+            return None
+        # After a repetition it is not known which ping is acknowledged.
+        if self.on_round_trip is not None and not ping.rounds:
+            seconds = self.vms.clock.monotonic() - ping.started_at
+            self.on_round_trip(ping.target.record.data_center, seconds)
+        return ping.started_at
 
     def ping(self, target: PeerVm, now: float) -> PingRound:
         """Start a ping between those of the intervals."""
--- a/zinniaturn/gateway/endpoints.py
+++ b/zinniaturn/gateway/endpoints.py
@@ -72,7 +72,7 @@
         """Return the addresses for a caller of a data centre, '' if unknown."""
         demand = self.state.fleet_request_rate()
         is_local = (
-            self.state.locality.weights.is_enabled
+            self.state.locality.activation.is_on
             and self.local.is_mixed(data_center)
             and self.local.capacity(data_center)
             and math.isfinite(demand)
--- a/zinniaturn/gateway/metrics.py
+++ b/zinniaturn/gateway/metrics.py
@@ -45,6 +45,10 @@
             'zinniaturn_gateway_data_centres_evacuated',
             'Data centres whose servers get no requests',
         ),
+        'locality_on': (
+            'zinniaturn_gateway_locality_on',
+            '1 while data centres are taken into account',
+        ),
         'client_bytes': (
             'zinniaturn_gateway_client_bytes',
             'Bytes held for clients and of responses',
@@ -70,6 +74,7 @@
     proof_age_seconds: float = 0
     client_bytes: int = 0
     client_connections: int = 0
+    locality_on: int = 0
 
 
 def render_metrics(
@@ -94,6 +99,7 @@
         min(_MAX_AGE_SECONDS, state.fleet_state.proof.age_seconds),
         0 if clients is None else clients.budget.held,
         0 if clients is None else clients.connection_count,
+        int(state.locality.activation.is_on),
     )
     return text.TextFormatter().marshall(build_registry(snapshot))
 
--- a/zinniaturn/gateway/process.py
+++ b/zinniaturn/gateway/process.py
@@ -142,6 +142,9 @@
             self.state.log_admission,
         )
         self.state.gossip = self.peers
+        self.peers.detector.on_round_trip = (
+            self.reporter.locality_watch.note_round_trip
+        )
         self.peers.is_outdated = self.dispatcher.tenant_gate.is_outdated
         self.peers.crash_news.on_crash = self.dispatcher.crash_watch.check_told
         self.peers.quarantine.on_change = partial(log_standing, self.state)
@@ -207,7 +210,7 @@
         """
         self.settings = settings
         self.state.settings = settings
-        self.state.locality.set_weights(settings.locality)
+        self.reporter.locality_watch.apply(settings)
         self.state.update_retry_budgets()
         self.fleet_state.follow_evacuations(settings.bounds.evacuate_seconds)
         self.clients.set_resources(
@@ -291,7 +294,7 @@
             self.reporter.log_refused_bodies(self.byte_budget)
             self.client_report.tick(loop.time())
             self.reporter.log_vm_changes()
-            self.reporter.log_departures(loop.time())
+            self.reporter.locality_watch.tick(loop.time())
             self.reporter.log_tables_age()
             if self.fleet_state.document is not None:
                 self.registration.reconcile(self.fleet_state.vms)
--- a/zinniaturn/gateway/reporting.py
+++ b/zinniaturn/gateway/reporting.py
@@ -3,7 +3,7 @@
 __all__ = ('StateReporter',)
 
 import gc
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from zinniaturn.events.catalogue import LogEvent
 from zinniaturn.fleet.domain import FleetSnapshot, VmStage
@@ -11,6 +11,7 @@
 from zinniaturn.fleet.revisions import era_of, number_of
 from zinniaturn.fleet.state_change import StateChange
 from zinniaturn.gateway.dispatch import Dispatcher
+from zinniaturn.gateway.locality_watch import LocalityWatch
 from zinniaturn.gateway.state import GatewayState
 from zinniaturn.http1.byte_budget import ByteBudget
 from zinniaturn.tenants import Standing
@@ -40,6 +41,11 @@
     alive: frozenset[str] = frozenset()
     reported_refusals: int = 0
     reported_too_old: bool = False
+    locality_watch: LocalityWatch = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Begin to watch the distances between data centres."""
+        self.locality_watch = LocalityWatch(self.state)
 
     def apply_change(self, change: StateChange) -> None:
         """Apply a change of tables, servers or VMs, and log it."""
@@ -200,20 +206,6 @@
             most_bytes=byte_budget.most,
         )
 
-    def log_departures(self, now: float) -> None:
-        """Log the pools of which another share leaves the data centre."""
-        locality = self.state.locality
-        for change in locality.departures.take_changes(now):
-            self.state.event_log.write(
-                LogEvent.LEAVING_CHANGED,
-                pool=change.pool,
-                share=round(change.share, 2),
-                before=round(change.before, 2),
-                requests=change.requests,
-                reason=change.reason,
-                **locality.pool(change.pool).inputs(now),
-            )
-
     def log_vm_changes(self) -> None:
         """Log newly alive and newly silent VMs, one line for each kind."""
         alive_vms = self.state.vms.alive_vms()
--- a/zinniaturn/gateway/settings.py
+++ b/zinniaturn/gateway/settings.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from zinniaturn.http1.connections import Address
+from zinniaturn.locality.activation import Activation, LocalityMode
 from zinniaturn.locality.weights import LocalityWeights
 from zinniaturn.tenants import RevocationRule
 from zinniaturn.tenants.allowance import AllowanceBounds
@@ -49,6 +50,11 @@
     warm_up_overage: float = 1.0
     warm_up_slack: float = 0
 
+    @property
+    def follows_evacuations(self) -> bool:
+        """Return whether data centres can be evacuated."""
+        return self.evacuate_seconds > 0
+
     @property
     def revocation(self) -> RevocationRule:
         """Return the rule by which withdrawn keys are refused in time."""
@@ -87,7 +93,7 @@
     ``link_megabits`` the link's megabits per second, ``memory_megabytes`` what
     the process may use and ``max_descriptors`` how many files and sockets it
     may open; 0 means unknown. ``locality`` says what it counts for that a
-    request leaves the data centre.
+    request leaves the data centre, and ``locality_mode`` whether it counts.
     """
 
     name: str
@@ -106,3 +112,8 @@
     max_descriptors: int = 0
     bounds: FleetBounds = field(default_factory=FleetBounds)
     locality: LocalityWeights = field(default_factory=LocalityWeights)
+    locality_mode: LocalityMode = LocalityMode.AUTO
+
+    def build_activation(self) -> Activation:
+        """Return whether data centres count, before any is measured."""
+        return Activation(self.locality_mode, self.bounds.follows_evacuations)
--- a/zinniaturn/gateway/state.py
+++ b/zinniaturn/gateway/state.py
@@ -77,7 +77,9 @@
     def __post_init__(self) -> None:
         """Begin without any news of data centres."""
         self.locality = LocalityTable(
-            self.settings.data_center, self.settings.locality
+            self.settings.data_center,
+            self.settings.locality,
+            activation=self.settings.build_activation(),
         )
 
     @property
--- a/zinniaturn/locality/pool_locality.py
+++ b/zinniaturn/locality/pool_locality.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from zinniaturn.locality.activation import Activation
 from zinniaturn.locality.arrangement import own_in_mixed_round
 from zinniaturn.locality.decision import (
     SearchStart,
@@ -42,6 +43,7 @@
 
     data_center: str
     weights: LocalityWeights
+    activation: Activation = field(default_factory=Activation)
     is_split: bool = False
     own_servers: int = 0
     places: dict[str, PlaceNews] = field(default_factory=dict)
@@ -51,7 +53,7 @@
     @property
     def is_active(self) -> bool:
         """Return whether there is anything to decide."""
-        return self.is_split and self.weights.is_enabled
+        return self.is_split and self.activation.is_on
 
     @property
     def own(self) -> PlaceNews:
--- a/zinniaturn/locality/weights.py
+++ b/zinniaturn/locality/weights.py
@@ -20,11 +20,9 @@
 
     A second on the way counts as ``seconds_per_way_second`` and a megabyte as
     ``seconds_per_megabyte``. ``way_seconds`` is the round trip to another data
-    centre beyond one inside, where none has been measured. Without
-    ``is_enabled`` servers are chosen as if all were in one data centre.
+    centre beyond one inside, where none has been measured.
     """
 
     seconds_per_megabyte: float = _SECONDS_PER_MEGABYTE
     seconds_per_way_second: float = _SECONDS_PER_WAY_SECOND
     way_seconds: float = _WAY_SECONDS
-    is_enabled: bool = True
--- a/zinniaturn/platform/settings_file.py
+++ b/zinniaturn/platform/settings_file.py
@@ -8,13 +8,14 @@
 __all__ = ('SETTINGS_VARIABLE', 'read_settings')
 
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Literal
 
 import msgspec
 
 from zinniaturn.errors import cause_of
 from zinniaturn.gateway.settings import FleetBounds, GatewaySettings
 from zinniaturn.http1.connections import Address, parse_address
+from zinniaturn.locality.activation import LocalityMode
 from zinniaturn.locality.weights import LocalityWeights
 from zinniaturn.platform.exceptions import SettingsFileError
 
@@ -89,8 +90,9 @@
 class _Locality(msgspec.Struct):
     """What it counts for that requests leave their data centre."""
 
-    # Whether servers and VMs of the own data centre are preferred.
-    enabled: bool = True
+    # Whether servers and VMs of the own data centre are preferred; `auto` is
+    # where data centres are evacuated or far from each other.
+    enabled: bool | Literal['auto', 'on', 'off'] = 'auto'
     # What a megabyte between data centres counts as.
     ms_per_mb: Figure = (
         _DEFAULT_LOCALITY.seconds_per_megabyte * _MILLISECONDS_PER_SECOND
@@ -159,11 +161,17 @@
             / _MILLISECONDS_PER_SECOND,
             seconds_per_way_second=file.locality.ms_per_way_ms,
             way_seconds=file.locality.way_ms / _MILLISECONDS_PER_SECOND,
-            is_enabled=file.locality.enabled,
         ),
+        locality_mode=_locality_mode(file.locality.enabled),
     )
 
 
+def _locality_mode(enabled: bool | str) -> LocalityMode:
+    if isinstance(enabled, bool):
+        return LocalityMode.ON if enabled else LocalityMode.OFF
+    return LocalityMode(enabled)
+
+
 def _parse_optional_address(text: str | None) -> Address | None:
     return parse_address(text) if text else None
 
