Send fewer datagrams to other data centres where bytes there count

Cause: pings and pushes choose among all VMs alike, so two of three datagrams go to another data centre.

Change: while data centres are taken into account, a VM of another one has its turn in a tenth of the rounds of pings, unless its data centre has fewer than 8 VMs, and one push of four goes there. Each VM is still pinged ten times a second by the fleet as a whole.

The new scenarios fail with all VMs alike.

--- a/features/gossip.feature
+++ b/features/gossip.feature
@@ -124,3 +124,22 @@
     And it heard 1 s ago that server "s-1" names a limit of 2
     When its notice of "s-1" is queued and "s-1" is registered with a later start
     Then it sends a datagram without a notice
+
+  Scenario Outline: Where bytes between data centres count, fewer go there, and a dead VM is noticed as soon
+    Given <size> VMs that lose 5 % of their datagrams, with seed <seed>
+    When the fleet runs for 3 s
+    And VMs spare other data centres, and the fleet runs for 3 s
+    Then they have sent at most 0.65 of the bytes to other data centres that they sent before
+    When 1 VM dies
+    And the fleet runs for 1.3 s
+    Then no VM returns a dead one in look-ups
+
+    Examples:
+      | size | seed |
+      | 60   | 1    |
+      | 100  | 2    |
+
+  Scenario: A data centre with few VMs is pinged as before, however large the others are
+    Given VMs that spare other data centres, 40 in one of them and 2 in another one
+    When those of the large one ping for 10 s
+    Then each VM of the small one is pinged at least 0.8 times as often as one of the large one
--- a/features/steps/gossip_steps.py
+++ b/features/steps/gossip_steps.py
@@ -1,9 +1,14 @@
 """Steps of the gossip between VMs."""
 
+from collections import Counter
+
 from behave import given, then, when
 
+from features.support.gateway import build_record, hear, seeded_random
+from zinniaturn.clock import ManualClock
 from zinniaturn.experiments.gossip_model import GossipModel
-from zinniaturn.fleet.vms import serving_vms
+from zinniaturn.fleet.peer_selector import PeerSelector
+from zinniaturn.fleet.vms import VmTable, serving_vms
 
 _WARM_UP_SECONDS = 0.5
 _OLD_VERSION = 5
@@ -143,3 +148,55 @@
             if other.side == vm.side and other is not vm
         }
         assert _ready_names(vm) == part, vm.name
+
+
+def _far_bytes(model):
+    return sum(vm.far_bytes_sent for vm in model.vms)
+
+
+@when('VMs spare other data centres, and the fleet runs for {seconds:g} s')
+def spare_far(context, seconds):
+    context.far_before = _far_bytes(context.model)
+    context.model.spares_far = True
+    context.model.run(seconds)
+
+
+@then(
+    'they have sent at most {share:g} of the bytes to other data centres that '
+    'they sent before'
+)
+def check_far_bytes(context, share):
+    sparing = _far_bytes(context.model) - context.far_before
+    assert sparing <= share * context.far_before, (sparing, context.far_before)
+
+
+@given(
+    'VMs that spare other data centres, {large:d} in one of them and '
+    '{small:d} in another one'
+)
+def build_uneven_table(context, large, small):
+    table = VmTable(build_record('own', 'large'), ManualClock(1))
+    counts = {'large': large - 1, 'small': small}
+    for data_center, count in counts.items():
+        for number in range(count):
+            name = f'{data_center}-{number}'
+            hear(table, build_record(name, data_center))
+    context.selector = PeerSelector(table, seeded_random(), lambda: True)
+
+
+@when('those of the large one ping for {seconds:d} s')
+def ping_for(context, seconds):
+    context.pings = Counter(
+        context.selector.next_target().name for _ in range(4000 * seconds)
+    )
+
+
+@then(
+    'each VM of the small one is pinged at least {share:g} times as often as '
+    'one of the large one'
+)
+def check_small_pinged(context, share):
+    pings = context.pings
+    most = max(count for name, count in pings.items() if 'large' in name)
+    for name in ('small-0', 'small-1'):
+        assert pings[name] >= share * most, pings
--- a/zinniaturn/experiments/gossip_model.py
+++ b/zinniaturn/experiments/gossip_model.py
@@ -99,7 +99,8 @@
     """
     One VM; ``paused_until`` is the time at which it runs again.
 
-    ``starts`` counts its processes.
+    ``starts`` counts its processes, and ``far_bytes_sent`` are those to other
+    data centres.
     """
 
     record: VmRecord
@@ -108,6 +109,7 @@
     paused_until: float = 0
     datagrams_sent: int = 0
     bytes_sent: int = 0
+    far_bytes_sent: int = 0
     transfers: int = 0
     side: int = 0
     starts: int = 1
@@ -122,13 +124,17 @@
     """
     A fleet whose VMs know each other from the start.
 
-    ``loss`` is the share of datagrams that are lost.
+    ``loss`` is the share of datagrams that are lost. With ``spares_far`` the
+    VMs send fewer of them to other data centres.
     """
 
-    def __init__(self, size: int, seed: int, loss: float = 0) -> None:
+    def __init__(
+        self, size: int, seed: int, loss: float = 0, *, spares_far: bool = False
+    ) -> None:
         self.random_source = random.Random(seed)
         self.clock = ManualClock(_FIRST_CLOCK)
         self.loss = loss
+        self.spares_far = spares_far
         self.events: list[tuple[float, int, Callable[[], None]]] = []
         self.counter = itertools.count()
         self.by_address: dict[Address, ModelVm] = {}
@@ -162,6 +168,7 @@
             lambda admission: None,
             random.Random(self.random_source.random()),
         )
+        gossip.detector.peers.spares_far = lambda: self.spares_far
         vm = ModelVm(record, gossip)
         gossip.call_later = self.schedule
         gossip.permits.call_later = self.schedule
@@ -243,10 +250,12 @@
         vm.datagrams_sent += 1
         vm.bytes_sent += len(data) + _HEADER_BYTES
         target = self.by_address[address]
+        is_near = vm.record.data_center == target.record.data_center
+        if not is_near:
+            vm.far_bytes_sent += len(data) + _HEADER_BYTES
         is_lost = self.random_source.random() < self.loss
         if is_lost or not self.is_connected(vm, target):
             return
-        is_near = vm.record.data_center == target.record.data_center
         delay = _NEAR_DELAY_SECONDS if is_near else _FAR_DELAY_SECONDS
         delay *= self.random_source.uniform(0.8, 1.5)
         sender = vm.record.exchange
--- a/zinniaturn/fleet/failure_detection.py
+++ b/zinniaturn/fleet/failure_detection.py
@@ -1,10 +1,10 @@
 """
 Detection of VMs that no longer respond, in the manner of SWIM.
 
-Each VM pings another one ten times a second, in random order, so each VM is
-pinged ten times a second by the fleet as a whole, however large it is. A VM
-that doesn't acknowledge is pinged again, and three others are asked to ping it
-too, since the loss may be on the path between the two. After two such rounds
+Each VM pings another one ten times a second, as `PeerSelector` chooses, so each
+VM is pinged ten times a second by the fleet as a whole, however large it is. A
+VM that doesn't acknowledge is pinged again, and three others are asked to ping
+it too, since the loss may be on the path between the two. After two such rounds
 without an acknowledgement it is declared dead. Whoever has heard from no VM at
 all in the meantime declares nothing: its own connection is the likely cause.
 
@@ -19,6 +19,7 @@
 from dataclasses import dataclass, field
 
 from zinniaturn.fleet.alive_vms import PeerVm
+from zinniaturn.fleet.peer_selector import PeerSelector
 from zinniaturn.fleet.vms import VmTable
 
 PING_INTERVAL_SECONDS = 0.1
@@ -67,9 +68,13 @@
     vms: VmTable
     random_source: random.Random
     pending: dict[int, _PendingPing] = field(default_factory=dict)
-    order: list[str] = field(default_factory=list)
     extra_pings: int = 0
     on_round_trip: NoteRoundTrip | None = None
+    peers: PeerSelector = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Begin with a new round."""
+        self.peers = PeerSelector(self.vms, self.random_source)
 
     def tick(self, now: float) -> tuple[list[PingRound], list[str]]:
         """Return the pings to send and the VMs that were found dead."""
@@ -81,7 +86,7 @@
             elif now >= ping.deadline:
                 self._escalate(sequence, ping, now, rounds, dead)
         for _ in range(1 + self.extra_pings):
-            target = self._next_target()
+            target = self.peers.next_target()
             if target is not None:
                 rounds.append(self._start(target, now))
         self.extra_pings = 0
@@ -151,17 +156,6 @@
         """Return up to ``count`` random VMs that are alive."""
         return self.vms.alive.sample(self.random_source, count)
 
-    def _next_target(self) -> PeerVm | None:
-        """Return the next VM of a random order of those that are alive."""
-        if not self.order:
-            self.order = [peer.record.name for peer in self.vms.alive_vms()]
-            self.random_source.shuffle(self.order)
-        while self.order:
-            peer = self.vms.vms.get(self.order.pop())
-            if peer is not None and peer.is_alive:
-                return peer
-        return None
-
     def _silent_target(self) -> PeerVm | None:
         """Return a VM that may have come back, in some of the intervals."""
         if self.random_source.random() > _SILENT_PING_SHARE:
--- a/zinniaturn/fleet/gossip.py
+++ b/zinniaturn/fleet/gossip.py
@@ -198,7 +198,7 @@
     def push(self) -> None:
         """Tell a few other VMs the state that this one holds, and its news."""
         self.push_timer = None
-        for peer in self.detector.sample_alive(_PUSH_FANOUT):
+        for peer in self.detector.peers.sample_for_push(_PUSH_FANOUT):
             self.sender.send(DatagramKind.PUSH, 0, peer.record.exchange, peer)
 
     async def announce_stopping(self) -> None:
--- a/zinniaturn/gateway/process.py
+++ b/zinniaturn/gateway/process.py
@@ -145,6 +145,8 @@
         self.peers.detector.on_round_trip = (
             self.reporter.locality_watch.note_round_trip
         )
+        activation = self.state.locality.activation
+        self.peers.detector.peers.spares_far = lambda: activation.is_on
         self.peers.is_outdated = self.dispatcher.tenant_gate.is_outdated
         self.peers.crash_news.on_crash = self.dispatcher.crash_watch.check_told
         self.peers.quarantine.on_change = partial(log_standing, self.state)
