Keep a route's estimated service time from rejecting all its requests

Cause: an ordinary read beside a crowd got 503 (no-server) for as long as one liked, also after the crowd had left. The estimate of the route's service time was multiplied by the ratio of actual to expected latency of each response. Of 25 requests that ran at the same time and took 0.85 s instead of 0.16 s, each multiplied it once more: to 683 s. With an estimate above the time limit the queue rejects every request before it is sent, so no response corrected it.

Change: a response moves the estimate towards what it shows by the estimate that its request was placed by, so it can't exceed the slowest response. Where the estimate has rejected new requests for a second without any response, one request a second is placed as if the route had no samples.

--- a/features/placing.feature
+++ b/features/placing.feature
@@ -120,6 +120,23 @@
     When 5 more of its requests take 0.002 s each
     Then its estimate is settled
 
+  Scenario: Slow requests that run at a time don't multiply a route's estimate
+    Given a route without any estimate and with an objective of 0.4 s
+    When 25 of its requests at a time take 0.85 s each
+    Then its estimate is at most 0.85 s
+
+  Scenario: An estimate that rejects all requests is tried again each second
+    Given a route without any estimate and with an objective of 0.25 s
+    When 10 of its requests take 8 s each
+    And its estimate rejects a request
+    Then 0.9 s later a request is placed by its estimate
+    And 1.1 s later a request is placed by 0.1 s
+    And 1.2 s later a request is placed by its estimate
+    And 2.2 s later a request is placed by 0.1 s
+    When a request that was placed by 0.1 s takes 0.02 s
+    Then its estimate is at most 4.1 s
+    And 9 s later a request is placed by its estimate
+
   Scenario Outline: The probes of a request depend on the budget that is left
     Given a budget that holds the probes of <held> s
     Then a request may probe in rounds of <sizes>
--- a/features/steps/placing_steps.py
+++ b/features/steps/placing_steps.py
@@ -439,7 +439,50 @@
 def update_estimate(context, count, seconds):
     for _ in range(count):
         expected = context.estimates.service_seconds('r', context.objective)
-        context.estimates.update('r', context.objective, seconds, expected)
+        context.estimates.update(
+            'r', context.objective, seconds, expected, expected
+        )
+
+
+@when('{count:d} of its requests at a time take {seconds:g} s each')
+def update_estimate_at_once(context, count, seconds):
+    expected = context.estimates.service_seconds('r', context.objective)
+    for _ in range(count):
+        context.estimates.update(
+            'r', context.objective, seconds, expected, expected
+        )
+
+
+@then('its estimate is at most {seconds:g} s')
+def check_estimate(context, seconds):
+    estimate = context.estimates.service_seconds('r', context.objective)
+    assert estimate <= seconds, estimate
+
+
+@when('its estimate rejects a request')
+def bar_request(context):
+    context.estimates.note_barred('r', _NOW)
+
+
+@then('{seconds:g} s later a request is placed by {expected:g} s')
+def check_placed_by(context, seconds, expected):
+    placed_by = context.estimates.seconds_to_place_by(
+        'r', context.objective, _NOW + seconds
+    )
+    assert abs(placed_by - expected) < 1e-9, placed_by
+
+
+@then('{seconds:g} s later a request is placed by its estimate')
+def check_placed_by_estimate(context, seconds):
+    estimate = context.estimates.service_seconds('r', context.objective)
+    check_placed_by(context, seconds, estimate)
+
+
+@when('a request that was placed by {placed_by:g} s takes {seconds:g} s')
+def update_by_trial(context, placed_by, seconds):
+    context.estimates.update(
+        'r', context.objective, seconds, placed_by, placed_by
+    )
 
 
 @then('its estimate is not settled and under {seconds:g} s')
--- a/zinniaturn/experiments/locality/model_vm.py
+++ b/zinniaturn/experiments/locality/model_vm.py
@@ -309,7 +309,8 @@
                 context, placement, response, now - sent_at, now
             )
         else:
-            self.scheduler.service_times.update(
+            # An earlier build.
+            self.scheduler.service_times.update(  # type: ignore[call-arg]
                 route.name,
                 route.objective_seconds,
                 now - sent_at,
--- a/zinniaturn/gateway/offer_costs.py
+++ b/zinniaturn/gateway/offer_costs.py
@@ -11,7 +11,7 @@
     ServiceTimeEstimates,
     expected_seconds,
 )
-from zinniaturn.placing.request_queue import Offer
+from zinniaturn.placing.request_queue import Offer, QueuedRequest
 
 _UNHEALTHY_PENALTY_FACTOR = 3.0
 _RANKING_SERVICE_SECONDS = 0.1
@@ -30,6 +30,24 @@
         default_factory=ServiceTimeEstimates
     )
 
+    def seconds_to_place_by(self, context: RequestContext, now: float) -> float:
+        """Return the service time that a request is placed by."""
+        route = context.route
+        if context.attempt_count:
+            return self.service_times.service_seconds(
+                route.name, route.objective_seconds
+            )
+        return self.service_times.seconds_to_place_by(
+            route.name, route.objective_seconds, now
+        )
+
+    def note_rejection(
+        self, context: RequestContext, queued: QueuedRequest, now: float
+    ) -> None:
+        """Record that a request got no server."""
+        if not context.attempt_count and queued.is_hopeless(now):
+            self.service_times.note_barred(context.route.name, now)
+
     def expected_seconds(
         self, service_seconds: float, offer: Offer, now: float
     ) -> float:
@@ -120,7 +138,11 @@
             if placement.is_estimate_settled:
                 locality.note_latency(data_center, seconds, expected, now)
         self.service_times.update(
-            route.name, route.objective_seconds, seconds, expected
+            route.name,
+            route.objective_seconds,
+            seconds,
+            expected,
+            placement.service_seconds,
         )
 
     def _count(
--- a/zinniaturn/gateway/scheduler.py
+++ b/zinniaturn/gateway/scheduler.py
@@ -86,10 +86,7 @@
         Returns ``None`` if the servers fall silent meanwhile.
         """
         loop = asyncio.get_running_loop()
-        service_seconds = self.service_times.service_seconds(
-            context.route.name,
-            context.route.objective_seconds,
-        )
+        service_seconds = self.costs.seconds_to_place_by(context, loop.time())
         await self._ensure_usable(context, service_seconds)
         decided = loop.create_future()
         queue = self.queue(context.pool.name)
@@ -122,6 +119,7 @@
         if queued.is_withdrawn:
             return None
         if queued.granted is None:
+            self.costs.note_rejection(context, queued, loop.time())
             context.queue_length = len(queue.waiting)
             context.avoids_slow_servers = queue.contention.has_fast_server(
                 loop.time()
--- a/zinniaturn/placing/latency_estimates.py
+++ b/zinniaturn/placing/latency_estimates.py
@@ -26,6 +26,8 @@
 # The first samples of a route move its estimate faster.
 _FIRST_SMOOTHING = 0.5
 _FIRST_SAMPLES = 6
+# Without a response, so many seconds pass from one trial to the next.
+_TRIAL_INTERVAL_SECONDS = 1.0
 
 
 def expected_seconds(
@@ -84,11 +86,14 @@
     The service time of each route's requests on an idle server, in seconds.
 
     The server is taken to have its usual speed. A route without any sample is
-    taken to need a share of its objective.
+    taken to need a share of its objective. ``barred_at`` has the routes whose
+    estimates reject requests, with the time of the first rejection or the last
+    trial since the last response.
     """
 
     estimates: dict[str, float] = field(default_factory=dict)
     samples: dict[str, int] = field(default_factory=dict)
+    barred_at: dict[str, float] = field(default_factory=dict)
 
     def is_settled(self, route: str) -> bool:
         """Return whether the estimate rests on several responses."""
@@ -96,8 +101,28 @@
 
     def service_seconds(self, route: str, objective_seconds: float) -> float:
         """Return the estimate for a route."""
-        default = objective_seconds * 0.4 if objective_seconds else 0.1
-        return self.estimates.get(route, default)
+        return self.estimates.get(route, _first_estimate(objective_seconds))
+
+    def seconds_to_place_by(
+        self, route: str, objective_seconds: float, now: float
+    ) -> float:
+        """
+        Return the estimate by which a new request is placed.
+
+        An estimate that exceeds the time limits of a route's requests bars all
+        of them, so that no response would ever correct it. One request a second
+        is then placed as if the route had no samples.
+        """
+        barred_at = self.barred_at.get(route)
+        if barred_at is None or now - barred_at < _TRIAL_INTERVAL_SECONDS:
+            return self.service_seconds(route, objective_seconds)
+        self.barred_at[route] = now
+        self.samples.pop(route, None)
+        return _first_estimate(objective_seconds)
+
+    def note_barred(self, route: str, now: float) -> None:
+        """Record that the estimate left no time to serve a new request."""
+        self.barred_at.setdefault(route, now)
 
     def update(
         self,
@@ -105,13 +130,26 @@
         objective_seconds: float,
         seconds: float,
         expected: float,
+        placed_by: float,
     ) -> None:
-        """Correct the estimate by the ratio of actual to expected latency."""
+        """
+        Correct the estimate by the ratio of actual to expected latency.
+
+        ``placed_by`` is the estimate that the expected latency was derived
+        from. Of requests that ran at the same time each would otherwise
+        multiply what the others have already corrected.
+        """
+        self.barred_at.pop(route, None)
         current = self.service_seconds(route, objective_seconds)
         ratio = seconds / max(expected, 0.001)
         weight = _FIRST_SMOOTHING
         if self.is_settled(route):
             ratio = min(2.0, max(0.5, ratio))
             weight = _SMOOTHING
-        self.estimates[route] = current + current * (ratio - 1) * weight
+        self.estimates[route] = current + (placed_by * ratio - current) * weight
         self.samples[route] = self.samples.get(route, 0) + 1
+
+
+def _first_estimate(objective_seconds: float) -> float:
+    """Return the estimate for a route without any sample."""
+    return objective_seconds * 0.4 if objective_seconds else 0.1
--- a/zinniaturn/placing/request_queue.py
+++ b/zinniaturn/placing/request_queue.py
@@ -103,6 +103,11 @@
         """Return whether even an idle server would miss the objective."""
         return now + self.service_seconds > self.objective_at
 
+    def is_hopeless(self, now: float) -> bool:
+        """Return whether its service does not fit before its deadline."""
+        needed_seconds = self.service_seconds * _NEEDED_SERVICE_SHARE
+        return now + needed_seconds > self.deadline
+
     def late_seconds(self, now: float) -> float:
         """Return for how long the request has waited while late."""
         return now - max(
@@ -238,10 +243,7 @@
     def _reject_hopeless(self, now: float) -> int:
         """Reject the requests that can't be served before their deadline."""
         hopeless = [
-            request
-            for request in self.waiting
-            if now + request.service_seconds * _NEEDED_SERVICE_SHARE
-            > request.deadline
+            request for request in self.waiting if request.is_hopeless(now)
         ]
         for request in hopeless:
             self._reject(request, request.service_seconds)
