Keep tenants' accounts apart from the gate, and apply changed settings at once

Cause: AllowanceGate both decided and waited for messages. Its accounts evicted the one opened first, so that a tenant in steady use could lose its permits, and changed settings applied only with the next document, at the owner too.

Change: zinniaturn/tenants/accounts.py holds the accounts and the part that a VM sends by itself, as plain functions; the gate waits. The least recently used account is closed. A change of the settings drops permits and names the new bucket at once; an owner takes the bucket named last of the same document.

--- a/zinniaturn/admission/grantor.py
+++ b/zinniaturn/admission/grantor.py
@@ -132,9 +132,16 @@
             self.updated_at = now
 
     def follow(self, request: PermitRequest) -> None:
-        """Apply a later version of a tenant's allowance; keep the tokens."""
-        if request.started_ms > self.started_ms:
+        """
+        Apply a later version of a tenant's allowance; keep the tokens.
+
+        A VM whose settings have changed names the same version again, with
+        another bucket and a later time.
+        """
+        said = request.started_ms, request.said_at
+        if said > (self.started_ms, self.said_at):
             self.started_ms = request.started_ms
+            self.said_at = request.said_at
             self.limit = request.limit
             self.depth = request.depth
 
--- /dev/null
+++ b/zinniaturn/tenants/accounts.py
@@ -0,0 +1,135 @@
+"""
+What one VM holds of its tenants' allowances.
+
+The permits come from the VM that an allowance belongs to. While that can't be
+asked, a VM sends its own part of a little less than the allowance: its share of
+the fleet's requests.
+
+Work: one look-up and a few comparisons for each request. At most 4096 accounts
+are kept; the least recently used one is closed first.
+"""
+
+__all__ = ('TenantAccount', 'TenantAccounts', 'take_own_part')
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from zinniaturn.admission.admission import Admission, ServerNotice
+from zinniaturn.admission.permits import PERMIT_LIFETIME_SECONDS
+from zinniaturn.clock import Clock
+from zinniaturn.placing.return_schedule import ReturnSchedule
+from zinniaturn.placing.token_bucket import TokenBucket
+from zinniaturn.tenants.allowance import AllowanceBounds, bucket_for
+from zinniaturn.tenants.table import Tenant
+
+_KEY_PREFIX = 'tenant '
+# The part of an allowance that VMs use together while its owner is silent.
+_OWNERLESS_SHARE = 0.65
+_MOST_ACCOUNTS = 4096
+
+
+@dataclass(slots=True)
+class TenantAccount:
+    """
+    What this VM holds of one tenant's allowance.
+
+    ``version`` is that of the document with the tenant.
+    """
+
+    tenant: Tenant
+    bounds: AllowanceBounds
+    version: int
+    admission: Admission
+    own_part: TokenBucket
+    returns: ReturnSchedule = field(default_factory=ReturnSchedule)
+
+
+@dataclass(slots=True)
+class TenantAccounts:
+    """The accounts of this VM by tenant, the most recently used one last."""
+
+    clock: Clock
+    accounts: 'OrderedDict[str, TenantAccount]' = field(
+        default_factory=OrderedDict
+    )
+
+    def use(
+        self, tenant: Tenant, bounds: AllowanceBounds, version: int
+    ) -> TenantAccount:
+        """Return a tenant's account by the present document and settings."""
+        account = self.accounts.get(tenant.name)
+        if account is None:
+            account = self._open(tenant, bounds, version)
+            self.accounts[tenant.name] = account
+            if len(self.accounts) > _MOST_ACCOUNTS:
+                self.accounts.popitem(last=False)
+            return account
+        self.accounts.move_to_end(tenant.name)
+        if account.tenant is not tenant or account.bounds != bounds:
+            self._follow(account, tenant, bounds, version)
+        return account
+
+    def give_back(self, tenant: Tenant, expiry: float) -> None:
+        """Hold a permit again that was not used, unless it has expired."""
+        account = self.accounts.get(tenant.name)
+        if account is not None and expiry > self.clock.monotonic():
+            account.admission.permits.give_back(expiry)
+
+    def _open(
+        self, tenant: Tenant, bounds: AllowanceBounds, version: int
+    ) -> TenantAccount:
+        now = self.clock.monotonic()
+        notice = _notice(tenant, bounds, version, now)
+        return TenantAccount(
+            tenant,
+            bounds,
+            version,
+            Admission(self.clock, notice),
+            TokenBucket(0, 1, now),
+        )
+
+    def _follow(
+        self,
+        account: TenantAccount,
+        tenant: Tenant,
+        bounds: AllowanceBounds,
+        version: int,
+    ) -> None:
+        """Apply a later document, in which a tenant is another object."""
+        if account.tenant != tenant or account.bounds != bounds:
+            # Permits by an earlier limit may be more than the new one allows.
+            account.admission.permits.expiries.clear()
+        account.tenant = tenant
+        account.bounds = bounds
+        account.version = version
+        now = self.clock.monotonic()
+        account.admission.notice = _notice(tenant, bounds, version, now)
+
+
+def take_own_part(
+    account: TenantAccount, share: float, now: float
+) -> float | None:
+    """
+    Return the expiry of a permit of this VM's own part, if there is one.
+
+    ``share`` is this VM's part of the fleet's requests.
+    """
+    account.own_part.per_second = (
+        account.tenant.requests_per_second * share * _OWNERLESS_SHARE
+    )
+    if account.own_part.take(1, now):
+        return now + PERMIT_LIFETIME_SECONDS
+    return None
+
+
+def _notice(
+    tenant: Tenant, bounds: AllowanceBounds, version: int, now: float
+) -> ServerNotice:
+    bucket = bucket_for(tenant.requests_per_second, tenant.burst, bounds)
+    return ServerNotice(
+        _KEY_PREFIX + tenant.name,
+        version,
+        bucket.per_second,
+        said_at=now,
+        depth=bucket.depth,
+    )
