Give a tenant's short permits to requests that can be in time

Cause: permits went to whoever came first, whatever was left of its objective.

Change: for 0.3 s after a VM had no permit for a request in time, requests of that tenant which can't be in time are refused without a permit.

--- a/zinniaturn/experiments/locality/model_vm.py
+++ b/zinniaturn/experiments/locality/model_vm.py
@@ -213,7 +213,7 @@
             QuarantineGate(state, scheduler.retry_after_jitter),
             StopGate(state, scheduler.retry_after_jitter),
             TenantGate(state, scheduler.retry_after_jitter),
-            AllowanceGate(state),
+            AllowanceGate(state, scheduler.service_times),
         )
         self.runner.vm = self
 
--- a/zinniaturn/gateway/allowance_gate.py
+++ b/zinniaturn/gateway/allowance_gate.py
@@ -3,6 +3,7 @@
 
 Each send takes a permit, also a retry and a hedged request. A request for which
 there is none is rejected at once, with the time at which a place is free again.
+So is one that can't be in time while permits are short (`AllowanceShortage`).
 
 While the VM that an allowance belongs to can't be asked, a VM sends its own
 part of a little less than the allowance: its share of the fleet's requests.
@@ -13,6 +14,7 @@
 
 __all__ = ('AllowanceGate',)
 
+import asyncio
 import math
 from dataclasses import dataclass, field
 
@@ -20,6 +22,7 @@
 from zinniaturn.events.catalogue import LogEvent
 from zinniaturn.gateway.request_context import RequestContext
 from zinniaturn.gateway.state import GatewayState
+from zinniaturn.placing.latency_estimates import ServiceTimeEstimates
 from zinniaturn.placing.rate_limit import RateLimit
 from zinniaturn.tenants import Tenant
 from zinniaturn.tenants.accounts import (
@@ -37,6 +40,7 @@
     """Obtains the permits of tenants that have an allowance."""
 
     state: GatewayState
+    service_times: ServiceTimeEstimates
     accounts: TenantAccounts = field(init=False)
     reports: RateLimit = field(
         default_factory=lambda: RateLimit(_REPORT_SECONDS)
@@ -57,8 +61,14 @@
         if tenant is None or not tenant.is_limited:
             return math.inf
         account = self._account(tenant)
+        is_late = self._is_late(context)
+        clock = self.state.admissions.clock
+        if account.shortage.bars(is_late=is_late, now=clock.monotonic()):
+            raise self._rejection(account, context.priority)
         expiry = await self._permit(account)
         if expiry is None:
+            if not is_late:
+                account.shortage.note_refused(clock.monotonic())
             raise self._rejection(account, context.priority)
         return expiry
 
@@ -97,6 +107,15 @@
         now = self.state.admissions.clock.monotonic()
         return take_own_part(account, self._own_share(), now)
 
+    def _is_late(self, context: RequestContext) -> bool:
+        """Return whether even an idle server would miss the objective."""
+        route = context.route
+        seconds = self.service_times.service_seconds(
+            route.name, route.objective_seconds
+        )
+        now = asyncio.get_running_loop().time()
+        return now + seconds > context.objective_at
+
     def _account(self, tenant: Tenant) -> TenantAccount:
         tables = self.state.fleet_state.tables
         return self.accounts.use(
--- a/zinniaturn/gateway/dispatch.py
+++ b/zinniaturn/gateway/dispatch.py
@@ -59,7 +59,7 @@
             QuarantineGate(state, scheduler.retry_after_jitter),
             self.stop_gate,
             self.tenant_gate,
-            AllowanceGate(state),
+            AllowanceGate(state, scheduler.service_times),
         )
         self.pool_selector = PoolSelector(state.random_source)
         self.elapsed_times = ElapsedTimeEstimator()
--- a/zinniaturn/tenants/accounts.py
+++ b/zinniaturn/tenants/accounts.py
@@ -20,6 +20,7 @@
 from zinniaturn.placing.return_schedule import ReturnSchedule
 from zinniaturn.placing.token_bucket import TokenBucket
 from zinniaturn.tenants.allowance import AllowanceBounds, bucket_for
+from zinniaturn.tenants.shortage import AllowanceShortage
 from zinniaturn.tenants.table import Tenant
 
 _KEY_PREFIX = 'tenant '
@@ -42,6 +43,7 @@
     admission: Admission
     own_part: TokenBucket
     returns: ReturnSchedule = field(default_factory=ReturnSchedule)
+    shortage: AllowanceShortage = field(default_factory=AllowanceShortage)
 
 
 @dataclass(slots=True)
