Let decisions on a request be read without acting on them

Cause: a question where a request would go can't use the decisions, as they ask other VMs, draw at random or count what they reject.

TenantTable finds tenants by name and counts their keys. Requests are served as before.

--- a/zinniaturn/gateway/local_search.py
+++ b/zinniaturn/gateway/local_search.py
@@ -1,14 +1,14 @@
 """Where a request's search begins, and what its probes say of data centres."""
 
-__all__ = ('LocalSearch',)
+__all__ = ('LocalSearch', 'SearchOutlook')
 
-from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field, replace
 
 from zinniaturn.gateway.prober import ProbeResult
 from zinniaturn.gateway.request_context import RequestContext
 from zinniaturn.gateway.state import GatewayState
-from zinniaturn.locality.decision import SearchStart
+from zinniaturn.locality.decision import SearchStart, start_for
 from zinniaturn.locality.departures import LeaveReason
 from zinniaturn.placing.candidates import (
     Candidate,
@@ -28,6 +28,31 @@
 _INITIAL_SECONDS = 1.5
 
 
+@dataclass(frozen=True, slots=True)
+class SearchOutlook:
+    """
+    The state of the decision where new requests begin.
+
+    ``stay_ratio`` is what beginning at home saves as a multiple of what it
+    costs, and ``inputs`` are the figures that it rests on.
+    """
+
+    may_probe_own: bool
+    stay_ratio: float
+    inputs: Mapping[str, float]
+
+    def starts(self) -> dict[str, float]:
+        """Return the share of requests of each `SearchStart`, by its value."""
+        if not self.may_probe_own:
+            return {SearchStart.ELSEWHERE.value: 1.0}
+        first = start_for(self.stay_ratio, 0)
+        last = start_for(self.stay_ratio, 1)
+        if first is last:
+            return {first.value: 1.0}
+        share = min(1.0, self.stay_ratio)
+        return {first.value: share, last.value: 1 - share}
+
+
 @dataclass(slots=True)
 class LocalSearch:
     """
@@ -82,6 +107,31 @@
             return SearchStart.OWN_FIRST
         return start
 
+    def peek(
+        self, pool: str, probes: int, megabytes: float, now: float
+    ) -> SearchOutlook | None:
+        """
+        Return how `start` decides for new requests, and change nothing.
+
+        It works on copies of what a decision would change. ``megabytes`` is
+        the usual size of the responses.
+        """
+        known = self.state.locality.pools.get(pool)
+        if known is None or not known.is_active:
+            return None
+        budgets = {
+            name: replace(budget)
+            for name, budget in self.own_budgets.items()
+            if name == pool
+        }
+        search = replace(self, own_budgets=budgets)
+        locality = replace(known, places=dict(known.places))
+        return SearchOutlook(
+            search._may_probe_own(pool, probes, now),
+            locality.stay_ratio(probes, megabytes, now),
+            locality.inputs(now),
+        )
+
     def note_offers(
         self, context: RequestContext, offers: Iterable[Offer]
     ) -> None:
--- a/zinniaturn/gateway/path_decider.py
+++ b/zinniaturn/gateway/path_decider.py
@@ -1,6 +1,6 @@
 """Decides for each request whether its servers are within reach of this VM."""
 
-__all__ = ('PathDecider',)
+__all__ = ('UNREACHED_RETRY_SECONDS', 'PathDecider')
 
 import asyncio
 from dataclasses import dataclass
@@ -20,7 +20,7 @@
 
 _EVIDENCE_POLL_SECONDS = 0.01
 # Servers that respond to nobody may be back soon.
-_UNREACHED_RETRY_SECONDS = 0.3
+UNREACHED_RETRY_SECONDS = 0.3
 
 
 @dataclass(slots=True)
@@ -55,7 +55,7 @@
                         'no server of the pool responds',
                         'no-server',
                         self.retry_after_jitter.seconds(
-                            _UNREACHED_RETRY_SECONDS
+                            UNREACHED_RETRY_SECONDS
                         ),
                     )
 
--- a/zinniaturn/gateway/scheduler.py
+++ b/zinniaturn/gateway/scheduler.py
@@ -13,6 +13,12 @@
 from zinniaturn.choosing.exceptions import RejectedError
 from zinniaturn.choosing.reports import LoadReport
 from zinniaturn.fleet.tables import FleetPool
+from zinniaturn.gateway.blockage import (
+    EVACUATED_RETRY_SECONDS,
+    Blockage,
+    find_blockage,
+    retry_seconds,
+)
 from zinniaturn.gateway.offer_costs import OfferCosts
 from zinniaturn.gateway.path_decider import PathDecider
 from zinniaturn.gateway.permit_search import PoolSurvey
@@ -33,9 +39,6 @@
 # Between turns of probes, and with a turn whose probes get no response.
 _LONGEST_PAUSE_SECONDS = 0.1
 _LONGEST_TURN_SECONDS = 0.45
-# Callers return at the rate at which the store is read.
-_EVACUATED_RETRY_SECONDS = 1.0
-_DOUBT_RETRY_SECONDS = 0.2
 _RESERVED_PROBES = 6
 _RESERVED_PROBES_WHEN_ALL_LATE = 15
 
@@ -146,27 +149,22 @@
         Raises `RejectedError` if none may, also after requests for permits.
         """
         if self.state.evacuations_are_in_doubt():
-            raise self._rejection(
-                _DOUBT_RETRY_SECONDS, 'evacuations are not known yet'
-            )
+            raise self._blocked(Blockage.IN_DOUBT, service_seconds)
         permits = self.search.permits
         survey = permits.survey(context.pool)
         context.withheld = survey.describe_withheld()
-        if survey.usable:
+        blockage = find_blockage(survey)
+        if blockage is None:
             permits.request_ahead(survey)
             return
-        if survey.is_evacuated:
-            raise self._rejection(
-                _EVACUATED_RETRY_SECONDS, 'all servers are evacuated'
-            )
-        if not survey.limited:
-            raise self._rejection(service_seconds, 'no server is known')
+        if blockage is not Blockage.AT_LIMITS:
+            raise self._blocked(blockage, service_seconds)
         if await permits.obtain(survey):
             return
         seconds = self._seconds_at_limits(
             context.pool, survey, context.priority
         )
-        raise self._rejection(seconds, 'all servers are at their limits')
+        raise self._rejection(seconds, blockage.value)
 
     def _seconds_at_limits(
         self, pool: FleetPool, survey: PoolSurvey, priority: int
@@ -360,10 +358,11 @@
         That is if every server is at its limit or evacuated.
         """
         survey = self.search.permits.survey(pool)
-        if survey.is_evacuated:
-            queue.reject_all(lambda priority: _EVACUATED_RETRY_SECONDS)
+        blockage = find_blockage(survey)
+        if blockage is Blockage.EVACUATED:
+            queue.reject_all(lambda priority: EVACUATED_RETRY_SECONDS)
             return True
-        if survey.usable or not survey.limited:
+        if blockage is not Blockage.AT_LIMITS:
             return False
         queue.reject_all(
             lambda priority: self._seconds_at_limits(pool, survey, priority)
@@ -379,6 +378,12 @@
             else _RESERVED_PROBES_WHEN_ALL_LATE
         )
 
+    def _blocked(
+        self, blockage: Blockage, service_seconds: float
+    ) -> RejectedError:
+        seconds = retry_seconds(blockage, service_seconds)
+        return self._rejection(seconds, blockage.value)
+
     def _rejection(self, seconds: float, detail: str) -> RejectedError:
         return RejectedError(
             detail, 'no-server', self.retry_after_jitter.seconds(seconds)
--- a/zinniaturn/gateway/stop_gate.py
+++ b/zinniaturn/gateway/stop_gate.py
@@ -7,7 +7,7 @@
 and other VMs serve it.
 """
 
-__all__ = ('StopGate',)
+__all__ = ('STOP_RETRY_SECONDS', 'StopGate')
 
 import asyncio
 from collections.abc import Iterable
@@ -20,7 +20,7 @@
 from zinniaturn.placing.retry_after import RetryAfterJitter
 
 # The caller meets another VM when it returns.
-_RETRY_SECONDS = 0.05
+STOP_RETRY_SECONDS = 0.05
 
 
 @dataclass(slots=True)
@@ -46,7 +46,7 @@
             f'may take {context.deadline - now:.2f} s, and the process ends '
             f'in {stop.finish_at - now:.2f} s',
             'draining',
-            self.retry_after_jitter.seconds(_RETRY_SECONDS),
+            self.retry_after_jitter.seconds(STOP_RETRY_SECONDS),
         )
 
     def reject_waiting(self, queues: Iterable[RequestQueue]) -> None:
@@ -55,4 +55,4 @@
         if stop is None:
             return
         for queue in queues:
-            queue.reject_after(stop.finish_at, _RETRY_SECONDS)
+            queue.reject_after(stop.finish_at, STOP_RETRY_SECONDS)
--- a/zinniaturn/gateway/tenant_gate.py
+++ b/zinniaturn/gateway/tenant_gate.py
@@ -10,7 +10,7 @@
 question, whatever the number of tenants and keys, and no memory for a request.
 """
 
-__all__ = ('KEY_CODES', 'TenantGate')
+__all__ = ('KEY_CODES', 'TOO_OLD_RETRY_SECONDS', 'TenantGate')
 
 from dataclasses import dataclass
 
@@ -20,12 +20,12 @@
 from zinniaturn.gateway.state import GatewayState
 from zinniaturn.http1.messages import Request
 from zinniaturn.placing.retry_after import RetryAfterJitter
-from zinniaturn.tenants import KeyRuling, Standing, Tenant
+from zinniaturn.tenants import KeyRuling, Standing, Tenant, TenantTable
 
 # The codes of requests that their keys don't allow.
 KEY_CODES = frozenset(('unknown-key', 'configuration-too-old'))
 # The caller meets another VM when it returns, or this one has read the store.
-_TOO_OLD_RETRY_SECONDS = 0.3
+TOO_OLD_RETRY_SECONDS = 0.3
 
 
 @dataclass(slots=True)
@@ -42,24 +42,36 @@
         Returns ``None`` where no key is asked for, and raises `RejectedError`
         for a request whose key is missing, unknown or perhaps withdrawn.
         """
-        fleet_state = self.state.fleet_state
-        tables = fleet_state.tables
-        if tables is None or tables.tenants is None:
-            return None
-        # The route may have become public, or be so no more, since the request
-        # arrived.
-        if tables.routes.get(route.name, route).public:
+        tenants = self.tenants_asked_on(route)
+        if tenants is None:
             return None
         bounds = self.state.settings.bounds
         ruling, tenant = bounds.revocation.decide(
-            tables.tenants,
+            tenants,
             self.state.wire_format.tenant_key(request.fields),
-            fleet_state.proof.age_seconds,
+            self.state.fleet_state.proof.age_seconds,
         )
         if ruling is KeyRuling.SERVE:
             return tenant
         raise self._rejection(ruling)
 
+    def tenants_asked_on(self, route: FleetRoute) -> TenantTable | None:
+        """Return the tenants whose keys a route asks for, if it asks."""
+        tables = self.state.fleet_state.tables
+        if tables is None or tables.tenants is None:
+            return None
+        # The route may have become public, or be so no more, since the request
+        # arrived.
+        if tables.routes.get(route.name, route).public:
+            return None
+        return tables.tenants
+
+    def rule_on(self, tenant: Tenant | None) -> tuple[KeyRuling, Tenant | None]:
+        """Return the ruling on requests of a tenant; nothing is counted."""
+        rule = self.state.settings.bounds.revocation
+        age_seconds = self.state.fleet_state.proof.age_seconds
+        return rule.decide_for(tenant, age_seconds)
+
     def standing(self) -> Standing:
         """Return what the tables in force are good for, by their proof."""
         fleet_state = self.state.fleet_state
@@ -100,5 +112,5 @@
         return RejectedError(
             f'keys may have been withdrawn for {age:.2f} s',
             ruling.value,
-            self.retry_after_jitter.seconds(_TOO_OLD_RETRY_SECONDS),
+            self.retry_after_jitter.seconds(TOO_OLD_RETRY_SECONDS),
         )
--- a/zinniaturn/reach/reach_table.py
+++ b/zinniaturn/reach/reach_table.py
@@ -64,8 +64,17 @@
         """Return what to do with a request to a pool."""
         return decide(self.path(pool), is_relayed, is_unplaced)
 
+    def peek(self, pool: str) -> PathDecision:
+        """Return what `decide` would for a caller's request; ask nobody."""
+        now = self.clock.monotonic()
+        path = self._path(pool, lambda name: self.asking_since.get(name, now))
+        return decide(path, is_relayed=False, is_unplaced=False)
+
     def path(self, pool: str) -> PoolPath:
-        """Return what is known of the path to a pool."""
+        """Return what is known of the path to a pool; ask other VMs of it."""
+        return self._path(pool, self.ask)
+
+    def _path(self, pool: str, ask: Callable[[str], float]) -> PoolPath:
         if self.own.is_trusted(pool):
             return _OPEN_PATH
         is_silent = self.own.is_silent(pool)
@@ -73,7 +82,7 @@
         if not (is_silent or refuses_connections):
             return _OPEN_PATH
         now = self.clock.monotonic()
-        asked_at = self.ask(pool)
+        asked_at = ask(pool)
         since = self.own.of(pool).silent_since + _LEAST_LEAD_SECONDS
         return PoolPath(
             is_silent,
--- a/zinniaturn/tenants/revocation.py
+++ b/zinniaturn/tenants/revocation.py
@@ -79,9 +79,14 @@
         """
         if not key:
             return KeyRuling.UNKNOWN_KEY, None
+        return self.decide_for(tenants.find(key), age_seconds)
+
+    def decide_for(
+        self, tenant: Tenant | None, age_seconds: float
+    ) -> tuple[KeyRuling, Tenant | None]:
+        """Return the ruling on a key by its tenant, ``None`` if unknown."""
         if self.standing(age_seconds) is Standing.TOO_OLD:
             return KeyRuling.TOO_OLD, None
-        tenant = tenants.find(key)
         if tenant is None:
             return KeyRuling.UNKNOWN_KEY, None
         return KeyRuling.SERVE, tenant
--- a/zinniaturn/tenants/table.py
+++ b/zinniaturn/tenants/table.py
@@ -37,12 +37,15 @@
     """
     The tenants of one configuration.
 
+    ``without_keys`` are those that can't send requests, as they have no key.
+
     >>> table = TenantTable.build([(Tenant('a'), [b'key'])])
     >>> table.find(b'key').name, table.find(b'other')
     ('a', None)
     """
 
     by_key: Mapping[bytes, Tenant] = field(default_factory=dict, repr=False)
+    without_keys: tuple[Tenant, ...] = ()
 
     @classmethod
     def build(
@@ -51,6 +54,25 @@
         """Return the table of these tenants with their keys."""
         return cls({key: tenant for tenant, keys in rows for key in keys})
 
+    def key_counts(self) -> dict[str, tuple[Tenant, int]]:
+        """
+        Return each tenant by name, with its number of keys.
+
+        Work: a step for each key.
+        """
+        counts = {tenant.name: (tenant, 0) for tenant in self.without_keys}
+        for tenant in self.by_key.values():
+            known = counts.get(tenant.name, (tenant, 0))
+            counts[tenant.name] = tenant, known[1] + 1
+        return counts
+
+    def find_by_name(self, name: str) -> Tenant | None:
+        """Return the tenant of a name that has a key; a step for each key."""
+        for tenant in self.by_key.values():
+            if tenant.name == name:
+                return tenant
+        return None
+
     def find(self, key: bytes) -> Tenant | None:
         """Return the tenant that holds a key, in constant time."""
         return self.by_key.get(key)
