Tell operators where a request would go now

Cause: why a VM refuses or sends away a kind of request could only be read from logs of requests that had already come.

Change: GET /where at the metrics address runs the decisions of a request dry, and `zinniaturn explain where` prints the outcome, the reason and up to 32 servers with the ages of their load reports. Operators' commands end with status 7 if the process has no configuration and 8 if its build lacks the endpoint, `quarantine` too, which ended with 5. `explain` is a group now: its options go after the kind, as all pages have them.

--- a/zinniaturn/commands/exit_status.py
+++ b/zinniaturn/commands/exit_status.py
@@ -22,6 +22,8 @@
     UNKNOWN = 4
     UNAVAILABLE = 5
     CUT_OFF = 6
+    NOT_READY = 7
+    UNSUPPORTED = 8
     INTERNAL = 70
 
 
@@ -35,6 +37,8 @@
         'store-busy': ExitStatus.UNAVAILABLE,
         'entry-unavailable': ExitStatus.UNAVAILABLE,
         'listen-failed': ExitStatus.UNAVAILABLE,
+        'vm-not-ready': ExitStatus.NOT_READY,
+        'endpoint-missing': ExitStatus.UNSUPPORTED,
     }
 )
 
--- a/zinniaturn/commands/explain.py
+++ b/zinniaturn/commands/explain.py
@@ -1,4 +1,4 @@
-"""Implements ``zinniaturn explain``, which explains decisions of entries."""
+"""Implements ``zinniaturn explain``, which explains decisions."""
 
 __all__ = ('explain',)
 
@@ -19,6 +19,7 @@
 )
 from zinniaturn.commands.output import print_json
 from zinniaturn.commands.stores import open_optional_store
+from zinniaturn.commands.where import where
 from zinniaturn.explain.logs import explain_from_logs, read_rows
 from zinniaturn.explain.messages import Explanation, ExplanationLine
 from zinniaturn.explain.queries import Subject, SubjectKind
@@ -35,36 +36,52 @@
     lines: list[ExplanationLine]
 
 
-@click.command()
-@click.argument('kind', type=click.Choice([kind.value for kind in SubjectKind]))
-@click.argument('name')
-@optional_store_option
-@entries_option
-@click.option(
-    '--logs',
-    type=click.File('rb'),
-    multiple=True,
-    help='A log of a gateway process, - for standard input; may be repeated. '
-    'Entries are then not queried.',
-)
-@json_option
-def explain(
-    kind: str,
-    name: str,
+def _subject_command(kind: SubjectKind) -> click.Command:
+    """Return the command that explains how a subject was treated."""
+
+    @click.command(
+        kind.value,
+        # The variables keep the names that they had with one command.
+        context_settings={'auto_envvar_prefix': 'ZINNIATURN_EXPLAIN'},
+        help=(
+            f'Explain how the {kind.value} NAME was treated and why. Entries '
+            'keep only their latest decisions, in memory; --logs reads logs of '
+            'gateway processes instead. The exit status is 1 if nothing is '
+            'known of it.'
+        ),
+    )
+    @click.argument('name')
+    @optional_store_option
+    @entries_option
+    @click.option(
+        '--logs',
+        type=click.File('rb'),
+        multiple=True,
+        help='A log of a gateway process, - for standard input; may be '
+        'repeated. Entries are then not queried.',
+    )
+    @json_option
+    def explain_subject(
+        name: str,
+        store_url: str,
+        entries: Sequence[str],
+        logs: Sequence[BinaryIO],
+        as_json: bool,
+    ) -> None:
+        _explain_subject(Subject(kind, name), store_url, entries, logs, as_json)
+
+    return explain_subject
+
+
+def _explain_subject(
+    subject: Subject,
     store_url: str,
     entries: Sequence[str],
     logs: Sequence[BinaryIO],
     as_json: bool,
 ) -> None:
-    """
-    Explain how a request, server, entry or revision was treated and why.
-
-    KIND is request, server, entry or revision and NAME its id, name or
-    number. Entries keep only their latest decisions, in memory; --logs reads
-    logs of gateway processes instead. The exit status is 1 if nothing is known
-    of the subject.
-    """
-    subject = Subject(SubjectKind(kind), name)
+    kind = subject.kind.value
+    name = subject.name
     if logs:
         rows = read_rows(line for log in logs for line in log)
         lines = explain_from_logs(rows, subject)
@@ -113,3 +130,10 @@
             f'no decision on {output.kind} {output.name} is known at '
             f'{sources}; entries keep only their latest decisions',
         )
+
+
+explain = click.Group(
+    'explain',
+    help='Explain what was or would be done with requests, and why.',
+    commands=[where, *map(_subject_command, SubjectKind)],
+)
--- a/zinniaturn/commands/main.py
+++ b/zinniaturn/commands/main.py
@@ -70,7 +70,9 @@
 
     The exit status is 0 when done, 1 when a check failed, 2 for wrong usage
     or settings, 3 when refused, 4 when the outcome of a change is unknown,
-    5 when the store or an address is unavailable, 70 for an internal error.
+    5 when the store or an address is unavailable, 7 when a process has no
+    configuration yet, 8 when it is of a build that can't answer, 70 for an
+    internal error.
     """
 
 
--- a/zinniaturn/commands/options.py
+++ b/zinniaturn/commands/options.py
@@ -10,6 +10,7 @@
     'json_option',
     'optional_store_option',
     'store_option',
+    'vm_option',
 )
 
 from collections.abc import Callable
@@ -107,6 +108,12 @@
     is_flag=True,
     help='Print one JSON object, also for an error.',
 )
+vm_option = click.option(
+    '--vm',
+    required=True,
+    metavar='HOST:PORT',
+    help='The metrics address of a gateway process.',
+)
 dry_run_option = click.option(
     '--dry-run',
     is_flag=True,
--- a/zinniaturn/commands/quarantine.py
+++ b/zinniaturn/commands/quarantine.py
@@ -4,31 +4,17 @@
 
 import asyncio
 import sys
-from typing import TypeVar
 
-import aiohttp
 import click
-import msgspec
 
 from zinniaturn.commands.exit_status import ExitStatus
-from zinniaturn.commands.options import json_option
+from zinniaturn.commands.options import json_option, vm_option
 from zinniaturn.commands.output import format_columns, print_json
 from zinniaturn.gateway.quarantine_endpoint import HeldRequest, LiftResult
-from zinniaturn.status.exceptions import StatusError
+from zinniaturn.status.vm_requests import call_vm, decode_response
 
-_TIMEOUT_SECONDS = 5.0
 _COLUMNS = ('KEY', 'STATE', 'HELD (s)', 'CRASHES', 'ENDED WELL', 'SERVERS')
 _MOST_SERVERS = 3
-_OK_STATUS = 200
-
-Content = TypeVar('Content')
-
-vm_option = click.option(
-    '--vm',
-    required=True,
-    metavar='HOST:PORT',
-    help='The metrics address of any gateway process.',
-)
 
 
 @click.group()
@@ -46,8 +32,8 @@
     All VMs know the same within a second. The key of a request is in the log
     lines 710 and 760 to 763.
     """
-    raw = asyncio.run(_call('GET', f'http://{vm}/quarantine'))
-    held = _decode(raw, list[HeldRequest])
+    raw = asyncio.run(call_vm('GET', vm, '/quarantine'))
+    held = decode_response(raw, list[HeldRequest])
     if as_json:
         print_json(held)
         return
@@ -65,8 +51,8 @@
     KEY is as in the list. It is held anew once it has ended three more servers.
     The exit status is 1 if the VM knows of no crash of it.
     """
-    raw = asyncio.run(_call('DELETE', f'http://{vm}/quarantine/{key}'))
-    lifted = _decode(raw, LiftResult)
+    raw = asyncio.run(call_vm('DELETE', vm, f'/quarantine/{key}'))
+    lifted = decode_response(raw, LiftResult)
     if as_json:
         print_json(lifted)
     elif lifted.was_known:
@@ -87,24 +73,3 @@
         str(held.completions),
         servers,
     ]
-
-
-async def _call(method: str, url: str) -> bytes:
-    timeout = aiohttp.ClientTimeout(_TIMEOUT_SECONDS)
-    try:
-        async with (
-            aiohttp.ClientSession(timeout=timeout) as session,
-            session.request(method, url) as response,
-        ):
-            if response.status != _OK_STATUS:
-                raise StatusError(f'{url}: {response.status}')
-            return await response.read()
-    except (TimeoutError, aiohttp.ClientError, ValueError) as error:
-        raise StatusError(f'{url}: {error!r}') from error
-
-
-def _decode(raw: bytes, kind: type[Content]) -> Content:
-    try:
-        return msgspec.json.decode(raw, type=kind)
-    except msgspec.DecodeError as error:
-        raise StatusError(f'unreadable response: {error}') from error
--- a/zinniaturn/gateway/endpoints.py
+++ b/zinniaturn/gateway/endpoints.py
@@ -3,17 +3,17 @@
 __all__ = ('LookupEndpoint', 'MetricsEndpoint', 'ReadinessEndpoint')
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from zinniaturn.events.catalogue import LogEvent
 from zinniaturn.fleet.domain import VmRecord, VmStage
 from zinniaturn.fleet.vms import cut_off_vms, outdated_vms, serving_vms
-from zinniaturn.gateway.quarantine_endpoint import QuarantineEndpoint
 from zinniaturn.gateway.state import GatewayState
 from zinniaturn.http1.exchanges import CallerExchange
 from zinniaturn.http1.limits import CallerLimits
-from zinniaturn.http1.messages import Response
+from zinniaturn.http1.messages import Request, Response
 from zinniaturn.locality.look_ups import LocalShare, LocalVms
 from zinniaturn.placing.address_selection import (
     AddressSelector,
@@ -28,6 +28,13 @@
 _METRICS_TYPE = (b'Content-Type', b'text/plain; version=0.0.4')
 
 
+class OperatorEndpoint(Protocol):
+    """Answers the requests of operators at the metrics port."""
+
+    def handle(self, request: Request) -> Response | None:
+        """Return the response, ``None`` if the target is another one."""
+
+
 @dataclass(slots=True)
 class LookupEndpoint:
     """
@@ -71,16 +78,19 @@
     def fronts_for(self, data_center: str) -> list[str]:
         """Return the addresses for a caller of a data centre, '' if unknown."""
         demand = self.state.fleet_request_rate()
-        is_local = (
+        if not self.prefers_own(data_center, demand):
+            return self.address_selector.select(self.selected)
+        self._review_share(data_center, demand)
+        return [vm.front for vm in self.local.choose(data_center)]
+
+    def prefers_own(self, data_center: str, demand: float) -> bool:
+        """Return whether callers of a data centre get VMs of it first."""
+        return (
             self.state.locality.weights.is_enabled
             and self.local.is_mixed(data_center)
-            and self.local.capacity(data_center)
+            and self.local.capacity(data_center) > 0
             and math.isfinite(demand)
         )
-        if not is_local:
-            return self.address_selector.select(self.selected)
-        self._review_share(data_center, demand)
-        return [vm.front for vm in self.local.choose(data_center)]
 
     def update_selected(self) -> None:
         """Select the VMs anew if the situation has changed."""
@@ -150,16 +160,19 @@
 
 @dataclass(slots=True)
 class MetricsEndpoint:
-    """Serves the metrics in the Prometheus text format, and held requests."""
+    """Serves the metrics in the Prometheus text format, and operators."""
 
     render: Callable[[], bytes]
-    quarantine: QuarantineEndpoint
+    operators: Sequence[OperatorEndpoint]
     limits: CallerLimits = field(default_factory=CallerLimits)
     is_stopping: bool = False
 
     def handle(self, exchange: CallerExchange) -> Response:
-        """Return all metrics, or what the quarantine's endpoint returns."""
+        """Return all metrics, or what one of the other endpoints returns."""
         if exchange.request.target == b'/metrics':
             return Response(200, b'', [_METRICS_TYPE], self.render())
-        response = self.quarantine.handle(exchange.request)
-        return response or Response(404, b'', [])
+        for endpoint in self.operators:
+            response = endpoint.handle(exchange.request)
+            if response is not None:
+                return response
+        return Response(404, b'', [])
--- a/zinniaturn/gateway/ports.py
+++ b/zinniaturn/gateway/ports.py
@@ -16,6 +16,7 @@
 from zinniaturn.gateway.relay_service import PeerService, RelayService
 from zinniaturn.gateway.settings import GatewaySettings
 from zinniaturn.gateway.state import GatewayState
+from zinniaturn.gateway.where_endpoint import WhereEndpoint
 from zinniaturn.http1.client_account import ClientAccount, Place
 from zinniaturn.http1.connections import Address
 from zinniaturn.http1.exchanges import Service
@@ -43,6 +44,7 @@
     address_selector = AddressSelector(
         state.random_source, min(2.0, settings.bounds.lookup_seconds)
     )
+    look_ups = LookupEndpoint(state, address_selector)
     return (
         Port(
             Place.VMS,
@@ -57,14 +59,17 @@
         Port(
             Place.LOOK_UPS,
             settings.directory,
-            LookupEndpoint(state, address_selector),
+            look_ups,
         ),
         Port(
             Place.METRICS,
             (host, settings.metrics_port) if has_metrics else None,
             MetricsEndpoint(
                 lambda: render_metrics(state, clients),
-                QuarantineEndpoint(state),
+                (
+                    QuarantineEndpoint(state),
+                    WhereEndpoint(dispatcher, look_ups),
+                ),
             ),
         ),
     )
