List the tenants and evacuations that a VM knows

Cause: which tenants a VM has in force, what it has rejected of each and since when it has known an evacuation were in its log alone, if at all.

Change: GET /tenants and GET /evacuations at the metrics address, for `zinniaturn tenants list|show` and `zinniaturn evacuations list`. A VM counts rejections by tenant and code, of 4,096 tenants at most, and notes when it learnt of an evacuation. Tenants without keys are kept in the tables, to be listed.

--- a/features/steps/explain_where_steps.py
+++ b/features/steps/explain_where_steps.py
@@ -39,7 +39,8 @@
 @given('a gateway before two data centres that operators can ask')
 def start(context):
     async def start_all():
-        await start_asked(context, build_operator_config(), **_BOUNDS)
+        context.document = build_operator_config()
+        await start_asked(context, context.document, **_BOUNDS)
         gateway = context.gateway
         await wait_until(lambda: gateway.state.pools)
         await wait_until(lambda: not gateway.state.evacuations_are_in_doubt())
--- a/zinniaturn/commands/main.py
+++ b/zinniaturn/commands/main.py
@@ -25,6 +25,7 @@
         'completion': 'zinniaturn.commands.completion:completion',
         'demo': 'zinniaturn.commands.demo:demo',
         'entry': 'zinniaturn.commands.entry:entry',
+        'evacuations': 'zinniaturn.commands.evacuations:evacuations',
         'experiment': 'zinniaturn.commands.experiment:experiment',
         'explain': 'zinniaturn.commands.explain:explain',
         'gateway': 'zinniaturn.commands.gateway:gateway',
@@ -34,6 +35,7 @@
         'schema': 'zinniaturn.commands.schema:schema',
         'standin': 'zinniaturn.commands.standin:standin',
         'status': 'zinniaturn.commands.status:status',
+        'tenants': 'zinniaturn.commands.tenants:tenants',
     }
 )
 
--- a/zinniaturn/fleet/evacuations.py
+++ b/zinniaturn/fleet/evacuations.py
@@ -88,6 +88,7 @@
     store held at ``revision``, and ``confirmed_at`` is the latest time at which
     they are certain to have been the store's. ``kept_until`` holds those that
     were lost as the store came back from an older copy. ``in_force`` are both.
+    ``known_since`` tells for both since when this VM has known each.
     ``unread_at`` is when the last read began that failed.
     """
 
@@ -98,6 +99,7 @@
     confirmed_at: float = _NEVER
     kept_until: dict[str, float] = field(default_factory=dict)
     in_force: frozenset[str] = frozenset()
+    known_since: dict[str, float] = field(default_factory=dict)
     digest: int = 0
     unread_at: float = _NEVER
 
@@ -211,6 +213,9 @@
         self.digest = zlib.crc32(msgspec.msgpack.encode(sorted(self.names)))
         held = self.names.union(self.kept_until)
         self.in_force = held if self.is_followed else frozenset()
+        now = self.clock.monotonic()
+        known = self.known_since
+        self.known_since = {name: known.get(name, now) for name in held}
 
 
 def check_data_center(name: str) -> str:
--- a/zinniaturn/gateway/counters.py
+++ b/zinniaturn/gateway/counters.py
@@ -1,9 +1,10 @@
 """Counters and latency histograms of the gateway process."""
 
-__all__ = ('Counters',)
+__all__ = ('Counters', 'TenantRejections')
 
 from bisect import bisect_left
-from collections import Counter
+from collections import Counter, OrderedDict
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 BUCKET_BOUNDS_SECONDS = (
@@ -20,6 +21,7 @@
     2,
     5,
 )
+_MOST_TENANTS = 4096
 
 
 @dataclass(slots=True)
@@ -39,13 +41,42 @@
         self.total_seconds += seconds
 
 
+@dataclass(slots=True)
+class TenantRejections:
+    """
+    Rejections by tenant and code; the least recently rejected are dropped.
+
+    >>> rejections = TenantRejections()
+    >>> rejections.note('gold', 'over-allowance')
+    >>> dict(rejections.of('gold')), dict(rejections.of('coal'))
+    ({'over-allowance': 1}, {})
+    """
+
+    by_tenant: 'OrderedDict[str, Counter[str]]' = field(
+        default_factory=OrderedDict
+    )
+
+    def note(self, tenant: str, code: str) -> None:
+        """Count a rejected request of a tenant."""
+        counts = self.by_tenant.setdefault(tenant, Counter())
+        counts[code] += 1
+        self.by_tenant.move_to_end(tenant)
+        if len(self.by_tenant) > _MOST_TENANTS:
+            self.by_tenant.popitem(last=False)
+
+    def of(self, tenant: str) -> Mapping[str, int]:
+        """Return a tenant's rejections by code."""
+        return self.by_tenant.get(tenant, Counter())
+
+
 @dataclass(slots=True)
 class Counters:
     """
     Plain integers, which are cheaper to update than a metrics library's.
 
     ``requests`` is keyed by route and outcome, ``events`` by the event's name,
-    ``latency_histograms`` by route.
+    ``latency_histograms`` by route. ``tenant_rejections`` are for operators
+    alone, as metrics don't grow with the number of tenants.
     """
 
     requests: Counter[tuple[str, str]] = field(default_factory=Counter)
@@ -53,6 +84,9 @@
     latency_histograms: dict[str, LatencyHistogram] = field(
         default_factory=dict
     )
+    tenant_rejections: TenantRejections = field(
+        default_factory=TenantRejections
+    )
 
     def count_request(self, route: str, outcome: str) -> None:
         """Count a finished request by its outcome."""
--- a/zinniaturn/gateway/dispatch.py
+++ b/zinniaturn/gateway/dispatch.py
@@ -167,6 +167,7 @@
         if response is None:
             outcome = f'{result.code}: {result.outcome.value}'
             status = self._rejection(result).status
+            self._count_for_tenant(context, result)
         elif response.status < _FIRST_ERROR_STATUS:
             now = asyncio.get_running_loop().time()
             self.state.counters.observe_latency(
@@ -184,6 +185,15 @@
             self.state.log_fault('logging a request', error)
         return status
 
+    def _count_for_tenant(
+        self, context: RequestContext, result: RequestResult
+    ) -> None:
+        """Count a rejection for operators who ask about the tenant."""
+        if context.tenant is None or result.outcome is not Outcome.NOT_RUN:
+            return
+        rejections = self.state.counters.tenant_rejections
+        rejections.note(context.tenant.name, result.code)
+
     async def _serve(
         self, exchange: CallerExchange, context: RequestContext
     ) -> Response:
--- a/zinniaturn/gateway/ports.py
+++ b/zinniaturn/gateway/ports.py
@@ -11,11 +11,13 @@
     MetricsEndpoint,
     ReadinessEndpoint,
 )
+from zinniaturn.gateway.evacuations_endpoint import EvacuationsEndpoint
 from zinniaturn.gateway.metrics import render_metrics
 from zinniaturn.gateway.quarantine_endpoint import QuarantineEndpoint
 from zinniaturn.gateway.relay_service import PeerService, RelayService
 from zinniaturn.gateway.settings import GatewaySettings
 from zinniaturn.gateway.state import GatewayState
+from zinniaturn.gateway.tenants_endpoint import TenantsEndpoint
 from zinniaturn.gateway.where_endpoint import WhereEndpoint
 from zinniaturn.http1.client_account import ClientAccount, Place
 from zinniaturn.http1.connections import Address
@@ -69,6 +71,8 @@
                 (
                     QuarantineEndpoint(state),
                     WhereEndpoint(dispatcher, look_ups),
+                    TenantsEndpoint(state),
+                    EvacuationsEndpoint(state),
                 ),
             ),
         ),
--- a/zinniaturn/platform/documents.py
+++ b/zinniaturn/platform/documents.py
@@ -181,15 +181,18 @@
         return None
     names: set[str] = set()
     by_key: dict[bytes, Tenant] = {}
+    without_keys: list[Tenant] = []
     for row in _decode_rows(table, _Tenant):
         if row.name in names:
             raise ValueError(f'there are two tenants "{row.name}"')
         names.add(row.name)
         tenant = Tenant(row.name, row.priority, row.rate_per_s, row.burst)
+        if not row.api_keys:
+            without_keys.append(tenant)
         for key in row.api_keys:
             if by_key.setdefault(key.encode(), tenant) is not tenant:
                 raise ValueError(f'tenant "{row.name}" has a key of another')
-    return TenantTable(by_key)
+    return TenantTable(by_key, tuple(without_keys))
 
 
 def _build_pool(row: _Service) -> FleetPool:
