--- a/zinniaturn/commands/main.py
+++ b/zinniaturn/commands/main.py
@@ -25,6 +25,7 @@
         'completion': 'zinniaturn.commands.completion:completion',
         'demo': 'zinniaturn.commands.demo:demo',
         'entry': 'zinniaturn.commands.entry:entry',
+        'evacuations': 'zinniaturn.commands.evacuations:evacuations',
         'experiment': 'zinniaturn.commands.experiment:experiment',
         'explain': 'zinniaturn.commands.explain:explain',
         'gateway': 'zinniaturn.commands.gateway:gateway',
@@ -34,6 +35,7 @@
         'schema': 'zinniaturn.commands.schema:schema',
         'standin': 'zinniaturn.commands.standin:standin',
         'status': 'zinniaturn.commands.status:status',
+        'tenants': 'zinniaturn.commands.tenants:tenants',
     }
 )
 
@@ -70,7 +72,9 @@
 
     The exit status is 0 when done, 1 when a check failed, 2 for wrong usage
     or settings, 3 when refused, 4 when the outcome of a change is unknown,
-    5 when the store or an address is unavailable, 70 for an internal error.
+    5 when the store or an address is unavailable, 7 when a process has no
+    configuration yet, 8 when it is of a build that can't answer, 70 for an
+    internal error.
     """
 
 
--- a/zinniaturn/tenants/accounts.py
+++ b/zinniaturn/tenants/accounts.py
@@ -71,6 +71,10 @@
             self._follow(account, tenant, bounds, version)
         return account
 
+    def find(self, name: str) -> TenantAccount | None:
+        """Return a tenant's account, ``None`` if this VM has none yet."""
+        return self.accounts.get(name)
+
     def give_back(self, tenant: Tenant, expiry: float) -> None:
         """Hold a permit again that was not used, unless it has expired."""
         account = self.accounts.get(tenant.name)
