Keep all VMs together to what a cold server takes

Cause: warmup_per_s, warmup_left_ms and X-Warmup-Ms had no effect, so that a server that had just started got its full share from each VM and may crash. The pools' columns warmup_s and warmup_per_s were not decoded at all.

Change: a cold server is a server with a limit. The same owner grants permits that live for 0.3 s, at a rate that keeps the bound in any second while two owners overlap; parts of the fleet without a majority share what is left of the bound. The limit doubles each half second for 2 s after the warm-up. VMs learn of a warm-up from the entry, from responses, and from each other by new last fields of notices and permit requests. The colder source holds until its time is over, and a server that also states a limit obeys the lower one. Without warmup_per_s, or without warmup_overage and warmup_slack, nothing is limited. A figure without a meaning in the pools' columns counts as 0, as earlier builds ignored it.

--- a/features/support/gateway.py
+++ b/features/support/gateway.py
@@ -103,7 +103,13 @@
     return LoadReport(busy, queued, slots, slowness)
 
 
-def build_config(routes=None, services=('pool',), version='00000001', **limits):
+def build_config(
+    routes=None,
+    services=('pool',),
+    version='00000001',
+    warm_up_per_second=None,
+    **limits,
+):
     """Return the operator's document with two default routes."""
     rows = routes or [
         build_route_row('reads', '/reads/', 'idempotent'),
@@ -116,8 +122,10 @@
             'rows': rows,
         },
         'services': {
-            'columns': ['name', 'health_path', 'max_conns'],
-            'rows': [[name, '/healthz', 220] for name in services],
+            'columns': ['name', 'health_path', 'max_conns', 'warmup_per_s'],
+            'rows': [
+                [name, '/healthz', 220, warm_up_per_second] for name in services
+            ],
         },
     }
     if limits:
--- a/zinniaturn/admission/grantor.py
+++ b/zinniaturn/admission/grantor.py
@@ -8,7 +8,13 @@
 while the callers move from some VMs to others.
 """
 
-__all__ = ('START_TOKENS', 'Grant', 'PermitGrantor', 'PermitRequest')
+__all__ = (
+    'START_TOKENS',
+    'ColdTerms',
+    'Grant',
+    'PermitGrantor',
+    'PermitRequest',
+)
 
 import math
 from collections import OrderedDict
@@ -32,6 +38,19 @@
 _SETTLED_SECONDS = 8.0
 
 
+@dataclass(frozen=True, slots=True)
+class ColdTerms:
+    """
+    What a cold server takes at the moment.
+
+    ``limit`` is in requests per second, and ``part_depth`` the content of all
+    buckets of those parts of the fleet that have no majority.
+    """
+
+    limit: float
+    part_depth: float
+
+
 @dataclass(frozen=True, slots=True)
 class PermitRequest:
     """
@@ -41,6 +60,8 @@
     ``said_at``. A request that is repeated has the same ``sequence``. With a
     ``depth`` it is about a tenant's allowance, which ``server`` names, and
     ``started_ms`` is the version of the operators' document with the limit.
+    With ``cold`` terms the lower limit holds, and ``limit`` is infinite if the
+    server states none.
     """
 
     vm: str
@@ -51,6 +72,7 @@
     limit: float
     said_at: float
     depth: float = 0
+    cold: ColdTerms | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +97,7 @@
     number, for requests that are repeated because a reply was lost.
     ``granted_unconfirmed`` counts the permits since a limit that nobody has
     heard lately was last confirmed. A ``depth`` of 0 follows from the limit.
+    ``cold`` are the terms of the last request, ``None`` if it isn't cold.
     """
 
     started_ms: int
@@ -84,6 +107,7 @@
     tokens: float = 0
     granted_unconfirmed: int = 0
     depth: float = 0
+    cold: ColdTerms | None = None
     replies: 'OrderedDict[str, tuple[int, Grant]]' = field(
         default_factory=OrderedDict
     )
@@ -91,13 +115,20 @@
     def refill(self, share: float, now: float) -> None:
         """Add the tokens since the last call at ``share`` of the limit."""
         added = (now - self.updated_at) * self.rate(share)
-        most = self.depth or 1 + self.rate(1) * _BUCKET_SECONDS
-        self.tokens = min(most, self.tokens + added)
+        self.tokens = min(self._most(share), self.tokens + added)
         self.updated_at = now
 
     def rate(self, share: float) -> float:
         """Return the tokens per second."""
-        return share * max(_LOWEST_LIMIT_PER_SECOND, self.limit)
+        limit = self.limit if self.cold is None else self.cold.limit
+        limit = max(_LOWEST_LIMIT_PER_SECOND, min(limit, self.limit))
+        return share * limit
+
+    def _most(self, share: float) -> float:
+        """Return the tokens of a full bucket."""
+        if self.cold is not None and share < 1:
+            return share * self.cold.part_depth
+        return self.depth or 1 + self.rate(1) * _BUCKET_SECONDS
 
     def take(self, count: int, share: float, now: float) -> Grant:
         """
@@ -107,7 +138,9 @@
         have to do until a response has named it again.
         """
         granted = min(count, int(self.tokens))
-        is_old = not self.depth and now - self.said_at > _CONFIRMED_SECONDS
+        is_cold = self.cold is not None and self.cold.limit <= self.limit
+        is_heard = not self.depth and not is_cold
+        is_old = is_heard and now - self.said_at > _CONFIRMED_SECONDS
         if is_old:
             most = max(1, int(_MOST_UNCONFIRMED * share))
             granted = min(granted, max(0, most - self.granted_unconfirmed))
@@ -174,6 +207,7 @@
         kept = bucket.replies.get(request.vm)
         if kept is not None and kept[0] == request.sequence:
             return kept[1]
+        bucket.cold = request.cold
         bucket.refill(share, now)
         grant = bucket.take(request.count, share, now)
         bucket.keep_reply(request.vm, request.sequence, grant)
@@ -200,7 +234,9 @@
             if len(self.buckets) > _MOST_BUCKETS:
                 self.buckets.popitem(last=False)
         self.buckets.move_to_end(request.server)
-        if not bucket.depth and request.said_at > bucket.said_at:
+        is_newer = request.said_at > bucket.said_at
+        is_unlimited = request.cold is None and math.isinf(bucket.limit)
+        if not bucket.depth and (is_newer or is_unlimited):
             bucket.confirm(request.limit, request.said_at)
         return bucket
 
--- a/zinniaturn/admission/permits.py
+++ b/zinniaturn/admission/permits.py
@@ -27,9 +27,14 @@
     expiries: deque[float] = field(default_factory=deque)
     taken: RecentRate = field(default_factory=RecentRate)
 
-    def add(self, count: int, requested_at: float) -> None:
+    def add(
+        self,
+        count: int,
+        requested_at: float,
+        lifetime_seconds: float = PERMIT_LIFETIME_SECONDS,
+    ) -> None:
         """Add permits that were requested at this time."""
-        expiry = requested_at + PERMIT_LIFETIME_SECONDS
+        expiry = requested_at + lifetime_seconds
         self.expiries.extend(expiry for _ in range(count))
 
     def held(self, now: float) -> int:
--- a/zinniaturn/admission/statement.py
+++ b/zinniaturn/admission/statement.py
@@ -17,8 +17,9 @@
     requests per second that it takes from all VMs together, ``None`` if it
     names none. With ``is_leaving`` it wants no further requests. Where it
     rejects a request, ``pause_seconds`` is for how long it wants none from this
-    VM. ``unreadable`` lists those of the fields `limit`, `is_leaving` and
-    `pause_seconds` whose text has no meaning; nothing follows from these.
+    VM. ``warm_up_seconds`` is for how long it stays cold. ``unreadable`` lists
+    those of the fields `limit`, `is_leaving`, `pause_seconds` and
+    `warm_up_seconds` whose text has no meaning; nothing follows from these.
     """
 
     server: str | None = None
@@ -28,3 +29,4 @@
     is_leaving: bool = False
     pause_seconds: float = 0
     unreadable: tuple[str, ...] = ()
+    warm_up_seconds: float = 0
--- a/zinniaturn/admission/table.py
+++ b/zinniaturn/admission/table.py
@@ -32,15 +32,21 @@
         self.unlisted.pop(server, None)
         admission = self.admissions.get(server)
         if admission is None or admission.notice.started_ms != started_ms:
+            known = admission
             admission = Admission(self.clock, ServerNotice(server, started_ms))
+            if known is not None:
+                # A restarted server says that it is cold before its entry does.
+                admission.cold_until = known.cold_until
             self.admissions[server] = admission
             self.active.pop(server, None)
         return admission
 
     def has_notice(self, server: str) -> bool:
-        """Return whether a server's present process has said anything."""
+        """Return whether there is anything to tell of a server's process."""
         admission = self.admissions.get(server)
-        return admission is not None and admission.notice.is_heard
+        if admission is None:
+            return False
+        return admission.notice.is_heard or admission.is_cold
 
     def retain(self, listed: Collection[str]) -> None:
         """Note which servers the store lists."""
@@ -49,8 +55,16 @@
                 self.unlisted.setdefault(server)
         self._drop_unlisted()
 
-    def adopt(self, notice: ServerNotice) -> Admission | None:
-        """Apply another VM's notice; return the admission if it changed."""
+    def adopt(
+        self, notice: ServerNotice, hand_over_seconds: float = 0
+    ) -> Admission | None:
+        """
+        Apply another VM's notice; return the admission if it changed.
+
+        ``hand_over_seconds`` is the time for which the server's warm-up limits
+        its requests. It counts for any process of the server, as the next one
+        may have said so before this VM knows of it.
+        """
         admission = self.admissions.get(notice.server)
         if admission is None:
             admission = Admission(
@@ -60,6 +74,7 @@
             self.unlisted[notice.server] = None
             self._drop_unlisted()
         changed = admission.adopt(notice)
+        changed = admission.note_hand_over(hand_over_seconds) or changed
         self.update_active(admission)
         return admission if changed else None
 
--- a/zinniaturn/events/catalogue.py
+++ b/zinniaturn/events/catalogue.py
@@ -221,8 +221,8 @@
         ),
         LogEvent.SERVER_STATEMENT: (
             _INFO,
-            'a backend server has named, changed or ended a limit, its leaving '
-            'or a pause',
+            'a backend server has named, changed or ended a limit, its '
+            'leaving, a pause or a warm-up',
         ),
         LogEvent.SERVER_STATEMENT_UNREADABLE: (
             _WARNING,
--- a/zinniaturn/experiments/limit_days.py
+++ b/zinniaturn/experiments/limit_days.py
@@ -7,6 +7,7 @@
 """
 
 __all__ = (
+    'EVENTS',
     'LimitViolation',
     'find_violation',
     'play_day',
@@ -95,7 +96,7 @@
     end = model.fleet.clock.monotonic() + _DAY_SECONDS
     while model.fleet.clock.monotonic() < end:
         model.run(source.uniform(0.2, 3))
-        source.choice(_EVENTS)(model, source)
+        source.choice(EVENTS)(model, source)
     model.run(WINDOW_SECONDS)
     found = [find_violation(server) for server in model.servers]
     return [violation for violation in found if violation is not None]
@@ -192,7 +193,7 @@
     vm.side = 0
 
 
-_EVENTS: tuple[Callable[[LimitModel, random.Random], None], ...] = (
+EVENTS: tuple[Callable[[LimitModel, random.Random], None], ...] = (
     _change_limit,
     _change_limit,
     _move_callers,
--- a/zinniaturn/experiments/registry.py
+++ b/zinniaturn/experiments/registry.py
@@ -96,6 +96,16 @@
         '2 random days of servers with limits before 97 VMs, from --seed on',
         'zinniaturn.experiments.limit_days:run_large_limit_days',
     ),
+    Experiment(
+        'cold',
+        '20 random days of cold servers before 13 VMs, from --seed on',
+        'zinniaturn.experiments.cold_days:run_cold_days',
+    ),
+    Experiment(
+        'cold-large',
+        '2 random days of cold servers before 108 VMs, from --seed on',
+        'zinniaturn.experiments.cold_days:run_large_cold_days',
+    ),
     Experiment(
         'data-centres',
         'what leaves data centres in 24 cases, without and with the decision',
--- a/zinniaturn/fleet/datagrams.py
+++ b/zinniaturn/fleet/datagrams.py
@@ -106,7 +106,9 @@
     What a server has said of the requests that it wants.
 
     ``limit`` is in requests per second, ``None`` if the server names none.
-    ``age_ms`` is the time since the server said so.
+    ``age_ms`` is the time since the server said so, the highest value if it has
+    said nothing. ``hand_over_ms`` is the time for which the server's warm-up
+    limits its requests, 0 for none; older builds ignore it.
     """
 
     server: str
@@ -114,6 +116,7 @@
     limit: Limit | None
     is_leaving: bool
     age_ms: Milliseconds
+    hand_over_ms: Milliseconds = 0
 
 
 class PermitRequestRow(msgspec.Struct, array_like=True, frozen=True):
@@ -123,7 +126,8 @@
     ``limit`` is its limit per second, as heard ``age_ms`` ago. With a ``depth``
     the permits are of a tenant's allowance that ``server`` names, and
     ``started_ms`` is the version of the document. Older builds ignore the depth
-    and grant by the limit alone.
+    and grant by the limit alone. ``hand_over_ms`` is as in `NoticeRow`; then
+    the limit is the lower one of the server's own and the warm-up's.
     """
 
     server: str
@@ -132,6 +136,7 @@
     limit: Limit
     age_ms: Milliseconds
     depth: Limit = 0
+    hand_over_ms: Milliseconds = 0
 
 
 class PermitGrantRow(msgspec.Struct, array_like=True, frozen=True):
--- a/zinniaturn/fleet/figures.py
+++ b/zinniaturn/fleet/figures.py
@@ -1,6 +1,7 @@
 """The ranges of figures in messages between VMs."""
 
 __all__ = (
+    'LONGEST_MS',
     'Count',
     'Key',
     'Limit',
@@ -14,7 +15,8 @@
 
 import msgspec
 
-Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=10**12)]
+LONGEST_MS = 10**12
+Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=LONGEST_MS)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=10**6)]
 Key = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 Limit = Annotated[float, msgspec.Meta(ge=0, le=10**9)]
--- a/zinniaturn/fleet/fleet_state.py
+++ b/zinniaturn/fleet/fleet_state.py
@@ -34,6 +34,7 @@
 from zinniaturn.fleet.state_change import StateChange, describe_servers
 from zinniaturn.fleet.tables import FleetTables
 from zinniaturn.fleet.tables_proof import TablesProof
+from zinniaturn.fleet.warm_ups import WarmUps
 
 _OUTAGE_THRESHOLD_SECONDS = 3.0
 _REREGISTRATION_GRACE_SECONDS = 2.0
@@ -87,7 +88,8 @@
     until which they are kept; ``shared_servers`` are all others, which other
     VMs may get from this one. ``outdated_revision`` is that of a document which
     is not used because a later version is in force. ``evacuations`` have a
-    revision and an age of their own. ``proof`` tells how old the ``tables`` may
+    revision and an age of their own. ``warm_ups`` are those that the servers'
+    entries announce. ``proof`` tells how old the ``tables`` may
     be, which `age_seconds` doesn't where a document can't be decoded or a
     datagram was late.
     """
@@ -107,6 +109,7 @@
     gone_servers: GoneServers = field(default_factory=GoneServers)
     outdated_revision: int = 0
     observers: list[Callable[[StateChange], None]] = field(default_factory=list)
+    warm_ups: WarmUps = field(default_factory=WarmUps)
     evacuations: Evacuations = field(init=False)
     proof: TablesProof = field(init=False)
 
@@ -189,6 +192,7 @@
         self.vms = snapshot.vms
         previous = self.servers
         self.servers = self._merge_servers(snapshot.servers, after_outage, now)
+        cooled = self.warm_ups.learn(previous, self.servers.values(), now)
         self._update_fingerprint()
         change = StateChange(
             snapshot.revision,
@@ -196,6 +200,7 @@
             refused=refused,
             listed_vms_changed=listed_vms_changed,
             store_went_back=store_went_back,
+            cooled=cooled,
         )
         return self._notify(describe_servers(change, previous, self.servers))
 
--- a/zinniaturn/fleet/gossip_sender.py
+++ b/zinniaturn/fleet/gossip_sender.py
@@ -22,6 +22,7 @@
 from zinniaturn.fleet.domain import VmStage
 from zinniaturn.fleet.evacuation_messages import evacuations_row
 from zinniaturn.fleet.failure_detection import PingRound
+from zinniaturn.fleet.figures import LONGEST_MS
 from zinniaturn.fleet.fleet_state import FleetState
 from zinniaturn.fleet.status_queue import StatusQueue
 from zinniaturn.fleet.vms import VmTable
@@ -147,14 +148,18 @@
         ]
 
     def _notice_row(self, server: str, now: float) -> NoticeRow:
-        notice = self.admissions.admissions[server].notice
-        age = max(0, now - notice.said_at)
+        admission = self.admissions.admissions[server]
+        notice = admission.notice
+        age_ms = LONGEST_MS
+        if notice.is_heard:
+            age_ms = round(max(0, now - notice.said_at) * _MS_PER_SECOND)
         return NoticeRow(
             server,
             notice.started_ms,
             notice.limit,
             notice.is_leaving,
-            round(age * _MS_PER_SECOND),
+            age_ms,
+            round(admission.hand_over_seconds() * _MS_PER_SECOND),
         )
 
     def _reach_row(self, receiver: PeerVm | None) -> ReachRow:
--- a/zinniaturn/fleet/messages.py
+++ b/zinniaturn/fleet/messages.py
@@ -237,18 +237,27 @@
     servers = fleet_state.shared_servers
     names = fleet_state.server_changes.since(held.servers)
     if names is None:
-        return ServerRows(None, [_row(server) for server in servers.values()])
+        return ServerRows(
+            None, [_row(fleet_state, server) for server in servers.values()]
+        )
     return ServerRows(
         held.servers,
-        [_row(servers[name]) for name in sorted(names) if name in servers],
+        [
+            _row(fleet_state, servers[name])
+            for name in sorted(names)
+            if name in servers
+        ],
         tuple(sorted(names - servers.keys())),
     )
 
 
-def _row(registered: RegisteredServer) -> tuple[Server, str, int, float]:
+def _row(
+    fleet_state: FleetState, registered: RegisteredServer
+) -> tuple[Server, str, int, float]:
+    now = fleet_state.clock.monotonic()
     return (
         registered.server,
         registered.pool,
         registered.started_ms,
-        registered.warm_up_seconds,
+        fleet_state.warm_ups.seconds_left(registered.server.name, now),
     )
--- a/zinniaturn/fleet/news.py
+++ b/zinniaturn/fleet/news.py
@@ -9,6 +9,7 @@
 from zinniaturn.admission.table import AdmissionTable
 from zinniaturn.fleet.datagrams import Datagram
 from zinniaturn.fleet.domain import VmStage, VmStatus
+from zinniaturn.fleet.figures import LONGEST_MS
 from zinniaturn.fleet.gossip_sender import GossipSender
 from zinniaturn.fleet.state_exchange import NETWORK_DELAY_SECONDS
 from zinniaturn.fleet.table_sync import TableSync
@@ -56,15 +57,21 @@
         """Apply what servers have told the sender or others."""
         now = self.vms.clock.monotonic()
         for row in datagram.notices or ():
+            said_at = float('-inf')
+            if row.age_ms < LONGEST_MS:
+                age = row.age_ms / _MS_PER_SECOND
+                said_at = now - age - NETWORK_DELAY_SECONDS
             notice = ServerNotice(
                 row.server,
                 row.started_ms,
                 row.limit,
                 row.is_leaving,
-                now - row.age_ms / _MS_PER_SECOND - NETWORK_DELAY_SECONDS,
+                said_at,
                 datagram.sender.name,
             )
-            changed = self.admissions.adopt(notice)
+            changed = self.admissions.adopt(
+                notice, row.hand_over_ms / _MS_PER_SECOND
+            )
             if changed is not None:
                 self.sender.pass_on_notice(row.server)
                 self.on_notice(changed)
--- a/zinniaturn/fleet/permit_exchange.py
+++ b/zinniaturn/fleet/permit_exchange.py
@@ -19,6 +19,7 @@
 from zinniaturn.admission.grantor import Grant, PermitGrantor, PermitRequest
 from zinniaturn.admission.table import AdmissionTable
 from zinniaturn.fleet.alive_vms import PeerVm
+from zinniaturn.fleet.cold_terms import with_cold_terms
 from zinniaturn.fleet.datagrams import (
     Datagram,
     DatagramExtras,
@@ -183,6 +184,7 @@
                 row.depth,
             ),
             now,
+            row.hand_over_ms / _MS_PER_SECOND,
         )
         wait_ms = round(grant.wait_seconds * _MS_PER_SECOND)
         self.sender.send(
@@ -224,7 +226,14 @@
         pending.sends += 1
         if owner == self.vms.own.name:
             now = self.vms.clock.monotonic()
-            self._finish(pending, self._grant(self._own_request(pending), now))
+            self._finish(
+                pending,
+                self._grant(
+                    self._own_request(pending),
+                    now,
+                    pending.admission.hand_over_seconds(),
+                ),
+            )
             return
         self._send_to(self.vms.vms[owner], pending)
         if self.call_later is not None:
@@ -238,14 +247,19 @@
             notice.server,
             notice.started_ms,
             pending.count,
-            notice.limit or 0,
+            pending.admission.limit() or 0,
             notice.said_at,
             notice.depth,
         )
 
     def _send_to(self, owner: PeerVm, pending: _PendingRequest) -> None:
-        notice = pending.admission.notice
-        age = self.vms.clock.monotonic() - notice.said_at
+        admission = pending.admission
+        notice = admission.notice
+        limit = admission.limit() or 0
+        # The warm-up's limit is known by now, however old the notice is.
+        age: float = 0
+        if limit == notice.limit:
+            age = self.vms.clock.monotonic() - notice.said_at
         self.sender.send(
             DatagramKind.PERMIT_REQUEST,
             pending.sequence,
@@ -256,19 +270,32 @@
                     notice.server,
                     notice.started_ms,
                     pending.count,
-                    notice.limit or 0,
+                    limit,
                     round(age * _MS_PER_SECOND),
                     notice.depth,
+                    round(admission.hand_over_seconds() * _MS_PER_SECOND),
                 )
             ),
         )
 
-    def _grant(self, request: PermitRequest, now: float) -> Grant:
-        """Grant permits if this VM takes itself for the server's owner."""
+    def _grant(
+        self, request: PermitRequest, now: float, hand_over_seconds: float
+    ) -> Grant:
+        """
+        Grant permits if this VM takes itself for the server's owner.
+
+        ``hand_over_seconds`` is the time for which the requesting VM takes the
+        server's warm-up to limit it.
+        """
         is_owner = owner_of(self.vms, request.server) == self.vms.own.name
         is_unsure = self.pause_guard.is_after_pause(now, _CATCH_UP_SECONDS)
         if not is_owner or is_unsure:
             return Grant(0, _FAILED_WAIT_SECONDS)
+        if not request.depth:
+            own = self.admissions.admissions.get(request.server)
+            if own is not None and own.note_hand_over(hand_over_seconds):
+                self.sender.pass_on_notice(request.server)
+            request = with_cold_terms(request, own, hand_over_seconds)
         return self.grantor.grant(
             request, grantable_share(self.vms), now, self.vms_changed_at
         )
@@ -279,7 +306,7 @@
         self.pending.pop(server, None)
         if grant.count:
             self.granted += grant.count
-            pending.admission.permits.add(grant.count, pending.started_at)
+            pending.admission.add_permits(grant.count, pending.started_at)
         else:
             self.refused += 1
             if grant.wait_seconds == _FAILED_WAIT_SECONDS:
--- a/zinniaturn/fleet/state_change.py
+++ b/zinniaturn/fleet/state_change.py
@@ -16,7 +16,8 @@
     ``refused`` says why the snapshot or its document was not used. With
     ``store_went_back`` the store has come back from an older copy.
     ``evacuated`` and ``returned`` are data centres whose servers get no more
-    requests, or get them again.
+    requests, or get them again. ``cooled`` are servers whose running processes
+    have become cold.
     """
 
     revision: int
@@ -29,13 +30,14 @@
     store_went_back: bool = False
     evacuated: tuple[str, ...] = ()
     returned: tuple[str, ...] = ()
+    cooled: tuple[str, ...] = ()
 
     def __bool__(self) -> bool:
         """Return whether anything has changed."""
         changed = self.joined or self.leaving or self.gone or self.refused
         has_tables = self.tables_revision is not None
         has_other = self.listed_vms_changed or self.store_went_back
-        has_moved = bool(self.evacuated or self.returned)
+        has_moved = bool(self.evacuated or self.returned or self.cooled)
         return bool(changed) or has_tables or has_other or has_moved
 
 
@@ -54,6 +56,7 @@
         change.refused,
         change.listed_vms_changed,
         change.store_went_back,
+        cooled=change.cooled,
     )
 
 
--- a/zinniaturn/gateway/attempt.py
+++ b/zinniaturn/gateway/attempt.py
@@ -123,6 +123,11 @@
             Phase.NOT_SENT,
             Event.CONNECT_FAILED,
         )
+    if placement.candidate.admission.is_cold and not placement.has_permit:
+        state.counters.events['cold_before_send'] += 1
+        raise PlacementOutdatedError(
+            f'{name}: it became cold before the request was sent'
+        )
     obstacle = _find_evacuation(state, placement)
     if obstacle:
         raise PlacementOutdatedError(f'{name}: {obstacle}')
--- a/zinniaturn/gateway/metrics.py
+++ b/zinniaturn/gateway/metrics.py
@@ -45,6 +45,10 @@
             'zinniaturn_gateway_data_centres_evacuated',
             'Data centres whose servers get no requests',
         ),
+        'servers_cold': (
+            'zinniaturn_gateway_servers_cold',
+            'Servers that get few requests while they warm up',
+        ),
         'client_bytes': (
             'zinniaturn_gateway_client_bytes',
             'Bytes held for clients and of responses',
@@ -70,6 +74,7 @@
     proof_age_seconds: float = 0
     client_bytes: int = 0
     client_connections: int = 0
+    servers_cold: int = 0
 
 
 def render_metrics(
@@ -94,6 +99,11 @@
         min(_MAX_AGE_SECONDS, state.fleet_state.proof.age_seconds),
         0 if clients is None else clients.budget.held,
         0 if clients is None else clients.connection_count,
+        sum(
+            candidate.admission.is_cold
+            for candidates in state.pools.values()
+            for candidate in candidates.values()
+        ),
     )
     return text.TextFormatter().marshall(build_registry(snapshot))
 
--- a/zinniaturn/gateway/permit_search.py
+++ b/zinniaturn/gateway/permit_search.py
@@ -48,7 +48,7 @@
     def describe_withheld(self) -> list[str]:
         """Return a few of the servers that get no request, with the reason."""
         described = [
-            f'{candidate.name}: limit {candidate.admission.notice.limit}/s'
+            f'{candidate.name}: limit {_describe_limit(candidate)}'
             for candidate in self.limited[:_MOST_NAMED]
         ]
         described.extend(
@@ -111,8 +111,7 @@
     def returns_per_second(self, survey: PoolSurvey) -> float:
         """Return this VM's part of the requests that limited servers take."""
         total = sum(
-            candidate.admission.notice.limit or 0
-            for candidate in survey.limited
+            candidate.admission.limit() or 0 for candidate in survey.limited
         )
         demand = self.state.fleet_request_rate()
         own = self.state.own_request_rate()
@@ -140,5 +139,11 @@
         return True
 
 
+def _describe_limit(candidate: Candidate) -> str:
+    admission = candidate.admission
+    kind = ' (cold)' if admission.is_cold else ''
+    return f'{admission.limit()}/s{kind}'
+
+
 def _has_permit(group: Sequence[Candidate]) -> bool:
     return any(candidate.admission.withholding() is None for candidate in group)
--- a/zinniaturn/gateway/process.py
+++ b/zinniaturn/gateway/process.py
@@ -208,7 +208,7 @@
         self.settings = settings
         self.state.settings = settings
         self.state.locality.set_weights(settings.locality)
-        self.state.update_retry_budgets()
+        self.state.apply_bounds()
         self.fleet_state.follow_evacuations(settings.bounds.evacuate_seconds)
         self.clients.set_resources(
             settings.memory_megabytes, settings.max_descriptors
--- a/zinniaturn/gateway/request_context.py
+++ b/zinniaturn/gateway/request_context.py
@@ -109,7 +109,8 @@
     idle server and ``expected_seconds`` the estimated time to the response.
     Until ``is_estimate_settled``, the server's statistics count each
     latency as the expected one. The request may be sent until ``send_before``
-    by the boot clock. ``permit_expiry`` is that of the permit of its tenant's
+    by the boot clock. ``has_permit`` is set if the server had a limit when it
+    was chosen. ``permit_expiry`` is that of the permit of its tenant's
     allowance, infinite where none is needed.
     """
 
@@ -121,3 +122,4 @@
     is_estimate_settled: bool = True
     send_before: float = float('inf')
     permit_expiry: float = float('inf')
+    has_permit: bool = False
--- a/zinniaturn/gateway/scheduler.py
+++ b/zinniaturn/gateway/scheduler.py
@@ -9,6 +9,7 @@
 __all__ = ('RequestScheduler',)
 
 import asyncio
+import math
 
 from zinniaturn.choosing.exceptions import RejectedError
 from zinniaturn.choosing.reports import LoadReport
@@ -132,6 +133,7 @@
             )
         placement = _build_placement(queued, queued.granted)
         placement.send_before = queued.send_before
+        placement.has_permit = math.isfinite(queued.send_before)
         placement.is_estimate_settled = self.service_times.is_settled(
             context.route.name
         )
--- a/zinniaturn/gateway/searching.py
+++ b/zinniaturn/gateway/searching.py
@@ -15,7 +15,11 @@
 from zinniaturn.gateway.request_context import RequestContext
 from zinniaturn.gateway.state import GatewayState
 from zinniaturn.http1.backend import BackendConnection
-from zinniaturn.placing.candidates import Candidate, had_room_recently
+from zinniaturn.placing.candidates import (
+    Candidate,
+    cold_candidates,
+    had_room_recently,
+)
 from zinniaturn.placing.latency_estimates import best_concurrency
 from zinniaturn.placing.probe_budget import ProbeBudgets
 from zinniaturn.placing.probe_order import ProbeEffort, ProbeOrder, ProbePlan
@@ -84,7 +88,11 @@
         start = self.local.start(pool.name, probes, now, context)
         if context is not None and start is not None:
             self.local.note_order(context, candidates)
-        return self.probe_order.order(candidates, now, start)
+        order = self.probe_order.order(candidates, now, start)
+        if start is not None:
+            candidates = list(filter(self.probe_order.is_own, candidates))
+        cold = cold_candidates(candidates, now)
+        return [*cold, *(one for one in order if one not in cold)]
 
     async def probe_rounds(
         self,
--- a/zinniaturn/gateway/settings.py
+++ b/zinniaturn/gateway/settings.py
@@ -29,7 +29,8 @@
     aren't evacuated. A tenant's requests in any ``allowance_window_seconds``
     may be its allowance, ``allowance_overage`` of it and ``allowance_slack``
     more. A cold server's requests in any second may be ``warm_up_overage``
-    times what it names and ``warm_up_slack`` more.
+    times what its pool names and ``warm_up_slack`` more; 0 for both means no
+    bound.
     """
 
     leaving_seconds: float = 2.0
@@ -46,7 +47,7 @@
     allowance_window_seconds: float = 5.0
     allowance_overage: float = 0
     allowance_slack: float = 0
-    warm_up_overage: float = 1.0
+    warm_up_overage: float = 0
     warm_up_slack: float = 0
 
     @property
--- a/zinniaturn/gateway/state.py
+++ b/zinniaturn/gateway/state.py
@@ -23,6 +23,7 @@
 from zinniaturn.gateway.counters import Counters
 from zinniaturn.gateway.event_log import EventLog
 from zinniaturn.gateway.settings import GatewaySettings
+from zinniaturn.gateway.warm_up_limits import set_warm_up_limits
 from zinniaturn.gateway.wire_format import WireFormat
 from zinniaturn.http1.connections import ConnectionPool
 from zinniaturn.locality.table import LocalityTable
@@ -147,6 +148,7 @@
                 stats = previous_candidate.stats
             candidates = self.pools.setdefault(registered.pool, {})
             admission = self.admissions.of_process(name, registered.started_ms)
+            admission.note_cold(self.fleet_state.warm_ups.end(name))
             admission.is_evacuated = (
                 registered.server.data_center in self.fleet_state.evacuated
             )
@@ -160,6 +162,12 @@
                 for pool, candidates in self.pools.items()
             }
         )
+        set_warm_up_limits(
+            self.pools, self.fleet_state.tables, self.settings.bounds
+        )
+        for name in change.cooled:
+            self.gossip.sender.pass_on_notice(name)
+            self.log_admission(self.admissions.admissions[name])
         self.admissions.retain(self.fleet_state.servers)
         self.reach.own.retain(self.usable_server_counts())
 
@@ -227,6 +235,7 @@
             limit=notice.limit,
             leaving=notice.is_leaving,
             pause_seconds=round(max(0, admission.paused_until - now), 3),
+            cold_seconds=round(admission.cold_seconds(), 3),
             source=notice.source or self.settings.name,
             age_ms=age_ms,
         )
@@ -287,9 +296,10 @@
             self.retry_budgets[pool] = retry_budget
         return retry_budget
 
-    def update_retry_budgets(self) -> None:
+    def apply_bounds(self) -> None:
         """Apply changed bounds; what was already withdrawn stays counted."""
         bounds = self.settings.bounds
+        set_warm_up_limits(self.pools, self.fleet_state.tables, bounds)
         for retry_budget in self.retry_budgets.values():
             retry_budget.ratio = bounds.retry_ratio
             retry_budget.fixed = bounds.retry_fixed
--- a/zinniaturn/placing/candidates.py
+++ b/zinniaturn/placing/candidates.py
@@ -3,14 +3,17 @@
 __all__ = (
     'Candidate',
     'ReportRating',
+    'cold_candidates',
     'had_room_recently',
     'is_poor_now',
     'rate_report',
     'unavailability_rank',
 )
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import IntEnum
+from itertools import islice
 
 from zinniaturn.admission.admission import Admission
 from zinniaturn.fleet.domain import RegisteredServer
@@ -25,6 +28,7 @@
 # lifetime of a report, a VM with many requests took its data centre for full:
 # at 85 % load 0.26 of the bytes left it in the model instead of 0.11.
 _FULL_SECONDS = 0.06
+_MOST_COLD = 2
 
 
 @dataclass(slots=True)
@@ -46,6 +50,24 @@
         return self.registered.server.host, self.registered.server.port
 
 
+def cold_candidates(
+    candidates: Iterable[Candidate], now: float
+) -> list[Candidate]:
+    """
+    Return a few responsive servers that are cold and may get a request.
+
+    The permits for them last for a moment only. A server that is chosen as
+    rarely as it has permits would not get the requests that it takes.
+    """
+    cold = (
+        candidate
+        for candidate in candidates
+        if candidate.admission.is_cold
+        and not unavailability_rank(candidate.stats, now)
+    )
+    return list(islice(cold, _MOST_COLD))
+
+
 def had_room_recently(candidate: Candidate, now: float) -> bool:
     """Return whether a recent report shows a fast server with room."""
     return rate_report(candidate, now) is ReportRating.GOOD
--- a/zinniaturn/platform/documents.py
+++ b/zinniaturn/platform/documents.py
@@ -92,6 +92,10 @@
 
     name: str
     health_path: str = '/'
+    # How long a server is cold, and the requests a second that it takes then.
+    # Earlier builds ignored both, so that no text in them refuses a document.
+    warmup_s: Any = 0
+    warmup_per_s: Any = 0
 
 
 class _Limits(msgspec.Struct):
@@ -193,7 +197,21 @@
 
 
 def _build_pool(row: _Service) -> FleetPool:
-    return FleetPool(row.name, (), health_path=row.health_path)
+    return FleetPool(
+        row.name,
+        (),
+        health_path=row.health_path,
+        warm_up_seconds=_rate_or_zero(row.warmup_s),
+        warm_up_per_second=_rate_or_zero(row.warmup_per_s),
+    )
+
+
+def _rate_or_zero(cell: Any) -> float:
+    """Return a figure that is not negative, 0 for a cell that holds none."""
+    try:
+        return float(msgspec.convert(cell, Rate))
+    except msgspec.ValidationError:
+        return 0
 
 
 def _build_limits(limits: _Limits) -> CallerLimits:
--- a/zinniaturn/platform/settings_file.py
+++ b/zinniaturn/platform/settings_file.py
@@ -68,9 +68,10 @@
     quota_overage: Figure = 0
     quota_slack: Figure = 0
     # What a cold server tolerates beyond the rate that its pool names: a
-    # factor of that rate, and a number of requests a second.
-    warmup_overage: Figure = 1
-    warmup_slack: Figure = 0
+    # factor of that rate, and a number of requests a second. Without both
+    # nothing limits the requests to cold servers.
+    warmup_overage: Figure | None = None
+    warmup_slack: Figure | None = None
 
 
 class _Limits(msgspec.Struct):
@@ -184,6 +185,16 @@
         allowance_window_seconds=bounds.quota_window_s,
         allowance_overage=bounds.quota_overage,
         allowance_slack=bounds.quota_slack,
-        warm_up_overage=bounds.warmup_overage,
-        warm_up_slack=bounds.warmup_slack,
+        **_warm_up_bounds(bounds),
     )
+
+
+def _warm_up_bounds(bounds: _Bounds) -> dict[str, float]:
+    """Return the bounds of cold servers; one that is left out adds nothing."""
+    overage, slack = bounds.warmup_overage, bounds.warmup_slack
+    if overage is None and slack is None:
+        return {}
+    return {
+        'warm_up_overage': 1 if overage is None else overage,
+        'warm_up_slack': slack or 0,
+    }
--- a/zinniaturn/platform/standins/server.py
+++ b/zinniaturn/platform/standins/server.py
@@ -52,6 +52,8 @@
     it sheds a request. Responses to probes tell the limit and the leaving only
     with ``states_in_probes``. ``request_times`` are the times of all arrivals.
     With a `CrashRule` in ``crash_rule`` its process ends on some requests.
+    Its entry says that it is cold for ``entry_warm_up_ms`` yet, and responses
+    to probes do so until ``cold_until``.
     """
 
     name: str = ''
@@ -82,6 +84,8 @@
     states_in_probes: bool = True
     request_times: list[float] = field(default_factory=list)
     crash_rule: CrashRule | None = None
+    entry_warm_up_ms: int = 0
+    cold_until: float = 0
     slot_semaphore: asyncio.Semaphore = field(init=False)
 
     async def start(self, port: int = 0) -> None:
@@ -98,7 +102,7 @@
             'version': 'v1',
             'capacity': self.slots,
             'state': state,
-            'warmup_left_ms': 0,
+            'warmup_left_ms': self.entry_warm_up_ms,
             'sequence': 1,
             'born': self.started_ms,
         }
@@ -119,6 +123,7 @@
             statement_fields = [self._load_report_field()]
             if self.states_in_probes:
                 statement_fields = self._statement_fields()
+            statement_fields.extend(self._warm_up_fields())
             return Response(status, b'', [instance_field, *statement_fields])
         self.arrivals += 1
         self.requests.append(request)
@@ -262,6 +267,13 @@
             fields.append((b'Server-Leaving', b'1'))
         return fields
 
+    def _warm_up_fields(self) -> Fields:
+        seconds = self.cold_until - asyncio.get_running_loop().time()
+        if seconds <= 0:
+            return []
+        milliseconds = int(seconds * _MILLISECONDS_PER_SECOND)
+        return [(b'X-Warmup-Ms', b'%d' % milliseconds)]
+
     def _load_report_field(self) -> tuple[bytes, bytes]:
         figures = (
             self.running,
--- a/zinniaturn/platform/statements.py
+++ b/zinniaturn/platform/statements.py
@@ -19,6 +19,8 @@
 # Requests per second that the server takes from all VMs together.
 _LIMIT = b'server-limit'
 _LEAVING = b'server-leaving'
+# Milliseconds for which the server stays cold.
+_WARM_UP = b'x-warmup-ms'
 # Seconds; only a rejection with status 503 is about requests of this VM.
 _RETRY_AFTER = b'retry-after'
 
@@ -29,6 +31,8 @@
 _DECIMAL = re.compile(rb'[0-9]{1,9}(\.[0-9]{0,9})?')
 _LEAVING_TEXTS = MappingProxyType({b'1': True, b'0': False})
 _LONGEST_PAUSE_SECONDS = 60.0
+_LONGEST_WARM_UP_SECONDS = 3600.0
+_MILLISECONDS_PER_SECOND = 1000
 _SLOWNESS_SCALE = 100
 _REQUIRED_LOAD_FIGURES = 3
 
@@ -48,6 +52,10 @@
         pause_seconds = _decode_field(
             fields, _RETRY_AFTER, _decimal, 'pause_seconds', unreadable
         )
+    warm_up_ms = _decode_field(
+        fields, _WARM_UP, _decimal, 'warm_up_seconds', unreadable
+    )
+    warm_up_seconds = (warm_up_ms or 0) / _MILLISECONDS_PER_SECOND
     name = find_field(fields, _RESPONDING_SERVER)
     return ServerStatement(
         server=None if name is None else name.decode('latin-1'),
@@ -57,6 +65,7 @@
         is_leaving=bool(is_leaving),
         pause_seconds=min(_LONGEST_PAUSE_SECONDS, pause_seconds or 0),
         unreadable=tuple(unreadable),
+        warm_up_seconds=min(_LONGEST_WARM_UP_SECONDS, warm_up_seconds),
     )
 
 
