--- a/zinniaturn/gateway/metrics.py
+++ b/zinniaturn/gateway/metrics.py
@@ -49,6 +49,10 @@
             'zinniaturn_gateway_locality_on',
             '1 while data centres are taken into account',
         ),
+        'servers_cold': (
+            'zinniaturn_gateway_servers_cold',
+            'Servers that get few requests while they warm up',
+        ),
         'client_bytes': (
             'zinniaturn_gateway_client_bytes',
             'Bytes held for clients and of responses',
@@ -75,6 +79,7 @@
     client_bytes: int = 0
     client_connections: int = 0
     locality_on: int = 0
+    servers_cold: int = 0
 
 
 def render_metrics(
@@ -100,6 +105,11 @@
         0 if clients is None else clients.budget.held,
         0 if clients is None else clients.connection_count,
         int(state.locality.activation.is_on),
+        sum(
+            candidate.admission.is_cold
+            for candidates in state.pools.values()
+            for candidate in candidates.values()
+        ),
     )
     return text.TextFormatter().marshall(build_registry(snapshot))
 
