Check a document's tenants before VMs read it

Change: `zinniaturn tenants check FILE` reads rows by the functions that VMs read them by, which move to platform/tenant_rows.py, and goes on after a fault. `zinniaturn schema tenants` prints a JSON Schema made from the type of a row.

--- a/features/tables.feature
+++ b/features/tables.feature
@@ -144,6 +144,7 @@
       | table  |
       | pools  |
       | routes |
+      | tenants |
 
   Scenario: the page on the format lists every field and its examples are valid
     Then the page TABLES.md lists each field of the models and no other
--- a/zinniaturn/commands/tenants.py
+++ b/zinniaturn/commands/tenants.py
@@ -10,6 +10,7 @@
 from zinniaturn.commands.exit_status import ExitStatus
 from zinniaturn.commands.options import json_option, vm_option
 from zinniaturn.commands.output import format_columns, print_json
+from zinniaturn.commands.tenants_check import check_file
 from zinniaturn.gateway.tenants_endpoint import (
     TENANTS_PATH,
     TenantsAnswer,
@@ -113,3 +114,6 @@
     """Return counts by code."""
     texts = (f'{count} {code}' for code, count in sorted(counts.items()))
     return ', '.join(texts) or 'none'
+
+
+tenants.add_command(check_file)
--- a/zinniaturn/platform/documents.py
+++ b/zinniaturn/platform/documents.py
@@ -2,7 +2,7 @@
 
 __all__ = ('decode_document',)
 
-from typing import Annotated, Any
+from typing import Annotated
 
 import msgspec
 
@@ -16,7 +16,12 @@
     PoolShare,
 )
 from zinniaturn.http1.limits import CallerLimits
-from zinniaturn.tenants import Tenant, TenantTable
+from zinniaturn.platform.column_tables import (
+    ColumnTable,
+    Priority,
+    decode_rows,
+)
+from zinniaturn.platform.tenant_rows import build_tenants
 
 # The kinds of routes whose requests may run more than once.
 _IDEMPOTENT_KINDS = frozenset(('idempotent', 'download'))
@@ -27,24 +32,7 @@
 Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=10**9)]
 Bytes = Annotated[int, msgspec.Meta(ge=0, le=2**31)]
 Weight = Annotated[float, msgspec.Meta(ge=0, le=10**9)]
-Priority = Annotated[int, msgspec.Meta(ge=-(10**6), le=10**6)]
 Attempts = Annotated[int, msgspec.Meta(ge=0, le=1000)]
-Rate = Annotated[float, msgspec.Meta(ge=0, le=10**9)]
-# What a header field can hold: no control characters, no space at either end.
-HeaderText = Annotated[
-    str,
-    msgspec.Meta(
-        max_length=1024,
-        pattern=r'^(?!\s)[^\x00-\x1f\x7f]+(?<!\s)\Z',
-    ),
-]
-
-
-class _ColumnTable(msgspec.Struct):
-    """Column names, and rows that hold a value for each column."""
-
-    columns: list[str]
-    rows: list[list[Any]]
 
 
 class _Share(msgspec.Struct):
@@ -75,18 +63,6 @@
     public: bool = False
 
 
-class _Tenant(msgspec.Struct):
-    """A tenant; its keys are secret."""
-
-    name: HeaderText
-    api_keys: list[HeaderText] = []
-    # Replaces the route's.
-    priority: Priority | None = None
-    # The allowance over all VMs; 0 means that there is none.
-    rate_per_s: Rate = 0
-    burst: Rate = 0
-
-
 class _Service(msgspec.Struct):
     """A pool, which the platform calls a service."""
 
@@ -105,9 +81,9 @@
 
 class _Document(msgspec.Struct):
     version: str
-    routes: _ColumnTable
-    services: _ColumnTable
-    tenants: _ColumnTable | None = None
+    routes: ColumnTable
+    services: ColumnTable
+    tenants: ColumnTable | None = None
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
@@ -120,12 +96,12 @@
         decoded = _document_decoder.decode(document.raw)
         version = int(decoded.version, _VERSION_BASE)
         routes = [
-            _build_route(row) for row in _decode_rows(decoded.routes, _Route)
+            _build_route(row) for row in decode_rows(decoded.routes, _Route)
         ]
         pools = [
-            _build_pool(row) for row in _decode_rows(decoded.services, _Service)
+            _build_pool(row) for row in decode_rows(decoded.services, _Service)
         ]
-        tenants = _build_tenants(decoded.tenants)
+        tenants = build_tenants(decoded.tenants)
     except (ValueError, RecursionError, OverflowError) as error:
         raise BadDocumentError(cause_of(error)) from error
     return FleetTables(
@@ -138,21 +114,6 @@
     )
 
 
-def _decode_rows(table: _ColumnTable, row_type: type) -> list[Any]:
-    """Return the rows as structs; a null cell takes the field's default."""
-    return [
-        msgspec.convert(
-            {
-                name: cell
-                for name, cell in zip(table.columns, row, strict=True)
-                if cell is not None
-            },
-            row_type,
-        )
-        for row in table.rows
-    ]
-
-
 def _build_route(row: _Route) -> FleetRoute:
     shares = tuple(
         PoolShare(share.service, share.weight)
@@ -175,26 +136,6 @@
     )
 
 
-def _build_tenants(table: _ColumnTable | None) -> TenantTable | None:
-    """Return the tenants; no error that it raises holds a key."""
-    if table is None:
-        return None
-    names: set[str] = set()
-    by_key: dict[bytes, Tenant] = {}
-    without_keys: list[Tenant] = []
-    for row in _decode_rows(table, _Tenant):
-        if row.name in names:
-            raise ValueError(f'there are two tenants "{row.name}"')
-        names.add(row.name)
-        tenant = Tenant(row.name, row.priority, row.rate_per_s, row.burst)
-        if not row.api_keys:
-            without_keys.append(tenant)
-        for key in row.api_keys:
-            if by_key.setdefault(key.encode(), tenant) is not tenant:
-                raise ValueError(f'tenant "{row.name}" has a key of another')
-    return TenantTable(by_key, tuple(without_keys))
-
-
 def _build_pool(row: _Service) -> FleetPool:
     return FleetPool(row.name, (), health_path=row.health_path)
 
