--- a/zinniaturn/gateway/endpoints.py
+++ b/zinniaturn/gateway/endpoints.py
@@ -1,6 +1,11 @@
 """The gateway's own HTTP endpoints: address look-up, readiness and metrics."""
 
-__all__ = ('LookupEndpoint', 'MetricsEndpoint', 'ReadinessEndpoint')
+__all__ = (
+    'LookupEndpoint',
+    'MetricsEndpoint',
+    'OperatorEndpoint',
+    'ReadinessEndpoint',
+)
 
 import math
 from collections.abc import Callable, Sequence
@@ -160,10 +165,15 @@
 
 @dataclass(slots=True)
 class MetricsEndpoint:
-    """Serves the metrics in the Prometheus text format, and operators."""
+    """
+    Serves the metrics in the Prometheus text format, and operators.
+
+    ``operators`` are built at the first request that isn't for metrics.
+    """
 
     render: Callable[[], bytes]
-    operators: Sequence[OperatorEndpoint]
+    build_operators: Callable[[], Sequence[OperatorEndpoint]]
+    operators: Sequence[OperatorEndpoint] | None = None
     limits: CallerLimits = field(default_factory=CallerLimits)
     is_stopping: bool = False
 
@@ -171,6 +181,8 @@
         """Return all metrics, or what one of the other endpoints returns."""
         if exchange.request.target == b'/metrics':
             return Response(200, b'', [_METRICS_TYPE], self.render())
+        if self.operators is None:
+            self.operators = self.build_operators()
         for endpoint in self.operators:
             response = endpoint.handle(exchange.request)
             if response is not None:
--- a/zinniaturn/gateway/ports.py
+++ b/zinniaturn/gateway/ports.py
@@ -2,6 +2,7 @@
 
 __all__ = ('Port', 'build_ports')
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from zinniaturn.fleet.state_exchange import StateService
@@ -9,16 +10,13 @@
 from zinniaturn.gateway.endpoints import (
     LookupEndpoint,
     MetricsEndpoint,
+    OperatorEndpoint,
     ReadinessEndpoint,
 )
-from zinniaturn.gateway.evacuations_endpoint import EvacuationsEndpoint
 from zinniaturn.gateway.metrics import render_metrics
-from zinniaturn.gateway.quarantine_endpoint import QuarantineEndpoint
 from zinniaturn.gateway.relay_service import PeerService, RelayService
 from zinniaturn.gateway.settings import GatewaySettings
 from zinniaturn.gateway.state import GatewayState
-from zinniaturn.gateway.tenants_endpoint import TenantsEndpoint
-from zinniaturn.gateway.where_endpoint import WhereEndpoint
 from zinniaturn.http1.client_account import ClientAccount, Place
 from zinniaturn.http1.connections import Address
 from zinniaturn.http1.exchanges import Service
@@ -68,12 +66,16 @@
             (host, settings.metrics_port) if has_metrics else None,
             MetricsEndpoint(
                 lambda: render_metrics(state, clients),
-                (
-                    QuarantineEndpoint(state),
-                    WhereEndpoint(dispatcher, look_ups),
-                    TenantsEndpoint(state),
-                    EvacuationsEndpoint(state),
-                ),
+                lambda: _operator_endpoints(dispatcher, look_ups),
             ),
         ),
     )
+
+
+def _operator_endpoints(
+    dispatcher: Dispatcher, look_ups: LookupEndpoint
+) -> Sequence[OperatorEndpoint]:
+    """Return the endpoints that a process which is not asked never loads."""
+    from zinniaturn.gateway.operator_endpoints import build_operator_endpoints
+
+    return build_operator_endpoints(dispatcher, look_ups)
