Compare what operators are told with what requests get

Cause: the scenarios checked what `explain where` says, not that a request gets the same.

Change: in 11 situations a request is sent as well, and its status, code and Retry-After field must be those that were told.

--- a/features/explain_where.feature
+++ b/features/explain_where.feature
@@ -35,6 +35,26 @@
       | all servers are gone    | /open/1  | -      | rejected | no-server             | no server is known |
       | no server responds to any VM | /open/1 | -  | rejected | no-server             | to any VM         |
 
+  Scenario Outline: A request to <path> is not answered otherwise than told when <situation>
+    Given a gateway before two data centres that operators can ask
+    When this holds: <situation>
+    And the operator asks where "<path>" of tenant "<tenant>" would go
+    Then a request to "<path>" of tenant "<tenant>" gets what was told
+
+    Examples:
+      | situation               | path     | tenant |
+      | all is as usual         | /open/1  | -      |
+      | all is as usual         | /reads/1 | gold   |
+      | all is as usual         | /none/1  | -      |
+      | all is as usual         | /reads/1 | -      |
+      | the proof is too old    | /reads/1 | gold   |
+      | the process stops       | /open/1  | -      |
+      | gold has no permit left | /reads/1 | gold   |
+      | both are evacuated      | /open/1  | -      |
+      | evacuations are unknown | /open/1  | -      |
+      | all servers are gone    | /open/1  | -      |
+      | no server responds to any VM | /open/1 | -  |
+
   Scenario Outline: A server that <situation> is not taken for a usable one
     Given a gateway before two data centres that operators can ask
     When this holds of "s-1": <situation>
--- a/features/steps/explain_where_steps.py
+++ b/features/steps/explain_where_steps.py
@@ -1,5 +1,6 @@
 """Steps of the question where a request would go."""
 
+import json
 from dataclasses import replace
 from types import MappingProxyType
 
@@ -138,6 +139,23 @@
         assert answer['targets'], answer
 
 
+@then('a request to "{path}" of tenant "{tenant}" gets what was told')
+def check_request(context, path, tenant):
+    async def send():
+        context.change(context)
+        extra = f'Api-Key: {KEY}\r\n' if tenant == 'gold' else ''
+        payload = build_request_bytes(target=path, extra=extra)
+        return await send_request(context.gateway.settings.front, payload)
+
+    status, fields, body = run(context, send())
+    told = context.answer
+    assert status == (told['status'] or 200), (status, body, told)
+    if told['code']:
+        assert json.loads(body)['code'] == told['code'], (body, told)
+    is_later = told['retry_after_seconds'] is not None
+    assert is_later is ('retry-after' in fields), (fields, told)
+
+
 @then('"{name}" is told to be "{state}", and {count:d} others "usable"')
 def check_state(context, name, state, count):
     servers = context.answer['pool']['servers']
