Tell servers that come last from full ones in explain where

Cause: with all servers ejected the reason was that none had room.

Change: the reason says that those with room are ejected or answer no probes.

Measured: with the former where_outcome.py the new row fails and the 63 others pass; now explain_where 64, catalogues 6 and gateway_size 2 scenarios passed.

--- a/features/explain_where.feature
+++ b/features/explain_where.feature
@@ -17,6 +17,7 @@
       | gold's owner can't be asked | /reads/1 | gold | permit-asked |    | its own part     |
       | all is as usual         | /reads/1 | coal   | sent         |      | have room        |
       | all servers are full    | /open/1  | -      | searched     |      | no server has room |
+      | all servers are ejected | /open/1  | -      | searched     |      | can still be in time |
       | no server has reported  | /open/1  | -      | searched     |      | no server has reported |
       | all servers have limits | /open/1  | -      | permit-asked | no-server | at their limits |
       | the VM has lost its links | /open/1 | -     | passed-on    |      | not to this one  |
--- a/features/support/where_situations.py
+++ b/features/support/where_situations.py
@@ -170,6 +170,7 @@
         'gold has no permit left': _use_up,
         "gold's owner can't be asked": _lose_owner,
         'all servers are full': _each(_fill),
+        'all servers are ejected': _each(_fail_twice),
         'no server has reported': _each(_forget_report),
         'all servers have limits': _each(partial(_learn, limit=2)),
         'the VM has lost its links': _lose_links_alone,
--- a/zinniaturn/gateway/where_outcome.py
+++ b/zinniaturn/gateway/where_outcome.py
@@ -16,7 +16,7 @@
 from zinniaturn.gateway.request_context import RequestContext
 from zinniaturn.gateway.scheduler import RequestScheduler
 from zinniaturn.gateway.where_answer import PoolView, WhereOutcome
-from zinniaturn.gateway.where_servers import USABLE
+from zinniaturn.gateway.where_servers import DOUBTFUL, USABLE
 from zinniaturn.outcomes import Outcome
 from zinniaturn.placing.return_schedule import ReturnSchedule
 from zinniaturn.reach.decision import AwaitEvidence, PassOn, RejectAtOnce
@@ -104,6 +104,18 @@
             'decide',
             likely[:_MOST_TARGETS],
         )
+    doubtful = [
+        view.name
+        for view in pool.servers
+        if view.state in DOUBTFUL and view.has_room
+    ]
+    if doubtful:
+        return Found(
+            WhereOutcome.SEARCHED,
+            'the servers with room are ejected or answer no probes; they get '
+            'it only if their response can still be in time',
+            doubtful[:_MOST_TARGETS],
+        )
     known = pool.reports.servers - pool.reports.without_report
     if known:
         return Found(
--- a/zinniaturn/gateway/where_servers.py
+++ b/zinniaturn/gateway/where_servers.py
@@ -5,7 +5,7 @@
 estimated for the servers that are named only.
 """
 
-__all__ = ('view_pool',)
+__all__ = ('DOUBTFUL', 'USABLE', 'view_pool')
 
 import math
 from collections import Counter
@@ -35,6 +35,10 @@
 from zinniaturn.placing.request_queue import Offer
 
 USABLE = 'usable'
+_EJECTED = 'ejected'
+_UNRESPONSIVE = 'unresponsive'
+# Servers that come last.
+DOUBTFUL = frozenset((_EJECTED, _UNRESPONSIVE))
 _MS_PER_SECOND = 1000
 _MOST_PLACES = 64
 _MOST_SHARES = 32
@@ -69,7 +73,7 @@
         unavailability = unavailability_rank(stats, self.now)
         if state == USABLE and unavailability:
             is_ejected = stats.ejected_until > self.now
-            state = 'ejected' if is_ejected else 'unresponsive'
+            state = _EJECTED if is_ejected else _UNRESPONSIVE
         data_center = candidate.registered.server.data_center
         return _Rated(
             candidate,
