Give back the room of a hedged response before the first one is counted

Cause: as a large response was complete, its room let in the response to the hedged request, which was cancelled only in a later iteration of the event loop. Both together exceeded what the process may hold, so the caller's connection was closed as the largest one.

Change: with an attempt left over, the response goes on one iteration later, when that attempt has closed its connection.

--- a/zinniaturn/gateway/attempt_runner.py
+++ b/zinniaturn/gateway/attempt_runner.py
@@ -215,10 +215,15 @@
                     break
                 now += delay
                 delay = _HEDGE_RETRY_SECONDS
-            return await first_response(context, running)
+            response = await first_response(context, running)
         finally:
             for attempt in running:
                 attempt.cancel()
+        if running:
+            # The other attempt gives back the room for its response, before
+            # this one is counted for the caller.
+            await asyncio.sleep(0)
+        return response
 
     async def _start_hedge(
         self, context: RequestContext, running: set[Attempt]
