Hold a relayed request and its reply once on each VM

Cause: a request that a VM passes on existed as a body and as an encoded message there, and as a message and a decoded body on the other VM; replies did the same. The account of what clients hold counts one of them. A reply with an answer of 64 MiB was longer than the limit on answers, and got 502.

Change: a body over 64 KB is sent behind the message that it ends, the array of a response becomes its reply, and both are decoded as views. The bytes on the wire are unchanged, so earlier builds understand them. A reply may have 64 KB more than an answer. The scenarios' servers and samples of processes move to features/support/watched_vms.py, unchanged but for their names and a server that can be silent to one VM.

--- a/features/steps/untrusted_clients_steps.py
+++ b/features/steps/untrusted_clients_steps.py
@@ -4,9 +4,7 @@
 import json
 import tempfile
 from collections import deque
-from dataclasses import dataclass, field
 from pathlib import Path
-from types import MappingProxyType
 
 from behave import given, then, when
 
@@ -18,26 +16,23 @@
     send_request,
 )
 from features.support.untrusted_crowd import BODY_BYTES, METRICS_PORT, Crowd
+from features.support.watched_vms import LARGEST_BODY, SizedServer, Watch
 from zinniaturn.experiments.soak.vms import make_vms
 from zinniaturn.http1.limits import CallerLimits
-from zinniaturn.http1.messages import find_field
-from zinniaturn.platform.standins import ServerStandIn, StoreStandIn
+from zinniaturn.platform.standins import StoreStandIn
 
 _MIB = 1024 * 1024
 _BYTES_PER_MEGABYTE = 10**6
-_BYTES_PER_KILOBYTE = 1024
 # The descriptors that a VM needs for files.
 _FILE_DESCRIPTORS = 200
-_LARGEST_BODY = 64 * _MIB
 _CROWD_SECONDS = 3
 _SETTLE_SECONDS = 1
 _SAMPLE_SECONDS = 0.1
 _PATIENCE_SECONDS = 20
 _ATTEMPT_SECONDS = 5
 _SUCCESS = 200
-_SIZED_BODIES = MappingProxyType(
-    {b'big': b'x' * BODY_BYTES, b'largest': b'x' * _LARGEST_BODY}
-)
+_REFUSED = 503
+_MOST_REFUSALS = 5
 _READY = b'GET /readyz HTTP/1.1\r\nHost: readiness\r\n\r\n'
 _ROUTES = (
     build_route_row('reads', '/reads/', 'idempotent', timeout_ms=4000),
@@ -45,69 +40,6 @@
 )
 
 
-class _SizedServer(ServerStandIn):
-    """A server whose answers are as large as the request asks for."""
-
-    def _run_request(self, exchange, fault):
-        asked = find_field(exchange.request.fields, b'x-body')
-        return self._run_sized(exchange, fault, asked)
-
-    async def _run_sized(self, exchange, fault, asked):
-        response = await ServerStandIn._run_request(self, exchange, fault)
-        response.body = _SIZED_BODIES.get(asked, response.body)
-        return response
-
-
-@dataclass
-class _Peaks:
-    """What the process and its sockets have taken at most, in samples."""
-
-    descriptors: int = 0
-    unread_bytes: int = 0
-    memory_bytes: int = 0
-    is_alive: bool = True
-
-
-@dataclass
-class _Watch:
-    """Samples a process until the scenario's end."""
-
-    vm: object
-    peaks: _Peaks = field(default_factory=_Peaks)
-
-    async def run(self):
-        while True:
-            self.sample()
-            await asyncio.sleep(_SAMPLE_SECONDS)
-
-    def sample(self):
-        peaks = self.peaks
-        if not self.vm.is_running():
-            peaks.is_alive = False
-            return
-        folder = Path('/proc') / str(self.vm.process.pid)
-        peaks.descriptors = max(
-            peaks.descriptors, len(list((folder / 'fd').iterdir()))
-        )
-        peaks.unread_bytes = max(peaks.unread_bytes, _unread(self.vm.host))
-        status = (folder / 'status').read_text()
-        kilobytes = int(status.partition('VmHWM:')[2].split()[0])
-        peaks.memory_bytes = kilobytes * _BYTES_PER_KILOBYTE
-
-
-def _unread(host):
-    """Return the bytes that the kernel has received for sockets at a host."""
-    wanted = ''.join(f'{int(part):02X}' for part in reversed(host.split('.')))
-    lines = Path('/proc/net/tcp').read_text().splitlines()[1:]
-    rows = [line.split() for line in lines]
-    return sum(
-        int(row[4].partition(':')[2], 16)
-        for row in rows
-        # State 0A: a listening socket, which counts connections, not bytes.
-        if row[1].startswith(wanted) and row[3] != '0A'
-    )
-
-
 def _run(context, coroutine):
     return context.loop.run_until_complete(coroutine)
 
@@ -116,17 +48,19 @@
 def start_platform(context):
     async def start():
         context.store = StoreStandIn()
+        context.servers = []
         await context.store.start()
         context.closers.append(context.store.stop)
         for name in ('s-1', 's-2'):
-            server = _SizedServer(
+            server = SizedServer(
                 name=name,
                 slots=16,
                 queue=64,
                 requests=deque(maxlen=1),
-                limits=CallerLimits(body_bytes=_LARGEST_BODY),
+                limits=CallerLimits(body_bytes=LARGEST_BODY),
             )
             await server.start()
+            context.servers.append(server)
             context.closers.append(server.stop)
             context.store.write(f'servers/{name}', server.entry())
 
@@ -142,32 +76,74 @@
         context.vm.kill()
     limits = {
         'max_header_bytes': 16_384,
-        'max_body_bytes': {'1 MB': BODY_BYTES, '64 MiB': _LARGEST_BODY}[body],
+        'max_body_bytes': {'1 MB': BODY_BYTES, '64 MiB': LARGEST_BODY}[body],
         'header_timeout_ms': 3000,
         'idle_timeout_ms': 15_000,
     }
     context.store.write('op/config', build_config(_ROUTES, **limits))
+    context.limits = {'memory_mb': megabytes, 'max_fds': descriptors}
+    _start_vms(context, 1)
+
+
+def _build_check():
+    return _READY
+
+
+def _start_vms(context, count):
+    """Start gateway processes; the first is the one that callers use."""
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
-    vm = make_vms(1, context.store.port, Path(folder.name))[0]
-    settings = json.loads(vm.settings_path.read_text())
-    settings['limits'] = {'memory_mb': megabytes, 'max_fds': descriptors}
-    vm.settings_path.write_text(json.dumps(settings))
-    vm.metrics_port = METRICS_PORT
-    vm.start()
-    context.add_cleanup(vm.kill)
-    context.vm = vm
-    context.limits = settings['limits']
-    _run(context, _wait_until_answered(vm.readiness, lambda: _READY))
-    context.watch = _Watch(vm)
-    sampling = context.loop.create_task(context.watch.run())
+    vms = make_vms(count, context.store.port, Path(folder.name))
+    context.watches = [Watch(vm) for vm in vms]
+    for vm in vms:
+        settings = json.loads(vm.settings_path.read_text())
+        settings['limits'] = context.limits
+        vm.settings_path.write_text(json.dumps(settings))
+        vm.metrics_port = METRICS_PORT
+        vm.start()
+        context.add_cleanup(vm.kill)
+    for started in vms:
+        _run(context, _wait_until_answered(started.readiness, _build_check))
+    context.vm = vms[0]
+    context.watch = context.watches[0]
+    sampling = [
+        context.loop.create_task(watch.run()) for watch in context.watches
+    ]
 
     async def stop():
-        sampling.cancel()
+        for task in sampling:
+            task.cancel()
 
     context.closers.append(stop)
 
 
+@given(
+    'two gateway processes with {megabytes:d} MB, and servers that respond '
+    'only to the second'
+)
+def start_pair(context, megabytes):
+    context.limits = {'memory_mb': megabytes, 'max_fds': 4100}
+    limits = {'max_header_bytes': 16_384, 'max_body_bytes': LARGEST_BODY}
+    routes = (
+        build_route_row('reads', '/reads/', 'idempotent', timeout_ms=20_000),
+        build_route_row(
+            'posts', '/posts/', 'non_idempotent', timeout_ms=20_000
+        ),
+    )
+    context.store.write('op/config', build_config(routes, **limits))
+    _start_vms(context, 2)
+    for server in context.servers:
+        server.silent_to = context.vm.host
+    check_ordinary(context)
+
+
+@then('both processes live and have kept within their memory and descriptors')
+def check_both_within(context):
+    for watch in context.watches:
+        context.watch = watch
+        check_within(context)
+
+
 async def _ask(address, request):
     """Return the status and body of a request, or why there is none."""
     try:
@@ -235,7 +211,7 @@
 
 @when('a caller posts 64 MiB')
 def post_largest(context):
-    body = b'x' * _LARGEST_BODY
+    body = b'x' * LARGEST_BODY
     request = build_request_bytes('POST', '/posts/1', 'id-1', 20_000, body)
     _send_largest(context, request)
 
@@ -245,7 +221,7 @@
     request = build_request_bytes('POST', '/posts/1', 'id-2', 20_000)
     head = request.replace(b'Content-Length: 0', b'Transfer-Encoding: chunked')
     chunk = b'10000\r\n%b\r\n' % (b'x' * 65_536)
-    chunks = chunk * (_LARGEST_BODY // 65_536)
+    chunks = chunk * (LARGEST_BODY // 65_536)
     _send_largest(context, b''.join((head, chunks, b'0\r\n\r\n')))
 
 
@@ -259,6 +235,14 @@
     )
 
 
+@when('a caller {action}, again after each 503')
+def send_until_taken(context, action):
+    for _ in range(_MOST_REFUSALS):
+        context.execute_steps(f'When a caller {action}')
+        if context.answer[0] != _REFUSED:
+            return
+
+
 def _send_largest(context, request):
     async def send():
         reader, writer = await asyncio.open_connection(
--- a/zinniaturn/gateway/relay_client.py
+++ b/zinniaturn/gateway/relay_client.py
@@ -13,7 +13,11 @@
 from zinniaturn.gateway.request_context import RequestContext
 from zinniaturn.gateway.state import GatewayState
 from zinniaturn.gateway.tenant_gate import KEY_CODES
-from zinniaturn.http1.backend import BackendConnection, Exchange
+from zinniaturn.http1.backend import (
+    MAX_RESPONSE_BYTES,
+    BackendConnection,
+    Exchange,
+)
 from zinniaturn.http1.connections import Address
 from zinniaturn.http1.exceptions import ConnectFailedError, ExchangeBrokenError
 from zinniaturn.http1.messages import Fields, Request, Response
@@ -21,6 +25,7 @@
 from zinniaturn.reach.decision import PassOn
 from zinniaturn.relay.exceptions import RelayMessageError
 from zinniaturn.relay.messages import (
+    ENVELOPE_BYTES,
     RELAY_PATH,
     RELAY_VERSION,
     RelayRefusal,
@@ -28,7 +33,7 @@
     RelayRequest,
     ServerResponse,
     decode_reply,
-    encode_message,
+    encode_request,
     refuse,
 )
 from zinniaturn.relay.selection import RelayVm, select_relays
@@ -156,11 +161,17 @@
         """Return the response; a lost one leaves the outcome unknown."""
         random_id = self.state.random_source.getrandbits(_ID_BITS)
         relay_id = b'%x' % random_id
-        body = encode_message(message)
-        head = _encode_head(address, relay_id, len(body))
+        start, rest = encode_request(message)
+        head = _encode_head(address, relay_id, len(start) + len(rest))
         try:
             response = await connection.send(
-                Exchange(head, RELAY_ID_FIELD, relay_id, body=body)
+                Exchange(
+                    head + start,
+                    RELAY_ID_FIELD,
+                    relay_id,
+                    body=rest,
+                    most_bytes=MAX_RESPONSE_BYTES + ENVELOPE_BYTES,
+                )
             )
         except ExchangeBrokenError as error:
             raise AttemptError(
--- a/zinniaturn/gateway/relay_service.py
+++ b/zinniaturn/gateway/relay_service.py
@@ -28,6 +28,7 @@
 from zinniaturn.relay.exceptions import RelayMessageError
 from zinniaturn.relay.intake import RelayIntake, most_for_others
 from zinniaturn.relay.messages import (
+    ENVELOPE_BYTES,
     RELAY_PATH,
     RELAY_VERSION,
     RelayRefusal,
@@ -35,7 +36,7 @@
     RelayRequest,
     ServerResponse,
     decode_request,
-    encode_message,
+    encode_reply,
     refuse,
 )
 from zinniaturn.tenants import Tenant
@@ -52,8 +53,6 @@
         _TOO_OLD_CODE: RelayRefusal.OLDER_TABLES,
     }
 )
-# What a message adds to a request's head and body.
-_ENVELOPE_BYTES = 64 * 1024
 
 
 @dataclass(slots=True)
@@ -84,7 +83,7 @@
                 f'{exchange.peer_host} is not the address of {message.sender}'
             )
             return Response(404, b'', [])
-        # The message holds the body once more.
+        # The message holds its bytes as long as they are needed.
         exchange.request.body = b''
         request = _caller_request(message)
         route = self.dispatcher.find_route(request)
@@ -193,7 +192,7 @@
             own.header_bytes,
             max(own.body_bytes, callers.body_bytes)
             + callers.header_bytes
-            + _ENVELOPE_BYTES,
+            + ENVELOPE_BYTES,
             own.header_seconds,
             own.idle_seconds,
         )
@@ -283,6 +282,4 @@
 
 def _respond(exchange: CallerExchange, reply: RelayReply) -> Response:
     relay_id = find_field(exchange.request.fields, RELAY_ID_FIELD) or b''
-    return Response(
-        200, b'', [(RELAY_ID_FIELD, relay_id)], encode_message(reply)
-    )
+    return Response(200, b'', [(RELAY_ID_FIELD, relay_id)], encode_reply(reply))
--- a/zinniaturn/http1/backend.py
+++ b/zinniaturn/http1/backend.py
@@ -5,7 +5,7 @@
 ignored: it belongs to an earlier exchange and came too late.
 """
 
-__all__ = ('BackendConnection', 'Exchange')
+__all__ = ('MAX_RESPONSE_BYTES', 'BackendConnection', 'Exchange')
 
 import asyncio
 from collections.abc import Callable
@@ -23,7 +23,7 @@
 _FIRST_FINAL_STATUS = 200
 _FIRST_STATUS_WITHOUT_ID = 300
 _BODYLESS_STATUSES = frozenset((204, 304))
-_MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 # The heads of interim and final responses together.
 _MAX_HEAD_BYTES = 64 * 1024
 
@@ -36,7 +36,8 @@
     A response whose ``id_field`` differs from ``response_id`` belongs to
     another request. If ``response_id`` is set, the same holds for a response
     of status 2xx without the field; those of status 300 and above may lack it.
-    ``body`` is sent behind ``payload``, without a copy of a large one.
+    ``body`` is sent behind ``payload``, without a copy of a large one. The
+    response's body may have ``most_bytes``.
     """
 
     payload: bytes
@@ -44,6 +45,7 @@
     response_id: bytes | None = None
     is_head: bool = False
     body: bytes = b''
+    most_bytes: int = MAX_RESPONSE_BYTES
 
 
 class BackendConnection(SendingProtocol):
@@ -176,7 +178,7 @@
         if self.exchange is None:
             return
         self.body.add(body)
-        if self.body.size > _MAX_RESPONSE_BYTES:
+        if self.body.size > self.exchange.most_bytes:
             self._fail(BadMessageError('the answer is too long'))
         elif not self.room.hold(self.body.size):
             self._fail(BadMessageError('too many bytes are being received'))
--- a/zinniaturn/relay/messages.py
+++ b/zinniaturn/relay/messages.py
@@ -2,10 +2,12 @@
 Messages by which one VM passes a request on to another, as MessagePack.
 
 Every message begins with the protocol version, and one of another version is
-rejected as a whole.
+rejected as a whole. A large body is never copied: it is sent behind the message
+that it ends, and decoded as a view of the bytes received.
 """
 
 __all__ = (
+    'ENVELOPE_BYTES',
     'RELAY_PATH',
     'RELAY_VERSION',
     'RelayRefusal',
@@ -15,11 +17,14 @@
     'decode_reply',
     'decode_request',
     'encode_message',
+    'encode_reply',
+    'encode_request',
     'refuse',
 )
 
 import enum
-from typing import Annotated
+import operator
+from typing import Annotated, cast
 
 import msgspec
 
@@ -31,6 +36,16 @@
 
 RELAY_VERSION = 1
 
+# What a message adds at most to a request or a response.
+ENVELOPE_BYTES = 64 * 1024
+# Smaller bodies are immutable bytes of their own, which costs one copy.
+_COPIED_BYTES = 64 * 1024
+# In MessagePack: how the shortest binary text begins, with its length of 0, and
+# one whose length takes four bytes.
+_EMPTY_BINARY = b'\xc4\x00'
+_LONG_BINARY = b'\xc6'
+_LENGTH_BYTES = 4
+
 Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=10**9)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=1000)]
 
@@ -105,9 +120,29 @@
     refusal: RelayRefusal | None = None
 
 
+class _RequestView(RelayRequest, array_like=True, frozen=True):
+    """A request whose body is a view of the message."""
+
+    body: memoryview  # type: ignore[assignment]
+
+
+class _ResponseView(ServerResponse, array_like=True, frozen=True):
+    """A response whose body is a view of the message."""
+
+    body: memoryview  # type: ignore[assignment]
+
+
+class _ReplyView(RelayReply, array_like=True, frozen=True):
+    """A reply with a response whose body is a view of the message."""
+
+    response: _ResponseView | None = None
+
+
 _encoder = msgspec.msgpack.Encoder()
 _request_decoder = msgspec.msgpack.Decoder(RelayRequest)
+_request_view_decoder = msgspec.msgpack.Decoder(_RequestView)
 _reply_decoder = msgspec.msgpack.Decoder(RelayReply)
+_reply_view_decoder = msgspec.msgpack.Decoder(_ReplyView)
 
 
 def encode_message(message: RelayRequest | RelayReply) -> bytes:
@@ -115,6 +150,46 @@
     return _encoder.encode(message)
 
 
+def encode_request(message: RelayRequest) -> tuple[bytes, bytes]:
+    """Return an encoded request in two parts, of which one may be its body."""
+    body = message.body
+    if len(body) <= _COPIED_BYTES:
+        return encode_message(message), b''
+    bodyless = msgspec.structs.replace(message, body=b'')
+    return _begin_body(encode_message(bodyless), len(body)), body
+
+
+def encode_reply(reply: RelayReply) -> bytes:
+    """
+    Return an encoded reply.
+
+    The array of a large body becomes the message, and must not be used again.
+    """
+    response = reply.response
+    if response is None or len(response.body) <= _COPIED_BYTES:
+        return encode_message(reply)
+    bodyless = msgspec.structs.replace(
+        reply, response=msgspec.structs.replace(response, body=b'')
+    )
+    behind = (reply.code, reply.detail, reply.retry_after_ms, reply.refusal)
+    tail = b''.join(map(_encoder.encode, behind))
+    whole = encode_message(bodyless)
+    head = _begin_body(whole.removesuffix(tail), len(response.body))
+    body = cast(object, response.body)
+    if not isinstance(body, bytearray):
+        return b''.join((head, response.body, tail))
+    # Inserts in place, without a copy of the body.
+    operator.setitem(body, slice(0, 0), head)
+    body += tail
+    return cast(bytes, body)
+
+
+def _begin_body(bodyless: bytes, size: int) -> bytes:
+    """Return a message, which ends with an empty body, up to a large one."""
+    length = size.to_bytes(_LENGTH_BYTES, 'big')
+    return bodyless.removesuffix(_EMPTY_BINARY) + _LONG_BINARY + length
+
+
 def refuse(refusal: RelayRefusal) -> RelayReply:
     """Return the reply of a VM that has not taken a request."""
     return RelayReply(RELAY_VERSION, Outcome.NOT_RUN, 0, refusal=refusal)
@@ -122,8 +197,10 @@
 
 def decode_request(raw: bytes) -> RelayRequest:
     """Return a request; raises `RelayMessageError`."""
+    is_large = len(raw) > _COPIED_BYTES
+    decoder = _request_view_decoder if is_large else _request_decoder
     try:
-        request = _request_decoder.decode(raw)
+        request = decoder.decode(raw)
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise RelayMessageError(cause_of(error)) from error
     _check_version(request.version)
@@ -132,8 +209,10 @@
 
 def decode_reply(raw: bytes) -> RelayReply:
     """Return a reply; raises `RelayMessageError`."""
+    is_large = len(raw) > _COPIED_BYTES
+    decoder = _reply_view_decoder if is_large else _reply_decoder
     try:
-        reply = _reply_decoder.decode(raw)
+        reply = decoder.decode(raw)
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise RelayMessageError(cause_of(error)) from error
     _check_version(reply.version)
