Add crowds to the faults of the soak

Cause: the soak injected no clients outside the limits, and checked neither that processes live nor what they take.

A process that ends without a kill or a stop, or takes more, is a violation; the scenario of all kinds of violations has one of each.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -38,6 +38,7 @@
     And a request that was answered too late
     And a running request whose connection a planned stop closed
     And callers that were served everywhere but at a VM without links
+    And VMs of which one has ended by itself, and one has taken too much
     Then each of these is reported as a violation
 
   Scenario: A soak in which no request succeeded violates a guarantee
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -17,6 +17,7 @@
     SoakServer,
 )
 from zinniaturn.experiments.soak.plan import make_plan
+from zinniaturn.experiments.soak.resources import DESCRIPTORS, MEMORY_MEGABYTES
 from zinniaturn.experiments.soak.run import run_seed
 from zinniaturn.experiments.soak.vms import (
     VM_PORTS,
@@ -149,6 +150,17 @@
         )
 
 
+@given('VMs of which one has ended by itself, and one has taken too much')
+def add_resources(context):
+    resources = context.fleet.resources
+    ended = VmProcess('vm-4', '127.0.0.4', _PORTS, Path())
+    ended.process = subprocess.Popen([sys.executable, '-c', ''])
+    ended.process.wait()
+    resources.note(ended, 100)
+    resources.memory_bytes['vm-5'] = (MEMORY_MEGABYTES + 1) * 10**6
+    resources.descriptors['vm-5'] = DESCRIPTORS + 1
+
+
 @then('each of these is reported as a violation')
 def check_violations(context):
     violations = check_guarantees(context.fleet, context.calls, [])
@@ -156,6 +168,9 @@
         (violation.request_id, violation.promise) for violation in violations
     )
     assert reported == [
+        ('', 'processes stay alive'),
+        ('', 'within descriptors'),
+        ('', 'within memory'),
         ('cut', 'a stop cuts nothing off'),
         ('foreign', 'whole answer of its own'),
         ('held', 'answered in time'),
--- a/zinniaturn/experiments/soak/checking.py
+++ b/zinniaturn/experiments/soak/checking.py
@@ -13,6 +13,11 @@
 from zinniaturn.experiments.soak.callers import Call
 from zinniaturn.experiments.soak.deadly import DeadlyStream
 from zinniaturn.experiments.soak.fleet import LinkCut, SoakFleet
+from zinniaturn.experiments.soak.resources import (
+    DESCRIPTORS,
+    MEMORY_MEGABYTES,
+    VmResources,
+)
 from zinniaturn.experiments.soak.vms import VmProcess
 
 _PROPAGATION_SECONDS = 2.0
@@ -29,6 +34,7 @@
 _LEAST_SERVED_RATIO = 2 / 3
 _CRASHES_BEFORE_RULE = 3
 _ALLOWED_LATE_SENDS = 3
+_BYTES_PER_MEGABYTE = 10**6
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +71,7 @@
     violations.extend(_check_any_served(calls))
     for vm in fleet.vms:
         violations.extend(_check_log(vm))
+    violations.extend(_check_resources(fleet.resources))
     for stream in fleet.deadly_streams:
         violations.extend(_check_deadly(fleet, stream))
     return violations
@@ -81,6 +88,19 @@
         yield Violation('no unexpected exception', '', detail)
 
 
+def _check_resources(resources: VmResources) -> Iterator[Violation]:
+    """Check that no process has ended by itself or taken too much."""
+    for name in sorted(resources.ended):
+        yield Violation('processes stay alive', '', name)
+    for name, memory in resources.memory_bytes.items():
+        if memory > MEMORY_MEGABYTES * _BYTES_PER_MEGABYTE:
+            yield Violation('within memory', '', f'{name}: {memory} bytes')
+    for name, descriptors in resources.descriptors.items():
+        if descriptors > DESCRIPTORS:
+            detail = f'{name}: {descriptors}'
+            yield Violation('within descriptors', '', detail)
+
+
 def _check_deadly(
     fleet: SoakFleet, stream: DeadlyStream
 ) -> Iterator[Violation]:
--- a/zinniaturn/experiments/soak/faults.py
+++ b/zinniaturn/experiments/soak/faults.py
@@ -9,6 +9,7 @@
 from types import MappingProxyType
 from typing import Any
 
+from zinniaturn.experiments.soak.crowd import play_crowd
 from zinniaturn.experiments.soak.deadly import play_deadly
 from zinniaturn.experiments.soak.fleet import (
     STARTUP_SECONDS,
@@ -105,6 +106,10 @@
             FaultKind.DEADLY_REQUEST: lambda fault: play_deadly(
                 self.fleet, fault
             ),
+            FaultKind.CROWD: lambda fault: play_crowd(
+                self._disturb_vm(fault, fault.duration_seconds),
+                fault.duration_seconds,
+            ),
             **dict.fromkeys(
                 STATEMENT_KINDS,
                 lambda fault: play_statement(
--- a/zinniaturn/experiments/soak/fleet.py
+++ b/zinniaturn/experiments/soak/fleet.py
@@ -4,11 +4,17 @@
 
 import asyncio
 import itertools
+import json
 import random
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
+from zinniaturn.experiments.soak.resources import (
+    DESCRIPTORS,
+    MEMORY_MEGABYTES,
+    VmResources,
+)
 from zinniaturn.experiments.soak.vms import VmProcess, make_vms
 from zinniaturn.platform.standins import (
     CrashRule,
@@ -75,7 +81,8 @@
     ``added_routes`` and ``removed_routes`` hold the event loop's time at which
     each route was added or removed. ``crashes`` lists the servers that deadly
     requests have ended, which are in ``crashed_servers``.
-    ``server_settings`` are fields of the servers' stand-ins.
+    ``server_settings`` are fields of the servers' stand-ins. ``resources`` are
+    what the VMs' processes have taken.
     """
 
     seed: int
@@ -94,6 +101,7 @@
     crashed_servers: list[SoakServer] = field(default_factory=list)
     deadly_streams: 'list[DeadlyStream]' = field(default_factory=list)
     crashes: CrashRule = field(init=False)
+    resources: VmResources = field(default_factory=VmResources)
     server_settings: dict[str, Any] = field(default_factory=dict)
     server_numbers: 'itertools.count[int]' = field(
         default_factory=lambda: itertools.count(1)
@@ -119,6 +127,13 @@
     def add_vms(self, count: int) -> None:
         """Create the VMs without starting them."""
         self.vms = make_vms(count, self.store.port, self.folder)
+        for vm in self.vms:
+            settings = json.loads(vm.settings_path.read_text())
+            settings['limits'] = {
+                'memory_mb': MEMORY_MEGABYTES,
+                'max_fds': DESCRIPTORS,
+            }
+            vm.settings_path.write_text(json.dumps(settings))
 
     async def stop(self) -> None:
         """Stop the VMs by their process ids, the servers and the store."""
--- a/zinniaturn/experiments/soak/plan.py
+++ b/zinniaturn/experiments/soak/plan.py
@@ -43,6 +43,7 @@
     SERVER_NEVER_ENDS = 'server-never-ends'
     VM_LINKS_CUT = 'vm-links-cut'
     DEADLY_REQUEST = 'deadly-request'
+    CROWD = 'crowd'
 
 
 # Kinds that are drawn apart, so that the others of a seed stay the same.
@@ -55,6 +56,7 @@
 )
 _CUT_KINDS = (FaultKind.VM_LINKS_CUT,)
 _DEADLY_KINDS = (FaultKind.DEADLY_REQUEST,)
+_CROWD_KINDS = (FaultKind.CROWD,)
 _MAX_ADDED_GAP_SECONDS = 4.0
 _MAX_CUT_GAP_SECONDS = 12.0
 _WEIGHTS = MappingProxyType(
@@ -91,7 +93,7 @@
     >>> make_plan(1, 20) == make_plan(1, 20)
     True
     """
-    drawn_apart = _ADDED_KINDS + _CUT_KINDS + _DEADLY_KINDS
+    drawn_apart = _ADDED_KINDS + _CUT_KINDS + _DEADLY_KINDS + _CROWD_KINDS
     first_kinds = [kind for kind in FaultKind if kind not in drawn_apart]
     plan = _draw(random.Random(seed), first_kinds, _MAX_GAP_SECONDS, seconds)
     plan.extend(
@@ -115,6 +117,10 @@
             seconds,
         )
     )
+    crowd_source = random.Random(f'crowd {seed}')
+    plan.extend(
+        _draw(crowd_source, _CROWD_KINDS, _MAX_CUT_GAP_SECONDS, seconds)
+    )
     return sorted(plan, key=lambda fault: fault.start_seconds)
 
 
--- a/zinniaturn/experiments/soak/run.py
+++ b/zinniaturn/experiments/soak/run.py
@@ -18,6 +18,7 @@
 from zinniaturn.experiments.soak.faults import FaultInjector
 from zinniaturn.experiments.soak.fleet import SoakFleet
 from zinniaturn.experiments.soak.plan import Fault, make_plan
+from zinniaturn.experiments.soak.resources import watch_resources
 
 _VM_COUNT = 4
 _SERVER_COUNT = 5
@@ -95,6 +96,9 @@
     ]
     tasks = [asyncio.create_task(caller.run()) for caller in callers]
     tasks.append(asyncio.create_task(_record_stalls(stalls)))
+    tasks.append(
+        asyncio.create_task(watch_resources(fleet.vms, fleet.resources))
+    )
     for fault in plan:
         await asyncio.sleep(
             max(0, started_at + fault.start_seconds - loop.time())
