Keep a tenant's bound while its owner changes or can't be asked; model it

Cause: while VMs could not ask an owner, each sent a part of its own, with a token at once, on top of what a live owner granted. Both parts of a divided fleet granted more than the whole. A new owner counted nothing of what the one before granted in the moment in which both took themselves for the owner.

Change: buckets of allowances are apart from those of servers (admission/allowance_grantor.py). An owner grants the share of the VMs that it knows to be alive. Without an owner a VM goes on at its latest rate for a moment, for tenants that were refused nothing in the last window. The gateway-side model of allowances uses the new grantor, with the same checks.

--- a/features/steps/tenant_account_steps.py
+++ b/features/steps/tenant_account_steps.py
@@ -2,7 +2,10 @@
 
 from behave import given, then, when
 
-from zinniaturn.admission.grantor import PermitGrantor, PermitRequest
+from zinniaturn.admission.allowance_grantor import (
+    AllowanceGrantor,
+    AllowanceRequest,
+)
 from zinniaturn.clock import ManualClock
 from zinniaturn.tenants import Tenant
 from zinniaturn.tenants.accounts import TenantAccounts
@@ -51,21 +54,21 @@
 )
 def open_account(context, slack):
     _open(context, slack)
-    context.grantor = PermitGrantor()
+    context.grantor = AllowanceGrantor()
     _grant(context, 1)
 
 
 def _grant(context, sequence):
     notice = context.account.admission.notice
-    request = PermitRequest(
+    request = AllowanceRequest(
         'vm-1',
         sequence,
         notice.server,
         notice.started_ms,
         1,
         notice.limit,
-        notice.said_at,
         notice.depth,
+        notice.said_at,
     )
     context.grantor.grant(request, 1, context.clock.now, 0)
 
@@ -96,7 +99,7 @@
     _grant(context, 2)
     key = context.account.admission.notice.server
     bucket = context.grantor.buckets[key]
-    assert (bucket.limit, bucket.depth) == (
+    assert (bucket.per_second, bucket.depth) == (
         context.bucket.per_second,
         context.bucket.depth,
     ), bucket
--- a/features/support/allowance_model.py
+++ b/features/support/allowance_model.py
@@ -5,7 +5,10 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from zinniaturn.admission.grantor import PermitGrantor, PermitRequest
+from zinniaturn.admission.allowance_grantor import (
+    AllowanceGrantor,
+    AllowanceRequest,
+)
 from zinniaturn.admission.permits import PermitBook
 from zinniaturn.tenants.allowance import AllowanceBounds, bucket_for
 
@@ -30,7 +33,7 @@
     now: float = 0
     version: int = 1
     changed_at: float = 0
-    grantor: PermitGrantor = field(default_factory=PermitGrantor)
+    grantor: AllowanceGrantor = field(default_factory=AllowanceGrantor)
     books: list = field(init=False)
     sent: list = field(default_factory=list)
     asked: int = 0
@@ -51,7 +54,7 @@
 
     def replace_owner(self):
         """Let another VM, which knows nothing, grant from now on."""
-        self.grantor = PermitGrantor()
+        self.grantor = AllowanceGrantor()
         self.changed_at = self.now
 
     def play(self, seconds, demand_per_second, owner_life=None):
@@ -97,19 +100,19 @@
             return
         bucket = bucket_for(self.rate, self.burst, BOUNDS)
         self.sequence += 1
-        grant = self.grantor.grant(
-            PermitRequest(
+        count, _ = self.grantor.grant(
+            AllowanceRequest(
                 f'vm-{self.books.index(book)}',
                 self.sequence,
                 _KEY,
                 self.version,
                 count,
                 bucket.per_second,
-                self.now,
                 bucket.depth,
+                self.now,
             ),
             1,
             self.now,
             self.changed_at,
         )
-        book.add(grant.count, self.now - _ROUND_TRIP_SECONDS)
+        book.add(count, self.now - _ROUND_TRIP_SECONDS)
--- a/zinniaturn/admission/grantor.py
+++ b/zinniaturn/admission/grantor.py
@@ -8,9 +8,8 @@
 while the callers move from some VMs to others.
 """
 
-__all__ = ('START_TOKENS', 'Grant', 'PermitGrantor', 'PermitRequest')
+__all__ = ('Grant', 'PermitGrantor', 'PermitRequest')
 
-import math
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
@@ -26,10 +25,6 @@
 _MOST_UNCONFIRMED = 4
 _CONFIRMATION_WAIT_SECONDS = 0.1
 _MOST_REPLIES_KEPT = 64
-# What a new owner may grant of a tenant's allowance at once.
-START_TOKENS = 4.0
-# Permits of an owner before have been used for a whole window by then.
-_SETTLED_SECONDS = 8.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,7 +69,7 @@
     content a moment ago. ``replies`` are the last grant to each VM, by sequence
     number, for requests that are repeated because a reply was lost.
     ``granted_unconfirmed`` counts the permits since a limit that nobody has
-    heard lately was last confirmed. A ``depth`` of 0 follows from the limit.
+    heard lately was last confirmed.
     """
 
     started_ms: int
@@ -83,7 +78,6 @@
     updated_at: float
     tokens: float = 0
     granted_unconfirmed: int = 0
-    depth: float = 0
     replies: 'OrderedDict[str, tuple[int, Grant]]' = field(
         default_factory=OrderedDict
     )
@@ -91,7 +85,7 @@
     def refill(self, share: float, now: float) -> None:
         """Add the tokens since the last call at ``share`` of the limit."""
         added = (now - self.updated_at) * self.rate(share)
-        most = self.depth or 1 + self.rate(1) * _BUCKET_SECONDS
+        most = 1 + self.rate(1) * _BUCKET_SECONDS
         self.tokens = min(most, self.tokens + added)
         self.updated_at = now
 
@@ -107,7 +101,7 @@
         have to do until a response has named it again.
         """
         granted = min(count, int(self.tokens))
-        is_old = not self.depth and now - self.said_at > _CONFIRMED_SECONDS
+        is_old = now - self.said_at > _CONFIRMED_SECONDS
         if is_old:
             most = max(1, int(_MOST_UNCONFIRMED * share))
             granted = min(granted, max(0, most - self.granted_unconfirmed))
@@ -125,26 +119,6 @@
         self.said_at = said_at
         self.granted_unconfirmed = 0
 
-    def resume(self, changed_at: float, now: float) -> None:
-        """Keep few tokens if another VM may have granted since the last use."""
-        if self.depth and self.updated_at < changed_at:
-            self.tokens = min(START_TOKENS, self.tokens)
-            self.updated_at = now
-
-    def follow(self, request: PermitRequest) -> None:
-        """
-        Apply a later version of a tenant's allowance; keep the tokens.
-
-        A VM whose settings have changed names the same version again, with
-        another bucket and a later time.
-        """
-        said = request.started_ms, request.said_at
-        if said > (self.started_ms, self.said_at):
-            self.started_ms = request.started_ms
-            self.said_at = request.said_at
-            self.limit = request.limit
-            self.depth = request.depth
-
     def keep_reply(self, vm: str, sequence: int, grant: Grant) -> None:
         """Keep a reply; the oldest is dropped when there are too many."""
         self.replies[vm] = sequence, grant
@@ -163,21 +137,13 @@
 
     buckets: 'OrderedDict[str, _Bucket]' = field(default_factory=OrderedDict)
 
-    def grant(
-        self,
-        request: PermitRequest,
-        share: float,
-        now: float,
-        changed_at: float = math.inf,
-    ) -> Grant:
+    def grant(self, request: PermitRequest, share: float, now: float) -> Grant:
         """
         Return the permits granted for a request.
 
-        ``share`` is the part of each limit that this VM may grant, and
-        ``changed_at`` the last time at which allowances may have got another
-        owner.
+        ``share`` is the part of each limit that this VM may grant.
         """
-        bucket = self._bucket(request, changed_at, now)
+        bucket = self._bucket(request, now)
         kept = bucket.replies.get(request.vm)
         if kept is not None and kept[0] == request.sequence:
             return kept[1]
@@ -186,34 +152,20 @@
         bucket.keep_reply(request.vm, request.sequence, grant)
         return grant
 
-    def _bucket(
-        self, request: PermitRequest, changed_at: float, now: float
-    ) -> _Bucket:
+    def _bucket(self, request: PermitRequest, now: float) -> _Bucket:
         """Return the server's bucket with the newest limit that is known."""
         bucket = self.buckets.get(request.server)
-        if bucket is not None and request.depth:
-            bucket.resume(changed_at, now)
-            bucket.follow(request)
         if bucket is None or bucket.started_ms < request.started_ms:
             bucket = _Bucket(
                 request.started_ms,
                 request.limit,
                 request.said_at,
                 now,
-                tokens=_first_tokens(request.depth, now - changed_at),
-                depth=request.depth,
             )
             self.buckets[request.server] = bucket
             if len(self.buckets) > _MOST_BUCKETS:
                 self.buckets.popitem(last=False)
         self.buckets.move_to_end(request.server)
-        if not bucket.depth and request.said_at > bucket.said_at:
+        if request.said_at > bucket.said_at:
             bucket.confirm(request.limit, request.said_at)
         return bucket
-
-
-def _first_tokens(depth: float, settled_seconds: float) -> float:
-    """Return what a new bucket of an allowance holds, 0 for a server's."""
-    if settled_seconds > _SETTLED_SECONDS:
-        return depth
-    return min(START_TOKENS, depth)
--- a/zinniaturn/experiments/gossip_model.py
+++ b/zinniaturn/experiments/gossip_model.py
@@ -33,6 +33,7 @@
 _PORT = 7620
 _FIRST_CLOCK = 1000.0
 _HEADER_BYTES = 28
+_LONGEST_DELAY_SECONDS = 1.0
 _HOSTS_PER_NETWORK = 250
 
 
@@ -122,9 +123,12 @@
     """
     A fleet whose VMs know each other from the start.
 
-    ``loss`` is the share of datagrams that are lost.
+    ``loss`` is the share of datagrams that are lost, and ``late_share`` that of
+    those that take up to a second.
     """
 
+    late_share: float = 0
+
     def __init__(self, size: int, seed: int, loss: float = 0) -> None:
         self.random_source = random.Random(seed)
         self.clock = ManualClock(_FIRST_CLOCK)
@@ -249,6 +253,8 @@
         is_near = vm.record.data_center == target.record.data_center
         delay = _NEAR_DELAY_SECONDS if is_near else _FAR_DELAY_SECONDS
         delay *= self.random_source.uniform(0.8, 1.5)
+        if self.late_share and self.random_source.random() < self.late_share:
+            delay += self.random_source.uniform(0, _LONGEST_DELAY_SECONDS)
         sender = vm.record.exchange
         self.schedule(delay, lambda: self._deliver(target, data, sender))
 
--- a/zinniaturn/experiments/registry.py
+++ b/zinniaturn/experiments/registry.py
@@ -96,6 +96,16 @@
         '2 random days of servers with limits before 97 VMs, from --seed on',
         'zinniaturn.experiments.limit_days:run_large_limit_days',
     ),
+    Experiment(
+        'allowances',
+        '200 random days of a tenant with an allowance before 13 VMs',
+        'zinniaturn.experiments.allowances.days:run_days',
+    ),
+    Experiment(
+        'allowances-large',
+        '10 random days of a tenant with an allowance before 108 VMs',
+        'zinniaturn.experiments.allowances.days:run_large_days',
+    ),
     Experiment(
         'data-centres',
         'what leaves data centres in 24 cases, without and with the decision',
--- a/zinniaturn/fleet/datagrams.py
+++ b/zinniaturn/fleet/datagrams.py
@@ -123,7 +123,8 @@
     ``limit`` is its limit per second, as heard ``age_ms`` ago. With a ``depth``
     the permits are of a tenant's allowance that ``server`` names, and
     ``started_ms`` is the version of the document. Older builds ignore the depth
-    and grant by the limit alone.
+    and grant by the limit alone. With ``handed`` nothing is requested: so many
+    tokens of the allowance are left by its owner before, which is the sender.
     """
 
     server: str
@@ -132,6 +133,7 @@
     limit: Limit
     age_ms: Milliseconds
     depth: Limit = 0
+    handed: Limit = 0
 
 
 class PermitGrantRow(msgspec.Struct, array_like=True, frozen=True):
--- a/zinniaturn/fleet/permit_exchange.py
+++ b/zinniaturn/fleet/permit_exchange.py
@@ -9,16 +9,17 @@
 __all__ = ('PermitExchange',)
 
 import asyncio
-import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
 from zinniaturn.admission.admission import Admission
+from zinniaturn.admission.allowance_grantor import AllowanceRequest
 from zinniaturn.admission.grantor import Grant, PermitGrantor, PermitRequest
 from zinniaturn.admission.table import AdmissionTable
 from zinniaturn.fleet.alive_vms import PeerVm
+from zinniaturn.fleet.allowance_owner import AllowanceOwner
 from zinniaturn.fleet.datagrams import (
     Datagram,
     DatagramExtras,
@@ -78,8 +79,8 @@
     times before which no further permit is requested, both by server.
     ``waiters`` are futures that are resolved at the next reply, and
     ``ownerless_until`` tells how long those count as without an owner from whom
-    no permit could be had. ``vms_changed_at`` is the last time at which a VM
-    has come, gone or stood still, so that owners may have changed.
+    no permit could be had. ``allowances`` are those of tenants that belong to
+    this VM.
     """
 
     vms: VmTable
@@ -93,8 +94,7 @@
     blocked_until: dict[str, float] = field(default_factory=dict)
     waiters: list['asyncio.Future[None]'] = field(default_factory=list)
     ownerless_until: dict[str, float] = field(default_factory=dict)
-    known_vms: tuple[int, float] = (-1, 0)
-    vms_changed_at: float = math.inf
+    allowances: AllowanceOwner = field(init=False)
     budget: TokenBucket = field(init=False)
     requested: int = 0
     granted: int = 0
@@ -102,17 +102,16 @@
 
     def __post_init__(self) -> None:
         """Start the budget of requests."""
+        self.allowances = AllowanceOwner(
+            self.vms, self.pause_guard, self._send_row
+        )
         now = self.vms.clock.monotonic()
         self.budget = TokenBucket(_REQUESTS_PER_SECOND, _REQUEST_BURST, now)
 
     def tick(self) -> None:
         """Drop what has expired; call it ten times a second."""
         now = self.vms.clock.monotonic()
-        resumed_at = self.pause_guard.long_resumed_at
-        known = self.vms.change_count, resumed_at
-        if known != self.known_vms:
-            self.known_vms = known
-            self.vms_changed_at = now
+        self.allowances.tick(now)
         self.blocked_until = _unexpired(self.blocked_until, now)
         self.ownerless_until = _unexpired(self.ownerless_until, now)
         for pending in list(self.pending.values()):
@@ -171,19 +170,22 @@
         if row is None:
             return
         now = self.vms.clock.monotonic()
-        grant = self._grant(
-            PermitRequest(
-                datagram.sender.name,
-                datagram.sequence,
-                row.server,
-                row.started_ms,
-                row.count,
-                row.limit,
-                now - row.age_ms / _MS_PER_SECOND,
-                row.depth,
-            ),
-            now,
+        request = PermitRequest(
+            datagram.sender.name,
+            datagram.sequence,
+            row.server,
+            row.started_ms,
+            row.count,
+            row.limit,
+            now - row.age_ms / _MS_PER_SECOND,
+            row.depth,
         )
+        if row.handed:
+            if self._may_grant(request, now):
+                told = _allowance_request(request)
+                self.allowances.take_over(told, row.handed, now)
+            return
+        grant = self._grant(request, now)
         wait_ms = round(grant.wait_seconds * _MS_PER_SECOND)
         self.sender.send(
             DatagramKind.PERMIT_GRANT,
@@ -246,32 +248,39 @@
     def _send_to(self, owner: PeerVm, pending: _PendingRequest) -> None:
         notice = pending.admission.notice
         age = self.vms.clock.monotonic() - notice.said_at
+        row = PermitRequestRow(
+            notice.server,
+            notice.started_ms,
+            pending.count,
+            notice.limit or 0,
+            round(age * _MS_PER_SECOND),
+            notice.depth,
+        )
+        self._send_row(owner, row, pending.sequence)
+
+    def _send_row(
+        self, owner: PeerVm, row: PermitRequestRow, sequence: int = 0
+    ) -> None:
         self.sender.send(
             DatagramKind.PERMIT_REQUEST,
-            pending.sequence,
+            sequence,
             owner.record.exchange,
             owner,
-            DatagramExtras(
-                permit_request=PermitRequestRow(
-                    notice.server,
-                    notice.started_ms,
-                    pending.count,
-                    notice.limit or 0,
-                    round(age * _MS_PER_SECOND),
-                    notice.depth,
-                )
-            ),
+            DatagramExtras(permit_request=row),
         )
 
     def _grant(self, request: PermitRequest, now: float) -> Grant:
         """Grant permits if this VM takes itself for the server's owner."""
+        if not self._may_grant(request, now):
+            return Grant(0, _FAILED_WAIT_SECONDS)
+        if request.depth:
+            return self.allowances.grant(_allowance_request(request), now)
+        return self.grantor.grant(request, grantable_share(self.vms), now)
+
+    def _may_grant(self, request: PermitRequest, now: float) -> bool:
         is_owner = owner_of(self.vms, request.server) == self.vms.own.name
         is_unsure = self.pause_guard.is_after_pause(now, _CATCH_UP_SECONDS)
-        if not is_owner or is_unsure:
-            return Grant(0, _FAILED_WAIT_SECONDS)
-        return self.grantor.grant(
-            request, grantable_share(self.vms), now, self.vms_changed_at
-        )
+        return is_owner and not is_unsure
 
     def _finish(self, pending: _PendingRequest, grant: Grant) -> None:
         """Apply the reply to a request."""
@@ -298,6 +307,20 @@
         self.waiters = []
 
 
+def _allowance_request(request: PermitRequest) -> AllowanceRequest:
+    """Return a request with a depth as one for an allowance."""
+    return AllowanceRequest(
+        request.vm,
+        request.sequence,
+        request.server,
+        request.started_ms,
+        request.count,
+        request.limit,
+        request.depth,
+        request.said_at,
+    )
+
+
 def _unexpired(times: dict[str, float], now: float) -> dict[str, float]:
     """Return the times that are not over."""
     return {server: until for server, until in times.items() if until > now}
--- a/zinniaturn/fleet/server_owners.py
+++ b/zinniaturn/fleet/server_owners.py
@@ -1,6 +1,6 @@
 """Which VM grants the permits for a server that names a limit."""
 
-__all__ = ('grantable_share', 'owner_of')
+__all__ = ('alive_share', 'grantable_share', 'owner_of')
 
 from zinniaturn.fleet.vms import VmTable
 
@@ -21,3 +21,13 @@
     count = len(vms.alive_vms()) + 1
     size = vms.max_size()
     return 1 if count * 2 > size else count / size
+
+
+def alive_share(vms: VmTable) -> float:
+    """
+    Return the share of the VMs that are alive, of all that may be.
+
+    Parts of the fleet that are cut off from each other grant no more than the
+    whole together, also where the others of one of them are dead.
+    """
+    return (len(vms.alive_vms()) + 1) / vms.max_size()
--- a/zinniaturn/gateway/allowance_gate.py
+++ b/zinniaturn/gateway/allowance_gate.py
@@ -4,8 +4,8 @@
 Each send takes a permit, also a retry and a hedged request. A request for which
 there is none is rejected at once, with the time at which a place is free again.
 
-While the VM that an allowance belongs to can't be asked, a VM sends its own
-part of a little less than the allowance: its share of the fleet's requests.
+While the VM that an allowance belongs to can't be asked, a VM goes on at its
+latest rate for a moment (`zinniaturn.tenants.accounts`).
 
 Work: one look-up and a few comparisons for each request, whatever the number of
 tenants and VMs; messages as for servers with limits, at most 40 a second.
@@ -25,6 +25,7 @@
 from zinniaturn.tenants.accounts import (
     TenantAccount,
     TenantAccounts,
+    note_refused,
     take_own_part,
 )
 
@@ -91,11 +92,12 @@
         return self._own_permit(account)
 
     def _own_permit(self, account: TenantAccount) -> float | None:
-        """Return a permit of the own part while no owner can be asked."""
-        if not self.state.gossip.permits.has_no_owner(account.admission):
-            return None
+        """Return a permit by this VM itself while no owner can be asked."""
         now = self.state.admissions.clock.monotonic()
-        return take_own_part(account, self._own_share(), now)
+        if self.state.gossip.permits.has_no_owner(account.admission):
+            return take_own_part(account, now)
+        note_refused(account, now)
+        return None
 
     def _account(self, tenant: Tenant) -> TenantAccount:
         tables = self.state.fleet_state.tables
--- a/zinniaturn/tenants/accounts.py
+++ b/zinniaturn/tenants/accounts.py
@@ -2,15 +2,21 @@
 What one VM holds of its tenants' allowances.
 
 The permits come from the VM that an allowance belongs to. While that can't be
-asked, a VM sends its own part of a little less than the allowance: its share of
-the fleet's requests.
+asked, a VM goes on at the rate of its latest permits for a moment, if the
+tenant was within its allowance.
 
 Work: one look-up and a few comparisons for each request. At most 4096 accounts
 are kept; the least recently used one is closed first.
 """
 
-__all__ = ('TenantAccount', 'TenantAccounts', 'take_own_part')
+__all__ = (
+    'TenantAccount',
+    'TenantAccounts',
+    'note_refused',
+    'take_own_part',
+)
 
+import math
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
@@ -23,8 +29,8 @@
 from zinniaturn.tenants.table import Tenant
 
 _KEY_PREFIX = 'tenant '
-# The part of an allowance that VMs use together while its owner is silent.
-_OWNERLESS_SHARE = 0.65
+# After this time without a use of the own part an absence is a new one.
+_ABSENCE_SECONDS = 1.0
 _MOST_ACCOUNTS = 4096
 
 
@@ -33,7 +39,8 @@
     """
     What this VM holds of one tenant's allowance.
 
-    ``version`` is that of the document with the tenant.
+    ``version`` is that of the document with the tenant, and ``refused_at`` when
+    the owner last had no permit.
     """
 
     tenant: Tenant
@@ -41,6 +48,7 @@
     version: int
     admission: Admission
     own_part: TokenBucket
+    refused_at: float = -math.inf
     returns: ReturnSchedule = field(default_factory=ReturnSchedule)
 
 
@@ -106,18 +114,28 @@
         account.admission.notice = _notice(tenant, bounds, version, now)
 
 
-def take_own_part(
-    account: TenantAccount, share: float, now: float
-) -> float | None:
+def note_refused(account: TenantAccount, now: float) -> None:
+    """Note that the owner has refused a request: the allowance is used up."""
+    account.refused_at = now
+
+
+def take_own_part(account: TenantAccount, now: float) -> float | None:
     """
-    Return the expiry of a permit of this VM's own part, if there is one.
+    Return the expiry of a permit by this VM itself, if there may be one.
 
-    ``share`` is this VM's part of the fleet's requests.
+    The rate is that of the permits that it got lately, which falls to nothing
+    within two seconds without an owner. There is none for a tenant that has
+    used up its allowance within the last window.
     """
-    account.own_part.per_second = (
-        account.tenant.requests_per_second * share * _OWNERLESS_SHARE
-    )
-    if account.own_part.take(1, now):
+    if now - account.refused_at < account.bounds.window_seconds:
+        return None
+    rate = account.admission.permits.taken.per_second(now)
+    bucket = account.own_part
+    if now - bucket.updated_at > _ABSENCE_SECONDS:
+        bucket.updated_at = now
+        bucket.tokens = min(1, rate * _ABSENCE_SECONDS)
+    bucket.per_second = rate
+    if bucket.take(1, now):
         return now + PERMIT_LIFETIME_SECONDS
     return None
 
--- a/zinniaturn/tenants/allowance.py
+++ b/zinniaturn/tenants/allowance.py
@@ -13,7 +13,7 @@
 
 from dataclasses import dataclass
 
-from zinniaturn.admission.grantor import START_TOKENS
+from zinniaturn.admission.allowance_grantor import START_TOKENS
 from zinniaturn.admission.permits import PERMIT_LIFETIME_SECONDS
 
 # Owners that may follow each other within a window.
