Request a tenant's permits ahead only where they are likely to be used

Cause: after each permit that a VM took it requested another one. At a VM with few requests of the tenant that one expired, and counted against the allowance. Several requests that arrived together at a VM asked for their permits one by one.

--- a/zinniaturn/admission/permits.py
+++ b/zinniaturn/admission/permits.py
@@ -21,11 +21,13 @@
 
     ``expiries`` are the times at which they expire, the earliest first. They
     count from before the request for them was sent, so that a permit that
-    arrives late has no longer life. ``taken`` counts those that were used.
+    arrives late has no longer life. ``taken`` counts those that were used, and
+    ``waiting`` the requests of a tenant that wait for one.
     """
 
     expiries: deque[float] = field(default_factory=deque)
     taken: RecentRate = field(default_factory=RecentRate)
+    waiting: int = 0
 
     def add(self, count: int, requested_at: float) -> None:
         """Add permits that were requested at this time."""
@@ -54,6 +56,14 @@
     def shortage(self, now: float) -> int:
         """Return how many permits to request, 0 while there are enough."""
         wanted = math.ceil(self.taken.per_second(now) * _AHEAD_SECONDS)
-        wanted = min(_MOST_PERMITS, max(1, wanted))
+        wanted = min(_MOST_PERMITS, max(1, self.waiting, wanted))
         held = self.held(now)
         return wanted - held if held * 2 < wanted else 0
+
+    def is_used_often(self, now: float) -> bool:
+        """
+        Return whether a permit that is requested ahead is likely to be used.
+
+        Any other takes a part of the allowance and expires.
+        """
+        return self.taken.per_second(now) * _AHEAD_SECONDS >= 1
--- a/zinniaturn/experiments/allowances/model.py
+++ b/zinniaturn/experiments/allowances/model.py
@@ -96,7 +96,12 @@
         self.asked.append(self.now)
         held = self._held(vm)
         account = held.accounts.use(held.tenant, BOUNDS, held.version)
-        self._obtain(vm, account, self.now + _REPLY_SECONDS, is_first=True)
+        expiry = account.admission.permits.take(self.now)
+        if expiry is None:
+            account.admission.permits.waiting += 1
+            self._request(vm, account, self.now + _REPLY_SECONDS)
+        else:
+            self._go_on(vm, account, expiry)
 
     def _tell(self, vm: ModelVm, tenant: Tenant, version: int) -> None:
         def learn() -> None:
@@ -136,35 +141,35 @@
 
         self.fleet.schedule(seconds, call)
 
-    def _obtain(
-        self,
-        vm: ModelVm,
-        account: TenantAccount,
-        until: float,
-        *,
-        is_first: bool = False,
+    def _request(
+        self, vm: ModelVm, account: TenantAccount, until: float
     ) -> None:
-        """Take a permit, or look again in a moment until the time is over."""
+        """Request a permit, and look for it until the time is over."""
         if not self._can_run(vm):
-            self._when_running(vm, lambda: self._obtain(vm, account, until))
+            self._when_running(vm, lambda: self._request(vm, account, until))
             return
-        permits = vm.gossip.permits
-        expiry = account.admission.permits.take(self.now)
-        if expiry is None:
-            is_asked = permits.request(account.admission)
-            expiry = account.admission.permits.take(self.now)
-            if expiry is None and is_asked and self.now < until:
-                self.fleet.schedule(
-                    _CHECK_SECONDS, lambda: self._obtain(vm, account, until)
-                )
-                return
-        else:
-            permits.request(account.admission)
+        book = account.admission.permits
+        is_asked = vm.gossip.permits.request(account.admission)
+        expiry = book.take(self.now)
+        if expiry is None and is_asked and self.now < until:
+            self.fleet.schedule(
+                _CHECK_SECONDS, lambda: self._request(vm, account, until)
+            )
+            return
+        book.waiting -= 1
         if expiry is None:
             expiry = self._own_permit(vm, account)
         if expiry is None:
             self.refused.append(self.now)
-            return
+        else:
+            self._go_on(vm, account, expiry)
+
+    def _go_on(
+        self, vm: ModelVm, account: TenantAccount, expiry: float
+    ) -> None:
+        """Request permits ahead, and use one."""
+        if account.admission.permits.is_used_often(self.now):
+            vm.gossip.permits.request(account.admission)
         self._use(vm, expiry)
 
     def _own_permit(self, vm: ModelVm, account: TenantAccount) -> float | None:
--- a/zinniaturn/gateway/allowance_gate.py
+++ b/zinniaturn/gateway/allowance_gate.py
@@ -16,6 +16,7 @@
 import math
 from dataclasses import dataclass, field
 
+from zinniaturn.admission.admission import Admission
 from zinniaturn.choosing.exceptions import RejectedError
 from zinniaturn.events.catalogue import LogEvent
 from zinniaturn.gateway.request_context import RequestContext
@@ -72,24 +73,36 @@
 
     async def _permit(self, account: TenantAccount) -> float | None:
         """Return a permit's expiry, after a request for one if need be."""
+        admission = account.admission
+        permits = admission.permits
+        clock = self.state.admissions.clock
+        expiry = permits.take(clock.monotonic())
+        if expiry is None:
+            permits.waiting += 1
+            try:
+                expiry = await self._requested_permit(admission)
+            finally:
+                permits.waiting -= 1
+        if expiry is None:
+            return self._own_permit(account)
+        if permits.is_used_often(clock.monotonic()):
+            self.state.gossip.permits.request(admission)
+        return expiry
+
+    async def _requested_permit(self, admission: Admission) -> float | None:
+        """Return the expiry of a permit that has to be requested."""
         exchange = self.state.gossip.permits
         clock = self.state.admissions.clock
-        admission = account.admission
         until = clock.monotonic() + _REPLY_SECONDS
-        expiry = admission.permits.take(clock.monotonic())
-        while expiry is None:
+        while True:
             # This VM's own allowances are granted at once.
             is_asked = exchange.request(admission)
             seconds = until - clock.monotonic()
             if is_asked and seconds > 0:
                 await exchange.wait_for_reply(seconds)
             expiry = admission.permits.take(clock.monotonic())
-            if not is_asked or seconds <= 0:
-                break
-        if expiry is not None:
-            exchange.request(admission)
-            return expiry
-        return self._own_permit(account)
+            if expiry is not None or not is_asked or seconds <= 0:
+                return expiry
 
     def _own_permit(self, account: TenantAccount) -> float | None:
         """Return a permit by this VM itself while no owner can be asked."""
