Hand tokens of an allowance over as soon as another owner is known

Cause: buckets were handed over at the next tick, up to 0.1 s after the other VMs asked the new owner, which refused all meanwhile.

Change: the owner's side follows the VMs with each datagram; a comparison where nothing has changed.

--- a/features/allowance_days.feature
+++ b/features/allowance_days.feature
@@ -26,6 +26,7 @@
       | its owner has stopped   | 0.2 | 2    | 2    |
       | another owner has come  | 0.3 | 2    | 1    |
       | another owner has come  | 0.3 | 2    | 2    |
+      | another owner has come  | 0.3 | 2    | 5    |
       | its owner has been lost | 2.5 | 2    | 1    |
       | all VMs have started    | 1.5 | 2    | 1    |
       | all VMs have started    | 1.5 | 2    | 2    |
--- a/zinniaturn/fleet/gossip.py
+++ b/zinniaturn/fleet/gossip.py
@@ -225,6 +225,8 @@
         """Process a datagram; raises `ValueError` for an unusable sender."""
         sender = datagram.sender_status
         self.news.learn_statuses((sender, *datagram.news_statuses()))
+        # Tokens of an allowance are handed over before others ask for them.
+        self.permits.allowances.tick(self.vms.clock.monotonic())
         peer = self.vms.note_heard(sender.name, sender.version)
         if peer is not None:
             peer.follows_eras = datagram.follows_eras
