--- a/zinniaturn/experiments/gossip_model.py
+++ b/zinniaturn/experiments/gossip_model.py
@@ -33,6 +33,7 @@
 _PORT = 7620
 _FIRST_CLOCK = 1000.0
 _HEADER_BYTES = 28
+_LONGEST_DELAY_SECONDS = 1.0
 _HOSTS_PER_NETWORK = 250
 
 
@@ -124,10 +125,13 @@
     """
     A fleet whose VMs know each other from the start.
 
-    ``loss`` is the share of datagrams that are lost. With ``spares_far`` the
-    VMs send fewer of them to other data centres.
+    ``loss`` is the share of datagrams that are lost, and ``late_share`` that of
+    those that take up to a second. With ``spares_far`` the VMs send fewer of
+    them to other data centres.
     """
 
+    late_share: float = 0
+
     def __init__(
         self, size: int, seed: int, loss: float = 0, *, spares_far: bool = False
     ) -> None:
@@ -258,6 +262,8 @@
             return
         delay = _NEAR_DELAY_SECONDS if is_near else _FAR_DELAY_SECONDS
         delay *= self.random_source.uniform(0.8, 1.5)
+        if self.late_share and self.random_source.random() < self.late_share:
+            delay += self.random_source.uniform(0, _LONGEST_DELAY_SECONDS)
         sender = vm.record.exchange
         self.schedule(delay, lambda: self._deliver(target, data, sender))
 
--- a/zinniaturn/fleet/datagrams.py
+++ b/zinniaturn/fleet/datagrams.py
@@ -127,7 +127,9 @@
     the permits are of a tenant's allowance that ``server`` names, and
     ``started_ms`` is the version of the document. Older builds ignore the depth
     and grant by the limit alone. ``hand_over_ms`` is as in `NoticeRow`; then
-    the limit is the lower one of the server's own and the warm-up's.
+    the limit is the lower one of the server's own and the warm-up's. With
+    ``handed`` nothing is requested: so many tokens of the allowance are left by
+    its owner before, which is the sender.
     """
 
     server: str
@@ -137,6 +139,7 @@
     age_ms: Milliseconds
     depth: Limit = 0
     hand_over_ms: Milliseconds = 0
+    handed: Limit = 0
 
 
 class PermitGrantRow(msgspec.Struct, array_like=True, frozen=True):
--- a/zinniaturn/gateway/allowance_gate.py
+++ b/zinniaturn/gateway/allowance_gate.py
@@ -5,8 +5,8 @@
 there is none is rejected at once, with the time at which a place is free again.
 So is one that can't be in time while permits are short (`AllowanceShortage`).
 
-While the VM that an allowance belongs to can't be asked, a VM sends its own
-part of a little less than the allowance: its share of the fleet's requests.
+While the VM that an allowance belongs to can't be asked, a VM goes on at its
+latest rate for a moment (`zinniaturn.tenants.accounts`).
 
 Work: one look-up and a few comparisons for each request, whatever the number of
 tenants and VMs; messages as for servers with limits, at most 40 a second.
@@ -18,6 +18,7 @@
 import math
 from dataclasses import dataclass, field
 
+from zinniaturn.admission.admission import Admission
 from zinniaturn.choosing.exceptions import RejectedError
 from zinniaturn.events.catalogue import LogEvent
 from zinniaturn.gateway.request_context import RequestContext
@@ -28,6 +29,7 @@
 from zinniaturn.tenants.accounts import (
     TenantAccount,
     TenantAccounts,
+    note_refused,
     take_own_part,
 )
 
@@ -81,31 +83,44 @@
 
     async def _permit(self, account: TenantAccount) -> float | None:
         """Return a permit's expiry, after a request for one if need be."""
+        admission = account.admission
+        permits = admission.permits
+        clock = self.state.admissions.clock
+        expiry = permits.take(clock.monotonic())
+        if expiry is None:
+            permits.waiting += 1
+            try:
+                expiry = await self._requested_permit(admission)
+            finally:
+                permits.waiting -= 1
+        if expiry is None:
+            return self._own_permit(account)
+        if permits.is_used_often(clock.monotonic()):
+            self.state.gossip.permits.request(admission)
+        return expiry
+
+    async def _requested_permit(self, admission: Admission) -> float | None:
+        """Return the expiry of a permit that has to be requested."""
         exchange = self.state.gossip.permits
         clock = self.state.admissions.clock
-        admission = account.admission
         until = clock.monotonic() + _REPLY_SECONDS
-        expiry = admission.permits.take(clock.monotonic())
-        while expiry is None:
+        while True:
             # This VM's own allowances are granted at once.
             is_asked = exchange.request(admission)
             seconds = until - clock.monotonic()
             if is_asked and seconds > 0:
                 await exchange.wait_for_reply(seconds)
             expiry = admission.permits.take(clock.monotonic())
-            if not is_asked or seconds <= 0:
-                break
-        if expiry is not None:
-            exchange.request(admission)
-            return expiry
-        return self._own_permit(account)
+            if expiry is not None or not is_asked or seconds <= 0:
+                return expiry
 
     def _own_permit(self, account: TenantAccount) -> float | None:
-        """Return a permit of the own part while no owner can be asked."""
-        if not self.state.gossip.permits.has_no_owner(account.admission):
-            return None
+        """Return a permit by this VM itself while no owner can be asked."""
         now = self.state.admissions.clock.monotonic()
-        return take_own_part(account, self._own_share(), now)
+        if self.state.gossip.permits.has_no_owner(account.admission):
+            return take_own_part(account, now)
+        note_refused(account, now)
+        return None
 
     def _is_late(self, context: RequestContext) -> bool:
         """Return whether even an idle server would miss the objective."""
--- a/zinniaturn/platform/column_tables.py
+++ b/zinniaturn/platform/column_tables.py
@@ -1,12 +1,13 @@
 """The tables of the operators' document: column names, and rows of cells."""
 
-__all__ = ('ColumnTable', 'Priority', 'decode_row', 'decode_rows')
+__all__ = ('ColumnTable', 'Priority', 'Rate', 'decode_row', 'decode_rows')
 
 from typing import Annotated, Any, TypeVar
 
 import msgspec
 
 Priority = Annotated[int, msgspec.Meta(ge=-(10**6), le=10**6)]
+Rate = Annotated[float, msgspec.Meta(ge=0, le=10**9)]
 
 Row = TypeVar('Row', bound=msgspec.Struct)
 
--- a/zinniaturn/platform/documents.py
+++ b/zinniaturn/platform/documents.py
@@ -2,7 +2,7 @@
 
 __all__ = ('decode_document',)
 
-from typing import Annotated
+from typing import Annotated, Any
 
 import msgspec
 
@@ -19,6 +19,7 @@
 from zinniaturn.platform.column_tables import (
     ColumnTable,
     Priority,
+    Rate,
     decode_rows,
 )
 from zinniaturn.platform.tenant_rows import build_tenants
--- a/zinniaturn/platform/tenant_rows.py
+++ b/zinniaturn/platform/tenant_rows.py
@@ -21,6 +21,7 @@
 from zinniaturn.platform.column_tables import (
     ColumnTable,
     Priority,
+    Rate,
     decode_row,
 )
 from zinniaturn.tenants import Tenant, TenantTable
@@ -33,7 +34,6 @@
         pattern=r'^(?!\s)[^\x00-\x1f\x7f]+(?<!\s)\Z',
     ),
 ]
-Rate = Annotated[float, msgspec.Meta(ge=0, le=10**9)]
 
 
 class TenantRow(msgspec.Struct):
