Count each refused client with the reason, and name those alone

Cause: requests refused with 400, 408, 413 or 431, and connections closed after 30 s without reading, were neither counted nor logged, so that nobody could get from such a caller to the cause. The eight addresses of event 734 went to clients that only waited, and a refused one became one of the others.

--- a/zinniaturn/http1/callers.py
+++ b/zinniaturn/http1/callers.py
@@ -20,7 +20,7 @@
 )
 from zinniaturn.http1.holdings import Holding
 from zinniaturn.http1.intake import Intake
-from zinniaturn.http1.losses import Loss
+from zinniaturn.http1.losses import LOSS_BY_STATUS, Loss
 from zinniaturn.http1.messages import (
     Fields,
     Request,
@@ -170,6 +170,9 @@
         """
         if self.is_closing:
             return
+        loss = LOSS_BY_STATUS.get(status)
+        if loss is not None:
+            self.door.note(loss, self)
         self.intake.start_last(self.door.account.limits.requests)
         self.is_closing = True
         # The client is still sending.
--- a/zinniaturn/http1/losses.py
+++ b/zinniaturn/http1/losses.py
@@ -1,10 +1,11 @@
 """What became of clients that held too much, for counters and the log."""
 
-__all__ = ('Loss', 'Losses')
+__all__ = ('LOSS_BY_STATUS', 'Loss', 'Losses')
 
 import enum
 from collections import Counter
 from dataclasses import dataclass, field
+from types import MappingProxyType
 
 from zinniaturn.http1.client_limits import Place
 
@@ -14,20 +15,36 @@
 
 class Loss(enum.Enum):
     """
-    Why a client gave way, or had to wait.
+    Why a client gave way, was refused, or had to wait.
 
     ``REFUSED`` and ``CUT`` are for memory: with 503, or by closing. ``CLOSED``
     and ``TURNED_AWAY`` are for descriptors: an earlier connection, or the new
-    one where no other could give way.
+    one where no other could give way. ``TOO_LARGE`` got 413 or 431,
+    ``TOO_SLOW`` 408 and ``MALFORMED`` 400. ``UNREAD`` were closed as they read
+    nothing of their responses for too long.
     """
 
     REFUSED = 'client_refused'
     CUT = 'client_cut'
     CLOSED = 'client_closed'
     TURNED_AWAY = 'client_turned_away'
+    TOO_LARGE = 'client_too_large'
+    TOO_SLOW = 'client_too_slow'
+    MALFORMED = 'client_malformed'
+    UNREAD = 'client_unread'
     PAUSED = 'client_paused'
 
 
+LOSS_BY_STATUS = MappingProxyType(
+    {
+        400: Loss.MALFORMED,
+        408: Loss.TOO_SLOW,
+        413: Loss.TOO_LARGE,
+        431: Loss.TOO_LARGE,
+    }
+)
+
+
 @dataclass(slots=True)
 class Losses:
     """
@@ -35,6 +52,7 @@
 
     ``counts`` are those not yet counted elsewhere, ``logged`` and ``hosts``
     those not yet logged. A few addresses are named, the rest are one number.
+    Clients that only had to wait are not named, so that the others are.
     """
 
     counts: Counter[tuple[Loss, Place]] = field(default_factory=Counter)
@@ -52,6 +70,8 @@
         (9, 12)
         """
         self.counts[loss, place] += 1
+        if loss is Loss.PAUSED:
+            return
         is_named = host in self.hosts or len(self.hosts) < _MOST_HOSTS
         self.hosts[host if is_named else _OTHER_HOSTS] += 1
 
