Tell a tenant's rejected callers places up to a window away

Cause: a tenant's rejected callers were told 2 s at most. Of 250 callers rejected at once at 54 requests a second 143 were told the same 2 s, and were beyond the allowance again.

Change: a tenant's schedule of places reaches as far as the window of its allowance.

--- a/features/steps/tenant_account_steps.py
+++ b/features/steps/tenant_account_steps.py
@@ -103,3 +103,21 @@
         context.bucket.per_second,
         context.bucket.depth,
     ), bucket
+
+
+@when(
+    '{count:d} callers of the first, which has {rate:d} requests a second, are '
+    'rejected at once'
+)
+def reject(context, count, rate):
+    returns = context.account.returns
+    context.returns = [
+        returns.seconds(rate, 1, context.clock.now) for _ in range(count)
+    ]
+
+
+@then('no second has more than {most:d} of those that return')
+def check_returns_spread(context, most):
+    for start in context.returns:
+        together = sum(start <= one < start + 1 for one in context.returns)
+        assert together <= most, (start, together)
--- a/features/tenant_accounts.feature
+++ b/features/tenant_accounts.feature
@@ -16,3 +16,8 @@
       | before | after |
       | 20     | 5     |
       | 5      | 20    |
+
+  Scenario: Rejected callers don't return all at the same time, beyond the allowance again
+    Given accounts of which the first has 3 permits
+    When 250 callers of the first, which has 54 requests a second, are rejected at once
+    Then no second has more than 55 of those that return
--- a/zinniaturn/placing/return_schedule.py
+++ b/zinniaturn/placing/return_schedule.py
@@ -19,6 +19,8 @@
     """
     The last place given to callers of each priority, as a time.
 
+    Callers are told ``longest_seconds`` at most.
+
     >>> schedule = ReturnSchedule()
     >>> schedule.seconds(2, priority=1, now=10)
     0.5
@@ -29,10 +31,11 @@
     """
 
     last_at: dict[int, float] = field(default_factory=dict)
+    longest_seconds: float = _LONGEST_SECONDS
 
     def seconds(self, per_second: float, priority: int, now: float) -> float:
         """
-        Return the seconds until the next place, 2 at most.
+        Return the seconds until the next place.
 
         ``per_second`` is the rate at which places become free, and a lower
         ``priority`` is more urgent.
@@ -43,7 +46,7 @@
             if urgency <= priority
         )
         begin = max(now, *earlier, now)
-        latest = now + _LONGEST_SECONDS
+        latest = now + self.longest_seconds
         place = latest
         if per_second > 0:
             place = min(latest, begin + 1 / per_second)
--- a/zinniaturn/tenants/accounts.py
+++ b/zinniaturn/tenants/accounts.py
@@ -94,6 +94,8 @@
             version,
             Admission(self.clock, notice),
             TokenBucket(0, 1, now),
+            # After a window all that a tenant has sent is forgotten.
+            returns=ReturnSchedule(longest_seconds=bounds.window_seconds),
         )
 
     def _follow(
@@ -109,6 +111,7 @@
             account.admission.permits.expiries.clear()
         account.tenant = tenant
         account.bounds = bounds
+        account.returns.longest_seconds = bounds.window_seconds
         account.version = version
         now = self.clock.monotonic()
         account.admission.notice = _notice(tenant, bounds, version, now)
