Name the model's share of delayed datagrams apart from the revocation model's

Cause: GossipModel got an attribute late_share, which the revocation model uses for its own delays. So its datagrams were delayed twice, and its scenario of late datagrams failed.

Change: the attribute of GossipModel is delayed_share.

--- a/zinniaturn/experiments/allowances/days.py
+++ b/zinniaturn/experiments/allowances/days.py
@@ -68,7 +68,7 @@
     """Play a random day; ``troubles`` are the kinds that occur."""
     source = random.Random(seed)
     fleet = GossipModel(size, seed, _LOSS)
-    fleet.late_share = _LATE
+    fleet.delayed_share = _LATE
     tenant = Tenant('gold', None, *source.choice(_ALLOWANCES))
     model = AllowanceModel(fleet, random.Random(seed), tenant)
     fleet.run(1)
--- a/zinniaturn/experiments/gossip_model.py
+++ b/zinniaturn/experiments/gossip_model.py
@@ -123,11 +123,11 @@
     """
     A fleet whose VMs know each other from the start.
 
-    ``loss`` is the share of datagrams that are lost, and ``late_share`` that of
-    those that take up to a second.
+    ``loss`` is the share of datagrams that are lost, and ``delayed_share`` that
+    of those that take up to a second.
     """
 
-    late_share: float = 0
+    delayed_share: float = 0
 
     def __init__(self, size: int, seed: int, loss: float = 0) -> None:
         self.random_source = random.Random(seed)
@@ -253,7 +253,10 @@
         is_near = vm.record.data_center == target.record.data_center
         delay = _NEAR_DELAY_SECONDS if is_near else _FAR_DELAY_SECONDS
         delay *= self.random_source.uniform(0.8, 1.5)
-        if self.late_share and self.random_source.random() < self.late_share:
+        if (
+            self.delayed_share
+            and self.random_source.random() < self.delayed_share
+        ):
             delay += self.random_source.uniform(0, _LONGEST_DELAY_SECONDS)
         sender = vm.record.exchange
         self.schedule(delay, lambda: self._deliver(target, data, sender))
