Tell swings of the share that leaves from variation by chance

Cause: the scenario on oscillation bounds only the standard deviation of the share that leaves in half a second, which a swing and chance both raise.

Change: the model keeps the share by steps of 50 ms, and the scenario also requires that its autocorrelation at 1 to 6 times the age of the news is above -0.25; chance has an error of 0.08. Two scenarios show that a share that follows late news all or nothing counts as a swing, and one that follows a random load does not. The bound of 0.12 stays as it is.

--- a/features/locality.feature
+++ b/features/locality.feature
@@ -103,3 +103,13 @@
     And load reports that are 100 ms old
     When it is played for 1000 steps of 10 ms
     Then the share of requests that leaves in half a second varies by at most 0.12
+    And it varies by chance and does not swing with the delay of the news
+
+  Scenario Outline: A share that swings with late news is told from one that varies by chance
+    Given a share that follows <kind> for 200 steps
+    Then it <verb> count as a swing
+
+    Examples:
+      | kind                      | verb     |
+      | the load of two steps ago | does     |
+      | a random load             | does not |
--- a/zinniaturn/experiments/locality/play.py
+++ b/zinniaturn/experiments/locality/play.py
@@ -1,6 +1,6 @@
 """Plays load on VMs and servers in several data centres, and measures it."""
 
-__all__ = ('Play', 'PlayResult')
+__all__ = ('STEPS_PER_SECOND', 'Play', 'PlayResult')
 
 import asyncio
 import random
@@ -46,6 +46,7 @@
 _DOWNLOAD_SHARE = 0.15
 _VM_CAPACITY = 200
 _WARM_UP_SECONDS = 1.5
+STEPS_PER_SECOND = 20
 
 
 @dataclass
@@ -54,8 +55,8 @@
     What became of the requests after the warm-up.
 
     ``leaving`` counts the bytes by whether they came from another data centre.
-    ``steps`` tells of each request whether it left, by data centre and half
-    second.
+    ``steps`` tells of each request whether it left, by data centre and step of
+    50 ms.
     """
 
     latencies: list[float] = field(default_factory=list)
@@ -266,7 +267,8 @@
         seconds = loop.time() - now
         server = self.model_servers[context.responding_server]
         is_away = server.data_center != vm.record.data_center
-        step = vm.record.data_center, int((now - self.began_at) * 2)
+        moment = int((now - self.began_at) * STEPS_PER_SECOND)
+        step = vm.record.data_center, moment
         self.result.steps.setdefault(step, []).append(is_away)
         if not is_counted:
             return
