Plot the figures of the data-centres experiment

Change: the experiment writes its figures as JSON and plots the means, the 99th percentiles, the refused requests and the bytes that leave of each case, without and with the decision.

--- a/zinniaturn/experiments/locality/cases.py
+++ b/zinniaturn/experiments/locality/cases.py
@@ -3,6 +3,7 @@
 __all__ = ('CASES', 'run_cases')
 
 import asyncio
+import json
 from collections.abc import Mapping
 from statistics import fmean
 from types import MappingProxyType
@@ -111,11 +112,24 @@
 
 
 def run_cases(options: ExperimentOptions) -> int:
-    """Print a row of means for each case, without and with the decision."""
+    """
+    Print means for each case, without and with the decision.
+
+    They are also written to ``data-centres.json`` and plotted.
+    """
+    rows = {}
     for name, case in CASES.items():
-        for is_enabled in (False, True):
-            figures = _means(case, is_enabled, options)
-            print(name, 'with' if is_enabled else 'without', figures)
+        rows[name] = [
+            _means(case, is_enabled, options) for is_enabled in (False, True)
+        ]
+        print(name, 'without, with', *rows[name])
+    options.out.mkdir(parents=True, exist_ok=True)
+    path = options.out / 'data-centres.json'
+    path.write_text(json.dumps(rows, indent=1))
+    # Loading the library takes as long as a play.
+    from zinniaturn.experiments.locality.plots import plot_rows
+
+    plot_rows(rows, options.out / 'data-centres.png')
     return 0
 
 
