Move what rejects requests to unusable pools out of the scheduler

PoolGate holds the check before a request is placed, the rejection of a whole queue and the schedule of returns; the code is the same.

--- a/zinniaturn/gateway/scheduler.py
+++ b/zinniaturn/gateway/scheduler.py
@@ -11,18 +11,11 @@
 import asyncio
 import math
 
-from zinniaturn.choosing.exceptions import RejectedError
 from zinniaturn.choosing.reports import LoadReport
 from zinniaturn.fleet.tables import FleetPool
-from zinniaturn.gateway.blockage import (
-    EVACUATED_RETRY_SECONDS,
-    Blockage,
-    find_blockage,
-    retry_seconds,
-)
 from zinniaturn.gateway.offer_costs import OfferCosts
 from zinniaturn.gateway.path_decider import PathDecider
-from zinniaturn.gateway.permit_search import PoolSurvey
+from zinniaturn.gateway.pool_gate import PoolGate
 from zinniaturn.gateway.request_context import Placement, RequestContext
 from zinniaturn.gateway.searching import ServerSearch, offer_if_free
 from zinniaturn.gateway.state import GatewayState
@@ -32,7 +25,6 @@
 from zinniaturn.placing.probe_order import ProbeEffort
 from zinniaturn.placing.request_queue import Offer, QueuedRequest, RequestQueue
 from zinniaturn.placing.retry_after import RetryAfterJitter
-from zinniaturn.placing.return_schedule import ReturnSchedule
 from zinniaturn.reach.decision import PassOn
 
 _GOOD_ENOUGH_FACTOR = 1.4
@@ -50,7 +42,7 @@
 
     ``costs`` holds what is known of service times and of data centres,
     ``poll_tasks`` the task that keeps probing for a pool's queue, and
-    ``return_schedules`` when the callers that a pool's limits bar come back.
+    ``pool_gate`` rejects requests to pools without a usable server.
     """
 
     def __init__(self, state: GatewayState) -> None:
@@ -62,7 +54,9 @@
         self.paths = PathDecider(state, self.retry_after_jitter)
         self.queues: dict[str, RequestQueue] = {}
         self.poll_tasks: dict[str, asyncio.Task[None]] = {}
-        self.return_schedules: dict[str, ReturnSchedule] = {}
+        self.pool_gate = PoolGate(
+            state, self.search.permits, self.retry_after_jitter
+        )
 
     async def place(self, context: RequestContext) -> Placement | PassOn:
         """
@@ -91,7 +85,7 @@
         """
         loop = asyncio.get_running_loop()
         service_seconds = self.costs.seconds_to_place_by(context, loop.time())
-        await self._ensure_usable(context, service_seconds)
+        await self.pool_gate.ensure_usable(context, service_seconds)
         decided = loop.create_future()
         queue = self.queue(context.pool.name)
         queued = QueuedRequest(
@@ -128,7 +122,7 @@
             context.avoids_slow_servers = queue.contention.has_fast_server(
                 loop.time()
             )
-            raise self._rejection(
+            raise self.pool_gate.rejection(
                 queued.retry_after_seconds or service_seconds,
                 'no server is free in time',
             )
@@ -140,43 +134,6 @@
         )
         return placement
 
-    async def _ensure_usable(
-        self, context: RequestContext, service_seconds: float
-    ) -> None:
-        """
-        Make sure that some server may get a request.
-
-        Raises `RejectedError` if none may, also after requests for permits.
-        """
-        if self.state.evacuations_are_in_doubt():
-            raise self._blocked(Blockage.IN_DOUBT, service_seconds)
-        permits = self.search.permits
-        survey = permits.survey(context.pool)
-        context.withheld = survey.describe_withheld()
-        blockage = find_blockage(survey)
-        if blockage is None:
-            permits.request_ahead(survey)
-            return
-        if blockage is not Blockage.AT_LIMITS:
-            raise self._blocked(blockage, service_seconds)
-        if await permits.obtain(survey):
-            return
-        seconds = self._seconds_at_limits(
-            context.pool, survey, context.priority
-        )
-        raise self._rejection(seconds, blockage.value)
-
-    def _seconds_at_limits(
-        self, pool: FleetPool, survey: PoolSurvey, priority: int
-    ) -> float:
-        """Return when a caller should return that all servers' limits bar."""
-        schedule = self.return_schedules.setdefault(pool.name, ReturnSchedule())
-        return schedule.seconds(
-            self.search.permits.returns_per_second(survey),
-            priority,
-            asyncio.get_running_loop().time(),
-        )
-
     def queue(self, pool: str) -> RequestQueue:
         """Return the queue of a pool, which is created on first use."""
         return self.queues.setdefault(pool, RequestQueue())
@@ -341,7 +298,7 @@
             had_offers &= loop.time() - began_at < _LONGEST_PAUSE_SECONDS
             queue.reject_unservable(loop.time(), had_offers=had_offers)
             self.paths.withdraw_unreachable(pool, queue)
-            if queue.waiting and not self._reject_without_servers(pool, queue):
+            if queue.waiting and not self.pool_gate.reject_waiting(pool, queue):
                 reserve = self._reserved_probes(queue)
                 offers = await self.search.poll_candidates(pool, reserve)
                 if offers is not None:
@@ -349,26 +306,6 @@
                     queue.note_offer_round(loop.time())
             had_offers = loop.time() - began_at < _LONGEST_TURN_SECONDS
 
-    def _reject_without_servers(
-        self, pool: FleetPool, queue: RequestQueue
-    ) -> bool:
-        """
-        Reject all waiting requests if no server may get one.
-
-        That is if every server is at its limit or evacuated.
-        """
-        survey = self.search.permits.survey(pool)
-        blockage = find_blockage(survey)
-        if blockage is Blockage.EVACUATED:
-            queue.reject_all(lambda priority: EVACUATED_RETRY_SECONDS)
-            return True
-        if blockage is not Blockage.AT_LIMITS:
-            return False
-        queue.reject_all(
-            lambda priority: self._seconds_at_limits(pool, survey, priority)
-        )
-        return True
-
     def _reserved_probes(self, queue: RequestQueue) -> int:
         """Return how many probes to leave to new requests."""
         now = asyncio.get_running_loop().time()
@@ -378,17 +315,6 @@
             else _RESERVED_PROBES_WHEN_ALL_LATE
         )
 
-    def _blocked(
-        self, blockage: Blockage, service_seconds: float
-    ) -> RejectedError:
-        seconds = retry_seconds(blockage, service_seconds)
-        return self._rejection(seconds, blockage.value)
-
-    def _rejection(self, seconds: float, detail: str) -> RejectedError:
-        return RejectedError(
-            detail, 'no-server', self.retry_after_jitter.seconds(seconds)
-        )
-
 
 def _build_placement(queued: QueuedRequest, offer: Offer) -> Placement:
     return Placement(
--- a/zinniaturn/gateway/where_outcome.py
+++ b/zinniaturn/gateway/where_outcome.py
@@ -135,7 +135,7 @@
     now: float,
 ) -> Found:
     """Return that owners are asked, and the rejection if they have none."""
-    known = scheduler.return_schedules.get(context.pool.name)
+    known = scheduler.pool_gate.return_schedules.get(context.pool.name)
     schedule = ReturnSchedule({} if known is None else dict(known.last_at))
     seconds = schedule.seconds(
         scheduler.search.permits.returns_per_second(survey),
