--- a/zinniaturn/relay/messages.py
+++ b/zinniaturn/relay/messages.py
@@ -23,7 +23,6 @@
 )
 
 import enum
-import operator
 from typing import Annotated, cast
 
 import msgspec
@@ -179,7 +178,7 @@
     if not isinstance(body, bytearray):
         return b''.join((head, response.body, tail))
     # Inserts in place, without a copy of the body.
-    operator.setitem(body, slice(0, 0), head)
+    body[:0] = head
     body += tail
     return cast(bytes, body)
 
