--- a/zinniaturn/experiments/cold_days.py
+++ b/zinniaturn/experiments/cold_days.py
@@ -14,17 +14,14 @@
     'run_large_cold_days',
 )
 
-import json
 import random
 from bisect import bisect_right
 from collections.abc import Callable
-from dataclasses import asdict, dataclass
+from dataclasses import dataclass
 from functools import partial
 
-import click
-
 from zinniaturn.admission.warm_up import warm_up_limit
-from zinniaturn.experiments.limit_days import EVENTS
+from zinniaturn.experiments.limit_days import EVENTS, run_days
 from zinniaturn.experiments.limit_model import LimitedServer, LimitModel
 from zinniaturn.experiments.registry import ExperimentOptions
 
@@ -98,25 +95,12 @@
 
 def run_cold_days(options: ExperimentOptions) -> int:
     """Play 20 days of 13 VMs from --seed on; return 1 if one broke the rule."""
-    return _run_days(options, _SMALL_FLEET, _SMALL_DAYS)
+    return run_days(options, play_cold_day, _SMALL_FLEET, _SMALL_DAYS)
 
 
 def run_large_cold_days(options: ExperimentOptions) -> int:
     """Play 2 days of 108 VMs from --seed on; return 1 if one broke the rule."""
-    return _run_days(options, _LARGE_FLEET, _LARGE_DAYS)
-
-
-def _run_days(options: ExperimentOptions, size: int, days: int) -> int:
-    broken = {}
-    for seed in range(options.seed, options.seed + days):
-        violations = play_cold_day(size, seed)
-        if violations:
-            broken[seed] = [asdict(one) for one in violations]
-        if not options.as_json:
-            click.echo(f'{size} VMs, seed {seed}: {violations or "kept"}')
-    if options.as_json:
-        click.echo(json.dumps({'days': days, 'broken': broken}))
-    return int(bool(broken))
+    return run_days(options, play_cold_day, _LARGE_FLEET, _LARGE_DAYS)
 
 
 def _warm_up_seconds(source: random.Random) -> float:
--- a/zinniaturn/experiments/limit_days.py
+++ b/zinniaturn/experiments/limit_days.py
@@ -11,6 +11,7 @@
     'LimitViolation',
     'find_violation',
     'play_day',
+    'run_days',
     'run_large_limit_days',
     'run_limit_days',
 )
@@ -18,9 +19,10 @@
 import json
 import random
 from bisect import bisect_right
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import asdict, dataclass
 from functools import partial
+from typing import Any
 
 import click
 
@@ -104,18 +106,29 @@
 
 def run_limit_days(options: ExperimentOptions) -> int:
     """Play 20 days of 13 VMs from --seed on; return 1 if one broke the rule."""
-    return _run_days(options, _SMALL_FLEET, _SMALL_DAYS)
+    return run_days(options, play_day, _SMALL_FLEET, _SMALL_DAYS)
 
 
 def run_large_limit_days(options: ExperimentOptions) -> int:
     """Play 2 days of 97 VMs from --seed on; return 1 if one broke the rule."""
-    return _run_days(options, _LARGE_FLEET, _LARGE_DAYS)
+    return run_days(options, play_day, _LARGE_FLEET, _LARGE_DAYS)
 
 
-def _run_days(options: ExperimentOptions, size: int, days: int) -> int:
+def run_days(
+    options: ExperimentOptions,
+    play: Callable[[int, int], Sequence[Any]],
+    size: int,
+    days: int,
+) -> int:
+    """
+    Play ``days`` days from --seed on, and print what broke the rule.
+
+    ``play`` returns the violations of a day of ``size`` VMs with a seed, which
+    are data classes. Returns the exit status: 1 if there were any.
+    """
     broken = {}
     for seed in range(options.seed, options.seed + days):
-        violations = play_day(size, seed)
+        violations = play(size, seed)
         if violations:
             broken[seed] = [asdict(one) for one in violations]
         if not options.as_json:
