--- a/features/support/locality_choices.py
+++ b/features/support/locality_choices.py
@@ -10,6 +10,7 @@
 from zinniaturn.experiments.locality.play import Play
 from zinniaturn.gateway.endpoints import LookupEndpoint
 from zinniaturn.placing.address_selection import AddressSelector
+from zinniaturn.placing.latency_estimates import ServiceTimeEstimates
 
 SERVERS = MappingProxyType({'a': 8, 'b': 12, 'c': 8})
 _INSIDE_SECONDS = 0.0002
@@ -19,6 +20,34 @@
 _PING_SECONDS = 0.1
 _TICKS_PER_PING = 0.2
 _LOOK_UP_SECONDS = 0.05
+# As in build 109eea4.
+_FIRST_SMOOTHING = 0.5
+_SMOOTHING = 0.08
+_SHORTEST_EXPECTED_SECONDS = 0.001
+
+
+class EarlierEstimates(ServiceTimeEstimates):
+    """
+    Estimates service times as build 109eea4 does.
+
+    Later builds correct an estimate by what each request was placed by, in all
+    deployments. So the recorded choices differ by that alone.
+    """
+
+    def update(
+        self, route, objective_seconds, seconds, expected, placed_by=None
+    ):
+        current = self.service_seconds(route, objective_seconds)
+        ratio = seconds / max(expected, _SHORTEST_EXPECTED_SECONDS)
+        weight = _FIRST_SMOOTHING
+        if self.is_settled(route):
+            ratio = min(2.0, max(0.5, ratio))
+            weight = _SMOOTHING
+        self.estimates[route] = current + current * (ratio - 1) * weight
+        self.samples[route] = self.samples.get(route, 0) + 1
+
+    def note_barred(self, route, now):
+        """Do nothing; that build places no request on trial."""
 
 
 class RecordedPlay:
@@ -65,6 +94,9 @@
             for pair in combinations(SERVERS, 2)
         }
         for vm in play.model_vms:
+            scheduler = vm.runner.scheduler
+            scheduler.service_times = EarlierEstimates()
+            scheduler.costs.service_times = scheduler.service_times
             self._record(vm)
             self.tasks.append(asyncio.ensure_future(self._look_up(vm)))
             watch = self.watch_of(vm)
