--- a/features/support/asked_gateway.py
+++ b/features/support/asked_gateway.py
@@ -30,7 +30,7 @@
     ]
     row = build_route_row('split', '/split/', 'idempotent', split=split)
     config['routes']['rows'].append([*row, True])
-    config['services']['rows'].append(['other', '/healthz', 220])
+    config['services']['rows'].append(['other', '/healthz', 220, None])
     return config
 
 
