Own allowances from the moment at which a VM has its tables

Callers of a tenant got 429 for up to 0.1 s after a start, though nothing was used: a VM told itself that it was ready at the next tick only, so an allowance had no owner until then, and no VM's own part either. It does so at once now. tenant_cost failed with this 429 before.

--- a/zinniaturn/fleet/gossip.py
+++ b/zinniaturn/fleet/gossip.py
@@ -171,7 +171,7 @@
         Call it each `PING_INTERVAL_SECONDS`.
         """
         now = self.vms.clock.monotonic()
-        self._update_own_status()
+        self.update_own_status()
         self.pause_guard.tick(now)
         self.permits.tick()
         rounds, dead = self.detector.tick(now)
@@ -201,9 +201,24 @@
         for peer in self.detector.peers.sample_for_push(_PUSH_FANOUT):
             self.sender.send(DatagramKind.PUSH, 0, peer.record.exchange, peer)
 
+    def update_own_status(self) -> None:
+        """Pass on this VM's stage and load when they have changed."""
+        own = self.vms.own_status
+        stage = self.stage()
+        load = self.load()
+        change = abs(load - own.load)
+        if change <= max(_LOAD_CHANGE, own.load * _LOAD_CHANGE_SHARE):
+            load = own.load
+        cut_off = len(self.reach.cut_off)
+        is_outdated = self.is_outdated()
+        if self.vms.set_own(stage, load, cut_off, is_outdated=is_outdated):
+            self.sender.pass_on(own.name)
+        if (own.cut_off, own.is_outdated) != (cut_off, is_outdated):
+            self._schedule_push()
+
     async def announce_stopping(self) -> None:
         """Push several times, since datagrams can be lost."""
-        self._update_own_status()
+        self.update_own_status()
         for _ in range(_STOPPING_PUSHES):
             self.push()
             await asyncio.sleep(NETWORK_DELAY_SECONDS)
@@ -295,21 +310,6 @@
                 DatagramKind.ACK, relay.sequence, relay.requester, None
             )
 
-    def _update_own_status(self) -> None:
-        """Pass on this VM's stage and load when they have changed."""
-        own = self.vms.own_status
-        stage = self.stage()
-        load = self.load()
-        change = abs(load - own.load)
-        if change <= max(_LOAD_CHANGE, own.load * _LOAD_CHANGE_SHARE):
-            load = own.load
-        cut_off = len(self.reach.cut_off)
-        is_outdated = self.is_outdated()
-        if self.vms.set_own(stage, load, cut_off, is_outdated=is_outdated):
-            self.sender.pass_on(own.name)
-        if (own.cut_off, own.is_outdated) != (cut_off, is_outdated):
-            self._schedule_push()
-
     def _compare_state(self, datagram: Datagram) -> None:
         """Confirm the own state by the sender's, or fetch the newer state."""
         fleet_state = self.fleet_state
--- a/zinniaturn/gateway/process.py
+++ b/zinniaturn/gateway/process.py
@@ -275,7 +275,14 @@
             self.listeners.append(listener)
 
     def _on_change(self, change: StateChange) -> None:
-        """Check this VM's record at once when the store may have lost it."""
+        """
+        Act at once on a change that others or requests wait for.
+
+        A VM that has just become ready owns allowances and limits from then on,
+        and the store may have lost its record.
+        """
+        if change.tables_revision is not None:
+            self.peers.update_own_status()
         if change.store_went_back:
             self.registration.forget_writes()
             self.registration.reconcile(self.fleet_state.vms)
