--- a/zinniaturn/admission/permits.py
+++ b/zinniaturn/admission/permits.py
@@ -65,10 +65,12 @@
         held = self.held(now)
         return wanted - held if held * 2 < wanted else 0
 
-    def is_used_often(self, now: float) -> bool:
+    def needs_more(self, now: float) -> bool:
         """
-        Return whether a permit that is requested ahead is likely to be used.
+        Return whether to request permits ahead, right after one was taken.
 
-        Any other takes a part of the allowance and expires.
+        A permit that is unlikely to be used takes a part of the allowance and
+        expires.
         """
-        return self.taken.per_second(now) * _AHEAD_SECONDS >= 1
+        wanted = self.taken.per_second(now) * _AHEAD_SECONDS
+        return wanted >= 1 and len(self.expiries) * 2 < wanted
--- a/zinniaturn/experiments/allowances/model.py
+++ b/zinniaturn/experiments/allowances/model.py
@@ -168,7 +168,7 @@
         self, vm: ModelVm, account: TenantAccount, expiry: float
     ) -> None:
         """Request permits ahead, and use one."""
-        if account.admission.permits.is_used_often(self.now):
+        if account.admission.permits.needs_more(self.now):
             vm.gossip.permits.request(account.admission)
         self._use(vm, expiry)
 
--- a/zinniaturn/gateway/allowance_gate.py
+++ b/zinniaturn/gateway/allowance_gate.py
@@ -63,14 +63,13 @@
         if tenant is None or not tenant.is_limited:
             return math.inf
         account = self._account(tenant)
-        is_late = self._is_late(context)
-        clock = self.state.admissions.clock
-        if account.shortage.bars(is_late=is_late, now=clock.monotonic()):
+        if account.shortage.is_on and self._is_barred(account, context):
             raise self._rejection(account, context.priority)
         expiry = await self._permit(account)
         if expiry is None:
-            if not is_late:
-                account.shortage.note_refused(clock.monotonic())
+            if not self._is_late(context):
+                now = self.state.admissions.clock.monotonic()
+                account.shortage.note_refused(now)
             raise self._rejection(account, context.priority)
         return expiry
 
@@ -85,8 +84,8 @@
         """Return a permit's expiry, after a request for one if need be."""
         admission = account.admission
         permits = admission.permits
-        clock = self.state.admissions.clock
-        expiry = permits.take(clock.monotonic())
+        now = self.state.admissions.clock.monotonic()
+        expiry = permits.take(now)
         if expiry is None:
             permits.waiting += 1
             try:
@@ -95,7 +94,7 @@
                 permits.waiting -= 1
         if expiry is None:
             return self._own_permit(account)
-        if permits.is_used_often(clock.monotonic()):
+        if permits.needs_more(now):
             self.state.gossip.permits.request(admission)
         return expiry
 
@@ -122,6 +121,14 @@
         note_refused(account, now)
         return None
 
+    def _is_barred(
+        self, account: TenantAccount, context: RequestContext
+    ) -> bool:
+        """Return whether a request gets no permit while they are short."""
+        now = self.state.admissions.clock.monotonic()
+        is_late = self._is_late(context)
+        return account.shortage.bars(is_late=is_late, now=now)
+
     def _is_late(self, context: RequestContext) -> bool:
         """Return whether even an idle server would miss the objective."""
         route = context.route
--- a/zinniaturn/tenants/shortage.py
+++ b/zinniaturn/tenants/shortage.py
@@ -21,7 +21,8 @@
     """
     Whether a VM has refused a tenant's request that could be in time.
 
-    ``until`` is by the boot clock.
+    ``until`` is by the boot clock, and ``is_on`` is unset once it is over, so
+    that most requests need no further look.
 
     >>> shortage = AllowanceShortage()
     >>> shortage.bars(is_late=True, now=10)
@@ -36,11 +37,14 @@
     """
 
     until: float = float('-inf')
+    is_on: bool = False
 
     def bars(self, *, is_late: bool, now: float) -> bool:
         """Return whether a request is to be refused without a permit."""
-        return is_late and now < self.until
+        self.is_on = now < self.until
+        return is_late and self.is_on
 
     def note_refused(self, now: float) -> None:
         """Record that there was no permit for a request in time."""
         self.until = now + _SHORTAGE_SECONDS
+        self.is_on = True
