--- a/features/support/binary.py
+++ b/features/support/binary.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import atexit
+import contextlib
 import functools
 import os
 import shutil
@@ -76,10 +77,12 @@
         return {line.split(maxsplit=5)[5] for line in lines if '/' in line}
 
     def open_files(self):
-        return [
-            os.readlink(descriptor_link)
-            for descriptor_link in self.proc_path('fd').iterdir()
-        ]
+        """Return what is open; a file that is closed meanwhile is not."""
+        files = []
+        for descriptor_link in self.proc_path('fd').iterdir():
+            with contextlib.suppress(FileNotFoundError):
+                files.append(os.readlink(descriptor_link))
+        return files
 
     def written_files(self):
         return sorted(str(path) for path in self.folder.rglob('*'))
