--- a/features/explain_where.feature
+++ b/features/explain_where.feature
@@ -13,7 +13,7 @@
       | situation               | path     | tenant | outcome      | code | reason           |
       | all is as usual         | /open/1  | -      | sent         |      | have room        |
       | all is as usual         | /reads/1 | gold   | permit-asked |      | with a permit: sent |
-      | a read of gold was sent | /reads/1 | gold   | sent         |      | have room        |
+      | gold holds permits      | /reads/1 | gold   | sent         |      | have room        |
       | gold's owner can't be asked | /reads/1 | gold | permit-asked |    | its own part     |
       | all is as usual         | /reads/1 | coal   | sent         |      | have room        |
       | all servers are full    | /open/1  | -      | searched     |      | no server has room |
@@ -112,7 +112,7 @@
     Examples:
       | situation                 |
       | all is as usual           |
-      | a read of gold was sent   |
+      | gold holds permits        |
       | gold has no permit left   |
       | all servers have limits   |
       | the VM has lost its links |
@@ -128,7 +128,7 @@
     Examples:
       | situation               |
       | all is as usual         |
-      | a read of gold was sent |
+      | gold holds permits      |
       | all servers have limits |
       | both are evacuated      |
 
--- a/features/support/where_situations.py
+++ b/features/support/where_situations.py
@@ -120,10 +120,20 @@
     context.gateway.state.planned_stop = PlannedStop.begin(now, 0.1)
 
 
+def _gold_admission(context):
+    runner = context.gateway.dispatcher.attempt_runner
+    accounts = runner.allowances.accounts
+    return accounts.find('gold').admission
+
+
+def _hold_permits(context):
+    now = context.gateway.state.admissions.clock.monotonic()
+    _gold_admission(context).permits.add(2, now)
+
+
 def _use_up(context):
     state = context.gateway.state
-    runner = context.gateway.dispatcher.attempt_runner
-    admission = runner.allowances.accounts.find('gold').admission
+    admission = _gold_admission(context)
     admission.permits.expiries.clear()
     key = admission.notice.server
     until = state.admissions.clock.monotonic() + 0.5
@@ -166,7 +176,7 @@
 SITUATIONS = MappingProxyType(
     {
         'all is as usual': change_nothing,
-        'a read of gold was sent': change_nothing,
+        'gold holds permits': _hold_permits,
         'gold has no permit left': _use_up,
         "gold's owner can't be asked": _lose_owner,
         'all servers are full': _each(_fill),
