--- a/features/support/where_situations.py
+++ b/features/support/where_situations.py
@@ -127,7 +127,8 @@
 
 
 def _hold_permits(context):
-    now = context.gateway.state.admissions.clock.monotonic()
+    state = context.gateway.state
+    now = state.admissions.clock.monotonic()
     _gold_admission(context).permits.add(2, now)
 
 
