--- a/review/harness2.py
+++ b/review/harness2.py
@@ -25,6 +25,7 @@
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 HOST = 'shop.example'
 HEARTBEAT_SECONDS = 1.5
+LAG_SECONDS = 0.05
 BOUNDS = {
     'seed_lag_s': 3, 'addr_reuse_s': 2, 'contact_ms': 3000, 'ack_ms': 4000,
     'catch_up_s': 4, 'drain_ms': 2000, 'grace_s': 6, 'loss_slack_ms': 200,
@@ -493,12 +494,24 @@
         self.servers = []
         self.gateways = []
         self.tasks = []
+        self.most_lag = 0.0
 
     async def add(self, server):
         await server.start()
         self.servers.append(server)
         return server
 
+    def watch_lag(self):
+        """Note how far this process itself lags behind its timers."""
+        self.tasks.append(asyncio.ensure_future(self._watch_lag()))
+
+    async def _watch_lag(self):
+        while True:
+            asked_at = time.monotonic()
+            await asyncio.sleep(LAG_SECONDS)
+            lag = time.monotonic() - asked_at - LAG_SECONDS
+            self.most_lag = max(self.most_lag, lag)
+
     async def add_upstreams(self, store, service, count, **options):
         """Start servers of a service and keep them registered."""
         made = [
