--- a/review/harness2.py
+++ b/review/harness2.py
@@ -11,6 +11,7 @@
 import itertools
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -334,6 +335,22 @@
         return endpoint.getsockname()[1]
 
 
+def free_port_pair(host):
+    """Return a port that is free for datagrams, with a free next port."""
+    for first in random.sample(range(20_000, 30_000), 100):
+        with (
+            socket.socket(type=socket.SOCK_DGRAM) as datagrams,
+            socket.socket() as endpoint,
+        ):
+            try:
+                datagrams.bind((host, first))
+                endpoint.bind((host, first + 1))
+            except OSError:
+                continue
+            return first
+    raise OSError(f'no free ports on {host}')
+
+
 class Gateway:
     """A gateway process of the deploy file on a loopback address."""
 
@@ -344,7 +361,7 @@
         self.front = (host, free_port(host))
         self.readiness = (host, free_port(host))
         self.directory = (host, free_port(host))
-        self.first_port = 7620
+        self.first_port = free_port_pair(host)
         self.process = None
         self.settings = {
             'node_name': name, 'role': 'gateway', 'machine_class': 'front',
@@ -355,7 +372,8 @@
                 'readiness': '{}:{}'.format(*self.readiness),
                 'directory': '{}:{}'.format(*self.directory),
             },
-            'port_range': [7620, 7635], 'seeds': [],
+            'port_range': [self.first_port, self.first_port + 1],
+            'seeds': [],
             'first_start': first_start, 'loss_counted': False,
             'limits': limits or LIMITS, 'data_dir': None,
             'discovery': 'platform', 'entry': 'directory',
