--- a/review/10/play.py
+++ b/review/10/play.py
@@ -30,7 +30,7 @@
 PAYMENT_LEFT_MS = 2500
 EXPORTS, EXPORT_SECONDS, EXPORT_LEFT_MS = 6, 0.07, 2000
 EXPORT_BYTES = 520_000
-SICK = int(os.environ.get('SICK', '4'))
+SICK = int(os.environ.get('SICK', '7'))
 # The sick servers together use a part of the machine's link.
 SICK_BYTES_PER_SECOND = 0.9 * LIMITS['link_mbps'] * 1e6 / 8
 BLOCK = b'10000\r\n%b\r\n' % (b'x' * 65_536)
@@ -201,8 +201,17 @@
         while paid < (now - started_at - CALM_SECONDS) * PAYMENTS_PER_SECOND:
             paid += 1
             tasks.append(asyncio.ensure_future(pay(paid)))
-        peak = max(peak, gateway.memory_mb())
+        memory = gateway.memory_mb()
+        peak = max(peak, memory)
+        if memory > LIMITS['memory_mb']:
+            # The platform would kill the process here: case of the memory.
+            site.record.say(
+                f'{memory:.0f} MB after {now - started_at:.1f} s: the play ends'
+            )
+            break
         await asyncio.sleep(0.01)
+    lost = list(exports.lost)
+    exports.until = 0.0
     await asyncio.gather(*tasks)
     site.record.say(f'exports: {dict(exports.results)}')
     site.record.say(
@@ -211,10 +220,10 @@
     )
     if not gateway.is_running:
         return NOT_RUN
-    if len(exports.lost) > MOST_LOST:
+    if len(lost) > MOST_LOST:
         site.record.say(
-            f'LOST: {len(exports.lost)} exports that sound servers had '
-            f'answered on kept channels: {", ".join(exports.lost[:20])}'
+            f'LOST: {len(lost)} exports that sound servers had answered on '
+            f'kept channels: {", ".join(lost[:20])}'
         )
         return BROKEN
     return HELD
