--- a/review/10/play.py
+++ b/review/10/play.py
@@ -66,9 +66,10 @@
     await site.add_upstreams(store, 'billing-svc', 7, work=WORK_SECONDS)
     routes = [route('r1', '/pay/', 'non_idempotent', 'billing-svc', TIMEOUT_MS)]
     store.put('op/config', document(1, routes, ['billing-svc']))
-    gateway = site.gateway('vm-1', '127.0.1.1', store)
+    gateway = site.gateway('vm-1', store)
     await gateway.start()
     if not await gateway.wait_until_ready():
+        site.record.say('the gateway is not ready in time')
         return NOT_RUN
     waits = []
 
--- a/review/harness2.py
+++ b/review/harness2.py
@@ -329,10 +329,15 @@
 
 
 def free_port(host):
-    """Return a port that is free on an address."""
-    with socket.socket() as endpoint:
-        endpoint.bind((host, 0))
-        return endpoint.getsockname()[1]
+    """Return a free port that no outgoing connection takes meanwhile."""
+    for port in random.sample(range(10_000, 20_000), 100):
+        with socket.socket() as endpoint:
+            try:
+                endpoint.bind((host, port))
+            except OSError:
+                continue
+            return port
+    raise OSError(f'no free port on {host}')
 
 
 def free_port_pair(host):
@@ -513,6 +518,8 @@
         self.gateways = []
         self.tasks = []
         self.most_lag = 0.0
+        # Plays that run at the same time have addresses of their own.
+        self.network = f'127.{random.randint(1, 250)}.{random.randint(0, 250)}'
 
     async def add(self, server):
         await server.start()
@@ -551,7 +558,8 @@
             if f'servers/{server.name}' in store.items:
                 store.put(f'servers/{server.name}', server.entry())
 
-    def gateway(self, name, host, store, **options):
+    def gateway(self, name, store, **options):
+        host = f'{self.network}.{len(self.gateways) + 1}'
         made = Gateway(name, host, store, self.folder, self.record, **options)
         self.gateways.append(made)
         return made
